--- /dev/null
+++ b/cmd/rattanwall/main.go
@@ -0,0 +1,10 @@
+// Command rattanwall is every process of the system and its command line.
+package main
+
+import (
+	"os"
+
+	"github.com/rattanwall/rattanwall/internal/command"
+)
+
+func main() { os.Exit(command.Main()) }
--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,305 @@
+// Package admin serves the administration API, by which operators and teams
+// change the configuration and submit work. Every node serves it; each change
+// is a conditional write to the platform's store.
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/rattanwall/rattanwall/internal/cluster"
+	"github.com/rattanwall/rattanwall/internal/config"
+	"github.com/rattanwall/rattanwall/internal/errkind"
+	"github.com/rattanwall/rattanwall/internal/model"
+)
+
+// maxBody bounds a request's body.
+const maxBody = 256 << 10
+
+const (
+	// callTimeout bounds one administration call.
+	callTimeout = 8 * time.Second
+	// waitPause is how often a wait for a version looks again.
+	waitPause = 50 * time.Millisecond
+	maxWait   = 60 * time.Second
+)
+
+// Node is what the API shows and changes.
+type Node interface {
+	Keeper() *config.Keeper
+	Cluster() *cluster.Cluster
+	// InForce returns the configuration version in use at each live node, as
+	// last heard; 0 for a node not heard from.
+	InForce() map[string]int64
+	VMs() []VMInfo
+	Status() any
+	Dump() any
+}
+
+// VMInfo is a VM with its owner.
+type VMInfo struct {
+	model.VM
+	Owner   string `json:"owner"`
+	Drained bool   `json:"drained,omitempty"`
+}
+
+// API is the handler of the administration API.
+type API struct {
+	node Node
+	log  *logrus.Entry
+	mux  *http.ServeMux
+}
+
+// call is one request with whom it is from.
+type call struct {
+	*http.Request
+	who config.Identity
+	w   http.ResponseWriter
+}
+
+// New returns the API of a node.
+func New(node Node, log *logrus.Entry) *API {
+	a := &API{node: node, log: log, mux: http.NewServeMux()}
+	a.handle("GET /v1/config", a.getConfig)
+	a.handle("PATCH /v1/config", a.patchConfig)
+	a.handle("GET /v1/config/history", a.history)
+	a.handle("GET /v1/config/wait", a.wait)
+	a.handle("POST /v1/config/revert", a.revert)
+	a.handle("GET /v1/services", a.listServices)
+	a.handle("PUT /v1/services/{name}", a.putServices)
+	a.handle("DELETE /v1/services/{name}", a.putServices)
+	a.handle("GET /v1/watches", a.listWatches)
+	a.handle("PUT /v1/watches/{name}", a.putWatches)
+	a.handle("DELETE /v1/watches/{name}", a.putWatches)
+	a.handle("GET /v1/teams", a.listTeams)
+	a.handle("GET /v1/teams/{team}/jobs", a.listJobs)
+	a.handle("POST /v1/teams/{team}/jobs", a.submitJob)
+	a.handle("GET /v1/teams/{team}/jobs/{id}", a.getJob)
+	a.handle("POST /v1/teams/{team}/jobs/{id}/cancel", a.cancelJob)
+	a.handle("GET /v1/vms", func(context.Context, *call) (any, error) { return node.VMs(), nil })
+	a.handle("PUT /v1/vms/{name}/drain", a.drainVM)
+	a.handle("GET /v1/status", func(context.Context, *call) (any, error) { return node.Status(), nil })
+	a.handle("GET /v1/dump", a.dump)
+	return a
+}
+
+// ServeHTTP implements http.Handler.
+func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) { a.mux.ServeHTTP(w, r) }
+
+// ErrorBody is the answer to a call that failed.
+type ErrorBody struct {
+	Error   errkind.Kind    `json:"error"`
+	Outcome errkind.Outcome `json:"outcome"`
+	Message string          `json:"message,omitempty"`
+	Hint    string          `json:"hint"`
+}
+
+func (a *API) handle(pattern string, f func(context.Context, *call) (any, error)) {
+	a.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		who, ok := a.node.Keeper().Current().Identify(token)
+		if !ok {
+			writeError(w, errkind.New(errkind.Unauthorized, "", nil))
+			return
+		}
+		ctx := r.Context()
+		if !strings.HasSuffix(pattern, "/wait") {
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, maxBody)
+		answer, err := f(ctx, &call{Request: r, who: who, w: w})
+		if r.Method != http.MethodGet {
+			a.log.WithError(err).WithFields(logrus.Fields{"who": who.Name, "call": r.Method + " " + r.URL.Path}).Info("administration call")
+		}
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		writeJSON(w, http.StatusOK, answer)
+	})
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	e := errkind.From(err)
+	row := e.Answer()
+	if row.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int((row.RetryAfter+time.Second-1)/time.Second)))
+	}
+	writeJSON(w, row.Status, ErrorBody{Error: e.Kind, Outcome: row.Outcome, Message: e.Message, Hint: row.Hint})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// body reads the request's body as JSON, strictly.
+func (c *call) body(into any) error {
+	dec := json.NewDecoder(c.Body)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(into); err != nil {
+		return errkind.New(errkind.InvalidRequest, strings.TrimPrefix(err.Error(), "json: "), nil)
+	}
+	return nil
+}
+
+// operator refuses everyone but operators.
+func (c *call) operator() error {
+	if !c.who.Operator {
+		return errkind.New(errkind.Forbidden, "only an operator may do this", nil)
+	}
+	return nil
+}
+
+// team refuses everyone but operators and the team itself.
+func (c *call) team(name string) error {
+	if !c.who.Operator && c.who.Name != name {
+		return errkind.New(errkind.Forbidden, "this is team "+name+"'s", nil)
+	}
+	return nil
+}
+
+// dump shows the node's whole state, credentials' hashes excepted.
+func (a *API) dump(_ context.Context, c *call) (any, error) {
+	if err := c.operator(); err != nil {
+		return nil, err
+	}
+	return a.node.Dump(), nil
+}
+
+// ConfigAnswer is the configuration with its version.
+type ConfigAnswer struct {
+	Version  int64           `json:"version"`
+	Document json.RawMessage `json:"document"`
+}
+
+func (a *API) getConfig(_ context.Context, c *call) (any, error) {
+	if err := c.operator(); err != nil {
+		return nil, err
+	}
+	head := a.node.Keeper().Current().Head
+	setVersion(c.w, head.Version)
+	return ConfigAnswer{Version: head.Version, Document: head.Document}, nil
+}
+
+func setVersion(w http.ResponseWriter, version int64) {
+	w.Header().Set("ETag", strconv.Quote(strconv.FormatInt(version, 10)))
+}
+
+// against reads the version that a patch was made against.
+func (c *call) against() (int64, error) {
+	raw := c.Header.Get("If-Match")
+	if raw == "" {
+		return 0, errkind.New(errkind.VersionRequired, "", nil)
+	}
+	version, err := strconv.ParseInt(strings.Trim(raw, `"`), 10, 64)
+	if err != nil {
+		return 0, errkind.New(errkind.InvalidRequest, "If-Match: give a version's number", nil)
+	}
+	return version, nil
+}
+
+// PatchAnswer tells the version that a patch made.
+type PatchAnswer struct {
+	Version int64 `json:"version"`
+}
+
+func (a *API) patchConfig(ctx context.Context, c *call) (any, error) {
+	if err := c.operator(); err != nil {
+		return nil, err
+	}
+	against, err := c.against()
+	if err != nil {
+		return nil, err
+	}
+	raw, err := io.ReadAll(c.Body)
+	if err != nil {
+		return nil, errkind.New(errkind.BodyTooLarge, "", err)
+	}
+	return a.patch(ctx, c, against, raw)
+}
+
+func (a *API) patch(ctx context.Context, c *call, against int64, body json.RawMessage) (any, error) {
+	id := c.Header.Get("Idempotency-Key")
+	head, err := a.node.Keeper().Patch(ctx, config.Patch{Against: against, ID: id, Author: c.who.Name, Body: body})
+	if err != nil {
+		return nil, err
+	}
+	version := head.Version
+	if made, ok := head.Find(id); ok {
+		version = made.Version
+	}
+	setVersion(c.w, version)
+	return PatchAnswer{Version: version}, nil
+}
+
+func (a *API) history(_ context.Context, c *call) (any, error) {
+	if err := c.operator(); err != nil {
+		return nil, err
+	}
+	changes := a.node.Keeper().Current().Head.Changes
+	if changes == nil {
+		changes = []config.Change{}
+	}
+	return changes, nil
+}
+
+// revert makes a new version with the document of an older one.
+func (a *API) revert(ctx context.Context, c *call) (any, error) {
+	if err := c.operator(); err != nil {
+		return nil, err
+	}
+	var body struct {
+		Version int64 `json:"version"`
+	}
+	if err := c.body(&body); err != nil {
+		return nil, err
+	}
+	head := a.node.Keeper().Current().Head
+	patch, err := head.RevertTo(body.Version)
+	if err != nil {
+		return nil, err
+	}
+	return a.patch(ctx, c, head.Version, patch)
+}
+
+// WaitAnswer tells where a version is in force.
+type WaitAnswer struct {
+	Version int64            `json:"version"`
+	InForce bool             `json:"in_force"`
+	Nodes   map[string]int64 `json:"nodes"`
+}
+
+// wait returns once every live node uses the version or a newer one.
+func (a *API) wait(ctx context.Context, c *call) (any, error) {
+	version, err := strconv.ParseInt(c.FormValue("version"), 10, 64)
+	if err != nil {
+		return nil, errkind.New(errkind.InvalidRequest, "version: give a number", nil)
+	}
+	limit := 10 * time.Second
+	if ms, err := strconv.ParseInt(c.FormValue("timeout_ms"), 10, 64); err == nil {
+		limit = min(time.Duration(ms)*time.Millisecond, maxWait)
+	}
+	deadline := time.Now().Add(limit)
+	for {
+		nodes := a.node.InForce()
+		answer := WaitAnswer{Version: version, InForce: true, Nodes: nodes}
+		for _, v := range nodes {
+			answer.InForce = answer.InForce && v >= version
+		}
+		if answer.InForce || time.Now().After(deadline) || ctx.Err() != nil {
+			return answer, nil
+		}
+		time.Sleep(waitPause)
+	}
+}
--- /dev/null
+++ b/internal/cluster/cluster.go
@@ -0,0 +1,301 @@
+// Package cluster is a node's side of the protocol between nodes: it tells
+// peers what this node has, hears what they have, and carries calls to the
+// owner of a shard, which may be this node itself.
+package cluster
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/twitchtv/twirp"
+
+	"github.com/rattanwall/rattanwall/internal/config"
+	"github.com/rattanwall/rattanwall/internal/errkind"
+	"github.com/rattanwall/rattanwall/internal/jobs"
+	"github.com/rattanwall/rattanwall/internal/membership"
+	"github.com/rattanwall/rattanwall/internal/model"
+	"github.com/rattanwall/rattanwall/internal/ownership"
+	pb "github.com/rattanwall/rattanwall/internal/peer"
+	"github.com/rattanwall/rattanwall/internal/route"
+	"github.com/rattanwall/rattanwall/internal/vms"
+)
+
+const (
+	// exchangeEvery is how often a few peers are told this node's state. With
+	// each exchange going both ways, every pair of nodes of a small deployment
+	// hears of each other about once a second.
+	exchangeEvery = 500 * time.Millisecond
+	// exchangePeers is how many peers are told each time.
+	exchangePeers = 2
+	// exchangeTimeout bounds one exchange.
+	exchangeTimeout = time.Second
+	// staleAfter is when a peer's word on its room counts no more.
+	staleAfter = 15 * time.Second
+)
+
+// Cluster connects a node with its peers. Serve runs the exchange.
+type Cluster struct {
+	node    string
+	config  *config.Keeper
+	log     *logrus.Entry
+	client  *http.Client
+	members *membership.Membership
+	vms     *vms.Manager
+	jobs    *jobs.Service
+
+	mu       sync.Mutex
+	draining bool
+	peers    map[string]*peerState
+	next     int
+}
+
+// peerState is what a peer last said.
+type peerState struct {
+	state   *pb.NodeState
+	heardAt time.Time
+}
+
+// New returns the cluster of a node. Attach must follow before Serve.
+func New(node string, keeper *config.Keeper, log *logrus.Entry) *Cluster {
+	return &Cluster{
+		node: node, config: keeper, log: log, peers: map[string]*peerState{},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}},
+	}
+}
+
+// Attach gives the parts of the node that calls are carried to.
+func (c *Cluster) Attach(members *membership.Membership, manager *vms.Manager, service *jobs.Service) {
+	c.members, c.vms, c.jobs = members, manager, service
+}
+
+// SetDraining makes peers stop sending requests here.
+func (c *Cluster) SetDraining() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.draining = true
+}
+
+// Serve implements suture.Service.
+func (c *Cluster) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(exchangeEvery)
+	defer ticker.Stop()
+	for {
+		var wg sync.WaitGroup
+		for _, n := range c.nextPeers() {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				c.exchange(ctx, n)
+			}()
+		}
+		wg.Wait()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// nextPeers returns the peers to tell now, in turn.
+func (c *Cluster) nextPeers() []ownership.Node {
+	nodes := c.others()
+	if len(nodes) <= exchangePeers {
+		return nodes
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var picked []ownership.Node
+	for range exchangePeers {
+		c.next = (c.next + 1) % len(nodes)
+		picked = append(picked, nodes[c.next])
+	}
+	return picked
+}
+
+// others returns the other live nodes, sorted by id.
+func (c *Cluster) others() []ownership.Node {
+	var nodes []ownership.Node
+	for id, n := range c.members.Nodes() {
+		if id != c.node {
+			nodes = append(nodes, n)
+		}
+	}
+	sort.Slice(nodes, func(i, j int) bool { return nodes[i].ID < nodes[j].ID })
+	return nodes
+}
+
+func (c *Cluster) exchange(ctx context.Context, n ownership.Node) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	state, err := c.dial(n).Exchange(ctx, c.state())
+	if err == nil {
+		c.hear(state)
+	}
+}
+
+// state is what this node says of itself.
+func (c *Cluster) state() *pb.NodeState {
+	self := c.members.Self()
+	summary := c.vms.Summary()
+	s := &pb.NodeState{
+		Node: self.ID, Zone: self.Zone, Incarnation: self.Session,
+		ConfigVersion: c.config.Current().Head.Version, StoreReachable: c.members.StoreReachable(),
+		Free: amount(summary.Free), Vms: summary.VMs,
+	}
+	c.mu.Lock()
+	s.Draining = c.draining
+	c.mu.Unlock()
+	for name, room := range summary.Services {
+		s.Services = append(s.Services, &pb.ServiceState{
+			Name: name, FreeQuick: room.Quick, FreeHeavy: room.Heavy, FreeStanding: room.Standing, Waiting: room.Waiting,
+		})
+	}
+	return s
+}
+
+func (c *Cluster) hear(s *pb.NodeState) {
+	if s.GetNode() == "" || s.GetNode() == c.node {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.peers[s.Node] = &peerState{state: s, heardAt: time.Now()}
+}
+
+func (c *Cluster) dial(n ownership.Node) pb.Peer {
+	return pb.NewPeerProtobufClient("http://"+n.PeerAddress, c.client)
+}
+
+func amount(r model.Resources) *pb.Amount {
+	return &pb.Amount{MilliCpu: r.MilliCPU, MemoryMb: r.MemoryMB, Accelerators: r.Accelerators}
+}
+
+func resources(a *pb.Amount) model.Resources {
+	return model.Resources{MilliCPU: a.GetMilliCpu(), MemoryMB: a.GetMemoryMb(), Accelerators: a.GetAccelerators()}
+}
+
+// fresh calls f with each live peer's last word.
+func (c *Cluster) fresh(f func(n ownership.Node, s *pb.NodeState)) {
+	nodes := c.others()
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, n := range nodes {
+		if p := c.peers[n.ID]; p != nil && now.Sub(p.heardAt) < staleAfter && !p.state.Draining {
+			f(n, p.state)
+		}
+	}
+}
+
+// For implements route.Peers: peers of the same availability zone first, then
+// those with more room.
+func (c *Cluster) For(service string, class model.Class) []route.Peer {
+	zone := c.members.Self().Zone
+	var found []route.Peer
+	c.fresh(func(n ownership.Node, s *pb.NodeState) {
+		for _, svc := range s.Services {
+			if svc.Name != service {
+				continue
+			}
+			found = append(found, route.Peer{
+				Node: n.ID, Address: n.PeerAddress, Free: freeOf(svc, class), Near: n.Zone == zone, Waiting: svc.Waiting,
+			})
+		}
+	})
+	sort.Slice(found, func(i, j int) bool {
+		if found[i].Near != found[j].Near {
+			return found[i].Near
+		}
+		return found[i].Free > found[j].Free
+	})
+	return found
+}
+
+func freeOf(s *pb.ServiceState, class model.Class) int64 {
+	switch class {
+	case model.Heavy:
+		return s.FreeHeavy
+	case model.Standing:
+		return s.FreeStanding
+	}
+	return s.FreeQuick
+}
+
+// Heard implements route.Peers.
+func (c *Cluster) Heard(node, service string, class model.Class, free int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.peers[node]
+	if p == nil {
+		return
+	}
+	for _, svc := range p.state.Services {
+		if svc.Name != service {
+			continue
+		}
+		switch class {
+		case model.Heavy:
+			svc.FreeHeavy = free
+		case model.Standing:
+			svc.FreeStanding = free
+		default:
+			svc.FreeQuick = free
+		}
+	}
+}
+
+// AskPromise implements membership.Promiser.
+func (c *Cluster) AskPromise(ctx context.Context, peer, self ownership.Node, d time.Duration) (granted, reached bool) {
+	answer, err := c.dial(peer).Promise(ctx, &pb.PromiseRequest{
+		Node: self.ID, Incarnation: self.Session, DurationMs: d.Milliseconds(),
+	})
+	if err != nil {
+		return false, false
+	}
+	return answer.Granted, true
+}
+
+// callError gives an error of a call to a peer its kind.
+func callError(err error) error {
+	var te twirp.Error
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &te) && te.Code() == twirp.FailedPrecondition:
+		return errkind.New(errkind.NotOwner, "", err)
+	}
+	return errkind.New(errkind.NoOwner, "the shard's owner was not reached", err)
+}
+
+// PeerDump describes a peer for the state dump.
+type PeerDump struct {
+	Node          string `json:"node"`
+	Zone          string `json:"zone"`
+	HeardMSAgo    int64  `json:"heard_ms_ago"`
+	ConfigVersion int64  `json:"config_version"`
+	VMs           int64  `json:"vms"`
+	Draining      bool   `json:"draining"`
+	StoreOK       bool   `json:"store_reachable"`
+}
+
+// Dump describes the peers, sorted by node.
+func (c *Cluster) Dump() []PeerDump {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var dump []PeerDump
+	for _, p := range c.peers {
+		dump = append(dump, PeerDump{
+			Node: p.state.Node, Zone: p.state.Zone, HeardMSAgo: time.Since(p.heardAt).Milliseconds(),
+			ConfigVersion: p.state.ConfigVersion, VMs: p.state.Vms, Draining: p.state.Draining,
+			StoreOK: p.state.StoreReachable,
+		})
+	}
+	sort.Slice(dump, func(i, j int) bool { return dump[i].Node < dump[j].Node })
+	return dump
+}
--- /dev/null
+++ b/internal/command/root.go
@@ -0,0 +1,77 @@
+// Package command is the command line: one file per verb. Exit codes: 0 done,
+// 1 a check or an invariant failed, 2 wrong use or refused, 3 the outcome is
+// unknown, 4 not reached or try again later.
+package command
+
+import (
+	"errors"
+	"os"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"github.com/rattanwall/rattanwall/internal/errkind"
+)
+
+// The exit codes.
+const (
+	exitOK      = 0
+	exitFailed  = 1
+	exitUsage   = 2
+	exitUnknown = 3
+	exitLater   = 4
+)
+
+// errFailed ends the process with exitFailed; what failed was already told.
+var errFailed = errors.New("failed")
+
+// Main runs the command line and returns the exit code.
+func Main() int {
+	root := newRoot()
+	err := root.Execute()
+	if err == nil {
+		return exitOK
+	}
+	if errors.Is(err, errFailed) {
+		return exitFailed
+	}
+	_, _ = os.Stderr.WriteString("rattanwall: " + err.Error() + "\n")
+	var kind *errkind.Error
+	if !errors.As(err, &kind) {
+		return exitUsage
+	}
+	switch a := kind.Answer(); {
+	case a.Outcome == errkind.Unknown:
+		return exitUnknown
+	case a.Retryable:
+		return exitLater
+	}
+	return exitUsage
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "rattanwall",
+		Short:         "A scheduler for colocated latency-critical and batch work",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(newNode(), newDev(), newStandin(), newSettings())
+	root.AddCommand(newConfig(), newService(), newWatch(), newJob(), newTeam(), newVM(), newStatus(), newDump())
+	return root
+}
+
+// newLogger returns a logger that writes to standard error.
+func newLogger(level, format string) (*logrus.Logger, error) {
+	log := logrus.New()
+	log.SetOutput(os.Stderr)
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	log.SetLevel(parsed)
+	if format == "json" {
+		log.SetFormatter(&logrus.JSONFormatter{})
+	}
+	return log, nil
+}
--- /dev/null
+++ b/internal/deployment/deployment.go
@@ -0,0 +1,116 @@
+// Package deployment describes the shapes of the two deployments that the
+// system runs in today, for the demo, tests and measurements.
+package deployment
+
+import (
+	"fmt"
+	"sort"
+
+	"github.com/rattanwall/rattanwall/internal/config"
+	"github.com/rattanwall/rattanwall/internal/model"
+)
+
+// Shape is one deployment.
+type Shape struct {
+	Name    string
+	Service string
+	Team    string
+	// Zones maps each availability zone to its entry VMs.
+	Zones map[string]int
+	// Workers is their number over all zones; PerRack share a rack.
+	Workers, PerRack int
+	Capacity         model.Resources
+	Weights          config.Weights
+	// ReservePerVM is kept for the service on each VM.
+	ReservePerVM model.Resources
+}
+
+// What is alike in both deployments.
+const (
+	slots       = 8
+	connections = 64
+	// acceleratorEvery VMs one has an accelerator; the users' page does not tell
+	// the number of today.
+	acceleratorEvery = 4
+)
+
+// Shapes returns the deployments by name.
+func Shapes() map[string]Shape {
+	return map[string]Shape{
+		"cofnod-criw": {
+			Name: "cofnod-criw", Service: "crewbook", Team: "rostering",
+			Zones: map[string]int{"cardiff": 3, "newport": 3, "swansea": 3}, Workers: 48, PerRack: 8,
+			Capacity:     model.Resources{MilliCPU: 32_000, MemoryMB: 125_000, Slots: slots, Connections: connections},
+			Weights:      config.Weights{Tail: 5, Throughput: 1, Evictions: 2},
+			ReservePerVM: model.Resources{MilliCPU: 8_000, MemoryMB: 16_000},
+		},
+		"thessaly": {
+			Name: "thessaly", Service: "orders", Team: "counter",
+			Zones: map[string]int{"larisa": 3, "volos": 2, "trikala": 2, "karditsa": 2}, Workers: 48, PerRack: 6,
+			Capacity:     model.Resources{MilliCPU: 64_000, MemoryMB: 250_000, Slots: slots, Connections: connections},
+			Weights:      config.Weights{Tail: 2, Throughput: 4, Evictions: 2},
+			ReservePerVM: model.Resources{MilliCPU: 8_000, MemoryMB: 16_000},
+		},
+	}
+}
+
+// ZoneNames returns the availability zones, sorted.
+func (s Shape) ZoneNames() []string {
+	var names []string
+	for z := range s.Zones {
+		names = append(names, z)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// VMs returns the workers; their addresses are not set.
+func (s Shape) VMs() []model.VM {
+	zones := s.ZoneNames()
+	perZone := s.Workers / len(zones)
+	var list []model.VM
+	for _, zone := range zones {
+		for i := range perZone {
+			capacity := s.Capacity
+			if i%acceleratorEvery == 0 {
+				capacity.Accelerators = 1
+			}
+			list = append(list, model.VM{
+				Name: fmt.Sprintf("%s-w%02d", zone, i), Zone: zone, Rack: fmt.Sprintf("rack%d", i/s.PerRack),
+				State: model.VMLive, Capacity: capacity,
+			})
+		}
+	}
+	return list
+}
+
+// Node names one entry VM.
+type Node struct{ Name, Zone string }
+
+// Nodes returns the entry VMs.
+func (s Shape) Nodes() []Node {
+	var nodes []Node
+	for _, zone := range s.ZoneNames() {
+		for i := range s.Zones[zone] {
+			nodes = append(nodes, Node{Name: fmt.Sprintf("%s-n%d", zone, i+1), Zone: zone})
+		}
+	}
+	return nodes
+}
+
+// Document returns a configuration for the shape: its service with the team
+// that owns it, a batch team, and a standing watch.
+func (s Shape) Document(operator, team, batch string) config.Document {
+	return config.Document{
+		Operators: map[string]config.Credential{"operator": {TokenSHA256: config.HashToken(operator)}},
+		Teams: map[string]config.Team{
+			s.Team:  {Credential: config.Credential{TokenSHA256: config.HashToken(team)}, Weight: 1},
+			"batch": {Credential: config.Credential{TokenSHA256: config.HashToken(batch)}, Weight: 1},
+		},
+		Services: map[string]config.Service{s.Service: {
+			Team: s.Team, Reserve: s.ReservePerVM, TimeoutMS: 10_000, ObjectiveMS: 50,
+		}},
+		Watches: map[string]config.Watch{"changes": {Team: s.Team, Service: s.Service, Path: "/watch"}},
+		Weights: s.Weights,
+	}
+}
--- /dev/null
+++ b/internal/jobs/leader.go
@@ -0,0 +1,368 @@
+package jobs
+
+import (
+	"context"
+	"reflect"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/rattanwall/rattanwall/internal/config"
+	"github.com/rattanwall/rattanwall/internal/errkind"
+	"github.com/rattanwall/rattanwall/internal/model"
+	"github.com/rattanwall/rattanwall/internal/platform"
+	"github.com/rattanwall/rattanwall/internal/vms"
+	"github.com/rattanwall/rattanwall/internal/worker"
+)
+
+// Offer is a node's room for tasks, as last heard.
+type Offer struct {
+	Node string
+	Zone string
+	Free model.Resources
+}
+
+// Cluster is what a leader needs of the nodes that own VMs.
+type Cluster interface {
+	// Offers returns the room of each node, as last heard.
+	Offers() []Offer
+	// Owner returns the node that owns a VM. listed is false when the platform's
+	// list does not have the VM; known is false when no live node owns it.
+	Owner(vm string) (node string, listed, known bool)
+	// FitsNowhere explains why a task can never run, or returns "".
+	FitsNowhere(spec model.JobSpec) string
+	Reserve(ctx context.Context, node string, refs []worker.Ref, need model.Resources, zones []string) ([]vms.Attempt, error)
+	Start(ctx context.Context, node string, attempts []vms.Attempt, durationMS int64) ([]vms.Attempt, error)
+	Stop(ctx context.Context, node string, attempts []vms.Attempt, checkpoint bool) error
+	Audit(ctx context.Context, node string, attempts []vms.Attempt) (ended []vms.Attempt, err error)
+}
+
+const (
+	// batchLimit bounds the commands committed with one entry.
+	batchLimit = 256
+	// planEvery is the longest time between two looks at the queue.
+	planEvery = 100 * time.Millisecond
+	// keepEnded is how many ended jobs a shard remembers.
+	keepEnded = 200
+	// maxOpenTasks bounds the tasks of a shard's open jobs, so that its snapshot
+	// stays far below the store's largest value.
+	maxOpenTasks = 20_000
+)
+
+// command is something to do in the leader's loop.
+type command struct {
+	// ops returns the operations to commit; an error commits none.
+	ops func(s *State) ([]Op, error)
+	// done is told when the operations are committed, or why they are not.
+	done func(error)
+}
+
+// Leader writes one shard while this node owns it.
+type Leader struct {
+	shard   string
+	node    string
+	log     log
+	cluster Cluster
+	config  func() *config.Installed
+	logger  *logrus.Entry
+
+	commands chan command
+	stopped  chan struct{}
+	planner  *planner
+
+	// state and what follows belong to the loop's goroutine.
+	state   *State
+	storeOK bool
+}
+
+func newLeader(shard, node string, store platform.Store, cluster Cluster, cfg func() *config.Installed, logger *logrus.Entry) *Leader {
+	l := &Leader{
+		shard: shard, node: node, cluster: cluster, config: cfg, logger: logger.WithField("shard", shard),
+		log:      log{store: store, prefix: "jobs/" + shard + "/"},
+		commands: make(chan command, batchLimit), stopped: make(chan struct{}),
+	}
+	l.planner = newPlanner(l)
+	return l
+}
+
+// run leads the shard until ctx ends or another node has taken over.
+func (l *Leader) run(ctx context.Context) {
+	defer close(l.stopped)
+	if !l.begin(ctx) {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	l.logger.WithField("jobs", len(l.state.Jobs)).Info("leading job shard")
+	go l.planner.auditLoop(ctx)
+	ticker := time.NewTicker(planEvery)
+	defer ticker.Stop()
+	for {
+		var batch []command
+		select {
+		case <-ctx.Done():
+			return
+		case c := <-l.commands:
+			batch = l.gather(c)
+		case <-ticker.C:
+		}
+		if err := l.process(ctx, batch); err != nil {
+			l.logger.WithError(err).Info("no longer leading job shard")
+			return
+		}
+		l.planner.plan(ctx, l.state)
+	}
+}
+
+// begin reads the shard and writes the entry that shuts earlier leaders out.
+func (l *Leader) begin(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		state, err := l.log.load(ctx)
+		if err == nil {
+			if l.log.snapshotOverdue() {
+				err = l.log.writeSnapshot(ctx, state)
+			}
+			if err == nil {
+				err = l.log.append(ctx, []Op{{Kind: OpLead, Node: l.node}})
+			}
+		}
+		if err == nil {
+			l.state, l.storeOK = state, true
+			l.planner.adopt(state, time.Now())
+			return true
+		}
+		l.logger.WithError(err).Warn("job shard could not be taken up; trying again")
+		select {
+		case <-ctx.Done():
+		case <-time.After(commitPause):
+		}
+	}
+	return false
+}
+
+// gather takes what else waits, so that it shares one entry.
+func (l *Leader) gather(first command) []command {
+	batch := []command{first}
+	for len(batch) < batchLimit {
+		select {
+		case c := <-l.commands:
+			batch = append(batch, c)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// process applies a batch, commits it with one entry and answers. On an error
+// the state in memory is ahead of the store and the leader must end.
+func (l *Leader) process(ctx context.Context, batch []command) error {
+	var ops []Op
+	var waiting []command
+	for _, c := range batch {
+		more, err := c.ops(l.state)
+		if err != nil || len(more) == 0 {
+			c.done(err)
+			continue
+		}
+		applied := l.applyAll(more)
+		ops = append(ops, applied...)
+		waiting = append(waiting, c)
+	}
+	for _, key := range l.state.Forgettable(keepEnded) {
+		ops = append(ops, l.applyAll([]Op{{Kind: OpForget, Job: key}})...)
+	}
+	if len(ops) == 0 {
+		for _, c := range waiting {
+			c.done(nil)
+		}
+		return nil
+	}
+	err := l.commit(ctx, ops)
+	for _, c := range waiting {
+		c.done(err)
+	}
+	return err
+}
+
+// applyAll applies the operations that fit and returns them.
+func (l *Leader) applyAll(ops []Op) []Op {
+	applied := ops[:0:0]
+	for _, op := range ops {
+		if err := l.state.Apply(op); err == nil {
+			applied = append(applied, op)
+			l.planner.noted(op)
+		}
+	}
+	return applied
+}
+
+// commit writes an entry, and a snapshot when one is due. While the store is
+// away it waits: running tasks go on, and what waits here is told by its own
+// timeout that the outcome is unknown.
+func (l *Leader) commit(ctx context.Context, ops []Op) error {
+	started := time.Now()
+	err := l.log.append(ctx, ops)
+	l.storeOK = err == nil && time.Since(started) < logCallTimeout
+	if err != nil {
+		return err
+	}
+	for l.log.snapshotDue() {
+		err := l.log.writeSnapshot(ctx, l.state)
+		if err == nil || !l.log.snapshotOverdue() {
+			break
+		}
+		l.logger.WithError(err).Warn("snapshot of job shard failed; the ring is full, trying again")
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(commitPause):
+		}
+	}
+	return nil
+}
+
+// do runs ops in the loop and returns once they are committed. When ctx ends
+// first the outcome is unknown.
+func (l *Leader) do(ctx context.Context, ops func(s *State) ([]Op, error)) error {
+	result := make(chan error, 1)
+	c := command{ops: ops, done: func(err error) { result <- err }}
+	select {
+	case l.commands <- c:
+	case <-l.stopped:
+		return errkind.New(errkind.NotOwner, "", nil)
+	case <-ctx.Done():
+		// Not taken up, so certainly not done.
+		return errkind.New(errkind.StoreUnavailable, "the job shard waits for the store", ctx.Err())
+	}
+	select {
+	case err := <-result:
+		return commandError(err)
+	case <-l.stopped:
+		select {
+		case err := <-result:
+			return commandError(err)
+		default:
+			return errkind.New(errkind.StoreUnknown, "the job shard changed hands meanwhile", nil)
+		}
+	case <-ctx.Done():
+		return errkind.New(errkind.StoreUnknown, "repeat the call, it is recognised", ctx.Err())
+	}
+}
+
+// commandError gives an error of the state or the log its kind.
+func commandError(err error) error {
+	var known *errkind.Error
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &known):
+		return known
+	case errors.Is(err, ErrNoJob):
+		return errkind.New(errkind.NotFound, "no such job", nil)
+	case errors.Is(err, ErrSuperseded):
+		return errkind.New(errkind.NotOwner, "", err)
+	}
+	return errkind.New(errkind.StoreUnknown, "repeat the call, it is recognised", err)
+}
+
+// Submit accepts a job. Submitting the same job again is recognised.
+func (l *Leader) Submit(ctx context.Context, spec model.JobSpec) error {
+	if why := l.cluster.FitsNowhere(spec); why != "" {
+		return errkind.New(errkind.InvalidRequest, "the job can never run: "+why, nil)
+	}
+	return l.do(ctx, func(s *State) ([]Op, error) {
+		if j := s.Jobs[JobKey(spec.Team, spec.ID)]; j != nil {
+			if reflect.DeepEqual(j.Spec, spec) {
+				return nil, nil
+			}
+			return nil, errkind.New(errkind.AlreadyExists, "the team has another job of that id", nil)
+		}
+		open := spec.Tasks
+		for _, j := range s.Jobs {
+			if j.EndedMS == 0 {
+				open += len(j.Tasks)
+			}
+		}
+		if open > maxOpenTasks {
+			return nil, errkind.New(errkind.QuotaExceeded, "too many open tasks in the team's job shard", nil)
+		}
+		return []Op{{Kind: OpSubmit, Spec: &spec, AtMS: time.Now().UnixMilli()}}, nil
+	})
+}
+
+// Cancel ends a job; its running tasks are stopped by the owners of their VMs.
+func (l *Leader) Cancel(ctx context.Context, key string) error {
+	var placed []vms.Attempt
+	err := l.do(ctx, func(s *State) ([]Op, error) {
+		j := s.Jobs[key]
+		if j == nil {
+			return nil, ErrNoJob
+		}
+		if j.Cancelled || j.EndedMS != 0 {
+			return nil, nil
+		}
+		for i, t := range j.Tasks {
+			if t.State == Placed {
+				placed = append(placed, attemptOf(key, i, t))
+			}
+		}
+		return []Op{{Kind: OpCancel, Job: key, AtMS: time.Now().UnixMilli()}}, nil
+	})
+	if err == nil {
+		l.planner.stop(placed)
+	}
+	return err
+}
+
+// Report takes what a VM's owner says of attempts. What is returned as recorded
+// needs no further report; what is obsolete must be stopped.
+func (l *Leader) Report(ctx context.Context, attempts []vms.Attempt) (obsolete []worker.Ref, err error) {
+	now := time.Now()
+	err = l.do(ctx, func(s *State) ([]Op, error) {
+		var ops []Op
+		for _, a := range attempts {
+			key, index, ok := parseTask(a.Task)
+			if !ok {
+				continue
+			}
+			if a.End != "" {
+				ops = append(ops, endOp(key, index, a, now))
+				continue
+			}
+			if current(s, key, index, a.Attempt) {
+				l.planner.heard(a.Ref, now)
+			} else {
+				obsolete = append(obsolete, a.Ref)
+			}
+		}
+		return ops, nil
+	})
+	return obsolete, err
+}
+
+// current reports whether an attempt is the one that should run.
+func current(s *State, key string, index int, attempt int64) bool {
+	j := s.Jobs[key]
+	if j == nil || index >= len(j.Tasks) || j.Cancelled {
+		return false
+	}
+	t := j.Tasks[index]
+	return t.State == Placed && t.Attempt == attempt
+}
+
+func endOp(key string, index int, a vms.Attempt, at time.Time) Op {
+	return Op{
+		Kind: OpEnd, Job: key, Index: index, Attempt: a.Attempt, End: a.End,
+		Checkpoint: a.Checkpoint, AtMS: at.UnixMilli(),
+	}
+}
+
+// Read calls f with the committed state.
+func (l *Leader) Read(ctx context.Context, f func(s *State)) error {
+	return l.do(ctx, func(s *State) ([]Op, error) {
+		f(s)
+		return nil, nil
+	})
+}
--- /dev/null
+++ b/internal/jobs/planner.go
@@ -0,0 +1,389 @@
+package jobs
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/model"
+	"github.com/rattanwall/rattanwall/internal/vms"
+	"github.com/rattanwall/rattanwall/internal/worker"
+)
+
+const (
+	// reserveBatch bounds the tasks of one request for room.
+	reserveBatch = 32
+	// reservingLimit bounds the requests for room under way.
+	reservingLimit = 4
+	// noRoomPause keeps a node unasked after it had no room.
+	noRoomPause = 200 * time.Millisecond
+	// callTimeout bounds one call to a peer.
+	callTimeout = 5 * time.Second
+	// auditEvery is how often attempts not heard of are asked for.
+	auditEvery = 3 * time.Second
+	// heardWithin is how long an attempt may go unreported before it is asked for.
+	heardWithin = 6 * time.Second
+	// unlistedLimit is how long an attempt on a VM that the platform no longer
+	// lists counts as running: longer than any lease and any owner's fence.
+	unlistedLimit = 40 * time.Second
+	// failureBackoff is doubled with each failure of a task, up to maxBackoff.
+	failureBackoff = 500 * time.Millisecond
+	maxBackoff     = 30 * time.Second
+)
+
+// planner finds room for a shard's queued tasks and watches over the placed
+// ones. plan, noted, adopt and heard run in the leader's loop.
+type planner struct {
+	leader *Leader
+
+	mu        sync.Mutex
+	reserving map[worker.Ref]bool
+	underway  int
+	noRoom    map[string]time.Time
+	notBefore map[string]time.Time
+	lastHeard map[worker.Ref]time.Time
+	unlisted  map[worker.Ref]time.Time
+}
+
+func newPlanner(l *Leader) *planner {
+	return &planner{
+		leader: l, reserving: map[worker.Ref]bool{}, noRoom: map[string]time.Time{},
+		notBefore: map[string]time.Time{}, lastHeard: map[worker.Ref]time.Time{}, unlisted: map[worker.Ref]time.Time{},
+	}
+}
+
+func taskName(key string, index int) string { return key + ":" + strconv.Itoa(index) }
+
+func parseTask(name string) (key string, index int, ok bool) {
+	i := strings.LastIndexByte(name, ':')
+	if i < 0 {
+		return "", 0, false
+	}
+	index, err := strconv.Atoi(name[i+1:])
+	return name[:i], index, err == nil && index >= 0
+}
+
+func attemptOf(key string, index int, t Task) vms.Attempt {
+	return vms.Attempt{Ref: worker.Ref{Task: taskName(key, index), Attempt: t.Attempt}, VM: t.VM, Checkpoint: t.Checkpoint}
+}
+
+// adopt starts the watch over attempts that an earlier leader placed.
+func (p *planner) adopt(s *State, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, j := range s.Jobs {
+		for i, t := range j.Tasks {
+			if t.State == Placed {
+				p.lastHeard[attemptOf(key, i, t).Ref] = now.Add(-heardWithin)
+			}
+		}
+	}
+}
+
+// noted takes up the effect of an applied operation.
+func (p *planner) noted(op Op) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	task := taskName(op.Job, op.Index)
+	ref := worker.Ref{Task: task, Attempt: op.Attempt}
+	switch op.Kind {
+	case OpPlace:
+		p.lastHeard[ref] = time.Now()
+	case OpEnd:
+		delete(p.lastHeard, ref)
+		delete(p.unlisted, ref)
+		if op.End == vms.EndFailed {
+			j := p.leader.state.Jobs[op.Job]
+			backoff := min(failureBackoff<<min(j.Tasks[op.Index].Failures, 8), maxBackoff)
+			p.notBefore[task] = time.Now().Add(backoff)
+		} else {
+			delete(p.notBefore, task)
+		}
+	}
+}
+
+func (p *planner) heard(ref worker.Ref, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastHeard[ref] = now
+}
+
+// plan asks for room for queued tasks, urgent jobs first, each team within its
+// quota. The answers come back as commands.
+func (p *planner) plan(ctx context.Context, s *State) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.underway >= reservingLimit {
+		return
+	}
+	var usage map[string]model.Resources
+	now := time.Now()
+	for _, j := range s.Open() {
+		if j.Cancelled {
+			continue
+		}
+		if usage == nil {
+			usage = s.Usage()
+		}
+		refs := p.queued(j, now, p.withinQuota(j, usage))
+		if len(refs) == 0 {
+			continue
+		}
+		node := p.pickNode(j.Spec, now)
+		if node == "" {
+			continue
+		}
+		for _, ref := range refs {
+			p.reserving[ref] = true
+		}
+		p.underway++
+		checkpoints := checkpointsOf(j, refs)
+		go p.place(ctx, node, j.Spec, refs, checkpoints)
+		if p.underway >= reservingLimit {
+			return
+		}
+	}
+}
+
+// withinQuota returns how many more tasks of the job its team's quota allows.
+func (p *planner) withinQuota(j *Job, usage map[string]model.Resources) int {
+	quota := p.leader.config().Document.Teams[j.Spec.Team].Quota
+	used, need := usage[j.Spec.Team], j.Spec.PerTask
+	n := int64(reserveBatch)
+	bound := func(quota, used, need int64) {
+		if quota > 0 && need > 0 {
+			n = min(n, max(quota-used, 0)/need)
+		}
+	}
+	bound(quota.MilliCPU, used.MilliCPU, need.MilliCPU)
+	bound(quota.MemoryMB, used.MemoryMB, need.MemoryMB)
+	bound(quota.Accelerators, used.Accelerators, need.Accelerators)
+	return int(n)
+}
+
+// queued returns up to limit queued tasks of the job that may be placed now.
+func (p *planner) queued(j *Job, now time.Time, limit int) []worker.Ref {
+	var refs []worker.Ref
+	for i, t := range j.Tasks {
+		if len(refs) >= limit {
+			break
+		}
+		name := taskName(j.Key(), i)
+		ref := worker.Ref{Task: name, Attempt: t.Attempt + 1}
+		if t.State == Queued && !p.reserving[ref] && !now.Before(p.notBefore[name]) {
+			refs = append(refs, ref)
+		}
+	}
+	return refs
+}
+
+func checkpointsOf(j *Job, refs []worker.Ref) map[worker.Ref]string {
+	checkpoints := map[worker.Ref]string{}
+	for _, ref := range refs {
+		if _, index, ok := parseTask(ref.Task); ok && j.Tasks[index].Checkpoint != "" {
+			checkpoints[ref] = j.Tasks[index].Checkpoint
+		}
+	}
+	return checkpoints
+}
+
+// pickNode picks a node with room, at random in proportion to it, so that the
+// leaders of different shards do not all ask the same one.
+func (p *planner) pickNode(spec model.JobSpec, now time.Time) string {
+	var total int64
+	var picked string
+	for _, o := range p.leader.cluster.Offers() {
+		if now.Before(p.noRoom[o.Node]) || !spec.PerTask.FitsIn(o.Free) || !zoneAllowed(spec.Zones, o.Zone) {
+			continue
+		}
+		weight := max(o.Free.MilliCPU, 1)
+		total += weight
+		if rand.Int64N(total) < weight {
+			picked = o.Node
+		}
+	}
+	return picked
+}
+
+func zoneAllowed(zones []string, zone string) bool {
+	for _, z := range zones {
+		if z == zone {
+			return true
+		}
+	}
+	return len(zones) == 0
+}
+
+// place takes a batch of tasks from reserved to started: room first, then the
+// commitment in the store, then the start. Each step is safe to break off
+// after: room that is not used expires, and a commitment that is not started is
+// found by the audit.
+func (p *planner) place(ctx context.Context, node string, spec model.JobSpec, refs []worker.Ref, checkpoints map[worker.Ref]string) {
+	defer func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.underway--
+		for _, ref := range refs {
+			delete(p.reserving, ref)
+		}
+	}()
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reserved, err := p.leader.cluster.Reserve(callCtx, node, refs, spec.PerTask, spec.Zones)
+	if err != nil || len(reserved) < len(refs) {
+		p.mu.Lock()
+		p.noRoom[node] = time.Now().Add(noRoomPause)
+		p.mu.Unlock()
+	}
+	if err != nil || len(reserved) == 0 {
+		return
+	}
+	placed := p.commitPlaces(callCtx, reserved)
+	if len(placed) == 0 {
+		return
+	}
+	for i := range placed {
+		placed[i].Checkpoint = checkpoints[placed[i].Ref]
+	}
+	refused, err := p.leader.cluster.Start(callCtx, node, placed, spec.DurationMS)
+	if err != nil {
+		// Lost answer: the audit finds out.
+		return
+	}
+	p.recordEnds(ctx, refused, vms.EndRefused)
+}
+
+// commitPlaces commits attempts and returns those that are committed.
+func (p *planner) commitPlaces(ctx context.Context, reserved []vms.Attempt) []vms.Attempt {
+	var placed []vms.Attempt
+	err := p.leader.do(ctx, func(s *State) ([]Op, error) {
+		var ops []Op
+		for _, a := range reserved {
+			key, index, _ := parseTask(a.Task)
+			j := s.Jobs[key]
+			if j == nil || j.Cancelled || j.Tasks[index].State != Queued || j.Tasks[index].Attempt != a.Attempt-1 {
+				continue
+			}
+			ops = append(ops, Op{Kind: OpPlace, Job: key, Index: index, Attempt: a.Attempt, VM: a.VM})
+			placed = append(placed, a)
+		}
+		return ops, nil
+	})
+	if err != nil {
+		return nil
+	}
+	return placed
+}
+
+func (p *planner) recordEnds(ctx context.Context, attempts []vms.Attempt, end vms.End) {
+	if len(attempts) == 0 {
+		return
+	}
+	now := time.Now()
+	_ = p.leader.do(ctx, func(*State) ([]Op, error) {
+		var ops []Op
+		for _, a := range attempts {
+			if key, index, ok := parseTask(a.Task); ok {
+				if end != "" {
+					a.End = end
+				}
+				ops = append(ops, endOp(key, index, a, now))
+			}
+		}
+		return ops, nil
+	})
+}
+
+// stop asks the owners of the attempts' VMs to stop them. What is missed here
+// is stopped when its VM's owner reports it.
+func (p *planner) stop(attempts []vms.Attempt) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	go func() {
+		defer cancel()
+		byNode, _ := p.byOwner(attempts, time.Now())
+		for node, list := range byNode {
+			_ = p.leader.cluster.Stop(ctx, node, list, false)
+		}
+	}()
+}
+
+// auditLoop asks for the attempts that were not heard of. It finds those whose
+// start was lost, whose VM's owner died, or whose VM is gone.
+func (p *planner) auditLoop(ctx context.Context) {
+	ticker := time.NewTicker(auditEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		var unheard []vms.Attempt
+		if p.leader.Read(ctx, func(s *State) { unheard = p.unheard(s, time.Now()) }) != nil {
+			return
+		}
+		byNode, gone := p.byOwner(unheard, time.Now())
+		p.recordEnds(ctx, gone, vms.EndLost)
+		for node, list := range byNode {
+			p.audit(ctx, node, list)
+		}
+	}
+}
+
+func (p *planner) audit(ctx context.Context, node string, list []vms.Attempt) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if ended, err := p.leader.cluster.Audit(callCtx, node, list); err == nil {
+		p.recordEnds(ctx, ended, "")
+	}
+}
+
+// unheard lists the placed attempts that were not reported lately.
+func (p *planner) unheard(s *State, now time.Time) []vms.Attempt {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []vms.Attempt
+	for key, j := range s.Jobs {
+		if j.EndedMS != 0 {
+			continue
+		}
+		for i, t := range j.Tasks {
+			if t.State != Placed {
+				continue
+			}
+			a := attemptOf(key, i, t)
+			if now.Sub(p.lastHeard[a.Ref]) >= heardWithin {
+				list = append(list, a)
+			}
+		}
+	}
+	return list
+}
+
+// byOwner groups attempts by the node that owns their VM, and returns those
+// whose VM has been off the platform's list for longer than a task can run
+// without an owner.
+func (p *planner) byOwner(attempts []vms.Attempt, now time.Time) (byNode map[string][]vms.Attempt, gone []vms.Attempt) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	byNode = map[string][]vms.Attempt{}
+	for _, a := range attempts {
+		node, listed, known := p.leader.cluster.Owner(a.VM)
+		switch {
+		case known:
+			byNode[node] = append(byNode[node], a)
+		case listed:
+		case p.unlisted[a.Ref].IsZero():
+			p.unlisted[a.Ref] = now
+		case now.Sub(p.unlisted[a.Ref]) > unlistedLimit:
+			gone = append(gone, a)
+		}
+		if listed {
+			delete(p.unlisted, a.Ref)
+		}
+	}
+	return byNode, gone
+}
--- /dev/null
+++ b/internal/load/load.go
@@ -0,0 +1,322 @@
+// Package load is the load and experiment tool: callers that send quick and
+// heavy requests and hold watches, teams that submit jobs, and operators that
+// patch the configuration, all through a small stand-in for the platform's
+// balancer. What each caller sent and was told goes into the record.
+package load
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+
+	"github.com/rattanwall/rattanwall/internal/checker"
+	"github.com/rattanwall/rattanwall/internal/errkind"
+	"github.com/rattanwall/rattanwall/internal/model"
+	"github.com/rattanwall/rattanwall/internal/route"
+	"github.com/rattanwall/rattanwall/internal/standin/record"
+	"github.com/rattanwall/rattanwall/internal/standin/worker"
+)
+
+// Options of a Generator.
+type Options struct {
+	Recorder *record.Recorder
+	Balancer *Balancer
+	Service  string
+	// Team and Token are who sends requests, BatchTeam and BatchToken who submits jobs.
+	Team, Token           string
+	BatchTeam, BatchToken string
+	// OperatorToken patches the configuration.
+	OperatorToken string
+	// QuickRate and HeavyRate are requests a second; Watches are held at once.
+	QuickRate, HeavyRate float64
+	Watches              int
+	// JobEvery is the time between jobs of JobTasks tasks.
+	JobEvery time.Duration
+	JobTasks int
+	// PatchEvery is the time between patches.
+	PatchEvery time.Duration
+	Seed       uint64
+}
+
+// Generator makes load until its context ends.
+type Generator struct {
+	Options
+	client *http.Client
+
+	mu    sync.Mutex
+	stats map[model.Class]*classStats
+	watch WatchStats
+	jobs  jobStats
+	rng   *rand.Rand
+	next  int
+}
+
+type classStats struct {
+	latency *hdrhistogram.Histogram
+	ran     int64
+	notRun  int64
+	unknown int64
+}
+
+// WatchStats tells of the standing watches.
+type WatchStats struct {
+	Events  int64 `json:"events"`
+	Resumed int64 `json:"resumed"`
+	// Gaps counts events that were missed or repeated.
+	Gaps int64 `json:"gaps"`
+}
+
+const (
+	// maxLatencyUS is the largest latency kept, in microseconds.
+	maxLatencyUS = 60_000_000
+	quickWorkMS  = 3
+	heavyWorkMS  = 200
+	answerBytes  = 600
+	// writeShare of the quick requests are not idempotent.
+	writeShare      = 0.3
+	watchIntervalMS = 200
+)
+
+// New returns a generator.
+func New(o Options) *Generator {
+	return &Generator{
+		Options: o, stats: map[model.Class]*classStats{},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
+		rng:    rand.New(rand.NewPCG(o.Seed, 1)),
+	}
+}
+
+// Run makes load until ctx ends, then waits for what is under way.
+func (g *Generator) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	spawn := func(f func(context.Context)) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			f(ctx)
+		}()
+	}
+	spawn(func(ctx context.Context) { g.stream(ctx, &wg, g.QuickRate, model.Quick) })
+	spawn(func(ctx context.Context) { g.stream(ctx, &wg, g.HeavyRate, model.Heavy) })
+	for range g.Watches {
+		spawn(g.holdWatch)
+	}
+	spawn(g.submitJobs)
+	spawn(g.patchConfig)
+	wg.Wait()
+}
+
+// stream sends requests at a rate, whether or not earlier ones were answered.
+func (g *Generator) stream(ctx context.Context, wg *sync.WaitGroup, rate float64, class model.Class) {
+	if rate <= 0 {
+		return
+	}
+	ticker := time.NewTicker(time.Duration(float64(time.Second) / rate))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			g.Send(context.WithoutCancel(ctx), class)
+		}()
+	}
+}
+
+// Burst sends n requests of a class at once and waits for their answers.
+func (g *Generator) Burst(ctx context.Context, class model.Class, n int) {
+	var wg sync.WaitGroup
+	for range n {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			g.Send(ctx, class)
+		}()
+	}
+	wg.Wait()
+}
+
+func (g *Generator) draw() (id string, float float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.next++
+	return fmt.Sprintf("r%d-%x", g.next, g.Seed), g.rng.Float64()
+}
+
+// Send sends one request and records what the caller was told.
+func (g *Generator) Send(ctx context.Context, class model.Class) {
+	node, ok := g.Balancer.Pick()
+	if !ok {
+		return
+	}
+	id, p := g.draw()
+	work := quickWorkMS
+	if class == model.Heavy {
+		work = heavyWorkMS
+	}
+	idempotent := class == model.Quick && p > writeShare
+	method, body := http.MethodGet, io.Reader(nil)
+	if !idempotent {
+		method, body = http.MethodPost, strings.NewReader(`{"course":"recurrent","member":"`+id+`"}`)
+	}
+	url := fmt.Sprintf("http://%s/svc/%s/work?ms=%d&size=%d", node.Callers, g.Service, work, answerBytes)
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return
+	}
+	req.GetBody = nil
+	g.sign(req, id, class)
+	g.Recorder.Add(record.Event{Kind: record.CallerSent, Node: node.Name, ID: id, Class: class, Idempotent: idempotent})
+	started := time.Now()
+	e := g.exchange(req, id)
+	e.Kind, e.Node, e.ID, e.Class, e.Latency = record.CallerAnswer, node.Name, id, class, time.Since(started)
+	g.Recorder.Add(e)
+	g.count(class, e)
+}
+
+func (g *Generator) sign(req *http.Request, id string, class model.Class) {
+	req.Header.Set("Authorization", "Bearer "+g.Token)
+	req.Header.Set(route.HeaderRequestID, id)
+	req.Header.Set(route.HeaderClass, string(class))
+}
+
+// exchange sends a request and judges the answer as a caller can.
+func (g *Generator) exchange(req *http.Request, id string) record.Event {
+	resp, err := g.client.Do(req)
+	if err != nil {
+		return record.Event{Outcome: string(errkind.Unknown), Reason: reasonOf(err)}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	got, err := io.ReadAll(resp.Body)
+	e := record.Event{Outcome: resp.Header.Get(route.HeaderOutcome), Reason: resp.Header.Get(route.HeaderError)}
+	if e.Outcome != string(errkind.Ran) {
+		return e
+	}
+	if err != nil {
+		// The cut is there for the caller to see.
+		e.Outcome, e.Reason = string(errkind.Unknown), checker.ReasonCut
+		return e
+	}
+	e.Whole = bytes.Equal(got, worker.AnswerBody(id, answerBytes))
+	e.Mixed = !e.Whole
+	return e
+}
+
+// reasonOf tells a connection that was never made from one that broke.
+func reasonOf(err error) string {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return "refused"
+	}
+	return checker.ReasonCut
+}
+
+func (g *Generator) count(class model.Class, e record.Event) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.stats[class]
+	if s == nil {
+		s = &classStats{latency: hdrhistogram.New(1, maxLatencyUS, 3)}
+		g.stats[class] = s
+	}
+	switch e.Outcome {
+	case string(errkind.Ran):
+		s.ran++
+		_ = s.latency.RecordValue(e.Latency.Microseconds())
+	case string(errkind.NotRun):
+		s.notRun++
+	default:
+		s.unknown++
+	}
+}
+
+// holdWatch keeps one standing watch, resuming where it was ended.
+func (g *Generator) holdWatch(ctx context.Context) {
+	seen := int64(0)
+	for ctx.Err() == nil {
+		if seen > 0 {
+			g.mu.Lock()
+			g.watch.Resumed++
+			g.mu.Unlock()
+		}
+		g.watchOnce(ctx, &seen)
+		select {
+		case <-ctx.Done():
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+func (g *Generator) watchOnce(ctx context.Context, seen *int64) {
+	node, ok := g.Balancer.Pick()
+	if !ok {
+		return
+	}
+	id, _ := g.draw()
+	url := fmt.Sprintf("http://%s/svc/%s/watch?interval_ms=%d", node.Callers, g.Service, watchIntervalMS)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return
+	}
+	g.sign(req, id, model.Standing)
+	if *seen > 0 {
+		req.Header.Set(route.HeaderResume, strconv.FormatInt(*seen, 10))
+	}
+	g.Recorder.Add(record.Event{Kind: record.CallerSent, Node: node.Name, ID: id, Class: model.Standing, Idempotent: true})
+	e := record.Event{Kind: record.CallerAnswer, Node: node.Name, ID: id, Class: model.Standing}
+	e.Outcome, e.Reason = g.readEvents(req, seen)
+	if ctx.Err() != nil {
+		// The caller itself left.
+		e.Reason = ""
+	}
+	g.Recorder.Add(e)
+}
+
+// readEvents reads a watch to its end and returns how it ended.
+func (g *Generator) readEvents(req *http.Request, seen *int64) (outcome, reason string) {
+	resp, err := g.client.Do(req)
+	if err != nil {
+		return string(errkind.Unknown), reasonOf(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.Header.Get(route.HeaderOutcome) != string(errkind.Ran) {
+		return resp.Header.Get(route.HeaderOutcome), resp.Header.Get(route.HeaderError)
+	}
+	lines := newLineReader(resp.Body)
+	for {
+		line, err := lines.next()
+		if err != nil {
+			if !errors.Is(err, io.EOF) {
+				return string(errkind.Unknown), checker.ReasonCut
+			}
+			return string(errkind.Ran), resp.Trailer.Get(route.HeaderEnd)
+		}
+		g.noteEvent(line, seen)
+	}
+}
+
+func (g *Generator) noteEvent(line string, seen *int64) {
+	n, _ := strconv.ParseInt(strings.TrimPrefix(line, "event "), 10, 64)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.watch.Events++
+	if n != *seen+1 {
+		g.watch.Gaps++
+	}
+	*seen = n
+}
--- /dev/null
+++ b/internal/load/teams.go
@@ -0,0 +1,234 @@
+package load
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/dghubble/sling"
+
+	"github.com/rattanwall/rattanwall/internal/admin"
+	"github.com/rattanwall/rattanwall/internal/jobs"
+	"github.com/rattanwall/rattanwall/internal/model"
+	"github.com/rattanwall/rattanwall/internal/standin/record"
+)
+
+// jobStats tells of the jobs.
+type jobStats struct {
+	submitted, refused, unknown int64
+	open                        map[string]int
+	done                        int64
+	tasksDone                   int64
+	evictions                   int
+	// urgentStart is from submission to the first sight of a placed task.
+	turnaround *hdrhistogram.Histogram
+	submitAt   map[string]time.Time
+}
+
+const (
+	pollJobsEvery = 250 * time.Millisecond
+	taskMilliCPU  = 2_000
+	taskMemoryMB  = 4_000
+	taskMS        = 1_500
+	// urgentEvery jobs one is urgent.
+	urgentEvery = 5
+	// httpTimeout bounds an administration call.
+	httpTimeout = 10 * time.Second
+)
+
+// api calls the administration API of some ready node.
+func (g *Generator) api(ctx context.Context, token string, build func(*sling.Sling) *sling.Sling, answer any) (int, error) {
+	node, ok := g.Balancer.Pick()
+	if !ok {
+		return 0, fmt.Errorf("no node is ready")
+	}
+	ctx, cancel := context.WithTimeout(ctx, httpTimeout)
+	defer cancel()
+	base := sling.New().Client(g.client).Base("http://"+node.Admin).Set("Authorization", "Bearer "+token)
+	req, err := build(base).Request()
+	if err != nil {
+		return 0, err
+	}
+	resp, err := base.Do(req.WithContext(ctx), answer, nil)
+	if resp == nil {
+		return 0, err
+	}
+	return resp.StatusCode, err
+}
+
+// submitJobs submits jobs and follows them to their end.
+func (g *Generator) submitJobs(ctx context.Context) {
+	if g.JobEvery <= 0 {
+		return
+	}
+	g.mu.Lock()
+	g.jobs = jobStats{open: map[string]int{}, submitAt: map[string]time.Time{}, turnaround: hdrhistogram.New(1, maxLatencyUS, 3)}
+	g.mu.Unlock()
+	submit, poll := time.NewTicker(g.JobEvery), time.NewTicker(pollJobsEvery)
+	defer submit.Stop()
+	defer poll.Stop()
+	for n := 0; ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-submit.C:
+			n++
+			g.submitJob(ctx, n)
+		case <-poll.C:
+			g.pollJobs(ctx)
+		}
+	}
+}
+
+func (g *Generator) submitJob(ctx context.Context, n int) {
+	spec := model.JobSpec{
+		ID: fmt.Sprintf("job-%d", n), Team: g.BatchTeam, Tasks: g.JobTasks, DurationMS: taskMS, Urgent: n%urgentEvery == 0,
+		PerTask: model.Resources{MilliCPU: taskMilliCPU, MemoryMB: taskMemoryMB},
+	}
+	status, err := g.api(ctx, g.BatchToken, func(s *sling.Sling) *sling.Sling {
+		return s.Post("/v1/teams/" + g.BatchTeam + "/jobs").BodyJSON(spec)
+	}, nil)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case status == http.StatusOK:
+		g.jobs.submitted++
+		g.jobs.open[g.BatchTeam+"/"+spec.ID] = spec.Tasks
+		g.jobs.submitAt[g.BatchTeam+"/"+spec.ID] = time.Now()
+	case status != 0 && err == nil:
+		g.jobs.refused++
+	default:
+		g.jobs.unknown++
+	}
+}
+
+// pollJobs looks which of the open jobs have ended.
+func (g *Generator) pollJobs(ctx context.Context) {
+	var listing jobs.Listing
+	status, err := g.api(ctx, g.BatchToken, func(s *sling.Sling) *sling.Sling {
+		return s.Get("/v1/teams/" + g.BatchTeam + "/jobs")
+	}, &listing)
+	if err != nil || status != http.StatusOK {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.jobs.evictions = 0
+	for _, j := range listing.Jobs {
+		g.jobs.evictions += j.Evictions
+		key := jobs.JobKey(j.Spec.Team, j.Spec.ID)
+		tasks, open := g.jobs.open[key]
+		if !open || j.EndedMS == 0 {
+			continue
+		}
+		delete(g.jobs.open, key)
+		g.jobs.done++
+		g.jobs.tasksDone += int64(tasks)
+		_ = g.jobs.turnaround.RecordValue(time.Since(g.jobs.submitAt[key]).Microseconds())
+		g.Recorder.Add(record.Event{Kind: record.JobDone, ID: key, Version: int64(tasks)})
+	}
+}
+
+// AwaitJobs follows the open jobs until all have ended or ctx ends, and returns
+// how many are left.
+func (g *Generator) AwaitJobs(ctx context.Context) int {
+	for {
+		g.pollJobs(ctx)
+		g.mu.Lock()
+		left := len(g.jobs.open)
+		g.mu.Unlock()
+		if left == 0 || ctx.Err() != nil {
+			return left
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pollJobsEvery):
+		}
+	}
+}
+
+// patchConfig patches the configuration and looks at what each node uses. Each
+// patch sets two fields to the same number, so that a half-applied one shows.
+func (g *Generator) patchConfig(ctx context.Context) {
+	if g.PatchEvery <= 0 {
+		return
+	}
+	patch, look := time.NewTicker(g.PatchEvery), time.NewTicker(pollJobsEvery)
+	defer patch.Stop()
+	defer look.Stop()
+	for n := 1; ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-patch.C:
+			n++
+			g.patchOnce(ctx, n)
+		case <-look.C:
+			g.lookAtConfig(ctx)
+		}
+	}
+}
+
+func (g *Generator) patchOnce(ctx context.Context, n int) {
+	var cur admin.ConfigAnswer
+	if status, err := g.api(ctx, g.OperatorToken, func(s *sling.Sling) *sling.Sling { return s.Get("/v1/config") }, &cur); err != nil || status != http.StatusOK {
+		return
+	}
+	body := map[string]any{"weights": map[string]any{"tail": n, "throughput": n}}
+	var made admin.PatchAnswer
+	status, err := g.api(ctx, g.OperatorToken, func(s *sling.Sling) *sling.Sling {
+		return s.Patch("/v1/config").Set("If-Match", fmt.Sprintf("%q", fmt.Sprint(cur.Version))).BodyJSON(body)
+	}, &made)
+	if err == nil && status == http.StatusOK {
+		g.Recorder.Add(record.Event{Kind: record.ConfigAccepted, Version: made.Version})
+	}
+}
+
+// lookAtConfig records the version that each node uses.
+func (g *Generator) lookAtConfig(ctx context.Context) {
+	for _, node := range g.Balancer.All() {
+		callCtx, cancel := context.WithTimeout(ctx, time.Second)
+		req, err := http.NewRequestWithContext(callCtx, http.MethodGet, "http://"+node.Admin+"/v1/config", nil)
+		if err != nil {
+			cancel()
+			continue
+		}
+		req.Header.Set("Authorization", "Bearer "+g.OperatorToken)
+		var answer struct {
+			Version  int64 `json:"version"`
+			Document struct {
+				Weights struct {
+					Tail       float64 `json:"tail"`
+					Throughput float64 `json:"throughput"`
+				} `json:"weights"`
+			} `json:"document"`
+		}
+		resp, err := sling.New().Client(g.client).Do(req, &answer, nil)
+		cancel()
+		if err != nil || resp.StatusCode != http.StatusOK {
+			continue
+		}
+		w := answer.Document.Weights
+		g.Recorder.Add(record.Event{
+			Kind: record.ConfigInForce, Node: node.Name, Version: answer.Version, Mixed: answer.Version > 1 && w.Tail != w.Throughput,
+		})
+	}
+}
+
+// lineReader reads whole lines; a part of a line at the end is an error.
+type lineReader struct{ r *bufio.Reader }
+
+func newLineReader(r io.Reader) lineReader { return lineReader{bufio.NewReader(r)} }
+
+func (l lineReader) next() (string, error) {
+	line, err := l.r.ReadString('\n')
+	if err == io.EOF && line != "" {
+		return "", io.ErrUnexpectedEOF
+	}
+	return strings.TrimSuffix(line, "\n"), err
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,253 @@
+// Package node puts the parts of an entry VM's process together under one
+// supervisor tree, serves them, and stops them in order.
+package node
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/rattanwall/rattanwall/internal/cluster"
+	"github.com/rattanwall/rattanwall/internal/config"
+	"github.com/rattanwall/rattanwall/internal/jobs"
+	"github.com/rattanwall/rattanwall/internal/membership"
+	"github.com/rattanwall/rattanwall/internal/model"
+	"github.com/rattanwall/rattanwall/internal/ownership"
+	"github.com/rattanwall/rattanwall/internal/platform/httpplatform"
+	"github.com/rattanwall/rattanwall/internal/route"
+	"github.com/rattanwall/rattanwall/internal/settings"
+	"github.com/rattanwall/rattanwall/internal/vms"
+	"github.com/rattanwall/rattanwall/internal/worker"
+	"github.com/rattanwall/rattanwall/internal/worker/httpworker"
+)
+
+const (
+	// listEvery is how often the platform's list of VMs is read; a VM that leaves
+	// must get nothing new within 3 s of the list saying so.
+	listEvery = time.Second
+	// leaveTimeout bounds the last calls of a planned stop.
+	leaveTimeout = 2 * time.Second
+	// drainPoll is how often a planned stop looks whether requests are left.
+	drainPoll = 20 * time.Millisecond
+)
+
+// Node is one process of the system.
+type Node struct {
+	settings settings.Node
+	log      *logrus.Entry
+	registry *prometheus.Registry
+
+	store    *httpplatform.Client
+	keeper   *config.Keeper
+	members  *membership.Membership
+	cluster  *cluster.Cluster
+	vms      *vms.Manager
+	jobs     *jobs.Service
+	router   *route.Router
+	servers  []*server
+	draining atomic.Bool
+	listed   atomic.Bool
+}
+
+// New listens on the addresses of the settings and puts the node together;
+// Run starts it.
+func New(s settings.Node, log *logrus.Logger) (*Node, error) {
+	n := &Node{settings: s, log: log.WithField("node", s.Name), registry: prometheus.NewRegistry()}
+	n.store = httpplatform.New(s.Platform.Address)
+	if err := n.listen(); err != nil {
+		n.closeListeners()
+		return nil, err
+	}
+	n.build()
+	return n, nil
+}
+
+// build makes the parts and gives each what it needs of the others.
+func (n *Node) build() {
+	s := n.settings
+	n.keeper = config.NewKeeper(n.store, s.BootstrapOperatorSHA256, n.log.WithField("part", "config"))
+	n.cluster = cluster.New(s.Name, n.keeper, n.log.WithField("part", "cluster"))
+	self := ownership.Node{
+		ID: s.Name, Zone: s.Zone, PeerAddress: n.Address(Peers),
+		CallerAddress: n.Address(Callers), AdminAddress: n.Address(Admin),
+	}
+	n.members = membership.New(self, ownershipTiming(s.Leases), n.store, n.cluster, n.log.WithField("part", "membership"))
+	n.vms = vms.New(vms.Options{
+		Ownership: n.members, Reporter: n.cluster, Config: n.keeper.Current,
+		NewAgent: func(address string) worker.Agent { return httpworker.New(address) },
+		Timing:   taskTiming(s.Leases), Log: n.log.WithField("part", "vms"),
+	})
+	n.jobs = jobs.NewService(s.Name, n.store, n.members, n.cluster, n.keeper.Current, n.log.WithField("part", "jobs"))
+	n.cluster.Attach(n.members, n.vms, n.jobs)
+	n.members.OnChange(func() { n.vms.Sync(); n.jobs.Sync() })
+	n.router = route.New(route.Options{
+		Node: s.Name, Config: n.keeper.Current, VMs: n.vms, Peers: n.cluster,
+		Metrics: route.NewMetrics(n.registry), Log: n.log.WithField("part", "route"),
+	})
+	n.registerMetrics()
+	n.setHandlers()
+}
+
+// ownershipTiming scales the defaults to the session's length.
+func ownershipTiming(l settings.Leases) ownership.Timing {
+	t := ownership.DefaultTiming()
+	ttl := time.Duration(l.SessionMS) * time.Millisecond
+	scale := func(d time.Duration) time.Duration { return time.Duration(float64(d) * float64(ttl) / float64(t.TTL)) }
+	return ownership.Timing{
+		TTL: ttl, RenewEvery: scale(t.RenewEvery), FenceMargin: scale(t.FenceMargin),
+		PromiseFor: scale(t.PromiseFor), Quiet: scale(t.Quiet), HandOverEvery: t.HandOverEvery,
+	}
+}
+
+func taskTiming(l settings.Leases) vms.Timing {
+	t := vms.DefaultTiming()
+	lease := time.Duration(l.TaskMS) * time.Millisecond
+	return vms.Timing{Lease: lease, RenewEvery: lease / 3, CheckpointEvery: t.CheckpointEvery}
+}
+
+// Run serves until ctx ends, then stops in order: see drain.
+func (n *Node) Run(ctx context.Context) error {
+	spec := suture.Spec{
+		EventHook:                func(e suture.Event) { n.log.WithField("part", "supervisor").Warn(e.String()) },
+		DontPropagateTermination: true,
+	}
+	top := suture.New("node", spec)
+	top.Add(n.members)
+	top.Add(n.keeper)
+	top.Add(n.cluster)
+	top.Add(n.vms)
+	top.Add(n.jobs)
+	top.Add(service(n.followList))
+	front := suture.New("servers", spec)
+	for _, s := range n.servers {
+		front.Add(s)
+	}
+	top.Add(front)
+
+	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	ended := top.ServeBackground(runCtx)
+	n.log.WithFields(logrus.Fields{
+		"callers": n.Address(Callers), "admin": n.Address(Admin), "peers": n.Address(Peers), "operations": n.Address(Operations),
+	}).Info("node serves")
+	select {
+	case err := <-ended:
+		return errors.Wrap(err, "supervisor")
+	case <-ctx.Done():
+	}
+	n.drain()
+	cancel()
+	if err := <-ended; err != nil && !errors.Is(err, context.Canceled) {
+		n.log.WithError(err).Warn("supervisor ended")
+	}
+	n.store.Close()
+	return nil
+}
+
+// service is a function run under the supervisor.
+type service func(ctx context.Context) error
+
+// Serve implements suture.Service.
+func (s service) Serve(ctx context.Context) error { return s(ctx) }
+
+// drain is the planned stop. The order matters: the balancer must see the node
+// not ready, and stop sending, before the listener closes; a request that comes
+// meanwhile is served, not refused. Ownership is handed over at the same time,
+// so that new requests find their slots elsewhere. Watches are ended cleanly
+// last, when callers that come back reach other nodes.
+func (n *Node) drain() {
+	n.log.Info("planned stop: not ready from now on")
+	n.draining.Store(true)
+	n.cluster.SetDraining()
+	handOver, cancel := context.WithTimeout(context.Background(), n.settings.Drain.Notice()+leaveTimeout)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.members.Drain(handOver)
+	}()
+	time.Sleep(n.settings.Drain.Notice())
+	n.router.EndWatches()
+	limit := time.Now().Add(n.settings.Drain.Limit())
+	for n.router.InFlight() > 0 && time.Now().Before(limit) {
+		time.Sleep(drainPoll)
+	}
+	<-done
+	for _, s := range n.servers {
+		s.shutdown(limit)
+	}
+	ctx, stop := context.WithTimeout(context.Background(), leaveTimeout)
+	defer stop()
+	n.members.Leave(ctx)
+	n.log.WithField("left_in_flight", n.router.InFlight()).Info("planned stop: done")
+}
+
+// followList reads the platform's list of VMs. While the platform is away the
+// last list stays in use.
+func (n *Node) followList(ctx context.Context) error {
+	ticker := time.NewTicker(listEvery)
+	defer ticker.Stop()
+	known := ""
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, 2*listEvery)
+		list, version, err := n.store.VMs(callCtx, known)
+		cancel()
+		if err == nil && version != known {
+			known = version
+			n.setList(list)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+func (n *Node) setList(list []model.VM) {
+	n.vms.SetList(list)
+	n.members.SetShards(append(n.vms.Shards(), jobs.Shards()...))
+	n.listed.Store(true)
+}
+
+// Ready reports whether the balancer should send requests here.
+func (n *Node) Ready() bool {
+	return n.listed.Load() && !n.keeper.ConfirmedAt().IsZero() && !n.draining.Load()
+}
+
+// Address returns the ip:port served for a purpose.
+func (n *Node) Address(p Purpose) string {
+	for _, s := range n.servers {
+		if s.purpose == p {
+			return s.listener.Addr().String()
+		}
+	}
+	return ""
+}
+
+func (n *Node) listen() error {
+	l := n.settings.Listen
+	for _, one := range []struct {
+		purpose Purpose
+		address string
+	}{{Callers, l.Callers}, {Admin, l.Admin}, {Peers, l.Peers}, {Operations, l.Operations}} {
+		ln, err := net.Listen("tcp", one.address)
+		if err != nil {
+			return errors.Wrapf(err, "listen.%s", one.purpose)
+		}
+		n.servers = append(n.servers, newServer(one.purpose, ln))
+	}
+	return nil
+}
+
+func (n *Node) closeListeners() {
+	for _, s := range n.servers {
+		_ = s.listener.Close()
+	}
+}
--- /dev/null
+++ b/internal/route/limits.go
@@ -0,0 +1,114 @@
+package route
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/rattanwall/rattanwall/internal/config"
+	"github.com/rattanwall/rattanwall/internal/errkind"
+	"github.com/rattanwall/rattanwall/internal/model"
+)
+
+// limits counts the requests under way by team and by service, so that neither
+// one team nor one slow service can take what others need.
+type limits struct {
+	mu        sync.Mutex
+	byTeam    map[string]int64
+	byService map[string]int64
+}
+
+func (l *limits) enter(team, service string, doc config.Document) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.byTeam == nil {
+		l.byTeam, l.byService = map[string]int64{}, map[string]int64{}
+	}
+	if limit := doc.Teams[team].MaxInFlight; limit > 0 && l.byTeam[team] >= limit {
+		return errkind.New(errkind.TeamLimit, fmt.Sprintf("team %s has %d requests under way", team, limit), nil)
+	}
+	if limit := doc.Services[service].MaxInFlight; limit > 0 && l.byService[service] >= limit {
+		return errkind.New(errkind.Overloaded, fmt.Sprintf("service %s has %d requests under way", service, limit), nil)
+	}
+	l.byTeam[team]++
+	l.byService[service]++
+	return nil
+}
+
+func (l *limits) leave(team, service string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	decrement(l.byTeam, team)
+	decrement(l.byService, service)
+}
+
+func decrement(m map[string]int64, key string) {
+	if m[key]--; m[key] <= 0 {
+		delete(m, key)
+	}
+}
+
+// retryBudget lets retries be a fixed part of the requests, with a small stock
+// for quiet times. Without it a failing target makes each caller's request
+// several, just when there is least room for them.
+type retryBudget struct {
+	mu    sync.Mutex
+	stock float64
+}
+
+const (
+	retryShare = 0.1
+	retryStock = 20.0
+)
+
+func newRetryBudget() *retryBudget { return &retryBudget{stock: retryStock} }
+
+func (b *retryBudget) earn() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.stock = min(b.stock+retryShare, retryStock)
+}
+
+func (b *retryBudget) spend() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.stock < 1 {
+		return false
+	}
+	b.stock--
+	return true
+}
+
+// Metrics of the request path.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	retries  prometheus.Counter
+	cutOff   prometheus.Counter
+}
+
+// NewMetrics registers the metrics.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "rattanwall_requests_total", Help: "Requests answered to callers, by the kind of error (empty: answered by the target).",
+		}, []string{"service", "class", "kind"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "rattanwall_request_seconds", Help: "Time from a caller's request to the end of its answer.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 16),
+		}, []string{"service", "class"}),
+		retries: prometheus.NewCounter(prometheus.CounterOpts{Name: "rattanwall_retries_total", Help: "Requests offered again under the retry budget."}),
+		cutOff:  prometheus.NewCounter(prometheus.CounterOpts{Name: "rattanwall_answers_cut_off_total", Help: "Answers that broke off; the caller's connection was cut as well."}),
+	}
+	r.MustRegister(m.requests, m.latency, m.retries, m.cutOff)
+	return m
+}
+
+func (m *Metrics) answered(service string, class model.Class, kind errkind.Kind, started time.Time) {
+	m.requests.WithLabelValues(service, string(class), string(kind)).Inc()
+	if kind == "" {
+		m.latency.WithLabelValues(service, string(class)).Observe(time.Since(started).Seconds())
+	}
+}
--- /dev/null
+++ b/internal/route/router.go
@@ -0,0 +1,337 @@
+package route
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"github.com/rattanwall/rattanwall/internal/config"
+	"github.com/rattanwall/rattanwall/internal/errkind"
+	"github.com/rattanwall/rattanwall/internal/hop"
+	"github.com/rattanwall/rattanwall/internal/model"
+	"github.com/rattanwall/rattanwall/internal/vms"
+)
+
+// Peer is another node that owns VMs of a service.
+type Peer struct {
+	Node    string
+	Address string
+	// Free is how many requests of the class it said it could take.
+	Free int64
+	// Near is set for a peer in the same availability zone.
+	Near bool
+	// Waiting is how many requests it said wait there.
+	Waiting int64
+}
+
+// Peers tells where else a request could go, best first.
+type Peers interface {
+	For(service string, class model.Class) []Peer
+	// Heard takes a peer's word, from an answer, on the room it has left.
+	Heard(node, service string, class model.Class, free int64)
+}
+
+// Options of a Router. All fields are needed.
+type Options struct {
+	Node    string
+	Config  func() *config.Installed
+	VMs     *vms.Manager
+	Peers   Peers
+	Metrics *Metrics
+	Log     *logrus.Entry
+}
+
+// Router serves requests. It is safe for concurrent use.
+type Router struct {
+	Options
+	client *hop.Client
+	budget *retryBudget
+	limits limits
+	// ending closes when the node stops: standing watches then end cleanly.
+	ending   chan struct{}
+	endOnce  sync.Once
+	inFlight atomic.Int64
+}
+
+const (
+	// maxTries bounds how many places one request is offered to.
+	maxTries = 4
+	// quickWait and heavyWait bound the wait for a slot. A request that cannot
+	// get one in that time is told at once rather than near its deadline.
+	quickWait = 500 * time.Millisecond
+	heavyWait = 3 * time.Second
+	// answerMargin is taken off the deadline for the way back.
+	answerMargin = 2 * time.Millisecond
+)
+
+// New returns a router.
+func New(o Options) *Router {
+	return &Router{
+		Options: o,
+		client:  hop.NewClient(hop.Options{}),
+		budget:  newRetryBudget(), ending: make(chan struct{}),
+	}
+}
+
+// EndWatches ends the standing watches cleanly.
+func (rt *Router) EndWatches() { rt.endOnce.Do(func() { close(rt.ending) }) }
+
+// InFlight returns the requests under way, of callers and of peers.
+func (rt *Router) InFlight() int64 { return rt.inFlight.Load() }
+
+// request is one request as this node sees it.
+type request struct {
+	service    string
+	path       string
+	class      model.Class
+	team       string
+	origin     string
+	idempotent bool
+	deadline   time.Time // zero for standing watches
+	resume     int64
+	http       *http.Request
+	config     config.Service
+}
+
+// ServeHTTP serves callers at /svc/<service>/<path>.
+func (rt *Router) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	started := time.Now()
+	rt.inFlight.Add(1)
+	defer rt.inFlight.Add(-1)
+	req, err := rt.admit(r)
+	if err != nil {
+		rt.Metrics.answered("", "", errkind.From(err).Kind, started)
+		WriteError(w, err)
+		return
+	}
+	defer rt.limits.leave(req.team, req.service)
+	ctx, cancel := rt.requestContext(r.Context(), req)
+	defer cancel()
+	if req.class == model.Standing {
+		rt.serveWatch(ctx, w, req)
+		return
+	}
+	w.Header().Set(HeaderRequestID, req.origin)
+	kind := rt.serve(ctx, w, req)
+	rt.Metrics.answered(req.service, req.class, kind, started)
+}
+
+func (rt *Router) requestContext(ctx context.Context, req *request) (context.Context, context.CancelFunc) {
+	if req.deadline.IsZero() {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, req.deadline)
+}
+
+// admit checks who asks for what, and the limits of team and service.
+func (rt *Router) admit(r *http.Request) (*request, error) {
+	cfg := rt.Config()
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	id, known := cfg.Identify(token)
+	if !ok || !known {
+		return nil, errkind.New(errkind.Unauthorized, "send 'Authorization: Bearer TOKEN' of a team", nil)
+	}
+	req, err := parse(r, "/svc/", cfg)
+	if err != nil {
+		return nil, err
+	}
+	req.team = id.Name
+	if !id.Operator && !req.config.Open && req.config.Team != id.Name {
+		return nil, errkind.New(errkind.Forbidden, fmt.Sprintf("service %s is not open to team %s", req.service, id.Name), nil)
+	}
+	if req.origin == "" {
+		req.origin = uuid.NewString()
+	}
+	if err := rt.limits.enter(req.team, req.service, cfg.Document); err != nil {
+		return nil, err
+	}
+	return req, nil
+}
+
+// parse reads what a request says of itself, at the first node or a later one.
+func parse(r *http.Request, prefix string, cfg *config.Installed) (*request, error) {
+	service, path, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, prefix), "/")
+	svc, ok := cfg.Document.Services[service]
+	if !ok {
+		return nil, errkind.New(errkind.NotFound, fmt.Sprintf("no service %q", service), nil)
+	}
+	req := &request{
+		service: service, path: "/" + path, http: r, config: svc,
+		class: model.Class(r.Header.Get(HeaderClass)), origin: r.Header.Get(HeaderRequestID),
+	}
+	if req.class == "" {
+		req.class = model.Quick
+	}
+	if !req.class.Valid() {
+		return nil, errkind.New(errkind.InvalidRequest, HeaderClass+": use quick, heavy or standing", nil)
+	}
+	if len(req.origin) > 128 {
+		return nil, errkind.New(errkind.InvalidRequest, HeaderRequestID+": use at most 128 bytes", nil)
+	}
+	if r.ContentLength > svc.BodyLimit() {
+		return nil, errkind.New(errkind.BodyTooLarge, fmt.Sprintf("service %s takes %d bytes", service, svc.BodyLimit()), nil)
+	}
+	req.idempotent = idempotent(r, req.class)
+	if err := req.parseTimes(r); err != nil {
+		return nil, err
+	}
+	if req.class == model.Standing && r.Method != http.MethodGet {
+		return nil, errkind.New(errkind.InvalidRequest, "a standing watch is a GET", nil)
+	}
+	return req, nil
+}
+
+// parseTimes reads the deadline and the resume point.
+func (req *request) parseTimes(r *http.Request) error {
+	if v := r.Header.Get(HeaderResume); v != "" {
+		n, err := strconv.ParseInt(v, 10, 64)
+		if err != nil || n < 0 {
+			return errkind.New(errkind.InvalidRequest, HeaderResume+": give the number of events already seen", nil)
+		}
+		req.resume = n
+	}
+	if req.class == model.Standing {
+		return nil
+	}
+	timeout := req.config.Timeout()
+	if v := r.Header.Get(HeaderTimeoutMS); v != "" {
+		ms, err := strconv.ParseInt(v, 10, 64)
+		if err != nil || ms <= 0 {
+			return errkind.New(errkind.InvalidRequest, HeaderTimeoutMS+": give milliseconds above 0", nil)
+		}
+		timeout = min(timeout, ms)
+	}
+	req.deadline = time.Now().Add(time.Duration(timeout) * time.Millisecond)
+	return nil
+}
+
+// serve finds a place for the request and passes the answer on. Only what
+// certainly did not run, or may run twice, is offered to another place.
+func (rt *Router) serve(ctx context.Context, w http.ResponseWriter, req *request) errkind.Kind {
+	rt.budget.earn()
+	body := req.body(w)
+	var last error
+	tried := map[string]bool{}
+	for try := 0; try < maxTries; try++ {
+		if try > 0 && !rt.mayRetry(last, req, body) {
+			break
+		}
+		resp, finish, err := rt.offer(ctx, req, body, tried, try == maxTries-1)
+		if err == nil {
+			return rt.relay(w, resp, finish)
+		}
+		last = err
+		if ctx.Err() != nil || !tryElsewhere(err) {
+			break
+		}
+	}
+	return rt.fail(ctx, w, req, last, body)
+}
+
+// mayRetry decides whether another place may be tried after err. A place that
+// said it had no room costs nothing; what may have reached a target is under
+// the retry budget, so that retries cannot multiply a failure.
+func (rt *Router) mayRetry(err error, req *request, body *body) bool {
+	e := errkind.From(err)
+	switch e.Kind {
+	case errkind.NoCapacity, errkind.NotOwner, errkind.Draining, errkind.Overloaded:
+		return true
+	}
+	if e.Answer().Outcome != errkind.NotRun && (!req.idempotent || !body.repeatable()) {
+		return false
+	}
+	if !rt.budget.spend() {
+		return false
+	}
+	rt.Metrics.retries.Inc()
+	return true
+}
+
+// tryElsewhere reports whether another place could do better.
+func tryElsewhere(err error) bool {
+	switch errkind.From(err).Kind {
+	case errkind.NoCapacity, errkind.NotOwner, errkind.NoOwner, errkind.Draining, errkind.TargetUnreached,
+		errkind.ConnectionLost, errkind.AnswerMismatch, errkind.AnswerUnbounded, errkind.NotFound:
+		return true
+	}
+	return false
+}
+
+// fail answers with what is known of the request.
+func (rt *Router) fail(ctx context.Context, w http.ResponseWriter, req *request, err error, body *body) errkind.Kind {
+	e := errkind.From(err)
+	notRun := e.Answer().Outcome == errkind.NotRun
+	switch {
+	case body.tooLarge.Load():
+		e = errkind.New(errkind.BodyTooLarge, fmt.Sprintf("service %s takes %d bytes", req.service, req.config.BodyLimit()), nil)
+	case ctx.Err() == context.DeadlineExceeded && notRun:
+		e = errkind.New(errkind.DeadlineNotRun, "", err)
+	case ctx.Err() == context.DeadlineExceeded:
+		e = errkind.New(errkind.Timeout, "", err)
+	case ctx.Err() != nil:
+		e = errkind.New(errkind.CallerGone, "", err)
+	}
+	rt.Log.WithError(e).WithFields(logrus.Fields{"request": req.origin, "service": req.service}).Debug("request failed")
+	w.Header().Del(HeaderRequestID)
+	WriteError(w, e)
+	return e.Kind
+}
+
+// offer gives the request to one place: an own VM, else the peer with the most
+// room, else the shortest wait.
+func (rt *Router) offer(ctx context.Context, req *request, body *body, tried map[string]bool, lastTry bool) (*http.Response, finishFunc, error) {
+	grant, err := rt.VMs.Acquire(ctx, req.service, req.class, 0)
+	if err == nil {
+		return rt.toTarget(ctx, req, body, grant)
+	}
+	peers := rt.Peers.For(req.service, req.class)
+	if !lastTry {
+		for _, p := range peers {
+			if p.Free > 0 && !tried[p.Node] {
+				tried[p.Node] = true
+				return rt.toPeer(ctx, req, body, p, 0)
+			}
+		}
+	}
+	wait := waitFor(req.class)
+	if rt.VMs.Serves(req.service) && (len(peers) == 0 || rt.VMs.Waiting() <= shortest(peers).Waiting) {
+		grant, err := rt.VMs.Acquire(ctx, req.service, req.class, wait)
+		if err != nil {
+			return nil, nil, err
+		}
+		return rt.toTarget(ctx, req, body, grant)
+	}
+	if len(peers) == 0 {
+		return nil, nil, errkind.New(errkind.NoOwner, "no node owns VMs of the service", nil)
+	}
+	return rt.toPeer(ctx, req, body, shortest(peers), wait)
+}
+
+func waitFor(class model.Class) time.Duration {
+	switch class {
+	case model.Quick:
+		return quickWait
+	case model.Heavy:
+		return heavyWait
+	}
+	return 0
+}
+
+// shortest returns the peer with the fewest requests waiting; near ones first.
+func shortest(peers []Peer) Peer {
+	best := peers[0]
+	for _, p := range peers[1:] {
+		if p.Waiting < best.Waiting {
+			best = p
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/route/watch.go
@@ -0,0 +1,167 @@
+package route
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/errkind"
+	"github.com/rattanwall/rattanwall/internal/vms"
+)
+
+// A standing watch is an answer of one event a line, held open for hours. It is
+// counted by lines, so that when a node or a VM goes away it can go on
+// elsewhere after the last event that the caller has seen.
+
+const bufferSize = 32 << 10
+
+var buffers = sync.Pool{New: func() any { b := make([]byte, bufferSize); return &b }}
+
+// Why a watch ended, told in the trailer.
+const (
+	endDrain  = "drain"
+	endTarget = "target"
+	endLost   = "lost"
+)
+
+const (
+	// watchRetries bounds the tries in a row that bring no event.
+	watchRetries = 5
+	watchBackoff = 100 * time.Millisecond
+)
+
+// serveWatch holds a caller's watch and takes it up elsewhere when its place
+// goes away, without the caller noticing.
+func (rt *Router) serveWatch(ctx context.Context, w http.ResponseWriter, req *request) {
+	w.Header().Set("Trailer", HeaderResume+", "+HeaderEnd)
+	w.Header().Set(HeaderRequestID, req.origin)
+	begun := false
+	failures := 0
+	for {
+		resp, finish, err := rt.offer(ctx, req, req.body(w), map[string]bool{}, failures > 0)
+		if err == nil {
+			if !begun {
+				copyHeader(w.Header(), resp.Header)
+				w.WriteHeader(resp.StatusCode)
+				_ = http.NewResponseController(w).Flush()
+				begun = true
+			}
+			before := req.resume
+			end := rt.copyEvents(ctx, w, resp, finish, &req.resume)
+			if end == endDrain && rt.stopping() || end == endTarget || ctx.Err() != nil {
+				endWatch(w, end, req.resume)
+				return
+			}
+			if req.resume > before {
+				failures = 0
+			}
+		}
+		failures++
+		if failures > watchRetries || !begun && err != nil && !tryElsewhere(err) {
+			rt.giveUpWatch(w, begun, err, req.resume)
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-rt.ending:
+			rt.giveUpWatch(w, begun, errkind.New(errkind.Draining, "", nil), req.resume)
+			return
+		case <-time.After(watchBackoff * time.Duration(failures)):
+		}
+	}
+}
+
+func (rt *Router) giveUpWatch(w http.ResponseWriter, begun bool, err error, resume int64) {
+	if !begun {
+		w.Header().Del("Trailer")
+		WriteError(w, err)
+		return
+	}
+	end := endLost
+	if rt.stopping() {
+		end = endDrain
+	}
+	endWatch(w, end, resume)
+}
+
+func endWatch(w http.ResponseWriter, end string, resume int64) {
+	w.Header().Set(HeaderResume, strconv.FormatInt(resume, 10))
+	w.Header().Set(HeaderEnd, end)
+}
+
+func (rt *Router) stopping() bool {
+	select {
+	case <-rt.ending:
+		return true
+	default:
+		return false
+	}
+}
+
+// relayWatch passes a watch on to the node that the caller is at.
+func (rt *Router) relayWatch(ctx context.Context, w http.ResponseWriter, resp *http.Response, finish finishFunc, resume int64) {
+	w.Header().Set("Trailer", HeaderResume+", "+HeaderEnd)
+	copyHeader(w.Header(), resp.Header)
+	w.WriteHeader(resp.StatusCode)
+	_ = http.NewResponseController(w).Flush()
+	end := rt.copyEvents(ctx, w, resp, finish, &resume)
+	if end == endLost {
+		panic(http.ErrAbortHandler)
+	}
+	endWatch(w, end, resume)
+}
+
+// copyEvents passes whole events on and counts them in seen, until the watch
+// ends. A line that was cut off is not passed on.
+func (rt *Router) copyEvents(ctx context.Context, w http.ResponseWriter, resp *http.Response, finish finishFunc, seen *int64) string {
+	defer func() { _ = resp.Body.Close() }()
+	rc := http.NewResponseController(w)
+	lines := make(chan []byte)
+	stop := make(chan struct{})
+	defer close(stop)
+	go readLines(resp, lines, stop)
+	for {
+		select {
+		case line, ok := <-lines:
+			if !ok {
+				finish(vms.EndUncertain)
+				if end := resp.Trailer.Get(HeaderEnd); end != "" {
+					return end
+				}
+				return endLost
+			}
+			if _, err := w.Write(line); err != nil || rc.Flush() != nil {
+				finish(vms.EndUncertain)
+				return endLost
+			}
+			*seen++
+		case <-rt.ending:
+			finish(vms.EndUncertain)
+			return endDrain
+		case <-ctx.Done():
+			finish(vms.EndUncertain)
+			return endLost
+		}
+	}
+}
+
+// readLines sends each whole line of the answer until it ends or stop closes.
+func readLines(resp *http.Response, lines chan<- []byte, stop <-chan struct{}) {
+	defer close(lines)
+	reader := bufio.NewReader(resp.Body)
+	for {
+		line, err := reader.ReadBytes('\n')
+		if err != nil {
+			return
+		}
+		select {
+		case lines <- line:
+		case <-stop:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/document.go
@@ -0,0 +1,123 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"sort"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// document is a settings file that knows on which line each field stands.
+type document struct {
+	file   string
+	raw    []byte
+	lines  map[string]int
+	faults []string
+}
+
+// decode reads the file into target, a pointer to a struct. Every field that
+// target does not have is a fault.
+func (d *document) decode(target any) error {
+	root, err := hujson.Parse(d.raw)
+	if err != nil {
+		// hujson's message already tells line and column.
+		return fmt.Errorf("%s: %w; settings are JSON, comments and trailing commas allowed", d.file, err)
+	}
+	d.lines = map[string]int{}
+	d.walk(root, reflect.TypeOf(target).Elem(), "")
+	if err := d.err(); err != nil {
+		return err
+	}
+	root.Standardize()
+	dec := json.NewDecoder(bytes.NewReader(root.Pack()))
+	if err := dec.Decode(target); err != nil {
+		var wrong *json.UnmarshalTypeError
+		if errors.As(err, &wrong) {
+			d.fault(wrong.Field, fmt.Sprintf("give a %s, not a %s", wrong.Type, wrong.Value))
+			return d.err()
+		}
+		return fmt.Errorf("%s: %w", d.file, err)
+	}
+	return nil
+}
+
+// walk notes the line of each field of v and refuses those that t lacks.
+func (d *document) walk(v hujson.Value, t reflect.Type, path string) {
+	object, ok := v.Value.(*hujson.Object)
+	if !ok || t.Kind() != reflect.Struct {
+		return
+	}
+	fields := fieldsOf(t)
+	for _, member := range object.Members {
+		var name string
+		_ = json.Unmarshal(bytes.TrimSpace(member.Name.Value.(hujson.Literal)), &name)
+		full := join(path, name)
+		line := 1 + bytes.Count(d.raw[:member.Name.StartOffset], []byte("\n"))
+		if d.lines[full] != 0 {
+			d.faults = append(d.faults, fmt.Sprintf("%s:%d: %s: given twice; keep one", d.file, line, full))
+			continue
+		}
+		d.lines[full] = line
+		ft, known := fields[name]
+		if !known {
+			d.faults = append(d.faults, fmt.Sprintf("%s:%d: %s: no such field; %s", d.file, line, full, suggest(name, fields)))
+			continue
+		}
+		d.walk(member.Value, ft, full)
+	}
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func fieldsOf(t reflect.Type) map[string]reflect.Type {
+	fields := map[string]reflect.Type{}
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		if name != "" {
+			fields[name] = t.Field(i).Type
+		}
+	}
+	return fields
+}
+
+// suggest names the field that was probably meant, or all there are.
+func suggest(name string, fields map[string]reflect.Type) string {
+	var names []string
+	for n := range fields {
+		if strings.EqualFold(strings.ReplaceAll(n, "_", ""), strings.ReplaceAll(name, "_", "")) ||
+			strings.HasPrefix(n, name) || strings.HasPrefix(name, n) {
+			return fmt.Sprintf("did you mean %q?", n)
+		}
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	return "use one of " + strings.Join(names, ", ")
+}
+
+// fault notes a fault of a field. A field that is not in the file is shown
+// without a line, as missing.
+func (d *document) fault(field, fix string) {
+	if line := d.lines[field]; line > 0 {
+		d.faults = append(d.faults, fmt.Sprintf("%s:%d: %s: %s", d.file, line, field, fix))
+		return
+	}
+	d.faults = append(d.faults, fmt.Sprintf("%s: %s: missing; %s", d.file, field, fix))
+}
+
+func (d *document) err() error {
+	if len(d.faults) == 0 {
+		return nil
+	}
+	sort.Strings(d.faults)
+	return errors.New(strings.Join(d.faults, "\n"))
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,179 @@
+// Package settings reads a node's settings: JSON with comments, checked whole
+// before anything starts. Each error names file, line, field and the fix.
+package settings
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/rattanwall/rattanwall/internal/model"
+)
+
+// Node is the settings of one node.
+type Node struct {
+	// Name is unique in the deployment and stays when the VM is replaced.
+	Name string `json:"name"`
+	// Zone is the availability zone that the VM is in, spelt as in the
+	// platform's list.
+	Zone string `json:"zone"`
+	// Region groups availability zones; optional.
+	Region string `json:"region"`
+	// Listen holds the addresses served.
+	Listen Listen `json:"listen"`
+	// Platform is how the platform is reached.
+	Platform Platform `json:"platform"`
+	// Drain times a planned stop.
+	Drain Drain `json:"drain"`
+	// Leases time ownership and tasks; leave out for the defaults.
+	Leases Leases `json:"leases"`
+	// Log is what is logged.
+	Log Log `json:"log"`
+	// BootstrapOperatorSHA256 is the SHA-256, in hex, of a token that counts as
+	// an operator's while the configuration has no operators.
+	BootstrapOperatorSHA256 string `json:"bootstrap_operator_sha256"`
+}
+
+// Listen holds ip:port addresses; port 0 takes any free port.
+type Listen struct {
+	// Callers is where requests come in from the platform's balancer.
+	Callers string `json:"callers"`
+	// Admin serves the administration API.
+	Admin string `json:"admin"`
+	// Peers serves the other nodes; they use the address as given here.
+	Peers string `json:"peers"`
+	// Operations serves metrics, health, readiness and the state dump.
+	Operations string `json:"operations"`
+}
+
+// Platform is how the platform is reached.
+type Platform struct {
+	// Address is the ip:port of the platform's interface.
+	Address string `json:"address"`
+}
+
+// Drain times a planned stop.
+type Drain struct {
+	// NoticeMS is how long the balancer may take to notice that the node is not
+	// ready, in milliseconds; the node serves on meanwhile. Default 3,000.
+	NoticeMS int64 `json:"notice_ms"`
+	// LimitMS bounds the wait for requests under way after that, in
+	// milliseconds. Default 60,000.
+	LimitMS int64 `json:"limit_ms"`
+}
+
+// Leases time ownership and tasks, in milliseconds. A zero takes the default.
+type Leases struct {
+	// SessionMS is how long the store keeps a node's session without a renewal;
+	// a dead node's shards are taken over after that. Default 5,000.
+	SessionMS int64 `json:"session_ms"`
+	// TaskMS is how long a task runs without a renewal. Default 12,000.
+	TaskMS int64 `json:"task_ms"`
+}
+
+// Log is what is logged.
+type Log struct {
+	// Level is debug, info (default), warning or error.
+	Level string `json:"level"`
+	// Format is text (default) or json.
+	Format string `json:"format"`
+}
+
+// Defaults and limits of fields.
+const (
+	defaultNoticeMS  = 3_000
+	defaultLimitMS   = 60_000
+	defaultSessionMS = 5_000
+	defaultTaskMS    = 12_000
+	minSessionMS     = 2_000
+	minTaskMS        = 4_000
+)
+
+// Load reads and checks the file. Its error lists every fault found.
+func Load(path string) (Node, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Node{}, fmt.Errorf("settings: %w; give the file's path with --settings", err)
+	}
+	return Parse(path, raw)
+}
+
+// Parse checks raw; name stands for the file in errors.
+func Parse(name string, raw []byte) (Node, error) {
+	var n Node
+	d := &document{file: name, raw: raw}
+	if err := d.decode(&n); err != nil {
+		return n, err
+	}
+	n.defaults()
+	n.check(d)
+	return n, d.err()
+}
+
+func (n *Node) defaults() {
+	setDefault(&n.Drain.NoticeMS, defaultNoticeMS)
+	setDefault(&n.Drain.LimitMS, defaultLimitMS)
+	setDefault(&n.Leases.SessionMS, defaultSessionMS)
+	setDefault(&n.Leases.TaskMS, defaultTaskMS)
+	if n.Log.Level == "" {
+		n.Log.Level = "info"
+	}
+	if n.Log.Format == "" {
+		n.Log.Format = "text"
+	}
+}
+
+func setDefault(field *int64, value int64) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+func (n *Node) check(d *document) {
+	if !model.ValidName(n.Name) {
+		d.fault("name", "use 1 to 80 letters, digits, '-', '_' or '.'")
+	}
+	if !model.ValidName(n.Zone) {
+		d.fault("zone", "give the availability zone as the platform's list spells it")
+	}
+	for field, address := range map[string]string{
+		"listen.callers": n.Listen.Callers, "listen.admin": n.Listen.Admin, "listen.peers": n.Listen.Peers,
+		"listen.operations": n.Listen.Operations, "platform.address": n.Platform.Address,
+	} {
+		checkAddress(d, field, address)
+	}
+	if n.Drain.NoticeMS < 0 || n.Drain.LimitMS < 0 {
+		d.fault("drain", "give milliseconds of 0 or more")
+	}
+	if n.Leases.SessionMS < minSessionMS {
+		d.fault("leases.session_ms", fmt.Sprintf("give at least %d", minSessionMS))
+	}
+	if n.Leases.TaskMS < minTaskMS {
+		d.fault("leases.task_ms", fmt.Sprintf("give at least %d", minTaskMS))
+	}
+	if _, err := logrus.ParseLevel(n.Log.Level); err != nil {
+		d.fault("log.level", "use debug, info, warning or error")
+	}
+	if n.Log.Format != "text" && n.Log.Format != "json" {
+		d.fault("log.format", "use text or json")
+	}
+}
+
+// checkAddress wants an IP number and a port: names would need a resolver that
+// may be away when it is needed most.
+func checkAddress(d *document, field, address string) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil || net.ParseIP(strings.Trim(host, "[]")) == nil {
+		d.fault(field, "give ip:port with an IP number, such as 10.0.0.5:7000")
+	}
+}
+
+// Notice is Drain.NoticeMS as a duration.
+func (d Drain) Notice() time.Duration { return time.Duration(d.NoticeMS) * time.Millisecond }
+
+// Limit is Drain.LimitMS as a duration.
+func (d Drain) Limit() time.Duration { return time.Duration(d.LimitMS) * time.Millisecond }
--- /dev/null
+++ b/internal/standin/worker/target.go
@@ -0,0 +1,268 @@
+package worker
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/model"
+	"github.com/rattanwall/rattanwall/internal/standin/record"
+	"github.com/rattanwall/rattanwall/internal/target"
+)
+
+// The faults that a request asks for by its query parameter "fault". They make
+// the target misbehave for just that request.
+const (
+	// FaultResetEarly resets the connection before the body is read; nothing runs.
+	FaultResetEarly = "reset-early"
+	// FaultResetAfter runs the request, then resets without an answer.
+	FaultResetAfter = "reset-after"
+	// FaultResetMid sends half of the answer, then resets.
+	FaultResetMid = "reset-mid"
+	// FaultLate ignores the deadline and answers after it.
+	FaultLate = "late"
+	// FaultDuplicate sends the answer twice on the connection.
+	FaultDuplicate = "duplicate"
+	// FaultWrongID answers with another request's id.
+	FaultWrongID = "wrong-id"
+	// FaultCloseDelimited answers with no length, ended by closing.
+	FaultCloseDelimited = "close-delimited"
+)
+
+// serveTarget serves requests on a free port of host.
+func (w *Worker) serveTarget(host string) error {
+	ln, err := net.Listen("tcp", net.JoinHostPort(host, portOf(w.vm.TargetAddress)))
+	if err != nil {
+		return err
+	}
+	w.vm.TargetAddress = ln.Addr().String()
+	mux := http.NewServeMux()
+	mux.HandleFunc("/", w.handleRequest)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(&silentListener{Listener: ln, worker: w}) }()
+	w.closers = append(w.closers, func() { _ = server.Close() })
+	return nil
+}
+
+// handleRequest executes one request once its body has fully arrived. A body
+// that is cut off is not executed.
+func (w *Worker) handleRequest(rw http.ResponseWriter, r *http.Request) {
+	fault := r.URL.Query().Get("fault")
+	if fault == FaultResetEarly {
+		reset(rw)
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	hop, origin := r.Header.Get(target.HeaderRequestID), r.Header.Get(target.HeaderOriginID)
+	class := model.Class(r.Header.Get(target.HeaderClass))
+	if strings.HasSuffix(r.URL.Path, "/watch") {
+		class = model.Standing
+	}
+	event := record.Event{Kind: record.RequestStart, VM: w.vm.Name, ID: origin, Hop: hop, Class: class}
+	w.recorder.Add(event)
+	if class != model.Standing {
+		w.setInFlight(hop, true)
+	}
+	end := func(reason string) {
+		if class != model.Standing {
+			w.setInFlight(hop, false)
+		}
+		event.Kind, event.Reason = record.RequestEnd, reason
+		w.recorder.Add(event)
+	}
+	rw.Header().Set(target.HeaderRequestID, hop)
+	if class == model.Standing {
+		end(w.watch(rw, r))
+		return
+	}
+	w.work(rw, r, fault, origin, end)
+}
+
+func (w *Worker) setInFlight(hop string, on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if on {
+		w.inFlight[hop] = struct{}{}
+	} else {
+		delete(w.inFlight, hop)
+	}
+}
+
+// work takes the time asked for in "ms", slowed by the VM's tasks, and answers
+// with "size" bytes.
+func (w *Worker) work(rw http.ResponseWriter, r *http.Request, fault, origin string, end func(string)) {
+	ms, _ := strconv.ParseFloat(r.URL.Query().Get("ms"), 64)
+	size, _ := strconv.Atoi(r.URL.Query().Get("size"))
+	timer := time.NewTimer(time.Duration(ms * w.slowdown() * float64(time.Millisecond)))
+	defer timer.Stop()
+	var deadline <-chan time.Time
+	if left, err := strconv.ParseInt(r.Header.Get(target.HeaderDeadlineMS), 10, 64); err == nil && fault != FaultLate {
+		deadline = time.After(time.Duration(left) * time.Millisecond)
+	}
+	done := r.Context().Done()
+	if fault == FaultLate {
+		done = nil
+	}
+	select {
+	case <-timer.C:
+	case <-done:
+		end("caller gone")
+		return
+	case <-deadline:
+		end("deadline")
+		rw.WriteHeader(http.StatusGatewayTimeout)
+		return
+	}
+	end("done")
+	answer(rw, fault, origin, AnswerBody(origin, size))
+}
+
+// answer writes the body, misbehaving as fault asks.
+func answer(rw http.ResponseWriter, fault, origin string, body []byte) {
+	rw.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	switch fault {
+	case FaultResetAfter:
+		reset(rw)
+	case FaultResetMid:
+		_, _ = rw.Write(body[:len(body)/2])
+		_ = http.NewResponseController(rw).Flush()
+		panic(http.ErrAbortHandler)
+	case FaultDuplicate, FaultCloseDelimited:
+		raw(rw, fault, body)
+	case FaultWrongID:
+		rw.Header().Set(target.HeaderRequestID, "not-"+origin)
+		_, _ = rw.Write(body)
+	default:
+		_, _ = rw.Write(body)
+	}
+}
+
+// raw writes the answer by hand, twice for FaultDuplicate.
+func raw(rw http.ResponseWriter, fault string, body []byte) {
+	id := rw.Header().Get(target.HeaderRequestID)
+	conn, _, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	if fault == FaultCloseDelimited {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n%s: %s\r\n\r\n%s", target.HeaderRequestID, id, body)
+		return
+	}
+	one := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s: %s\r\n\r\n%s", len(body), target.HeaderRequestID, id, body)
+	_, _ = io.WriteString(conn, one+one)
+	// Kept open a while, so that the second answer waits on the connection.
+	time.Sleep(200 * time.Millisecond)
+}
+
+// reset closes the connection with a TCP reset.
+func reset(rw http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		return
+	}
+	if s, ok := conn.(*silentConn); ok {
+		if tcp, ok := s.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	}
+	_ = conn.Close()
+}
+
+// watch sends one line an interval until the caller leaves: "event N\n", with
+// N going on from the resume point.
+func (w *Worker) watch(rw http.ResponseWriter, r *http.Request) string {
+	interval, _ := strconv.Atoi(r.URL.Query().Get("interval_ms"))
+	next, _ := strconv.ParseInt(r.Header.Get(target.HeaderResume), 10, 64)
+	rc := http.NewResponseController(rw)
+	rw.WriteHeader(http.StatusOK)
+	_ = rc.Flush()
+	ticker := time.NewTicker(time.Duration(max(interval, 1)) * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-r.Context().Done():
+			return "caller gone"
+		case <-ticker.C:
+		}
+		next++
+		if _, err := fmt.Fprintf(rw, "event %d\n", next); err != nil || rc.Flush() != nil {
+			return "connection lost"
+		}
+	}
+}
+
+// silentListener hands out connections that can be made to go silent, and
+// counts those that are open.
+type silentListener struct {
+	net.Listener
+	worker *Worker
+}
+
+var connNumber atomic.Int64
+
+// Accept implements net.Listener.
+func (l *silentListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	s := &silentConn{Conn: c, worker: l.worker, closed: make(chan struct{})}
+	s.id = strconv.FormatInt(connNumber.Add(1), 10)
+	l.worker.mu.Lock()
+	l.worker.conns[s] = struct{}{}
+	l.worker.mu.Unlock()
+	l.worker.recorder.Add(record.Event{Kind: record.ConnOpen, VM: l.worker.vm.Name, ID: s.id})
+	return s, nil
+}
+
+// silentConn is a connection that loses track of its other end when silenced:
+// what is written vanishes and nothing more is read.
+type silentConn struct {
+	net.Conn
+	worker *Worker
+	id     string
+	silent atomic.Bool
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (c *silentConn) silence() { c.silent.Store(true) }
+
+// Read implements net.Conn.
+func (c *silentConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.silent.Load() {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *silentConn) Write(b []byte) (int, error) {
+	if c.silent.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// Close implements net.Conn.
+func (c *silentConn) Close() error {
+	c.once.Do(func() {
+		close(c.closed)
+		c.worker.mu.Lock()
+		delete(c.worker.conns, c)
+		c.worker.mu.Unlock()
+		c.worker.recorder.Add(record.Event{Kind: record.ConnClose, VM: c.worker.vm.Name, ID: c.id})
+	})
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/standin/worker/worker.go
@@ -0,0 +1,315 @@
+// Package worker is the stand-in for one VM of the platform: its agent, which
+// runs tasks under leases, and its target, which serves requests. Tasks do no
+// work: a timer stands for the time they take. All that starts and ends is
+// recorded, and faults are switched by tests.
+package worker
+
+import (
+	"fmt"
+	"hash/fnv"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/model"
+	"github.com/rattanwall/rattanwall/internal/standin/record"
+	"github.com/rattanwall/rattanwall/internal/worker"
+)
+
+// Faults of one VM.
+type Faults struct {
+	// AgentDown makes the agent refuse connections' calls by cutting them off.
+	AgentDown bool `json:"agent_down"`
+	// FailTasks makes each task fail soon after its start.
+	FailTasks bool `json:"fail_tasks"`
+	// LoseStartAnswers cuts off the answer of the next N starts after they took effect.
+	LoseStartAnswers int `json:"lose_start_answers"`
+	// UsageLagMS is how old the usage reports are, in milliseconds.
+	UsageLagMS int64 `json:"usage_lag_ms"`
+	// SlowFactor multiplies the time that each request takes; 0 stands for 1.
+	SlowFactor float64 `json:"slow_factor"`
+}
+
+// task is one attempt at the agent.
+type task struct {
+	worker.Task
+	total   time.Duration // true run time at full share
+	done    time.Duration // work done up to since
+	since   time.Time
+	share   float64
+	finish  *time.Timer
+	lapse   *time.Timer
+	leaseMS int64
+}
+
+// Worker is one stand-in VM.
+type Worker struct {
+	vm       model.VM
+	recorder *record.Recorder
+	boot     string
+
+	mu       sync.Mutex
+	faults   Faults
+	tasks    map[worker.Ref]*task
+	sequence int64
+	changed  chan struct{}
+	inFlight map[string]struct{}
+	conns    map[*silentConn]struct{}
+	held     model.Resources
+	closers  []func()
+}
+
+// minRunTime keeps a stand-in task from ending before its start is answered.
+const minRunTime = 20 * time.Millisecond
+
+// Start serves vm's agent and target on loopback ports of their own choice and
+// returns the running stand-in; VM() tells the addresses.
+func Start(vm model.VM, host string, r *record.Recorder) (*Worker, error) {
+	w := &Worker{
+		vm: vm, recorder: r, boot: strconv.FormatInt(time.Now().UnixNano(), 36),
+		tasks: map[worker.Ref]*task{}, changed: make(chan struct{}),
+		inFlight: map[string]struct{}{}, conns: map[*silentConn]struct{}{},
+	}
+	if err := w.serveAgent(host); err != nil {
+		return nil, err
+	}
+	if err := w.serveTarget(host); err != nil {
+		w.Close()
+		return nil, err
+	}
+	r.Add(record.Event{Kind: record.VMStarted, VM: vm.Name, Resources: &vm.Capacity})
+	return w, nil
+}
+
+// VM describes the stand-in as the platform's list would.
+func (w *Worker) VM() model.VM { return w.vm }
+
+// SetFaults replaces the faults.
+func (w *Worker) SetFaults(f Faults) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = f
+}
+
+// Silence makes all connections now open go silent for good; new ones work.
+func (w *Worker) Silence() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for c := range w.conns {
+		c.silence()
+	}
+}
+
+// Close ends the VM with all it holds, as a power cut would.
+func (w *Worker) Close() {
+	w.mu.Lock()
+	closers := w.closers
+	w.closers = nil
+	for _, t := range w.tasks {
+		t.stopTimers()
+	}
+	w.tasks = map[worker.Ref]*task{}
+	w.mu.Unlock()
+	if len(closers) == 0 {
+		return
+	}
+	w.recorder.Add(record.Event{Kind: record.VMGone, VM: w.vm.Name})
+	for _, c := range closers {
+		c()
+	}
+}
+
+// bump tells waiting status calls of a change. w.mu is held.
+func (w *Worker) bump() {
+	w.sequence++
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// trueDuration is what a task really takes: half to twice its declaration, the
+// same for each attempt at it.
+func trueDuration(ref string, declaredMS int64) time.Duration {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(ref))
+	factor := 0.5 + 1.5*float64(h.Sum32()%1000)/1000
+	d := time.Duration(float64(declaredMS)*factor) * time.Millisecond
+	return max(d, minRunTime)
+}
+
+// start runs an attempt unless it is already listed.
+func (w *Worker) start(req worker.StartRequest) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.tasks[req.Ref] != nil {
+		return
+	}
+	resumed, _ := strconv.ParseInt(req.Resume, 10, 64)
+	t := &task{
+		Task:  worker.Task{Ref: req.Ref, State: worker.Running, Resources: req.Resources, Checkpoint: req.Resume},
+		total: trueDuration(req.Task, req.DurationMS), done: time.Duration(resumed) * time.Millisecond,
+		since: time.Now(), share: 1, leaseMS: req.LeaseMS,
+	}
+	w.tasks[req.Ref] = t
+	w.held = w.held.Add(req.Resources)
+	w.recorder.Add(record.Event{
+		Kind: record.TaskStart, VM: w.vm.Name, ID: req.Task, Attempt: req.Attempt,
+		Resources: &t.Resources, Checkpoint: req.Resume,
+	})
+	if w.faults.FailTasks {
+		t.finish = time.AfterFunc(minRunTime, func() { w.end(t, worker.Failed) })
+	} else {
+		w.reschedule(t)
+	}
+	t.lapse = time.AfterFunc(time.Duration(t.leaseMS)*time.Millisecond, func() { w.end(t, worker.Lapsed) })
+	w.bump()
+}
+
+// reschedule sets the timer of t's end from its progress and share. w.mu is held.
+func (w *Worker) reschedule(t *task) {
+	if t.finish != nil {
+		t.finish.Stop()
+	}
+	if t.share <= 0 {
+		return
+	}
+	left := max(t.total-t.done, 0)
+	wait := max(time.Duration(float64(left)/t.share), minRunTime)
+	t.finish = time.AfterFunc(wait, func() { w.end(t, worker.Finished) })
+}
+
+// progress brings t.done up to now. w.mu is held.
+func (t *task) progress() {
+	now := time.Now()
+	t.done += time.Duration(float64(now.Sub(t.since)) * t.share)
+	t.since = now
+}
+
+func (t *task) stopTimers() {
+	if t.finish != nil {
+		t.finish.Stop()
+	}
+	if t.lapse != nil {
+		t.lapse.Stop()
+	}
+}
+
+func (t *task) checkpoint() {
+	t.progress()
+	t.Checkpoint = strconv.FormatInt(t.done.Milliseconds(), 10)
+}
+
+// end moves a running attempt to a final state.
+func (w *Worker) end(t *task, state worker.State) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.endLocked(t, state)
+}
+
+func (w *Worker) endLocked(t *task, state worker.State) {
+	if t.State != worker.Running || w.tasks[t.Ref] != t {
+		return
+	}
+	t.State = state
+	t.stopTimers()
+	w.held = w.held.Sub(t.Resources)
+	w.recorder.Add(record.Event{
+		Kind: record.TaskEnd, VM: w.vm.Name, ID: t.Ref.Task, Attempt: t.Attempt,
+		Reason: string(state), Checkpoint: t.Checkpoint, Resources: &t.Resources,
+	})
+	w.bump()
+}
+
+func (w *Worker) renew(lease time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, t := range w.tasks {
+		if t.State == worker.Running {
+			t.lapse.Reset(lease)
+		}
+	}
+}
+
+func (w *Worker) stop(req worker.Ref, checkpoint bool) (worker.Task, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t := w.tasks[req]
+	if t == nil {
+		return worker.Task{}, false
+	}
+	if checkpoint && t.State == worker.Running {
+		t.checkpoint()
+	}
+	w.endLocked(t, worker.Stopped)
+	return t.Task, true
+}
+
+func (w *Worker) saveCheckpoint(ref worker.Ref) (worker.Task, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t := w.tasks[ref]
+	if t == nil || t.State != worker.Running {
+		return worker.Task{}, false
+	}
+	t.checkpoint()
+	return t.Task, true
+}
+
+func (w *Worker) throttle(ref worker.Ref, share float64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t := w.tasks[ref]
+	if t == nil || t.State != worker.Running {
+		return false
+	}
+	t.progress()
+	t.share = share
+	w.reschedule(t)
+	return true
+}
+
+func (w *Worker) forget(refs []worker.Ref) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, ref := range refs {
+		if t := w.tasks[ref]; t != nil && t.State != worker.Running {
+			delete(w.tasks, ref)
+		}
+	}
+}
+
+// status returns the list and a channel that closes at its next change.
+func (w *Worker) status() (worker.Status, <-chan struct{}) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := worker.Status{Sequence: w.sequence, Boot: w.boot, Connections: len(w.conns)}
+	for _, t := range w.tasks {
+		s.Tasks = append(s.Tasks, t.Task)
+	}
+	for id := range w.inFlight {
+		s.InFlight = append(s.InFlight, id)
+	}
+	return s, w.changed
+}
+
+// slowdown is the factor by which batch tasks slow the VM's requests.
+func (w *Worker) slowdown() float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	factor := max(w.faults.SlowFactor, 1)
+	if w.vm.Capacity.MilliCPU == 0 {
+		return factor
+	}
+	return factor * (1 + 0.5*float64(w.held.MilliCPU)/float64(w.vm.Capacity.MilliCPU))
+}
+
+// AnswerBody is the body that a target answers the caller's request id with:
+// size bytes that no other id yields, so that a caller can tell its own whole
+// answer from a part or from another's.
+func AnswerBody(id string, size int) []byte {
+	line := []byte(fmt.Sprintf("answer to %s\n", id))
+	body := make([]byte, 0, size+len(line))
+	for len(body) < size {
+		body = append(body, line...)
+	}
+	return body[:size]
+}
--- /dev/null
+++ b/internal/vms/machine.go
@@ -0,0 +1,326 @@
+package vms
+
+import (
+	"context"
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/hop"
+	"github.com/rattanwall/rattanwall/internal/ledger"
+	"github.com/rattanwall/rattanwall/internal/model"
+	"github.com/rattanwall/rattanwall/internal/worker"
+)
+
+const (
+	// statusWait is how long one status call waits for a change.
+	statusWait = 2 * time.Second
+	// settleEvery is how often the status is read while something is uncertain.
+	settleEvery = 100 * time.Millisecond
+	// retryPause is the least time between failed status calls.
+	retryPause = 500 * time.Millisecond
+	// reportEvery is how often running attempts are reported, so that those that
+	// should not run are found.
+	reportEvery = 10 * time.Second
+	// lostMargin is added to the lease before an attempt counts as lost: it covers
+	// a renewal still on its way and clocks that run at different rates.
+	lostMargin = 5 * time.Second
+	// initialLatency is assumed of a VM that served no request yet.
+	initialLatency = 5 * time.Millisecond
+)
+
+// machine is one owned VM. Its fields are guarded by the manager's mutex.
+type machine struct {
+	vm     model.VM
+	shard  string
+	epoch  int64
+	ledger *ledger.Ledger
+	agent  worker.Agent
+	client *hop.Client
+	cancel context.CancelFunc
+	nudge  chan struct{}
+
+	// since is when this node took the VM over.
+	since     time.Time
+	reachable bool
+	// lastContactEnd is when the last call that may have started or renewed a
+	// task's lease ended, answered or not.
+	lastContactEnd time.Time
+	// suspectUntil keeps requests off a VM that just refused a connection.
+	suspectUntil time.Time
+	tasks        map[worker.Ref]*taskHold
+	// latency is a moving average over whole requests.
+	latency  time.Duration
+	slowdown float64
+}
+
+// taskHold is an attempt that the VM holds or held.
+type taskHold struct {
+	checkpoint string
+	// end is set once the attempt has ended; it stays listed until recorded.
+	end      End
+	resource model.Resources
+	// starting is set while the start's outcome is not known.
+	starting bool
+	// settledAt is when the start's outcome was settled. A list asked for earlier
+	// may lack the task although it runs: taking that for its end would start it
+	// a second time elsewhere.
+	settledAt time.Time
+	stopping  bool
+}
+
+func ledgerID(ref worker.Ref) string {
+	return ref.Task + "#" + itoa(ref.Attempt)
+}
+
+// watchStatus follows the VM's own list.
+func (m *Manager) watchStatus(ctx context.Context, mc *machine) {
+	var after int64 = -1
+	lastReport := time.Now()
+	for ctx.Err() == nil {
+		m.mu.Lock()
+		uncertain := mc.ledger.Uncertain() || !mc.ledger.Ready()
+		m.mu.Unlock()
+		wait := statusWait
+		if uncertain {
+			wait, after = 0, -1
+		}
+		askedAt := time.Now()
+		own := mc.client.Open()
+		status, err := mc.agent.Status(ctx, after, wait)
+		if err != nil {
+			m.statusFailed(ctx, mc)
+			continue
+		}
+		after = status.Sequence
+		m.observe(mc, status, askedAt, own)
+		m.settle(ctx, mc, time.Since(lastReport) >= reportEvery)
+		if time.Since(lastReport) >= reportEvery {
+			lastReport = time.Now()
+			m.measure(ctx, mc)
+		}
+		if uncertain {
+			pause(ctx, settleEvery)
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// measure reads the VM's lagging usage.
+func (m *Manager) measure(ctx context.Context, mc *machine) {
+	u, err := mc.agent.Usage(ctx)
+	if err != nil {
+		return
+	}
+	m.mu.Lock()
+	mc.slowdown = u.Slowdown
+	m.mu.Unlock()
+}
+
+// statusFailed notes that the VM is not reached, and gives its attempts up once
+// their leases have certainly run out.
+func (m *Manager) statusFailed(ctx context.Context, mc *machine) {
+	m.mu.Lock()
+	mc.reachable = false
+	if m.leasesOver(mc, time.Now()) {
+		for _, t := range mc.tasks {
+			if t.end == "" {
+				t.end = EndLost
+			}
+		}
+	}
+	m.mu.Unlock()
+	m.settle(ctx, mc, false)
+	pause(ctx, retryPause)
+}
+
+// leasesOver reports whether every lease that anyone gave to tasks on the VM
+// has run out. Renewals stop while the VM is not reached, so that this point
+// comes; an earlier owner's last renewal ended before its fence, which lies
+// before this node took over. m.mu is held.
+func (m *Manager) leasesOver(mc *machine, now time.Time) bool {
+	return now.Sub(mc.lastContactEnd) > m.Timing.Lease+lostMargin
+}
+
+// observe takes the VM's own list into the ledger.
+func (m *Manager) observe(mc *machine, s worker.Status, askedAt time.Time, own int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	mc.reachable = true
+	o := ledger.Observation{AskedAt: askedAt, Tasks: map[string]model.Resources{}, InFlight: s.InFlight}
+	if !mc.ledger.Ready() || mc.ledger.Uncertain() {
+		o.ForeignConnections = max(int64(s.Connections)-max(own, mc.client.Open()), 0)
+	}
+	listed := make(map[worker.Ref]bool, len(s.Tasks))
+	for _, t := range s.Tasks {
+		listed[t.Ref] = true
+		if t.State == worker.Running {
+			o.Tasks[ledgerID(t.Ref)] = t.Resources
+		}
+		h := mc.tasks[t.Ref]
+		if h == nil {
+			h = &taskHold{resource: t.Resources}
+			mc.tasks[t.Ref] = h
+		}
+		h.starting = false
+		h.checkpoint = t.Checkpoint
+		if t.State != worker.Running && h.end == "" {
+			h.end = endOf(t.State)
+		}
+	}
+	mc.ledger.Observe(o)
+	for ref, h := range mc.tasks {
+		if !listed[ref] && h.end == "" && !h.starting && askedAt.After(h.settledAt) {
+			// The VM restarted and holds nothing of it.
+			h.end = EndLost
+		}
+		if h.end != "" {
+			mc.ledger.Release(ledgerID(ref))
+		}
+	}
+	m.wakeWaiters()
+}
+
+func endOf(s worker.State) End {
+	switch s {
+	case worker.Finished:
+		return EndFinished
+	case worker.Failed:
+		return EndFailed
+	case worker.Lapsed:
+		return EndLost
+	}
+	return EndStopped
+}
+
+// settle reports the attempts that ended, and all if asked; forgets those whose
+// end is recorded; stops those that should not run; and empties a VM that is
+// leaving.
+func (m *Manager) settle(ctx context.Context, mc *machine, all bool) {
+	m.mu.Lock()
+	var report []Attempt
+	var evict []worker.Ref
+	leaving := mc.ledger.MayPlace(model.Resources{}) == ledger.Leaving
+	for ref, h := range mc.tasks {
+		if h.end != "" || all && !h.starting {
+			report = append(report, Attempt{Ref: ref, VM: mc.vm.Name, End: h.end, Checkpoint: h.checkpoint})
+		}
+		if leaving && h.end == "" && !h.starting && !h.stopping && mc.reachable {
+			h.stopping = true
+			evict = append(evict, ref)
+		}
+	}
+	m.mu.Unlock()
+	m.stopAll(ctx, mc, evict)
+	if len(report) == 0 {
+		return
+	}
+	recorded, obsolete := m.Reporter.Report(ctx, report)
+	m.stopAll(ctx, mc, obsolete)
+	m.forget(ctx, mc, recorded)
+}
+
+// stopAll ends attempts with a checkpoint; their end shows in the next status.
+func (m *Manager) stopAll(ctx context.Context, mc *machine, refs []worker.Ref) {
+	for _, ref := range refs {
+		if !m.mayAct(mc) {
+			return
+		}
+		if _, err := mc.agent.Stop(ctx, ref, true); err != nil {
+			m.mu.Lock()
+			if h := mc.tasks[ref]; h != nil {
+				h.stopping = false
+			}
+			m.mu.Unlock()
+		}
+	}
+}
+
+// forget drops attempts whose end is recorded, here and at the agent.
+func (m *Manager) forget(ctx context.Context, mc *machine, recorded []worker.Ref) {
+	var ended []worker.Ref
+	m.mu.Lock()
+	for _, ref := range recorded {
+		if h := mc.tasks[ref]; h != nil && h.end != "" {
+			ended = append(ended, ref)
+		}
+	}
+	reachable := mc.reachable
+	m.mu.Unlock()
+	if len(ended) == 0 {
+		return
+	}
+	if reachable && mc.agent.Forget(ctx, ended) != nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, ref := range ended {
+		mc.ledger.Release(ledgerID(ref))
+		delete(mc.tasks, ref)
+	}
+}
+
+// keepLeases renews the leases of the VM's tasks and checkpoints them. It does
+// neither while the VM is not reached or no longer owned.
+func (m *Manager) keepLeases(ctx context.Context, mc *machine) {
+	ticker := time.NewTicker(m.Timing.RenewEvery)
+	defer ticker.Stop()
+	lastCheckpoint := time.Now()
+	for {
+		m.mu.Lock()
+		due := mc.reachable && len(mc.tasks) > 0
+		m.mu.Unlock()
+		if due && m.mayAct(mc) {
+			_ = mc.agent.Renew(ctx, m.Timing.Lease)
+			m.contactEnded(mc)
+		}
+		if due && time.Since(lastCheckpoint) >= m.Timing.CheckpointEvery {
+			lastCheckpoint = time.Now()
+			m.checkpointAll(ctx, mc)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-mc.nudge:
+		}
+	}
+}
+
+func (m *Manager) contactEnded(mc *machine) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	mc.lastContactEnd = time.Now()
+}
+
+func (m *Manager) checkpointAll(ctx context.Context, mc *machine) {
+	m.mu.Lock()
+	var refs []worker.Ref
+	for ref, h := range mc.tasks {
+		if h.end == "" && !h.starting {
+			refs = append(refs, ref)
+		}
+	}
+	m.mu.Unlock()
+	for _, ref := range refs {
+		if !m.mayAct(mc) {
+			return
+		}
+		checkpoint, err := mc.agent.Checkpoint(ctx, ref)
+		if err != nil {
+			continue
+		}
+		m.mu.Lock()
+		if h := mc.tasks[ref]; h != nil {
+			h.checkpoint = checkpoint
+		}
+		m.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/vms/manager.go
@@ -0,0 +1,370 @@
+// Package vms manages the VMs that this node owns: one ledger each, the tasks'
+// leases, the requests' slots and connections. Only the owner gives work to a
+// VM, and only after it has read the VM's own list of what it holds.
+package vms
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/rattanwall/rattanwall/internal/config"
+	"github.com/rattanwall/rattanwall/internal/hop"
+	"github.com/rattanwall/rattanwall/internal/ledger"
+	"github.com/rattanwall/rattanwall/internal/model"
+	"github.com/rattanwall/rattanwall/internal/ownership"
+	"github.com/rattanwall/rattanwall/internal/worker"
+)
+
+// partsPerRack divides a rack's VMs into shards, so that the VMs of a small
+// deployment spread over its nodes.
+const partsPerRack = 3
+
+// shardPrefix marks the ownership shards that are groups of VMs.
+const shardPrefix = "vm/"
+
+// ShardOf returns the ownership shard of a VM.
+func ShardOf(vm model.VM) ownership.Shard {
+	part := xxhash.Sum64String(vm.Name) % partsPerRack
+	return ownership.Shard{Key: fmt.Sprintf("%s%s/%d", shardPrefix, vm.RackKey(), part), Zone: vm.Zone}
+}
+
+// Ownership tells whether this node may act for a shard.
+type Ownership interface {
+	Epoch(shard string) (int64, bool)
+}
+
+// Reporter carries the ends of attempts to whoever records them. It returns
+// the attempts that are recorded, and those still running that should not be.
+type Reporter interface {
+	Report(ctx context.Context, attempts []Attempt) (recorded, obsolete []worker.Ref)
+}
+
+// Attempt is an attempt with how it ended.
+type Attempt struct {
+	worker.Ref
+	VM string
+	// End is empty while the attempt runs.
+	End        End
+	Checkpoint string
+}
+
+// End says how an attempt ended.
+type End string
+
+// The ends of an attempt.
+const (
+	EndFinished End = "finished"
+	EndFailed   End = "failed"
+	// EndStopped: evicted or cancelled.
+	EndStopped End = "stopped"
+	// EndLost: the VM cannot be reached and the lease has run out.
+	EndLost End = "lost"
+	// EndRefused: it was certainly not started.
+	EndRefused End = "refused"
+)
+
+// Timing of the tasks' leases.
+type Timing struct {
+	// Lease is how long a task runs without a renewal; default 12 s.
+	Lease time.Duration
+	// RenewEvery is how often leases are renewed; default 4 s.
+	RenewEvery time.Duration
+	// CheckpointEvery is how often running tasks are checkpointed; default 10 s.
+	CheckpointEvery time.Duration
+}
+
+// DefaultTiming returns the defaults named in Timing.
+func DefaultTiming() Timing {
+	return Timing{Lease: 12 * time.Second, RenewEvery: 4 * time.Second, CheckpointEvery: 10 * time.Second}
+}
+
+// Options of a Manager. All fields are needed.
+type Options struct {
+	Ownership Ownership
+	Reporter  Reporter
+	Config    func() *config.Installed
+	// NewAgent returns the adapter to the agent at an address.
+	NewAgent func(address string) worker.Agent
+	Timing   Timing
+	Log      *logrus.Entry
+}
+
+// Manager holds the owned VMs. Serve runs it.
+type Manager struct {
+	Options
+
+	mu      sync.Mutex
+	listed  map[string]model.VM
+	owned   map[string]*machine
+	waiters map[model.Class][]*waiter
+	ctx     context.Context
+	synced  chan struct{}
+	hops    uint64
+}
+
+// New returns a manager without VMs.
+func New(o Options) *Manager {
+	return &Manager{
+		Options: o, listed: map[string]model.VM{}, owned: map[string]*machine{},
+		waiters: map[model.Class][]*waiter{}, synced: make(chan struct{}, 1),
+	}
+}
+
+// Serve implements suture.Service.
+func (m *Manager) Serve(ctx context.Context) error {
+	m.mu.Lock()
+	m.ctx = ctx
+	m.mu.Unlock()
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		m.sync()
+		select {
+		case <-ctx.Done():
+			m.dropAll()
+			return ctx.Err()
+		case <-m.synced:
+		case <-ticker.C:
+		}
+	}
+}
+
+// tickEvery is how often reservations and waiters are looked at.
+const tickEvery = 250 * time.Millisecond
+
+// Sync asks for a look at who owns what; it does not wait for it.
+func (m *Manager) Sync() {
+	select {
+	case m.synced <- struct{}{}:
+	default:
+	}
+}
+
+// SetList takes the platform's list. A VM off the list is treated as leaving
+// until its tasks are gone: the list lags and may miss a VM that still runs.
+func (m *Manager) SetList(list []model.VM) {
+	m.mu.Lock()
+	next := make(map[string]model.VM, len(list))
+	for _, vm := range list {
+		next[vm.Name] = vm
+	}
+	for name, mc := range m.owned {
+		if _, ok := next[name]; !ok && mc.ledger.Holds() > 0 {
+			gone := mc.vm
+			gone.State = model.VMLeaving
+			next[name] = gone
+		}
+	}
+	m.listed = next
+	for name, mc := range m.owned {
+		if vm, ok := next[name]; ok {
+			mc.vm.State = vm.State
+		}
+	}
+	m.mu.Unlock()
+	m.Sync()
+}
+
+// Shards returns the ownership shards of the listed VMs.
+func (m *Manager) Shards() []ownership.Shard {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	seen := map[string]bool{}
+	var shards []ownership.Shard
+	for _, vm := range m.listed {
+		if s := ShardOf(vm); !seen[s.Key] {
+			seen[s.Key] = true
+			shards = append(shards, s)
+		}
+	}
+	sort.Slice(shards, func(i, j int) bool { return shards[i].Key < shards[j].Key })
+	return shards
+}
+
+// Lookup returns a listed VM.
+func (m *Manager) Lookup(name string) (model.VM, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	vm, ok := m.listed[name]
+	return vm, ok
+}
+
+// List returns all listed VMs, sorted by name.
+func (m *Manager) List() []model.VM {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	list := make([]model.VM, 0, len(m.listed))
+	for _, vm := range m.listed {
+		list = append(list, vm)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
+}
+
+// sync takes up the VMs that this node owns now and drops the others.
+func (m *Manager) sync() {
+	m.mu.Lock()
+	now := time.Now()
+	doc := m.Config().Document
+	for name, vm := range m.listed {
+		epoch, own := m.Ownership.Epoch(ShardOf(vm).Key)
+		mc := m.owned[name]
+		if mc != nil && (!own || mc.epoch != epoch) {
+			m.drop(mc)
+			mc = nil
+		}
+		if own && mc == nil {
+			mc = m.take(vm, epoch, now)
+		}
+		if mc != nil {
+			mc.ledger.SetLeaving(vm.State != model.VMLive || doc.DrainedVMs[name])
+			mc.ledger.SetReserve(reserveOn(doc, vm))
+			mc.ledger.Tick(now)
+		}
+	}
+	for name, mc := range m.owned {
+		if _, ok := m.listed[name]; !ok {
+			m.drop(mc)
+		}
+	}
+	m.wakeWaiters()
+	m.mu.Unlock()
+}
+
+// reserveOn is what a VM keeps free of tasks for its services.
+func reserveOn(doc config.Document, vm model.VM) model.Resources {
+	var sum model.Resources
+	for _, s := range doc.Services {
+		if s.InZone(vm.Zone) {
+			sum = sum.Add(s.Reserve)
+		}
+	}
+	return sum
+}
+
+// take starts to manage a VM. m.mu is held.
+func (m *Manager) take(vm model.VM, epoch int64, now time.Time) *machine {
+	ctx, cancel := context.WithCancel(m.ctx)
+	mc := &machine{
+		vm: vm, shard: ShardOf(vm).Key, epoch: epoch, since: now, lastContactEnd: now,
+		ledger: ledger.New(vm.Capacity, model.Resources{}),
+		agent:  m.NewAgent(vm.AgentAddress),
+		client: hop.NewClient(hop.Options{MaxConnections: maxConnections(vm)}),
+		cancel: cancel, tasks: map[worker.Ref]*taskHold{}, nudge: make(chan struct{}, 1), latency: initialLatency,
+	}
+	m.owned[vm.Name] = mc
+	go m.watchStatus(ctx, mc)
+	go m.keepLeases(ctx, mc)
+	return mc
+}
+
+// maxConnections leaves room for connections whose end the target has not yet seen.
+func maxConnections(vm model.VM) int {
+	return int(max(vm.Capacity.Connections-4, 1))
+}
+
+// drop stops managing a VM. Requests under way go on to their end; the next
+// owner sees them in the VM's own list. m.mu is held.
+func (m *Manager) drop(mc *machine) {
+	mc.cancel()
+	mc.client.CloseIdle()
+	if c, ok := mc.agent.(interface{ Close() }); ok {
+		c.Close()
+	}
+	delete(m.owned, mc.vm.Name)
+}
+
+func (m *Manager) dropAll() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, mc := range m.owned {
+		m.drop(mc)
+	}
+}
+
+// mayAct reports whether this node still owns the VM under the same epoch. It
+// is asked right before each act, since the process may have been paused.
+func (m *Manager) mayAct(mc *machine) bool {
+	epoch, ok := m.Ownership.Epoch(mc.shard)
+	return ok && epoch == mc.epoch
+}
+
+// Summary is what the node tells its peers of the VMs that it owns.
+type Summary struct {
+	VMs int64
+	// Free is what tasks may still take, summed over the VMs.
+	Free model.Resources
+	// Services maps a service's name to the requests it could take now.
+	Services map[string]ServiceRoom
+}
+
+// ServiceRoom is how many requests of each class could be admitted now.
+type ServiceRoom struct {
+	Quick, Heavy, Standing int64
+	Waiting                int64
+}
+
+// Summary returns the present summary.
+func (m *Manager) Summary() Summary {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := Summary{Services: map[string]ServiceRoom{}}
+	doc := m.Config().Document
+	waiting := int64(len(m.waiters[model.Quick]) + len(m.waiters[model.Heavy]))
+	for _, mc := range m.owned {
+		if !mc.ledger.Ready() {
+			continue
+		}
+		s.VMs++
+		if mc.ledger.MayPlace(model.Resources{}) == ledger.Admitted {
+			s.Free = s.Free.Add(mc.ledger.FreeForTasks())
+		}
+		for name, svc := range doc.Services {
+			if !svc.InZone(mc.vm.Zone) {
+				continue
+			}
+			room := s.Services[name]
+			room.Quick += mc.ledger.FreeRequests(model.Quick)
+			room.Heavy += mc.ledger.FreeRequests(model.Heavy)
+			room.Standing += mc.ledger.FreeRequests(model.Standing)
+			room.Waiting = waiting
+			s.Services[name] = room
+		}
+	}
+	return s
+}
+
+// VMDump describes one owned VM for the state dump.
+type VMDump struct {
+	Name        string          `json:"name"`
+	Epoch       int64           `json:"epoch"`
+	Ready       bool            `json:"ready"`
+	Reachable   bool            `json:"reachable"`
+	Capacity    model.Resources `json:"capacity"`
+	Used        model.Resources `json:"used"`
+	Tasks       int             `json:"tasks"`
+	Connections int64           `json:"connections"`
+	LatencyMS   float64         `json:"latency_ms"`
+}
+
+// Dump describes the owned VMs, sorted by name.
+func (m *Manager) Dump() []VMDump {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var dump []VMDump
+	for _, mc := range m.owned {
+		dump = append(dump, VMDump{
+			Name: mc.vm.Name, Epoch: mc.epoch, Ready: mc.ledger.Ready(), Reachable: mc.reachable,
+			Capacity: mc.ledger.Capacity(), Used: mc.ledger.Used(), Tasks: len(mc.tasks),
+			Connections: mc.client.Open(), LatencyMS: mc.latency.Seconds() * 1000,
+		})
+	}
+	sort.Slice(dump, func(i, j int) bool { return dump[i].Name < dump[j].Name })
+	return dump
+}
--- /dev/null
+++ b/internal/vms/tasks.go
@@ -0,0 +1,182 @@
+package vms
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rattanwall/rattanwall/internal/ledger"
+	"github.com/rattanwall/rattanwall/internal/model"
+	"github.com/rattanwall/rattanwall/internal/placement"
+	"github.com/rattanwall/rattanwall/internal/worker"
+)
+
+const (
+	// reservationFor is how long room is kept for an attempt whose commitment is
+	// being written to the store.
+	reservationFor = 8 * time.Second
+	// startWithin bounds the time between a start being sent and the agent
+	// acting on it.
+	startWithin = 4 * time.Second
+	// parallelStarts bounds the starts under way at once.
+	parallelStarts = 16
+)
+
+// Reserve finds room for attempts, each taking need, on VMs of the given
+// availability zones (none: any), and returns those that got it, with their VM.
+func (m *Manager) Reserve(refs []worker.Ref, need model.Resources, zones []string) []Attempt {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var machines []*machine
+	var candidates []placement.Candidate
+	for _, mc := range m.owned {
+		if !contains(zones, mc.vm.Zone) || !mc.reachable || !m.mayAct(mc) || mc.ledger.MayPlace(need) != ledger.Admitted {
+			continue
+		}
+		machines = append(machines, mc)
+		candidates = append(candidates, placement.Candidate{
+			Name: mc.vm.Name, Free: mc.ledger.FreeForTasks(), Capacity: mc.ledger.Capacity(), Slowdown: mc.slowdown,
+		})
+	}
+	expires := time.Now().Add(reservationFor)
+	var reserved []Attempt
+	for _, ref := range refs {
+		i := placement.Choose(candidates, need)
+		if i < 0 {
+			break
+		}
+		mc := machines[i]
+		if v := mc.ledger.Reserve(ledgerID(ref), need, expires); v != ledger.Admitted {
+			continue
+		}
+		candidates[i].Free = mc.ledger.FreeForTasks()
+		reserved = append(reserved, Attempt{Ref: ref, VM: mc.vm.Name})
+	}
+	return reserved
+}
+
+func contains(zones []string, zone string) bool {
+	for _, z := range zones {
+		if z == zone {
+			return true
+		}
+	}
+	return len(zones) == 0
+}
+
+// Start runs attempts on the room reserved for them and returns those that were
+// refused: they certainly do not run and never will. An attempt in neither
+// state is reported later.
+func (m *Manager) Start(ctx context.Context, attempts []Attempt, durationMS int64) []Attempt {
+	var mu sync.Mutex
+	var refused []Attempt
+	var wg sync.WaitGroup
+	limit := make(chan struct{}, parallelStarts)
+	for _, a := range attempts {
+		wg.Add(1)
+		limit <- struct{}{}
+		go func() {
+			defer func() { <-limit; wg.Done() }()
+			if !m.startOne(ctx, a, durationMS) {
+				mu.Lock()
+				refused = append(refused, a)
+				mu.Unlock()
+			}
+		}()
+	}
+	wg.Wait()
+	return refused
+}
+
+// startOne reports false when the attempt certainly does not run.
+func (m *Manager) startOne(ctx context.Context, a Attempt, durationMS int64) bool {
+	id := ledgerID(a.Ref)
+	m.mu.Lock()
+	mc := m.owned[a.VM]
+	if mc == nil || mc.tasks[a.Ref] != nil {
+		m.mu.Unlock()
+		// Not ours any more: without a reservation nobody will start it. Or it is
+		// known already: a repeat.
+		return mc != nil
+	}
+	if !mc.ledger.Keep(id) || !m.mayAct(mc) {
+		mc.ledger.Release(id)
+		m.mu.Unlock()
+		return false
+	}
+	h := &taskHold{starting: true}
+	mc.tasks[a.Ref] = h
+	need := mc.ledger.HeldBy(id)
+	m.mu.Unlock()
+
+	err := mc.agent.Start(ctx, worker.StartRequest{
+		Ref: a.Ref, Resources: need, DurationMS: durationMS, Resume: a.Checkpoint,
+		LeaseMS:        m.Timing.Lease.Milliseconds(),
+		NotAfterUnixMS: time.Now().Add(startWithin).UnixMilli(),
+	})
+	m.contactEnded(mc)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case err == nil:
+		h.starting, h.settledAt = false, time.Now()
+	case errors.Is(err, worker.ErrRefused) || errors.Is(err, worker.ErrUnreachable):
+		mc.ledger.Release(id)
+		delete(mc.tasks, a.Ref)
+		return false
+	default:
+		// The answer was lost. The agent acts on the start within startWithin or
+		// never; the first list asked for after that tells.
+		time.AfterFunc(startWithin, func() { m.startSettled(h) })
+	}
+	return true
+}
+
+// startSettled lets the VM's list decide about a start whose answer was lost.
+func (m *Manager) startSettled(h *taskHold) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h.starting, h.settledAt = false, time.Now()
+}
+
+// Stop ends attempts, with a checkpoint if asked. Their end is reported as any
+// other. Attempts on VMs that the node does not own are left to their owner.
+func (m *Manager) Stop(ctx context.Context, attempts []Attempt, checkpoint bool) {
+	for _, a := range attempts {
+		m.mu.Lock()
+		mc := m.owned[a.VM]
+		m.mu.Unlock()
+		if mc == nil || !m.mayAct(mc) {
+			continue
+		}
+		_, _ = mc.agent.Stop(ctx, a.Ref, checkpoint)
+	}
+}
+
+// Audit tells which of the attempts have ended or certainly do not run, and
+// which VMs this node does not own.
+func (m *Manager) Audit(attempts []Attempt) (ended []Attempt, notOwned []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	for _, a := range attempts {
+		mc := m.owned[a.VM]
+		if mc == nil || !m.mayAct(mc) {
+			notOwned = append(notOwned, a.VM)
+			continue
+		}
+		h := mc.tasks[a.Ref]
+		switch {
+		case h != nil && h.end == "", mc.ledger.Reserved(ledgerID(a.Ref)):
+		case h != nil:
+			ended = append(ended, Attempt{Ref: a.Ref, VM: a.VM, End: h.end, Checkpoint: h.checkpoint})
+		case mc.ledger.Ready() && mc.reachable && now.Sub(mc.since) > startWithin, m.leasesOver(mc, now):
+			// The VM's own list does not have it, and no earlier owner's start can
+			// still be on its way; or the VM is gone for longer than any lease.
+			ended = append(ended, Attempt{Ref: a.Ref, VM: a.VM, End: EndLost})
+		}
+	}
+	return ended, notOwned
+}
--- /dev/null
+++ b/internal/worker/httpworker/client.go
@@ -0,0 +1,158 @@
+// Package httpworker is the adapter to the platform's agent on a VM over HTTP.
+// It is the only package that knows the agent's wire format; the stand-in
+// worker imports the same message types.
+package httpworker
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/dghubble/sling"
+
+	"github.com/rattanwall/rattanwall/internal/worker"
+)
+
+// StatusQuery asks for a list newer than After, waiting at most WaitMS.
+type StatusQuery struct {
+	After  int64 `url:"after"`
+	WaitMS int64 `url:"wait_ms"`
+}
+
+// WireRenew renews the leases of all running tasks.
+type WireRenew struct {
+	LeaseMS int64 `json:"lease_ms"`
+}
+
+// WireStop ends an attempt.
+type WireStop struct {
+	worker.Ref
+	Checkpoint bool `json:"checkpoint"`
+}
+
+// WireThrottle limits an attempt to a share of its processors.
+type WireThrottle struct {
+	worker.Ref
+	Share float64 `json:"share"`
+}
+
+// WireForget drops ended attempts.
+type WireForget struct {
+	Refs []worker.Ref `json:"refs"`
+}
+
+// WireOK is an empty answer.
+type WireOK struct{}
+
+const (
+	// dialTimeout bounds connecting; past it the agent was certainly not reached.
+	dialTimeout = time.Second
+	// callTimeout bounds a call that does not wait.
+	callTimeout = 3 * time.Second
+)
+
+// Client implements worker.Agent over HTTP.
+type Client struct {
+	base *sling.Sling
+	http *http.Client
+}
+
+var _ worker.Agent = (*Client)(nil)
+
+// New returns a client of the agent at address (ip:port).
+func New(address string) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	hc := &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second,
+	}}
+	return &Client{base: sling.New().Client(hc).Base("http://" + address + "/agent/"), http: hc}
+}
+
+// Close drops the client's idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+func (c *Client) do(ctx context.Context, s *sling.Sling, timeout time.Duration, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := s.Request()
+	if err != nil {
+		return errors.Wrap(err, "build agent request")
+	}
+	// See httpplatform: no silent repeat by the HTTP client.
+	req.GetBody = nil
+	resp, err := s.Do(req.WithContext(ctx), answer, nil)
+	if resp == nil {
+		return errors.Mark(errors.Wrap(err, "call agent"), transportKind(err))
+	}
+	switch {
+	case resp.StatusCode == http.StatusNotFound:
+		return worker.ErrNoTask
+	case resp.StatusCode == http.StatusConflict || resp.StatusCode == http.StatusServiceUnavailable:
+		return worker.ErrRefused
+	case resp.StatusCode != http.StatusOK:
+		return errors.Mark(errors.Newf("agent answered %d", resp.StatusCode), worker.ErrUnknown)
+	case err != nil:
+		return errors.Mark(errors.Wrap(err, "read agent answer"), worker.ErrUnknown)
+	}
+	return nil
+}
+
+// transportKind tells a call that never connected from one whose answer was lost.
+func transportKind(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return worker.ErrUnreachable
+	}
+	return worker.ErrUnknown
+}
+
+// Status implements worker.Agent.
+func (c *Client) Status(ctx context.Context, after int64, wait time.Duration) (worker.Status, error) {
+	var status worker.Status
+	q := StatusQuery{After: after, WaitMS: wait.Milliseconds()}
+	err := c.do(ctx, c.base.New().Get("status").QueryStruct(q), callTimeout+wait, &status)
+	return status, err
+}
+
+// Start implements worker.Agent.
+func (c *Client) Start(ctx context.Context, req worker.StartRequest) error {
+	return c.do(ctx, c.base.New().Post("start").BodyJSON(req), callTimeout, &WireOK{})
+}
+
+// Renew implements worker.Agent.
+func (c *Client) Renew(ctx context.Context, lease time.Duration) error {
+	return c.do(ctx, c.base.New().Post("renew").BodyJSON(WireRenew{lease.Milliseconds()}), callTimeout, &WireOK{})
+}
+
+// Stop implements worker.Agent.
+func (c *Client) Stop(ctx context.Context, ref worker.Ref, checkpoint bool) (worker.Task, error) {
+	var t worker.Task
+	err := c.do(ctx, c.base.New().Post("stop").BodyJSON(WireStop{ref, checkpoint}), callTimeout, &t)
+	return t, err
+}
+
+// Checkpoint implements worker.Agent.
+func (c *Client) Checkpoint(ctx context.Context, ref worker.Ref) (string, error) {
+	var t worker.Task
+	err := c.do(ctx, c.base.New().Post("checkpoint").BodyJSON(ref), callTimeout, &t)
+	return t.Checkpoint, err
+}
+
+// Throttle implements worker.Agent.
+func (c *Client) Throttle(ctx context.Context, ref worker.Ref, share float64) error {
+	return c.do(ctx, c.base.New().Post("throttle").BodyJSON(WireThrottle{ref, share}), callTimeout, &WireOK{})
+}
+
+// Forget implements worker.Agent.
+func (c *Client) Forget(ctx context.Context, refs []worker.Ref) error {
+	return c.do(ctx, c.base.New().Post("forget").BodyJSON(WireForget{refs}), callTimeout, &WireOK{})
+}
+
+// Usage implements worker.Agent.
+func (c *Client) Usage(ctx context.Context) (worker.Usage, error) {
+	var u worker.Usage
+	err := c.do(ctx, c.base.New().Get("usage"), callTimeout, &u)
+	return u, err
+}
