Fault table of a whole deployment in virtual time; five faults it found, mended

Cause: nothing showed what the path does under failure, and real sockets give tests a clock. The parts now reach each other through netio.Network; fakenet stands in for it in memory, so that a deployment of 4 nodes, 8 VMs and its load runs 50 s of virtual time in half a second under testing/synctest.

Found and mended, each now a row of the table: - a watch of the store that replays answered at once for ever: membership and configuration spun (the bubble's clock stood still).

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -19,6 +19,7 @@
 	"github.com/rattanwall/rattanwall/internal/jobs"
 	"github.com/rattanwall/rattanwall/internal/membership"
 	"github.com/rattanwall/rattanwall/internal/model"
+	"github.com/rattanwall/rattanwall/internal/netio"
 	"github.com/rattanwall/rattanwall/internal/ownership"
 	pb "github.com/rattanwall/rattanwall/internal/peer"
 	"github.com/rattanwall/rattanwall/internal/route"
@@ -34,6 +35,8 @@
 	exchangePeers = 2
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = time.Second
+	// idleConnections is how many connections to each peer are kept for calls.
+	idleConnections = 4
 	// staleAfter is when a peer's word on its room counts no more.
 	staleAfter = 15 * time.Second
 )
@@ -61,10 +64,10 @@
 }
 
 // New returns the cluster of a node. Attach must follow before Serve.
-func New(node string, keeper *config.Keeper, log *logrus.Entry) *Cluster {
+func New(node string, network netio.Network, keeper *config.Keeper, log *logrus.Entry) *Cluster {
 	return &Cluster{
 		node: node, config: keeper, log: log, peers: map[string]*peerState{},
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}},
+		client: netio.Client(network, idleConnections),
 	}
 }
 
@@ -80,6 +83,9 @@
 	c.draining = true
 }
 
+// Close drops the idle connections to peers.
+func (c *Cluster) Close() { c.client.CloseIdleConnections() }
+
 // Serve implements suture.Service.
 func (c *Cluster) Serve(ctx context.Context) error {
 	ticker := time.NewTicker(exchangeEvery)
@@ -134,8 +140,24 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	state, err := c.dial(n).Exchange(ctx, c.state())
-	if err == nil {
-		c.hear(state)
+	if err != nil {
+		return
+	}
+	c.hear(state)
+	if state.ConfigVersion > c.config.Current().Head.Version {
+		c.fetchConfig(ctx, n)
+	}
+}
+
+// fetchConfig takes a newer configuration over from a peer. Usually the store's
+// watch is faster; it is for nodes that the store does not answer.
+func (c *Cluster) fetchConfig(ctx context.Context, n ownership.Node) {
+	answer, err := c.dial(n).Config(ctx, &pb.ConfigRequest{})
+	if err != nil {
+		return
+	}
+	if err := c.config.Offer(answer.Head, answer.Revision); err != nil {
+		c.log.WithError(err).WithField("peer", n.ID).Warn("a peer's configuration was refused")
 	}
 }
 
--- a/internal/cluster/server.go
+++ b/internal/cluster/server.go
@@ -25,6 +25,15 @@
 	return s.state(), nil
 }
 
+// Config implements pb.Peer.
+func (s Server) Config(context.Context, *pb.ConfigRequest) (*pb.ConfigResponse, error) {
+	head, revision, err := s.config.Share()
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &pb.ConfigResponse{Head: head, Revision: revision}, nil
+}
+
 // Promise implements pb.Peer.
 func (s Server) Promise(_ context.Context, in *pb.PromiseRequest) (*pb.PromiseResponse, error) {
 	granted := s.members.Promise(in.Node, time.Duration(in.DurationMs)*time.Millisecond)
--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -6,6 +6,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/rattanwall/rattanwall/internal/netio"
 	"github.com/rattanwall/rattanwall/internal/node"
 	"github.com/rattanwall/rattanwall/internal/settings"
 )
@@ -27,7 +28,7 @@
 			if err != nil {
 				return err
 			}
-			n, err := node.New(s, log)
+			n, err := node.New(s, netio.TCP{}, log)
 			if err != nil {
 				return err
 			}
--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -12,6 +12,7 @@
 
 	"github.com/rattanwall/rattanwall/internal/deployment"
 	"github.com/rattanwall/rattanwall/internal/model"
+	"github.com/rattanwall/rattanwall/internal/netio"
 	"github.com/rattanwall/rattanwall/internal/standin/platform"
 	"github.com/rattanwall/rattanwall/internal/standin/record"
 	"github.com/rattanwall/rattanwall/internal/standin/worker"
@@ -45,7 +46,7 @@
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			p := platform.New(&record.Recorder{})
 			for _, address := range listen {
-				l, err := p.Listen(address)
+				l, err := p.Listen(netio.TCP{}, address)
 				if err != nil {
 					return err
 				}
@@ -77,7 +78,7 @@
 				if zone != "" && vm.Zone != zone {
 					continue
 				}
-				w, err := worker.Start(vm, host, recorder)
+				w, err := worker.Start(vm, netio.TCP{}, host, recorder)
 				if err != nil {
 					return err
 				}
--- a/internal/config/keeper.go
+++ b/internal/config/keeper.go
@@ -104,10 +104,7 @@
 		}
 		listed = err == nil
 		if err != nil {
-			select {
-			case <-ctx.Done():
-			case <-time.After(retryPause):
-			}
+			pause(ctx, retryPause)
 		}
 	}
 	return ctx.Err()
@@ -138,7 +135,8 @@
 }
 
 func (k *Keeper) follow(ctx context.Context) error {
-	events, _, err := k.store.Watch(ctx, headKey, k.Current().revision, watchWait)
+	before := k.Current().revision
+	events, _, err := k.store.Watch(ctx, headKey, before, watchWait)
 	if err != nil {
 		return err
 	}
@@ -151,9 +149,35 @@
 		}
 	}
 	k.confirm()
+	if len(events) > 0 && k.Current().revision == before {
+		// A watch that replays what is known answers at once, again and again.
+		pause(ctx, retryPause)
+	}
 	return nil
 }
 
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// Offer takes a head that a peer uses, read from the store by that peer. A node
+// that cannot reach the store keeps up with the others this way.
+func (k *Keeper) Offer(head []byte, revision int64) error {
+	return k.install(platform.Entry{Key: headKey, Value: head, Revision: platform.Revision(revision)})
+}
+
+// Share returns the head in use as a peer may take it, with its revision.
+func (k *Keeper) Share() (head []byte, revision int64, err error) {
+	cur := k.Current()
+	head, err = json.Marshal(cur.Head)
+	return head, int64(cur.revision), err
+}
+
 func (k *Keeper) confirm() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/dev/mishaps.go
+++ b/internal/dev/mishaps.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/rattanwall/rattanwall/internal/harness"
 	"github.com/rattanwall/rattanwall/internal/load"
 	"github.com/rattanwall/rattanwall/internal/model"
 )
@@ -19,7 +20,7 @@
 // mishaps brings about, during the load, what the invariants are about: a VM
 // leaves, a node is replaced as planned, callers come in a burst, connections
 // go silent.
-func (d *Deployment) mishaps(ctx context.Context, o Options, g *load.Generator) {
+func mishaps(ctx context.Context, o Options, d *harness.Deployment, g *load.Generator) {
 	first := d.Shape.ZoneNames()[0]
 	leaving, silent := fmt.Sprintf("%s-w01", first), fmt.Sprintf("%s-w02", first)
 	replaced := d.Shape.Nodes()[0].Name
--- /dev/null
+++ b/internal/harness/faults_test.go
@@ -0,0 +1,319 @@
+package harness
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanwall/rattanwall/internal/checker"
+	"github.com/rattanwall/rattanwall/internal/deployment"
+	"github.com/rattanwall/rattanwall/internal/load"
+	"github.com/rattanwall/rattanwall/internal/model"
+	"github.com/rattanwall/rattanwall/internal/standin/platform"
+	"github.com/rattanwall/rattanwall/internal/standin/record"
+	"github.com/rattanwall/rattanwall/internal/standin/worker"
+)
+
+// small is a deployment of two availability zones, two nodes and four VMs each.
+func small() deployment.Shape {
+	shape := deployment.Shapes()["cofnod-criw"]
+	shape.Zones = map[string]int{"east": 2, "west": 2}
+	shape.Workers, shape.PerRack = 8, 2
+	return shape
+}
+
+// The hosts of the small deployment by zone.
+var (
+	eastNodes = []string{"east-n1", "east-n2"}
+	westNodes = []string{"west-n1", "west-n2"}
+	eastVMs   = []string{"east-w00", "east-w01", "east-w02", "east-w03"}
+	westVMs   = []string{"west-w00", "west-w01", "west-w02", "west-w03"}
+	east      = append(append([]string{}, eastNodes...), eastVMs...)
+	west      = append(append([]string{}, westNodes...), westVMs...)
+	platforms = []string{PlatformHost("east"), PlatformHost("west")}
+)
+
+// run is one deployment under load in a bubble of virtual time.
+type run struct {
+	*Deployment
+	t     *testing.T
+	hosts *Fake
+	load  *load.Generator
+}
+
+// fault brings about a failure and returns when it is over.
+type fault func(ctx context.Context, r *run)
+
+// outcome is what became of a run.
+type outcome struct {
+	results  []checker.Result
+	load     load.Summary
+	jobsLeft int
+	calls    map[string]int64
+}
+
+// underLoad runs a small deployment with load in virtual time, brings about the
+// faults at the same time, heals the network, and waits for all jobs.
+func underLoad(t *testing.T, lasts time.Duration, faults ...fault) (o outcome) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		hosts := NewFake()
+		d, err := Start(t.Context(), Options{Shape: small(), Hosts: hosts, Log: log})
+		require.NoError(t, err)
+		callers, _ := hosts.Host(CallerHost)
+		g := load.New(load.Options{
+			Recorder: d.Recorder, Balancer: d.Balancer, Network: callers, Service: d.Shape.Service,
+			Team: d.Shape.Team, Token: d.Team, BatchTeam: "batch", BatchToken: d.Batch, OperatorToken: d.Operator,
+			QuickRate: 20, HeavyRate: 2, Watches: 6, JobEvery: 2 * time.Second, JobTasks: 6,
+			PatchEvery: 2 * time.Second, Seed: 7,
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), lasts)
+		defer cancel()
+		var wg sync.WaitGroup
+		for _, f := range faults {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				time.Sleep(3 * time.Second)
+				f(ctx, &run{Deployment: d, t: t, hosts: hosts, load: g})
+			}()
+		}
+		g.Run(ctx)
+		wg.Wait()
+		hosts.Heal()
+		wait, stop := context.WithTimeout(t.Context(), 3*time.Minute)
+		defer stop()
+		o.jobsLeft = g.AwaitJobs(wait)
+		o.load = g.Summary(lasts)
+		d.Close()
+		g.Close()
+		o.results, o.calls = checker.Check(d.Recorder.Events()), d.Platform.Calls()
+	})
+	return o
+}
+
+func (r *run) storeFaults(f platform.Faults) {
+	for _, zone := range r.Shape.ZoneNames() {
+		r.Listener(zone).SetFaults(f)
+	}
+}
+
+// storeFor sets faults of the whole store for a time.
+func storeFor(d time.Duration, f platform.Faults) fault {
+	return func(_ context.Context, r *run) {
+		r.storeFaults(f)
+		time.Sleep(d)
+		r.storeFaults(platform.Faults{})
+	}
+}
+
+// cutFor cuts two groups of hosts off from each other for a time.
+func cutFor(d time.Duration, a, b []string) fault {
+	return func(_ context.Context, r *run) {
+		r.hosts.CutGroups(a, b)
+		time.Sleep(d)
+		r.hosts.Heal()
+	}
+}
+
+// isolateEast cuts the east's nodes and VMs off from all else for a time.
+func isolateEast(d time.Duration) fault {
+	return func(ctx context.Context, r *run) {
+		for _, n := range eastNodes {
+			r.Recorder.Add(record.Event{Kind: record.NodeCutOff, Node: n})
+		}
+		cutFor(d, east, append(append([]string{}, west...), platforms...))(ctx, r)
+		for _, n := range eastNodes {
+			r.Recorder.Add(record.Event{Kind: record.NodeReached, Node: n})
+		}
+	}
+}
+
+func oneWay(d time.Duration, from, to []string) fault {
+	return func(_ context.Context, r *run) {
+		lost := map[string]bool{}
+		for _, a := range from {
+			for _, b := range to {
+				lost[r.hosts.IP(a)+">"+r.hosts.IP(b)] = true
+			}
+		}
+		r.hosts.SetCut(func(a, b string) bool { return lost[a+">"+b] })
+		time.Sleep(d)
+		r.hosts.Heal()
+	}
+}
+
+func kill(names ...string) fault {
+	return func(_ context.Context, r *run) {
+		for _, name := range names {
+			r.hosts.Kill(r.hosts.IP(name))
+			r.KillNode(name)
+		}
+	}
+}
+
+// replace kills nodes and starts empty ones in their place after a time.
+func replace(after time.Duration, zone string, names ...string) fault {
+	return func(ctx context.Context, r *run) {
+		kill(names...)(ctx, r)
+		time.Sleep(after)
+		for _, name := range names {
+			require.NoError(r.t, r.StartNode(name, zone))
+		}
+	}
+}
+
+// rolling stops and replaces nodes one after the other, as planned.
+func rolling(names ...string) fault {
+	return func(_ context.Context, r *run) {
+		for _, name := range names {
+			require.NoError(r.t, r.ReplaceNode(name))
+			time.Sleep(3 * time.Second)
+		}
+	}
+}
+
+// silence makes the open connections between groups of hosts go silent.
+func silence(a, b []string) fault {
+	return func(_ context.Context, r *run) {
+		for _, x := range a {
+			for _, y := range b {
+				r.hosts.Silence(r.hosts.IP(x), r.hosts.IP(y))
+			}
+		}
+	}
+}
+
+func vmFaults(d time.Duration, name string, f worker.Faults) fault {
+	return func(_ context.Context, r *run) {
+		r.Worker(name).SetFaults(f)
+		time.Sleep(d)
+		r.Worker(name).SetFaults(worker.Faults{})
+	}
+}
+
+// listLag is how long the platform's list still shows a VM that died.
+const listLag = 20 * time.Second
+
+func vmDies(name string) fault {
+	return func(_ context.Context, r *run) {
+		r.Worker(name).Close()
+		r.hosts.Kill(r.hosts.IP(name))
+		time.Sleep(listLag)
+		r.Platform.RemoveVM(name)
+	}
+}
+
+func vmLeaves(name string) fault {
+	return func(_ context.Context, r *run) { r.Platform.SetVMState(name, model.VMLeaving) }
+}
+
+func burst(n int) fault {
+	return func(ctx context.Context, r *run) { r.load.Burst(context.WithoutCancel(ctx), model.Quick, n) }
+}
+
+// all is a fault of one part after the other.
+func then(faults ...fault) fault {
+	return func(ctx context.Context, r *run) {
+		for _, f := range faults {
+			f(ctx, r)
+		}
+	}
+}
+
+// faultCase is one row of the table: what goes wrong, and what callers may see
+// of it besides late answers.
+type faultCase struct {
+	name   string
+	faults []fault
+	// unknown is the largest share of quick requests whose outcome may be unknown
+	// to the caller, and notRun of those told not run.
+	unknown, notRun float64
+}
+
+// The faults of the design brief's section 4, alone. Pauses of real processes
+// are in the failure runs (make faults).
+func singleFaults() []faultCase {
+	return []faultCase{
+		{"quiet", nil, 0, 0},
+		{"store down 30s", []fault{storeFor(30*time.Second, platform.Faults{Down: true, ListDown: true})}, 0, 0},
+		{"store hangs 30s", []fault{storeFor(30*time.Second, platform.Faults{Cut: true})}, 0, 0},
+		{"store slow 900ms", []fault{storeFor(20*time.Second, platform.Faults{SlowMS: 900})}, 0, 0},
+		{"store slow 5s", []fault{storeFor(20*time.Second, platform.Faults{SlowMS: 5000})}, 0, 0},
+		{"store loses answers", []fault{storeFor(20*time.Second, platform.Faults{LoseAnswers: 40})}, 0, 0},
+		{"store watch silent", []fault{storeFor(25*time.Second, platform.Faults{WatchSilent: true})}, 0, 0},
+		{"store watch replays", []fault{storeFor(20*time.Second, platform.Faults{WatchReplay: true})}, 0, 0},
+		{"node killed", []fault{kill("east-n1")}, 0.02, 0.3},
+		{"node killed and replaced", []fault{replace(2*time.Second, "east", "east-n1")}, 0.02, 0.3},
+		{"zone's nodes killed and replaced", []fault{replace(5*time.Second, "east", eastNodes...)}, 0.02, 0.3},
+		{"rolling planned stop", []fault{rolling("east-n1", "east-n2", "west-n1", "west-n2")}, 0, 0},
+		{"zone cut off from platform", []fault{cutFor(25*time.Second, east, platforms)}, 0, 0},
+		{"zones cut off from each other", []fault{cutFor(25*time.Second, east, west)}, 0, 0},
+		{"zone cut off from both", []fault{isolateEast(25 * time.Second)}, 0, 0},
+		{"one-way loss between nodes", []fault{oneWay(20*time.Second, []string{"east-n1"}, []string{"east-n2"})}, 0.05, 0.1},
+		{"one-way loss to platform", []fault{oneWay(20*time.Second, []string{"east-n1"}, platforms)}, 0.05, 0.1},
+		{"connections to targets go silent", []fault{silence(eastNodes, eastVMs)}, 0, 0},
+		{"connections between nodes go silent", []fault{silence(eastNodes, append(append([]string{}, westNodes...), "east-n2"))}, 0, 0},
+		{"connections to platform go silent", []fault{silence(append(append([]string{}, eastNodes...), westNodes...), platforms)}, 0, 0},
+		{"VM dies", []fault{vmDies("east-w01")}, 0.02, 0.02},
+		{"VM cut off 40s and back", []fault{cutFor(40*time.Second, []string{"east-w01"}, append(append([]string{}, eastNodes...), westNodes...))}, 0.02, 0.02},
+		{"VM cut off 8s and back", []fault{cutFor(8*time.Second, []string{"east-w01"}, append(append([]string{}, eastNodes...), westNodes...))}, 0.02, 0.02},
+		{"VM fails all tasks", []fault{vmFaults(20*time.Second, "east-w01", worker.Faults{FailTasks: true})}, 0, 0},
+		{"VM loses answers to starts", []fault{vmFaults(20*time.Second, "east-w01", worker.Faults{LoseStartAnswers: 20})}, 0, 0},
+		{"VM leaves", []fault{vmLeaves("east-w01")}, 0, 0},
+		{"burst of callers", []fault{burst(2000)}, 0, 1},
+	}
+}
+
+func TestSingleFaults(t *testing.T) { runTable(t, singleFaults()) }
+
+// Any two together, and some twice.
+func TestPairsOfFaults(t *testing.T) {
+	storeDown := storeFor(20*time.Second, platform.Faults{Down: true})
+	lost := storeFor(20*time.Second, platform.Faults{LoseAnswers: 60})
+	runTable(t, []faultCase{
+		{"node killed while store down", []fault{storeDown, kill("east-n1")}, 0.05, 0.5},
+		{"node killed twice", []fault{then(replace(3*time.Second, "east", "east-n1"), func(context.Context, *run) { time.Sleep(8 * time.Second) }, replace(3*time.Second, "east", "east-n1"))}, 0.05, 0.5},
+		{"both nodes killed in turn", []fault{then(replace(2*time.Second, "east", "east-n1"), replace(2*time.Second, "east", "east-n2"))}, 0.05, 0.5},
+		{"node killed, answers lost", []fault{lost, replace(3*time.Second, "east", "east-n1")}, 0.05, 0.5},
+		{"VM dies, its owner too", []fault{vmDies("east-w01"), kill("east-n1")}, 0.05, 0.5},
+		{"VM dies while store down", []fault{vmDies("east-w01"), storeDown}, 0.05, 0.05},
+		{"VM leaves while store down", []fault{vmLeaves("east-w01"), storeDown}, 0.05, 0.05},
+		{"zone cut off, node killed", []fault{isolateEast(25 * time.Second), kill("east-n1")}, 0.05, 0.5},
+		{"rolling stop while answers lost", []fault{lost, rolling("east-n1", "west-n1")}, 0.01, 0.05},
+		{"rolling stop while store slow", []fault{storeFor(20*time.Second, platform.Faults{SlowMS: 700}), rolling("east-n1", "west-n1")}, 0.01, 0.05},
+		{"store down twice", []fault{then(storeDown, func(context.Context, *run) { time.Sleep(4 * time.Second) }, storeDown)}, 0, 0},
+		{"burst while node killed", []fault{burst(1000), kill("west-n2")}, 0.2, 1},
+		{"VM cut off, node replaced", []fault{cutFor(20*time.Second, []string{"east-w01"}, append(append([]string{}, eastNodes...), westNodes...)), replace(3*time.Second, "east", "east-n2")}, 0.05, 0.5},
+		{"starts' answers lost, node killed", []fault{vmFaults(20*time.Second, "east-w02", worker.Faults{LoseStartAnswers: 20}), kill("east-n2")}, 0.05, 0.5},
+	})
+}
+
+func runTable(t *testing.T, cases []faultCase) {
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			o := underLoad(t, 50*time.Second, c.faults...)
+			total := 0
+			for _, r := range o.results {
+				require.Zerof(t, r.Broken, "%s %s: %v", r.ID, r.Title, r.Examples)
+				total += r.Checked
+			}
+			q := o.load.Classes[model.Quick]
+			all := float64(q.Ran + q.NotRun + q.Unknown)
+			t.Log(fmt.Sprintf("%d events; quick ran %d not-run %d unknown %d p99 %.0f ms; watches %+v; jobs %+v", total, q.Ran, q.NotRun, q.Unknown, q.P99, o.load.Watches, o.load.Jobs))
+			require.Zero(t, o.jobsLeft, "jobs left behind")
+			require.Zero(t, o.load.Watches.Gaps, "events of watches missed or repeated")
+			require.LessOrEqual(t, float64(q.Unknown)/all, c.unknown, "share of unknown outcomes")
+			require.LessOrEqual(t, float64(q.NotRun)/all, c.notRun, "share told not run")
+		})
+	}
+}
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -21,6 +21,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/rattanwall/rattanwall/internal/netio"
 )
 
 // Error is a failed exchange.
@@ -50,8 +52,8 @@
 	// MaxConnections bounds the connections open to one address, idle ones and
 	// those being dialled included. Zero sets no bound.
 	MaxConnections int
-	// DialTimeout bounds connecting; default 1 s.
-	DialTimeout time.Duration
+	// Network connects; TCP if not set.
+	Network netio.Network
 	// IdleTimeout closes a connection unused for so long; default 5 s. Short,
 	// because a connection may go silent while nobody uses it.
 	IdleTimeout time.Duration
@@ -69,8 +71,10 @@
 }
 
 const (
-	defaultDialTimeout = time.Second
 	defaultIdleTimeout = 5 * time.Second
+	// dialTimeout is short: all hops are within a few milliseconds, and what could
+	// not be connected to is tried elsewhere.
+	dialTimeout = 300 * time.Millisecond
 	// never keeps the HTTP library from sending a guarded body by itself.
 	never = 365 * 24 * time.Hour
 	// copyBuffer is the size of the library's buffers for a connection.
@@ -86,10 +90,17 @@
 // NewClient returns a client with options o.
 func NewClient(o Options) *Client {
 	c := &Client{}
-	dialer := &net.Dialer{Timeout: orDefault(o.DialTimeout, defaultDialTimeout)}
+	if o.Network == nil {
+		o.Network = netio.TCP{}
+	}
+	if o.IdleTimeout == 0 {
+		o.IdleTimeout = defaultIdleTimeout
+	}
 	c.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+			defer cancel()
+			conn, err := o.Network.DialContext(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
@@ -98,7 +109,7 @@
 		},
 		MaxConnsPerHost:       o.MaxConnections,
 		MaxIdleConnsPerHost:   max(o.MaxConnections, 64),
-		IdleConnTimeout:       orDefault(o.IdleTimeout, defaultIdleTimeout),
+		IdleConnTimeout:       o.IdleTimeout,
 		ExpectContinueTimeout: never,
 		DisableCompression:    true,
 		ReadBufferSize:        copyBuffer,
@@ -107,13 +118,6 @@
 	return c
 }
 
-func orDefault(d, fallback time.Duration) time.Duration {
-	if d == 0 {
-		return fallback
-	}
-	return d
-}
-
 // Open returns the number of connections open now.
 func (c *Client) Open() int64 { return c.open.Load() }
 
--- a/internal/load/balancer.go
+++ b/internal/load/balancer.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/rattanwall/rattanwall/internal/netio"
 )
 
 // NodeAddress is where one node serves.
@@ -29,8 +31,10 @@
 )
 
 // NewBalancer returns a balancer without nodes.
-func NewBalancer() *Balancer {
-	return &Balancer{client: &http.Client{Timeout: probeTimeout}, ready: map[string]bool{}}
+func NewBalancer(network netio.Network) *Balancer {
+	client := netio.Client(network, 1)
+	client.Timeout = probeTimeout
+	return &Balancer{client: client, ready: map[string]bool{}}
 }
 
 // Set adds a node, or replaces the one of the same name.
@@ -82,6 +86,7 @@
 
 // Run probes until ctx ends.
 func (b *Balancer) Run(ctx context.Context) {
+	defer b.client.CloseIdleConnections()
 	ticker := time.NewTicker(probeEvery)
 	defer ticker.Stop()
 	for {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -23,6 +23,7 @@
 	"github.com/rattanwall/rattanwall/internal/checker"
 	"github.com/rattanwall/rattanwall/internal/errkind"
 	"github.com/rattanwall/rattanwall/internal/model"
+	"github.com/rattanwall/rattanwall/internal/netio"
 	"github.com/rattanwall/rattanwall/internal/route"
 	"github.com/rattanwall/rattanwall/internal/standin/record"
 	"github.com/rattanwall/rattanwall/internal/standin/worker"
@@ -32,6 +33,7 @@
 type Options struct {
 	Recorder *record.Recorder
 	Balancer *Balancer
+	Network  netio.Network
 	Service  string
 	// Team and Token are who sends requests, BatchTeam and BatchToken who submits jobs.
 	Team, Token           string
@@ -83,6 +85,8 @@
 	quickWorkMS  = 3
 	heavyWorkMS  = 200
 	answerBytes  = 600
+	// idleConnections of the callers to each node.
+	idleConnections = 256
 	// writeShare of the quick requests are not idempotent.
 	writeShare      = 0.3
 	watchIntervalMS = 200
@@ -92,11 +96,14 @@
 func New(o Options) *Generator {
 	return &Generator{
 		Options: o, stats: map[model.Class]*classStats{},
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
+		client: netio.Client(o.Network, idleConnections),
 		rng:    rand.New(rand.NewPCG(o.Seed, 1)),
 	}
 }
 
+// Close drops the callers' idle connections.
+func (g *Generator) Close() { g.client.CloseIdleConnections() }
+
 // Run makes load until ctx ends, then waits for what is under way.
 func (g *Generator) Run(ctx context.Context) {
 	var wg sync.WaitGroup
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -309,10 +309,7 @@
 			m.mu.Lock()
 			m.listed = false
 			m.mu.Unlock()
-			select {
-			case <-ctx.Done():
-			case <-time.After(watchPause):
-			}
+			pause(ctx, watchPause)
 		}
 	}
 }
@@ -335,10 +332,22 @@
 	if err != nil {
 		return err
 	}
-	m.apply(events, rev)
+	if !m.apply(events, rev) && len(events) > 0 {
+		// A watch that replays what is known answers at once, again and again.
+		pause(ctx, watchPause)
+	}
 	return nil
 }
 
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // install replaces the view by a listing. A listing older than the view is a
 // stale read and is dropped.
 func (m *Membership) install(entries []platform.Entry, rev platform.Revision) {
@@ -357,9 +366,9 @@
 	m.wake()
 }
 
-// apply adds events to the view. Events of revisions already seen are dropped:
-// a watch may replay them.
-func (m *Membership) apply(events []platform.Event, rev platform.Revision) {
+// apply adds events to the view and reports whether any was new. Events of
+// revisions already seen are dropped: a watch may replay them.
+func (m *Membership) apply(events []platform.Event, rev platform.Revision) bool {
 	m.mu.Lock()
 	changed := false
 	for _, e := range events {
@@ -382,6 +391,7 @@
 		m.changed()
 		m.wake()
 	}
+	return changed
 }
 
 // rebuildView decodes the entries. m.mu is held.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +17,7 @@
 	"github.com/rattanwall/rattanwall/internal/jobs"
 	"github.com/rattanwall/rattanwall/internal/membership"
 	"github.com/rattanwall/rattanwall/internal/model"
+	"github.com/rattanwall/rattanwall/internal/netio"
 	"github.com/rattanwall/rattanwall/internal/ownership"
 	"github.com/rattanwall/rattanwall/internal/platform/httpplatform"
 	"github.com/rattanwall/rattanwall/internal/route"
@@ -40,6 +40,7 @@
 // Node is one process of the system.
 type Node struct {
 	settings settings.Node
+	network  netio.Network
 	log      *logrus.Entry
 	registry *prometheus.Registry
 
@@ -52,14 +53,15 @@
 	router   *route.Router
 	servers  []*server
 	draining atomic.Bool
+	aborted  chan struct{}
 	listed   atomic.Bool
 }
 
 // New listens on the addresses of the settings and puts the node together;
 // Run starts it.
-func New(s settings.Node, log *logrus.Logger) (*Node, error) {
-	n := &Node{settings: s, log: log.WithField("node", s.Name), registry: prometheus.NewRegistry()}
-	n.store = httpplatform.New(s.Platform.Address)
+func New(s settings.Node, network netio.Network, log *logrus.Logger) (*Node, error) {
+	n := &Node{settings: s, network: network, log: log.WithField("node", s.Name), registry: prometheus.NewRegistry(), aborted: make(chan struct{})}
+	n.store = httpplatform.New(network, s.Platform.Address)
 	if err := n.listen(); err != nil {
 		n.closeListeners()
 		return nil, err
@@ -72,7 +74,7 @@
 func (n *Node) build() {
 	s := n.settings
 	n.keeper = config.NewKeeper(n.store, s.BootstrapOperatorSHA256, n.log.WithField("part", "config"))
-	n.cluster = cluster.New(s.Name, n.keeper, n.log.WithField("part", "cluster"))
+	n.cluster = cluster.New(s.Name, n.network, n.keeper, n.log.WithField("part", "cluster"))
 	self := ownership.Node{
 		ID: s.Name, Zone: s.Zone, PeerAddress: n.Address(Peers),
 		CallerAddress: n.Address(Callers), AdminAddress: n.Address(Admin),
@@ -80,14 +82,15 @@
 	n.members = membership.New(self, ownershipTiming(s.Leases), n.store, n.cluster, n.log.WithField("part", "membership"))
 	n.vms = vms.New(vms.Options{
 		Ownership: n.members, Reporter: n.cluster, Config: n.keeper.Current,
-		NewAgent: func(address string) worker.Agent { return httpworker.New(address) },
+		NewAgent: func(address string) worker.Agent { return httpworker.New(n.network, address) },
+		Network:  n.network,
 		Timing:   taskTiming(s.Leases), Log: n.log.WithField("part", "vms"),
 	})
 	n.jobs = jobs.NewService(s.Name, n.store, n.members, n.cluster, n.keeper.Current, n.log.WithField("part", "jobs"))
 	n.cluster.Attach(n.members, n.vms, n.jobs)
 	n.members.OnChange(func() { n.vms.Sync(); n.jobs.Sync() })
 	n.router = route.New(route.Options{
-		Node: s.Name, Config: n.keeper.Current, VMs: n.vms, Peers: n.cluster,
+		Node: s.Name, Config: n.keeper.Current, VMs: n.vms, Peers: n.cluster, Network: n.network,
 		Metrics: route.NewMetrics(n.registry), Log: n.log.WithField("part", "route"),
 	})
 	n.registerMetrics()
@@ -108,7 +111,7 @@
 func taskTiming(l settings.Leases) vms.Timing {
 	t := vms.DefaultTiming()
 	lease := time.Duration(l.TaskMS) * time.Millisecond
-	return vms.Timing{Lease: lease, RenewEvery: lease / 3, CheckpointEvery: t.CheckpointEvery}
+	return vms.Timing{Lease: lease, RenewEvery: lease / 3, CheckpointEvery: t.CheckpointEvery, DoubtFor: t.DoubtFor}
 }
 
 // Run serves until ctx ends, then stops in order: see drain.
@@ -140,16 +143,23 @@
 	case err := <-ended:
 		return errors.Wrap(err, "supervisor")
 	case <-ctx.Done():
+		n.drain()
+	case <-n.aborted:
 	}
-	n.drain()
 	cancel()
 	if err := <-ended; err != nil && !errors.Is(err, context.Canceled) {
 		n.log.WithError(err).Warn("supervisor ended")
 	}
 	n.store.Close()
+	n.cluster.Close()
+	n.router.Close()
 	return nil
 }
 
+// Abort makes Run end at once, as if the process had died. For tests; call it
+// at most once.
+func (n *Node) Abort() { close(n.aborted) }
+
 // service is a function run under the supervisor.
 type service func(ctx context.Context) error
 
@@ -237,7 +247,7 @@
 		purpose Purpose
 		address string
 	}{{Callers, l.Callers}, {Admin, l.Admin}, {Peers, l.Peers}, {Operations, l.Operations}} {
-		ln, err := net.Listen("tcp", one.address)
+		ln, err := n.network.Listen(one.address)
 		if err != nil {
 			return errors.Wrapf(err, "listen.%s", one.purpose)
 		}
--- a/internal/platform/httpplatform/client.go
+++ b/internal/platform/httpplatform/client.go
@@ -13,6 +13,7 @@
 	"github.com/dghubble/sling"
 
 	"github.com/rattanwall/rattanwall/internal/model"
+	"github.com/rattanwall/rattanwall/internal/netio"
 	"github.com/rattanwall/rattanwall/internal/platform"
 )
 
@@ -76,15 +77,16 @@
 	// callTimeout bounds one call other than a watch. Past it the outcome of a
 	// write is unknown and the caller has to read back.
 	callTimeout = 3 * time.Second
+	// idleConnections is how many connections to the platform are kept.
+	idleConnections = 8
 	// watchGrace is added to a watch's waiting time, so that only a watch gone
 	// silent runs into its timeout.
 	watchGrace = time.Second
 )
 
 // New returns a client of the platform at address (ip:port).
-func New(address string) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second}
-	hc := &http.Client{Transport: transport}
+func New(network netio.Network, address string) *Client {
+	hc := netio.Client(network, idleConnections)
 	return &Client{base: sling.New().Client(hc).Base("http://" + address + "/v1/"), http: hc}
 }
 
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -17,6 +17,7 @@
 	"github.com/rattanwall/rattanwall/internal/errkind"
 	"github.com/rattanwall/rattanwall/internal/hop"
 	"github.com/rattanwall/rattanwall/internal/model"
+	"github.com/rattanwall/rattanwall/internal/netio"
 	"github.com/rattanwall/rattanwall/internal/vms"
 )
 
@@ -41,10 +42,12 @@
 
 // Options of a Router. All fields are needed.
 type Options struct {
-	Node    string
-	Config  func() *config.Installed
-	VMs     *vms.Manager
-	Peers   Peers
+	Node   string
+	Config func() *config.Installed
+	VMs    *vms.Manager
+	Peers  Peers
+	// Network reaches the other nodes.
+	Network netio.Network
 	Metrics *Metrics
 	Log     *logrus.Entry
 }
@@ -76,11 +79,14 @@
 func New(o Options) *Router {
 	return &Router{
 		Options: o,
-		client:  hop.NewClient(hop.Options{}),
+		client:  hop.NewClient(hop.Options{Network: o.Network}),
 		budget:  newRetryBudget(), ending: make(chan struct{}),
 	}
 }
 
+// Close drops the idle connections to other nodes.
+func (rt *Router) Close() { rt.client.CloseIdle() }
+
 // EndWatches ends the standing watches cleanly.
 func (rt *Router) EndWatches() { rt.endOnce.Do(func() { close(rt.ending) }) }
 
--- a/internal/route/watch.go
+++ b/internal/route/watch.go
@@ -25,12 +25,20 @@
 	endDrain  = "drain"
 	endTarget = "target"
 	endLost   = "lost"
+	// endIdle is not told: the watch is taken up anew.
+	endIdle = "idle"
 )
 
 const (
 	// watchRetries bounds the tries in a row that bring no event.
 	watchRetries = 5
 	watchBackoff = 100 * time.Millisecond
+	// firstIdle is how long a watch may bring no event before it is taken up
+	// anew: its connection may have gone silent, and only a new one tells. While
+	// that shows that nothing was missed, the next wait is twice as long, up to
+	// maxIdle, so that watches with few events cost little.
+	firstIdle = 10 * time.Second
+	maxIdle   = 5 * time.Minute
 )
 
 // serveWatch holds a caller's watch and takes it up elsewhere when its place
@@ -40,6 +48,7 @@
 	w.Header().Set(HeaderRequestID, req.origin)
 	begun := false
 	failures := 0
+	idle := firstIdle
 	for {
 		resp, finish, err := rt.offer(ctx, req, req.body(w), map[string]bool{}, failures > 0)
 		if err == nil {
@@ -50,7 +59,14 @@
 				begun = true
 			}
 			before := req.resume
-			end := rt.copyEvents(ctx, w, resp, finish, &req.resume)
+			end := rt.copyEvents(ctx, w, resp, finish, &req.resume, idle)
+			if end == endIdle {
+				idle = min(2*idle, maxIdle)
+				if req.resume > before {
+					idle = firstIdle
+				}
+				continue
+			}
 			if end == endDrain && rt.stopping() || end == endTarget || ctx.Err() != nil {
 				endWatch(w, end, req.resume)
 				return
@@ -108,8 +124,8 @@
 	copyHeader(w.Header(), resp.Header)
 	w.WriteHeader(resp.StatusCode)
 	_ = http.NewResponseController(w).Flush()
-	end := rt.copyEvents(ctx, w, resp, finish, &resume)
-	if end == endLost {
+	end := rt.copyEvents(ctx, w, resp, finish, &resume, maxIdle)
+	if end == endLost || end == endIdle {
 		panic(http.ErrAbortHandler)
 	}
 	endWatch(w, end, resume)
@@ -117,13 +133,15 @@
 
 // copyEvents passes whole events on and counts them in seen, until the watch
 // ends. A line that was cut off is not passed on.
-func (rt *Router) copyEvents(ctx context.Context, w http.ResponseWriter, resp *http.Response, finish finishFunc, seen *int64) string {
+func (rt *Router) copyEvents(ctx context.Context, w http.ResponseWriter, resp *http.Response, finish finishFunc, seen *int64, idle time.Duration) string {
 	defer func() { _ = resp.Body.Close() }()
 	rc := http.NewResponseController(w)
 	lines := make(chan []byte)
 	stop := make(chan struct{})
 	defer close(stop)
 	go readLines(resp, lines, stop)
+	timer := time.NewTimer(idle)
+	defer timer.Stop()
 	for {
 		select {
 		case line, ok := <-lines:
@@ -139,6 +157,10 @@
 				return endLost
 			}
 			*seen++
+			timer.Reset(idle)
+		case <-timer.C:
+			finish(vms.EndUncertain)
+			return endIdle
 		case <-rt.ending:
 			finish(vms.EndUncertain)
 			return endDrain
--- a/internal/standin/record/record.go
+++ b/internal/standin/record/record.go
@@ -34,7 +34,11 @@
 	// ConfigAccepted: an operator was told that a version was made.
 	ConfigAccepted Kind = "config_accepted"
 	// JobDone: a team was told that a job with Version tasks is done.
-	JobDone       Kind = "job_done"
+	JobDone Kind = "job_done"
+	// NodeCutOff: nothing reaches the node, neither from the platform nor from
+	// any node that the platform reaches, until NodeReached.
+	NodeCutOff    Kind = "node_cut_off"
+	NodeReached   Kind = "node_reached"
 	ConfigWrite   Kind = "config_write"    // the store took a configuration
 	ConfigInForce Kind = "config_in_force" // a node was seen to use a version
 )
--- a/internal/standin/worker/agent.go
+++ b/internal/standin/worker/agent.go
@@ -7,13 +7,14 @@
 	"strconv"
 	"time"
 
+	"github.com/rattanwall/rattanwall/internal/netio"
 	"github.com/rattanwall/rattanwall/internal/worker"
 	wire "github.com/rattanwall/rattanwall/internal/worker/httpworker"
 )
 
 // serveAgent serves the agent's interface on a free port of host.
-func (w *Worker) serveAgent(host string) error {
-	ln, err := net.Listen("tcp", net.JoinHostPort(host, portOf(w.vm.AgentAddress)))
+func (w *Worker) serveAgent(network netio.Network, host string) error {
+	ln, err := network.Listen(net.JoinHostPort(host, portOf(w.vm.AgentAddress)))
 	if err != nil {
 		return err
 	}
--- a/internal/vms/machine.go
+++ b/internal/vms/machine.go
@@ -41,12 +41,16 @@
 	// since is when this node took the VM over.
 	since     time.Time
 	reachable bool
+	// unlisted is set while the platform's list lacks the VM.
+	unlisted bool
 	// lastContactEnd is when the last call that may have started or renewed a
 	// task's lease ended, answered or not.
 	lastContactEnd time.Time
 	// suspectUntil keeps requests off a VM that just refused a connection.
 	suspectUntil time.Time
-	tasks        map[worker.Ref]*taskHold
+	// unreached counts the connections refused in a row.
+	unreached int
+	tasks     map[worker.Ref]*taskHold
 	// latency is a moving average over whole requests.
 	latency  time.Duration
 	slowdown float64
@@ -128,7 +132,7 @@
 func (m *Manager) statusFailed(ctx context.Context, mc *machine) {
 	m.mu.Lock()
 	mc.reachable = false
-	if m.leasesOver(mc, time.Now()) {
+	if m.attemptsOver(mc, time.Now()) {
 		for _, t := range mc.tasks {
 			if t.end == "" {
 				t.end = EndLost
@@ -148,6 +152,13 @@
 	return now.Sub(mc.lastContactEnd) > m.Timing.Lease+lostMargin
 }
 
+// attemptsOver reports whether attempts on a VM that is not reached count as
+// lost: their leases have run out, and the VM is gone or was waited for.
+func (m *Manager) attemptsOver(mc *machine, now time.Time) bool {
+	doubt := now.Sub(mc.lastContactEnd) < m.Timing.Lease+lostMargin+m.Timing.DoubtFor
+	return m.leasesOver(mc, now) && (mc.unlisted || !doubt)
+}
+
 // observe takes the VM's own list into the ledger.
 func (m *Manager) observe(mc *machine, s worker.Status, askedAt time.Time, own int64) {
 	m.mu.Lock()
--- a/internal/vms/manager.go
+++ b/internal/vms/manager.go
@@ -17,6 +17,7 @@
 	"github.com/rattanwall/rattanwall/internal/hop"
 	"github.com/rattanwall/rattanwall/internal/ledger"
 	"github.com/rattanwall/rattanwall/internal/model"
+	"github.com/rattanwall/rattanwall/internal/netio"
 	"github.com/rattanwall/rattanwall/internal/ownership"
 	"github.com/rattanwall/rattanwall/internal/worker"
 )
@@ -77,11 +78,18 @@
 	RenewEvery time.Duration
 	// CheckpointEvery is how often running tasks are checkpointed; default 10 s.
 	CheckpointEvery time.Duration
+	// DoubtFor is how long the tasks of a VM that is listed but not reached are
+	// waited for after their leases have run out; default 2 min. A task may have
+	// finished there just before, and to run it again would double it; the VM
+	// tells when it comes back. A VM off the list is not waited for.
+	DoubtFor time.Duration
 }
 
 // DefaultTiming returns the defaults named in Timing.
 func DefaultTiming() Timing {
-	return Timing{Lease: 12 * time.Second, RenewEvery: 4 * time.Second, CheckpointEvery: 10 * time.Second}
+	return Timing{
+		Lease: 12 * time.Second, RenewEvery: 4 * time.Second, CheckpointEvery: 10 * time.Second, DoubtFor: 2 * time.Minute,
+	}
 }
 
 // Options of a Manager. All fields are needed.
@@ -91,8 +99,10 @@
 	Config    func() *config.Installed
 	// NewAgent returns the adapter to the agent at an address.
 	NewAgent func(address string) worker.Agent
-	Timing   Timing
-	Log      *logrus.Entry
+	// Network reaches the targets.
+	Network netio.Network
+	Timing  Timing
+	Log     *logrus.Entry
 }
 
 // Manager holds the owned VMs. Serve runs it.
@@ -155,7 +165,9 @@
 		next[vm.Name] = vm
 	}
 	for name, mc := range m.owned {
-		if _, ok := next[name]; !ok && mc.ledger.Holds() > 0 {
+		_, listed := next[name]
+		mc.unlisted = !listed
+		if !listed && mc.ledger.Holds() > 0 {
 			gone := mc.vm
 			gone.State = model.VMLeaving
 			next[name] = gone
@@ -255,7 +267,7 @@
 		vm: vm, shard: ShardOf(vm).Key, epoch: epoch, since: now, lastContactEnd: now,
 		ledger: ledger.New(vm.Capacity, model.Resources{}),
 		agent:  m.NewAgent(vm.AgentAddress),
-		client: hop.NewClient(hop.Options{MaxConnections: maxConnections(vm)}),
+		client: hop.NewClient(hop.Options{MaxConnections: maxConnections(vm), Network: m.Network}),
 		cancel: cancel, tasks: map[worker.Ref]*taskHold{}, nudge: make(chan struct{}, 1), latency: initialLatency,
 	}
 	m.owned[vm.Name] = mc
--- a/internal/vms/requests.go
+++ b/internal/vms/requests.go
@@ -22,8 +22,10 @@
 var admitOrder = []model.Class{model.Quick, model.Heavy, model.Standing}
 
 const (
-	// suspectFor keeps requests off a VM that refused a connection.
-	suspectFor = time.Second
+	// suspectFor keeps requests off a VM that was not connected to; it is doubled
+	// with each such try in a row, up to maxSuspect.
+	suspectFor = 500 * time.Millisecond
+	maxSuspect = 30 * time.Second
 	// latencyWeight is the weight of the newest request in the moving average.
 	latencyWeight = 0.1
 )
@@ -93,8 +95,10 @@
 		g.machine.ledger.MarkUncertain(g.HopID, now)
 		return
 	case EndUnreached:
-		g.machine.suspectUntil = now.Add(suspectFor)
+		g.machine.unreached++
+		g.machine.suspectUntil = now.Add(min(suspectFor<<min(g.machine.unreached, 10), maxSuspect))
 	case EndWhole:
+		g.machine.unreached = 0
 		if g.class == model.Standing {
 			break
 		}
@@ -187,7 +191,7 @@
 	var first, second *machine
 	seen := 0
 	for _, mc := range m.owned {
-		if !svc.InZone(mc.vm.Zone) || now.Before(mc.suspectUntil) || mc.ledger.FreeRequests(class) <= 0 || !m.mayAct(mc) {
+		if !svc.InZone(mc.vm.Zone) || !mc.reachable || now.Before(mc.suspectUntil) || mc.ledger.FreeRequests(class) <= 0 || !m.mayAct(mc) {
 			continue
 		}
 		seen++
--- a/internal/worker/httpworker/client.go
+++ b/internal/worker/httpworker/client.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/dghubble/sling"
 
+	"github.com/rattanwall/rattanwall/internal/netio"
 	"github.com/rattanwall/rattanwall/internal/worker"
 )
 
@@ -47,8 +48,9 @@
 type WireOK struct{}
 
 const (
-	// dialTimeout bounds connecting; past it the agent was certainly not reached.
-	dialTimeout = time.Second
+	// idleConnections is how many connections to an agent are kept: one waits for
+	// changes, the other carries calls.
+	idleConnections = 2
 	// callTimeout bounds a call that does not wait.
 	callTimeout = 3 * time.Second
 )
@@ -62,11 +64,8 @@
 var _ worker.Agent = (*Client)(nil)
 
 // New returns a client of the agent at address (ip:port).
-func New(address string) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	hc := &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second,
-	}}
+func New(network netio.Network, address string) *Client {
+	hc := netio.Client(network, idleConnections)
 	return &Client{base: sling.New().Client(hc).Base("http://" + address + "/agent/"), http: hc}
 }
 
