--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -29,6 +29,8 @@
 type Error struct {
 	// NotRun is set when the other side certainly did not run the request.
 	NotRun bool
+	// Connected is set when a connection was had.
+	Connected bool
 	// Silent is set when the other side gave no sign of life on an open connection.
 	Silent bool
 	cause  error
@@ -198,7 +200,7 @@
 			// What swallowed this connection's bytes may have lost the others too.
 			c.CloseIdle()
 		}
-		return nil, &Error{NotRun: notRun, Silent: silent, cause: err}
+		return nil, &Error{NotRun: notRun, Connected: watch.connected.Load(), Silent: silent, cause: err}
 	}
 	resp.Body = &cancelBody{ReadCloser: resp.Body, cancel: func() { cancel(nil) }}
 	return resp, nil
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -21,6 +21,8 @@
 	heavyShareDenominator    = 4
 	standingShareNumerator   = 3
 	standingShareDenominator = 4
+	serviceShareNumerator    = 3
+	serviceShareDenominator  = 4
 	// connectionHeadroom stays unused, since a connection that we closed may
 	// count at the target for a moment longer.
 	connectionHeadroom = 4
@@ -37,6 +39,7 @@
 	NoSlot       Verdict = "no free slot"
 	NoConnection Verdict = "no free connection"
 	ClassLimit   Verdict = "the class has its share of the VM"
+	ServiceLimit Verdict = "the service has its share of the VM"
 	NoRoom       Verdict = "processors, memory or accelerators do not suffice"
 	AlreadyHeld  Verdict = "already held"
 )
@@ -44,6 +47,7 @@
 // hold is one thing that the VM holds.
 type hold struct {
 	class     model.Class // empty for a task
+	service   string      // of a request
 	resources model.Resources
 	// uncertainSince is when we lost track of a request; zero while we have it.
 	uncertainSince time.Time
@@ -57,9 +61,11 @@
 	reserve  model.Resources
 	used     model.Resources
 	byClass  map[model.Class]int64
-	holds    map[string]hold
-	ready    bool
-	leaving  bool
+	// byService counts the slots that each service's requests hold.
+	byService map[string]int64
+	holds     map[string]hold
+	ready     bool
+	leaving   bool
 	// foreignConnections are open at the target but not ours.
 	foreignConnections int64
 }
@@ -67,7 +73,7 @@
 // New returns a ledger that admits nothing until Rebuild was called.
 // reserve is kept free of tasks for the VM's services.
 func New(capacity, reserve model.Resources) *Ledger {
-	return &Ledger{capacity: capacity, reserve: reserve, byClass: map[model.Class]int64{}, holds: map[string]hold{}}
+	return &Ledger{capacity: capacity, reserve: reserve, byClass: map[model.Class]int64{}, byService: map[string]int64{}, holds: map[string]hold{}}
 }
 
 // RequestResources is what a request of a class takes.
@@ -87,15 +93,31 @@
 // SetReserve changes what is kept free of tasks.
 func (l *Ledger) SetReserve(reserve model.Resources) { l.reserve = reserve }
 
+// Ask is a request that wants a place.
+type Ask struct {
+	Service string
+	Class   model.Class
+	// Shared is set when other services use the VM too: the service then gets
+	// only its share of the slots, so that one that is slow leaves some to others.
+	Shared bool
+}
+
 // AdmitRequest takes a slot and a connection, as the class needs, under id.
-func (l *Ledger) AdmitRequest(id string, class model.Class) Verdict {
-	if v := l.mayRequest(class); v != Admitted {
+func (l *Ledger) AdmitRequest(id string, a Ask) Verdict {
+	if v := l.MayRequest(a); v != Admitted {
 		return v
 	}
-	return l.add(id, hold{class: class, resources: RequestResources(class)})
+	return l.add(id, hold{class: a.Class, service: a.Service, resources: RequestResources(a.Class)})
+}
+
+// MayRequest decides without taking anything.
+func (l *Ledger) MayRequest(a Ask) Verdict {
+	if a.Shared && a.Class != model.Standing && l.byService[a.Service] >= l.capacity.Slots*serviceShareNumerator/serviceShareDenominator {
+		return ServiceLimit
+	}
+	return l.mayRequest(a.Class)
 }
 
-// mayRequest decides without taking anything.
 func (l *Ledger) mayRequest(class model.Class) Verdict {
 	switch {
 	case !l.ready:
@@ -182,9 +204,7 @@
 	}
 	delete(l.holds, id)
 	l.used = l.used.Sub(h.resources)
-	if h.class != "" {
-		l.byClass[h.class]--
-	}
+	l.countRequest(h, -1)
 }
 
 // MarkUncertain keeps a request's slot taken although we gave it up at now: the
@@ -275,12 +295,21 @@
 	}
 	l.holds[id] = h
 	l.used = l.used.Add(h.resources)
-	if h.class != "" {
-		l.byClass[h.class]++
-	}
+	l.countRequest(h, 1)
 	return Admitted
 }
 
+// countRequest keeps the counts by class and service; tasks have neither.
+func (l *Ledger) countRequest(h hold, n int64) {
+	if h.class == "" {
+		return
+	}
+	l.byClass[h.class] += n
+	if l.byService[h.service] += n * h.resources.Slots; l.byService[h.service] == 0 {
+		delete(l.byService, h.service)
+	}
+}
+
 // HeldBy returns what id holds, nothing if it is not held.
 func (l *Ledger) HeldBy(id string) model.Resources { return l.holds[id].resources }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,8 @@
 	"github.com/rattanwall/rattanwall/internal/platform/httpplatform"
 	"github.com/rattanwall/rattanwall/internal/route"
 	"github.com/rattanwall/rattanwall/internal/settings"
+	"github.com/rattanwall/rattanwall/internal/target"
+	"github.com/rattanwall/rattanwall/internal/target/httptarget"
 	"github.com/rattanwall/rattanwall/internal/vms"
 	"github.com/rattanwall/rattanwall/internal/worker"
 	"github.com/rattanwall/rattanwall/internal/worker/httpworker"
@@ -83,8 +85,10 @@
 	n.vms = vms.New(vms.Options{
 		Ownership: n.members, Reporter: n.cluster, Config: n.keeper.Current,
 		NewAgent: func(address string) worker.Agent { return httpworker.New(n.network, address) },
-		Network:  n.network,
-		Timing:   taskTiming(s.Leases), Log: n.log.WithField("part", "vms"),
+		NewTarget: func(address string, maxConnections int) target.Target {
+			return httptarget.New(n.network, address, maxConnections)
+		},
+		Timing: taskTiming(s.Leases), Log: n.log.WithField("part", "vms"),
 	})
 	n.jobs = jobs.NewService(s.Name, n.store, n.members, n.cluster, n.keeper.Current, n.log.WithField("part", "jobs"))
 	n.cluster.Attach(n.members, n.vms, n.jobs)
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -209,3 +209,6 @@
 func (n *Node) Dump() any {
 	return DumpState{Status: n.status(), Membership: n.members.Dump(), VMs: n.vms.Dump()}
 }
+
+// VMDumps describes the VMs that this node owns.
+func (n *Node) VMDumps() []vms.VMDump { return n.vms.Dump() }
--- a/internal/route/exchange.go
+++ b/internal/route/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -82,61 +83,48 @@
 	return io.NopCloser(bytes.NewReader(b.buffered)), nil
 }
 
-// finishFunc is told how the passing on of an answer ended.
-type finishFunc func(vms.EndKind)
-
-// outgoing builds the request for the next hop.
-func (req *request) outgoing(ctx context.Context, address, path string, b *body) (*http.Request, error) {
-	reader, err := b.reader()
-	if err != nil {
-		return nil, err
-	}
-	out := &http.Request{
-		Method: req.http.Method, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		URL:  &url.URL{Scheme: "http", Host: address, Path: path, RawQuery: req.http.URL.RawQuery},
-		Host: address, Header: req.http.Header.Clone(), Body: reader, ContentLength: b.length,
-	}
-	strip(out.Header, hopByHop)
-	return out.WithContext(ctx), nil
+// forwarded returns the caller's headers without those of one hop and those
+// between nodes.
+func (req *request) forwarded() http.Header {
+	h := req.http.Header.Clone()
+	strip(h, hopByHop)
+	strip(h, internalHeaders)
+	return h
 }
 
 func (req *request) leftMS() int64 {
 	return max((time.Until(req.deadline) - answerMargin).Milliseconds(), 1)
 }
 
+// answer is the head of an answer, of a target or of a peer.
+type answer struct {
+	*target.Answer
+	// trailer is what a peer said after a watch's last event; nil for a target.
+	trailer func() http.Header
+	// finish is told how the passing on ended.
+	finish func(vms.EndKind)
+}
+
 // toTarget sends the request to an own VM.
-func (rt *Router) toTarget(ctx context.Context, req *request, b *body, grant *vms.Grant) (*http.Response, finishFunc, error) {
-	out, err := req.outgoing(ctx, grant.Address, req.path, b)
-	if err != nil {
-		grant.End(vms.EndNotRun)
-		return nil, nil, err
-	}
-	strip(out.Header, internalHeaders)
-	out.Header.Set(target.HeaderRequestID, grant.HopID)
-	out.Header.Set(target.HeaderOriginID, req.origin)
-	out.Header.Set(target.HeaderClass, string(req.class))
-	if !req.deadline.IsZero() {
-		out.Header.Set(target.HeaderDeadlineMS, strconv.FormatInt(req.leftMS(), 10))
-	}
-	if req.resume > 0 {
-		out.Header.Set(target.HeaderResume, strconv.FormatInt(req.resume, 10))
+func (rt *Router) toTarget(ctx context.Context, req *request, b *body, grant *vms.Grant) (*answer, error) {
+	reader, err := b.reader()
+	if err == nil && !grant.MayAct() {
+		err = errkind.New(errkind.NotOwner, "", nil)
 	}
-	if !grant.MayAct() {
+	if err != nil {
 		grant.End(vms.EndNotRun)
-		return nil, nil, errkind.New(errkind.NotOwner, "", nil)
+		return nil, err
 	}
-	resp, err := grant.Client.Do(out, rt.patience(req, grant.Patience()))
+	got, err := grant.Target.Send(ctx, &target.Request{
+		HopID: grant.HopID, OriginID: req.origin, Class: req.class, Deadline: req.deadline, Resume: req.resume,
+		Method: req.http.Method, Path: req.path, RawQuery: req.http.URL.RawQuery,
+		Header: req.forwarded(), Body: reader, Length: b.length, Patience: rt.patience(req, grant.Patience()),
+	})
 	if err != nil {
-		return nil, nil, endFailed(err, grant)
+		return nil, endFailed(err, grant)
 	}
-	if err := checkAnswer(resp, grant.HopID); err != nil {
-		_ = resp.Body.Close()
-		grant.End(vms.EndUncertain)
-		return nil, nil, err
-	}
-	resp.Header.Del(target.HeaderRequestID)
-	resp.Header.Set(HeaderOutcome, string(errkind.Ran))
-	return resp, grant.End, nil
+	got.Header.Set(HeaderOutcome, string(errkind.Ran))
+	return &answer{Answer: got, finish: grant.End}, nil
 }
 
 const (
@@ -144,6 +132,8 @@
 	targetPatience = 500 * time.Millisecond
 	// peerPatience covers that and the peer's own hop.
 	peerPatience = targetPatience + 250*time.Millisecond
+	// maxErrorBytes of a peer's message are passed on.
+	maxErrorBytes = 1 << 10
 )
 
 // patience says how long a connection may show no sign of life. A quick request
@@ -162,42 +152,51 @@
 // endFailed gives the place back after a failed exchange and names the failure.
 func endFailed(err error, grant *vms.Grant) error {
 	var failed *hop.Error
-	if !errors.As(err, &failed) || !failed.NotRun {
+	errors.As(err, &failed)
+	switch {
+	case errors.Is(err, target.ErrMismatch):
 		grant.End(vms.EndUncertain)
-		if failed != nil && failed.Silent {
-			return errkind.New(errkind.ConnectionLost, "the connection was silent", err)
-		}
-		return errkind.New(errkind.ConnectionLost, "the target's connection broke", err)
-	}
-	if failed.Silent {
+		return errkind.New(errkind.AnswerMismatch, "", err)
+	case errors.Is(err, target.ErrUnbounded):
+		grant.End(vms.EndUncertain)
+		return errkind.New(errkind.AnswerUnbounded, "", err)
+	case failed == nil || !failed.NotRun:
+		grant.End(vms.EndUncertain)
+		return errkind.New(errkind.ConnectionLost, "the target's connection broke or went silent", err)
+	case failed.Connected:
 		grant.End(vms.EndNotRun)
-		return errkind.New(errkind.TargetUnreached, "the connection was silent", err)
+		return errkind.New(errkind.TargetUnreached, "the connection was silent or broke before the request was sent", err)
 	}
 	grant.End(vms.EndUnreached)
 	return errkind.New(errkind.TargetUnreached, "", err)
 }
 
-// checkAnswer refuses an answer to another request, which a target sends that
-// answers twice or out of order on one connection, and an answer whose end
-// could not be told from a cut-off.
-func checkAnswer(resp *http.Response, hopID string) error {
-	if resp.Header.Get(target.HeaderRequestID) != hopID {
-		return errkind.New(errkind.AnswerMismatch, "", nil)
+// toPeer sends the request to the node that owns a VM with room.
+func (rt *Router) toPeer(ctx context.Context, req *request, b *body, p Peer, wait time.Duration) (*answer, error) {
+	reader, err := b.reader()
+	if err != nil {
+		return nil, err
 	}
-	if !hop.Bounded(resp) {
-		return errkind.New(errkind.AnswerUnbounded, "", nil)
+	out := (&http.Request{
+		Method: req.http.Method, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Host: p.Address,
+		URL:    &url.URL{Scheme: "http", Host: p.Address, Path: forwardPrefix + req.service + req.path, RawQuery: req.http.URL.RawQuery},
+		Header: req.forwarded(), Body: reader, ContentLength: b.length,
+	}).WithContext(ctx)
+	req.tellPeer(out.Header, wait)
+	resp, err := rt.client.Do(out, rt.patience(req, peerPatience+wait))
+	if err != nil {
+		rt.Peers.Heard(p.Node, req.service, req.class, 0)
+		var failed *hop.Error
+		if errors.As(err, &failed) && failed.NotRun {
+			return nil, errkind.New(errkind.NoCapacity, "a peer was not reached", err)
+		}
+		return nil, errkind.New(errkind.ConnectionLost, "a peer's connection broke or went silent", err)
 	}
-	return nil
+	return rt.fromPeer(req, p, resp)
 }
 
-// toPeer sends the request to the node that owns a VM with room.
-func (rt *Router) toPeer(ctx context.Context, req *request, b *body, p Peer, wait time.Duration) (*http.Response, finishFunc, error) {
-	out, err := req.outgoing(ctx, p.Address, forwardPrefix+req.service+req.path, b)
-	if err != nil {
-		return nil, nil, err
-	}
-	h := out.Header
-	h.Del("Authorization")
+// tellPeer sets the headers between nodes.
+func (req *request) tellPeer(h http.Header, wait time.Duration) {
 	h.Set(headerTeam, req.team)
 	h.Set(HeaderRequestID, req.origin)
 	h.Set(HeaderClass, string(req.class))
@@ -209,48 +208,48 @@
 	if req.resume > 0 {
 		h.Set(HeaderResume, strconv.FormatInt(req.resume, 10))
 	}
-	resp, err := rt.client.Do(out, rt.patience(req, peerPatience+wait))
-	if err != nil {
-		rt.Peers.Heard(p.Node, req.service, req.class, 0)
-		var failed *hop.Error
-		if errors.As(err, &failed) && failed.NotRun {
-			return nil, nil, errkind.New(errkind.NoCapacity, "a peer was not reached", err)
-		}
-		return nil, nil, errkind.New(errkind.ConnectionLost, "a peer's connection broke", err)
-	}
+}
+
+// fromPeer judges a peer's answer.
+func (rt *Router) fromPeer(req *request, p Peer, resp *http.Response) (*answer, error) {
 	if free, err := strconv.ParseInt(resp.Header.Get(headerFree), 10, 64); err == nil {
 		rt.Peers.Heard(p.Node, req.service, req.class, free)
 	}
 	resp.Header.Del(headerFree)
 	if kind := errkind.Kind(resp.Header.Get(HeaderError)); kind != "" {
+		message, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
 		_ = resp.Body.Close()
-		return nil, nil, errkind.New(kind, "", nil)
+		return nil, errkind.New(kind, strings.TrimSpace(strings.TrimPrefix(string(message), string(kind)+":")), nil)
 	}
 	if !hop.Bounded(resp) || resp.Header.Get(HeaderOutcome) == "" {
 		_ = resp.Body.Close()
-		return nil, nil, errkind.New(errkind.AnswerUnbounded, "", nil)
+		return nil, errkind.New(errkind.AnswerUnbounded, "", nil)
 	}
-	return resp, func(vms.EndKind) {}, nil
+	return &answer{
+		Answer:  &target.Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: resp.Body},
+		trailer: func() http.Header { return resp.Trailer },
+		finish:  func(vms.EndKind) {},
+	}, nil
 }
 
 // relay passes an answer on. When it breaks off, the caller's connection is cut
 // too: a part must never look like the whole.
-func (rt *Router) relay(w http.ResponseWriter, resp *http.Response, finish finishFunc) errkind.Kind {
-	copyHeader(w.Header(), resp.Header)
-	if resp.ContentLength >= 0 {
-		w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+func (rt *Router) relay(w http.ResponseWriter, got *answer) errkind.Kind {
+	copyHeader(w.Header(), got.Header)
+	if got.Length >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(got.Length, 10))
 	}
-	w.WriteHeader(resp.StatusCode)
+	w.WriteHeader(got.Status)
 	buf := buffers.Get().(*[]byte)
 	defer buffers.Put(buf)
-	_, err := io.CopyBuffer(onlyWriter{w}, resp.Body, *buf)
-	_ = resp.Body.Close()
+	_, err := io.CopyBuffer(onlyWriter{w}, got.Body, *buf)
+	_ = got.Body.Close()
 	if err != nil {
-		finish(vms.EndUncertain)
+		got.finish(vms.EndUncertain)
 		rt.Metrics.cutOff.Inc()
 		panic(http.ErrAbortHandler)
 	}
-	finish(vms.EndWhole)
+	got.finish(vms.EndWhole)
 	return ""
 }
 
@@ -285,15 +284,15 @@
 		rt.fail(ctx, w, req, err, b)
 		return
 	}
-	resp, finish, err := rt.toTarget(ctx, req, b, grant)
+	got, err := rt.toTarget(ctx, req, b, grant)
 	if err != nil {
 		rt.fail(ctx, w, req, err, b)
 		return
 	}
 	w.Header().Set(headerFree, strconv.FormatInt(rt.VMs.Free(req.service, req.class), 10))
 	if req.class == model.Standing {
-		rt.relayWatch(ctx, w, resp, finish, req.resume)
+		rt.relayWatch(ctx, w, got, req.resume)
 		return
 	}
-	rt.relay(w, resp, finish)
+	rt.relay(w, got)
 }
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -230,9 +230,9 @@
 		if try > 0 && !rt.mayRetry(last, req, body) {
 			break
 		}
-		resp, finish, err := rt.offer(ctx, req, body, tried, try == maxTries-1)
+		got, err := rt.offer(ctx, req, body, tried, try == maxTries-1)
 		if err == nil {
-			return rt.relay(w, resp, finish)
+			return rt.relay(w, got)
 		}
 		last = err
 		if ctx.Err() != nil || !tryElsewhere(err) {
@@ -293,7 +293,7 @@
 
 // offer gives the request to one place: an own VM, else the peer with the most
 // room, else the shortest wait.
-func (rt *Router) offer(ctx context.Context, req *request, body *body, tried map[string]bool, lastTry bool) (*http.Response, finishFunc, error) {
+func (rt *Router) offer(ctx context.Context, req *request, body *body, tried map[string]bool, lastTry bool) (*answer, error) {
 	grant, err := rt.VMs.Acquire(ctx, req.service, req.class, 0)
 	if err == nil {
 		return rt.toTarget(ctx, req, body, grant)
@@ -311,12 +311,12 @@
 	if rt.VMs.Serves(req.service) && (len(peers) == 0 || rt.VMs.Waiting() <= shortest(peers).Waiting) {
 		grant, err := rt.VMs.Acquire(ctx, req.service, req.class, wait)
 		if err != nil {
-			return nil, nil, err
+			return nil, err
 		}
 		return rt.toTarget(ctx, req, body, grant)
 	}
 	if len(peers) == 0 {
-		return nil, nil, errkind.New(errkind.NoOwner, "no node owns VMs of the service", nil)
+		return nil, errkind.New(errkind.NoOwner, "no node owns VMs of the service", nil)
 	}
 	return rt.toPeer(ctx, req, body, shortest(peers), wait)
 }
--- a/internal/route/watch.go
+++ b/internal/route/watch.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -50,16 +51,16 @@
 	failures := 0
 	idle := firstIdle
 	for {
-		resp, finish, err := rt.offer(ctx, req, req.body(w), map[string]bool{}, failures > 0)
+		got, err := rt.offer(ctx, req, req.body(w), map[string]bool{}, failures > 0)
 		if err == nil {
 			if !begun {
-				copyHeader(w.Header(), resp.Header)
-				w.WriteHeader(resp.StatusCode)
+				copyHeader(w.Header(), got.Header)
+				w.WriteHeader(got.Status)
 				_ = http.NewResponseController(w).Flush()
 				begun = true
 			}
 			before := req.resume
-			end := rt.copyEvents(ctx, w, resp, finish, &req.resume, idle)
+			end := rt.copyEvents(ctx, w, got, &req.resume, idle)
 			if end == endIdle {
 				idle = min(2*idle, maxIdle)
 				if req.resume > before {
@@ -119,12 +120,12 @@
 }
 
 // relayWatch passes a watch on to the node that the caller is at.
-func (rt *Router) relayWatch(ctx context.Context, w http.ResponseWriter, resp *http.Response, finish finishFunc, resume int64) {
+func (rt *Router) relayWatch(ctx context.Context, w http.ResponseWriter, got *answer, resume int64) {
 	w.Header().Set("Trailer", HeaderResume+", "+HeaderEnd)
-	copyHeader(w.Header(), resp.Header)
-	w.WriteHeader(resp.StatusCode)
+	copyHeader(w.Header(), got.Header)
+	w.WriteHeader(got.Status)
 	_ = http.NewResponseController(w).Flush()
-	end := rt.copyEvents(ctx, w, resp, finish, &resume, maxIdle)
+	end := rt.copyEvents(ctx, w, got, &resume, maxIdle)
 	if end == endLost || end == endIdle {
 		panic(http.ErrAbortHandler)
 	}
@@ -133,48 +134,55 @@
 
 // copyEvents passes whole events on and counts them in seen, until the watch
 // ends. A line that was cut off is not passed on.
-func (rt *Router) copyEvents(ctx context.Context, w http.ResponseWriter, resp *http.Response, finish finishFunc, seen *int64, idle time.Duration) string {
-	defer func() { _ = resp.Body.Close() }()
+func (rt *Router) copyEvents(ctx context.Context, w http.ResponseWriter, got *answer, seen *int64, idle time.Duration) string {
+	defer func() { _ = got.Body.Close() }()
 	rc := http.NewResponseController(w)
 	lines := make(chan []byte)
 	stop := make(chan struct{})
 	defer close(stop)
-	go readLines(resp, lines, stop)
+	go readLines(got.Body, lines, stop)
 	timer := time.NewTimer(idle)
 	defer timer.Stop()
 	for {
 		select {
 		case line, ok := <-lines:
 			if !ok {
-				finish(vms.EndUncertain)
-				if end := resp.Trailer.Get(HeaderEnd); end != "" {
-					return end
-				}
-				return endLost
+				got.finish(vms.EndUncertain)
+				return got.end()
 			}
 			if _, err := w.Write(line); err != nil || rc.Flush() != nil {
-				finish(vms.EndUncertain)
+				got.finish(vms.EndUncertain)
 				return endLost
 			}
 			*seen++
 			timer.Reset(idle)
 		case <-timer.C:
-			finish(vms.EndUncertain)
+			got.finish(vms.EndUncertain)
 			return endIdle
 		case <-rt.ending:
-			finish(vms.EndUncertain)
+			got.finish(vms.EndUncertain)
 			return endDrain
 		case <-ctx.Done():
-			finish(vms.EndUncertain)
+			got.finish(vms.EndUncertain)
 			return endLost
 		}
 	}
 }
 
+// end says why a watch ended whose last line was read.
+func (a *answer) end() string {
+	if a.trailer != nil {
+		if end := a.trailer().Get(HeaderEnd); end != "" {
+			return end
+		}
+	}
+	return endLost
+}
+
 // readLines sends each whole line of the answer until it ends or stop closes.
-func readLines(resp *http.Response, lines chan<- []byte, stop <-chan struct{}) {
+func readLines(body io.Reader, lines chan<- []byte, stop <-chan struct{}) {
 	defer close(lines)
-	reader := bufio.NewReader(resp.Body)
+	reader := bufio.NewReader(body)
 	for {
 		line, err := reader.ReadBytes('\n')
 		if err != nil {
--- a/internal/standin/worker/target.go
+++ b/internal/standin/worker/target.go
@@ -14,7 +14,7 @@
 	"github.com/rattanwall/rattanwall/internal/model"
 	"github.com/rattanwall/rattanwall/internal/netio"
 	"github.com/rattanwall/rattanwall/internal/standin/record"
-	"github.com/rattanwall/rattanwall/internal/target"
+	wire "github.com/rattanwall/rattanwall/internal/target/httptarget"
 )
 
 // The faults that a request asks for by its query parameter "fault". They make
@@ -62,8 +62,8 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	hop, origin := r.Header.Get(target.HeaderRequestID), r.Header.Get(target.HeaderOriginID)
-	class := model.Class(r.Header.Get(target.HeaderClass))
+	hop, origin := r.Header.Get(wire.HeaderRequestID), r.Header.Get(wire.HeaderOriginID)
+	class := model.Class(r.Header.Get(wire.HeaderClass))
 	if strings.HasSuffix(r.URL.Path, "/watch") {
 		class = model.Standing
 	}
@@ -79,7 +79,7 @@
 		event.Kind, event.Reason = record.RequestEnd, reason
 		w.recorder.Add(event)
 	}
-	rw.Header().Set(target.HeaderRequestID, hop)
+	rw.Header().Set(wire.HeaderRequestID, hop)
 	if class == model.Standing {
 		end(w.watch(rw, r))
 		return
@@ -105,7 +105,7 @@
 	timer := time.NewTimer(time.Duration(ms * w.slowdown() * float64(time.Millisecond)))
 	defer timer.Stop()
 	var deadline <-chan time.Time
-	if left, err := strconv.ParseInt(r.Header.Get(target.HeaderDeadlineMS), 10, 64); err == nil && fault != FaultLate {
+	if left, err := strconv.ParseInt(r.Header.Get(wire.HeaderDeadlineMS), 10, 64); err == nil && fault != FaultLate {
 		deadline = time.After(time.Duration(left) * time.Millisecond)
 	}
 	done := r.Context().Done()
@@ -139,7 +139,7 @@
 	case FaultDuplicate, FaultCloseDelimited:
 		raw(rw, fault, body)
 	case FaultWrongID:
-		rw.Header().Set(target.HeaderRequestID, "not-"+origin)
+		rw.Header().Set(wire.HeaderRequestID, "not-"+origin)
 		_, _ = rw.Write(body)
 	default:
 		_, _ = rw.Write(body)
@@ -148,17 +148,17 @@
 
 // raw writes the answer by hand, twice for FaultDuplicate.
 func raw(rw http.ResponseWriter, fault string, body []byte) {
-	id := rw.Header().Get(target.HeaderRequestID)
+	id := rw.Header().Get(wire.HeaderRequestID)
 	conn, _, err := http.NewResponseController(rw).Hijack()
 	if err != nil {
 		return
 	}
 	defer func() { _ = conn.Close() }()
 	if fault == FaultCloseDelimited {
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n%s: %s\r\n\r\n%s", target.HeaderRequestID, id, body)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n%s: %s\r\n\r\n%s", wire.HeaderRequestID, id, body)
 		return
 	}
-	one := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s: %s\r\n\r\n%s", len(body), target.HeaderRequestID, id, body)
+	one := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s: %s\r\n\r\n%s", len(body), wire.HeaderRequestID, id, body)
 	_, _ = io.WriteString(conn, one+one)
 	// Kept open a while, so that the second answer waits on the connection.
 	time.Sleep(200 * time.Millisecond)
@@ -182,7 +182,7 @@
 // N going on from the resume point.
 func (w *Worker) watch(rw http.ResponseWriter, r *http.Request) string {
 	interval, _ := strconv.Atoi(r.URL.Query().Get("interval_ms"))
-	next, _ := strconv.ParseInt(r.Header.Get(target.HeaderResume), 10, 64)
+	next, _ := strconv.ParseInt(r.Header.Get(wire.HeaderResume), 10, 64)
 	rc := http.NewResponseController(rw)
 	rw.WriteHeader(http.StatusOK)
 	_ = rc.Flush()
--- a/internal/vms/machine.go
+++ b/internal/vms/machine.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/rattanwall/rattanwall/internal/hop"
 	"github.com/rattanwall/rattanwall/internal/ledger"
 	"github.com/rattanwall/rattanwall/internal/model"
+	"github.com/rattanwall/rattanwall/internal/target"
 	"github.com/rattanwall/rattanwall/internal/worker"
 )
 
@@ -34,7 +34,7 @@
 	epoch  int64
 	ledger *ledger.Ledger
 	agent  worker.Agent
-	client *hop.Client
+	target target.Target
 	cancel context.CancelFunc
 	nudge  chan struct{}
 
@@ -88,7 +88,7 @@
 			wait, after = 0, -1
 		}
 		askedAt := time.Now()
-		own := mc.client.Open()
+		own := mc.target.Connections()
 		status, err := mc.agent.Status(ctx, after, wait)
 		if err != nil {
 			m.statusFailed(ctx, mc)
@@ -166,7 +166,7 @@
 	mc.reachable = true
 	o := ledger.Observation{AskedAt: askedAt, Tasks: map[string]model.Resources{}, InFlight: s.InFlight}
 	if !mc.ledger.Ready() || mc.ledger.Uncertain() {
-		o.ForeignConnections = max(int64(s.Connections)-max(own, mc.client.Open()), 0)
+		o.ForeignConnections = max(int64(s.Connections)-max(own, mc.target.Connections()), 0)
 	}
 	listed := make(map[worker.Ref]bool, len(s.Tasks))
 	for _, t := range s.Tasks {
--- a/internal/vms/manager.go
+++ b/internal/vms/manager.go
@@ -14,11 +14,10 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/rattanwall/rattanwall/internal/config"
-	"github.com/rattanwall/rattanwall/internal/hop"
 	"github.com/rattanwall/rattanwall/internal/ledger"
 	"github.com/rattanwall/rattanwall/internal/model"
-	"github.com/rattanwall/rattanwall/internal/netio"
 	"github.com/rattanwall/rattanwall/internal/ownership"
+	"github.com/rattanwall/rattanwall/internal/target"
 	"github.com/rattanwall/rattanwall/internal/worker"
 )
 
@@ -99,30 +98,31 @@
 	Config    func() *config.Installed
 	// NewAgent returns the adapter to the agent at an address.
 	NewAgent func(address string) worker.Agent
-	// Network reaches the targets.
-	Network netio.Network
-	Timing  Timing
-	Log     *logrus.Entry
+	// NewTarget returns the adapter to the target at an address, which opens at
+	// most so many connections.
+	NewTarget func(address string, maxConnections int) target.Target
+	Timing    Timing
+	Log       *logrus.Entry
 }
 
 // Manager holds the owned VMs. Serve runs it.
 type Manager struct {
 	Options
 
-	mu      sync.Mutex
-	listed  map[string]model.VM
-	owned   map[string]*machine
-	waiters map[model.Class][]*waiter
-	ctx     context.Context
-	synced  chan struct{}
-	hops    uint64
+	mu     sync.Mutex
+	listed map[string]model.VM
+	owned  map[string]*machine
+	queues map[model.Class]*queue
+	ctx    context.Context
+	synced chan struct{}
+	hops   uint64
 }
 
 // New returns a manager without VMs.
 func New(o Options) *Manager {
 	return &Manager{
 		Options: o, listed: map[string]model.VM{}, owned: map[string]*machine{},
-		waiters: map[model.Class][]*waiter{}, synced: make(chan struct{}, 1),
+		queues: map[model.Class]*queue{model.Quick: {}, model.Heavy: {}, model.Standing: {}}, synced: make(chan struct{}, 1),
 	}
 }
 
@@ -267,7 +267,7 @@
 		vm: vm, shard: ShardOf(vm).Key, epoch: epoch, since: now, lastContactEnd: now,
 		ledger: ledger.New(vm.Capacity, model.Resources{}),
 		agent:  m.NewAgent(vm.AgentAddress),
-		client: hop.NewClient(hop.Options{MaxConnections: maxConnections(vm), Network: m.Network}),
+		target: m.NewTarget(vm.TargetAddress, maxConnections(vm)),
 		cancel: cancel, tasks: map[worker.Ref]*taskHold{}, nudge: make(chan struct{}, 1), latency: initialLatency,
 	}
 	m.owned[vm.Name] = mc
@@ -285,7 +285,7 @@
 // owner sees them in the VM's own list. m.mu is held.
 func (m *Manager) drop(mc *machine) {
 	mc.cancel()
-	mc.client.CloseIdle()
+	mc.target.CloseIdle()
 	if c, ok := mc.agent.(interface{ Close() }); ok {
 		c.Close()
 	}
@@ -328,7 +328,7 @@
 	defer m.mu.Unlock()
 	s := Summary{Services: map[string]ServiceRoom{}}
 	doc := m.Config().Document
-	waiting := int64(len(m.waiters[model.Quick]) + len(m.waiters[model.Heavy]))
+	waiting := m.waiting()
 	for _, mc := range m.owned {
 		if !mc.ledger.Ready() {
 			continue
@@ -374,7 +374,7 @@
 		dump = append(dump, VMDump{
 			Name: mc.vm.Name, Epoch: mc.epoch, Ready: mc.ledger.Ready(), Reachable: mc.reachable,
 			Capacity: mc.ledger.Capacity(), Used: mc.ledger.Used(), Tasks: len(mc.tasks),
-			Connections: mc.client.Open(), LatencyMS: mc.latency.Seconds() * 1000,
+			Connections: mc.target.Connections(), LatencyMS: mc.latency.Seconds() * 1000,
 		})
 	}
 	sort.Slice(dump, func(i, j int) bool { return dump[i].Name < dump[j].Name })
--- a/internal/vms/requests.go
+++ b/internal/vms/requests.go
@@ -7,17 +7,13 @@
 	"time"
 
 	"github.com/rattanwall/rattanwall/internal/errkind"
-	"github.com/rattanwall/rattanwall/internal/hop"
 	"github.com/rattanwall/rattanwall/internal/ledger"
 	"github.com/rattanwall/rattanwall/internal/model"
+	"github.com/rattanwall/rattanwall/internal/target"
 )
 
 func itoa(n int64) string { return strconv.FormatInt(n, 10) }
 
-// queueLimit is how many requests of a class may wait for a slot at this node.
-// Standing watches do not wait: they are the first to be shed.
-var queueLimit = map[model.Class]int{model.Quick: 256, model.Heavy: 64, model.Standing: 0}
-
 // admitOrder is the order in which waiting classes get what comes free.
 var admitOrder = []model.Class{model.Quick, model.Heavy, model.Standing}
 
@@ -26,6 +22,10 @@
 	// with each such try in a row, up to maxSuspect.
 	suspectFor = 500 * time.Millisecond
 	maxSuspect = 30 * time.Second
+	// minQueue may wait in any case; beyond that the queue is as long as is served
+	// within the longest wait, so that nobody waits in vain. maxQueue bounds memory.
+	minQueue = 8
+	maxQueue = 4096
 	// latencyWeight is the weight of the newest request in the moving average.
 	latencyWeight = 0.1
 )
@@ -38,17 +38,54 @@
 	grant   chan *Grant
 }
 
+// queue is what waits in one class, in order of arrival, with counts by service.
+type queue struct {
+	waiters   []*waiter
+	byService map[string]int
+}
+
+func (q *queue) add(w *waiter) {
+	if q.byService == nil {
+		q.byService = map[string]int{}
+	}
+	q.waiters = append(q.waiters, w)
+	q.byService[w.service]++
+}
+
+// filter keeps the waiters that keep says, and forgets the others.
+func (q *queue) filter(keep func(*waiter) bool) {
+	left := q.waiters[:0]
+	for _, w := range q.waiters {
+		if keep(w) {
+			left = append(left, w)
+			continue
+		}
+		if q.byService[w.service]--; q.byService[w.service] == 0 {
+			delete(q.byService, w.service)
+		}
+	}
+	clear(q.waiters[len(left):])
+	q.waiters = left
+}
+
+// remove takes w out and reports whether it was there.
+func (q *queue) remove(w *waiter) bool {
+	before := len(q.waiters)
+	q.filter(func(other *waiter) bool { return other != w })
+	return len(q.waiters) < before
+}
+
 // Grant is one request's place at a VM. End must be called exactly once.
 type Grant struct {
 	// HopID is unique to this request at this hop.
 	HopID string
-	// VM is the VM's name, Address that of its target.
-	VM, Address string
-	Client      *hop.Client
-	manager     *Manager
-	machine     *machine
-	class       model.Class
-	startedAt   time.Time
+	// VM is the VM's name.
+	VM        string
+	Target    target.Target
+	manager   *Manager
+	machine   *machine
+	class     model.Class
+	startedAt time.Time
 }
 
 // EndKind says how a request at a target ended.
@@ -109,15 +146,17 @@
 	m.wakeWaiters()
 }
 
-// Acquire takes a place for a request at one of the owned VMs. With wait set it
-// queues, in its class and within the limits, until ctx ends or maxWait has
-// passed. Its errors say NotRun.
+// Acquire takes a place for a request at one of the owned VMs. It queues, in its
+// class and within the limits, for at most wait; zero does not queue. Its errors
+// say NotRun.
 func (m *Manager) Acquire(ctx context.Context, service string, class model.Class, wait time.Duration) (*Grant, error) {
 	m.mu.Lock()
 	m.hops++
 	hopID := itoa(int64(m.hops)) + "-" + strconv.FormatUint(rand.Uint64(), 36)
-	// Whoever waits in a class is served before newcomers.
-	if len(m.waiters[class]) == 0 {
+	q := m.queues[class]
+	// Whoever waits for the same service is served first, and while quick
+	// requests wait, no other class takes what comes free.
+	if q.byService[service] == 0 && (class == model.Quick || len(m.queues[model.Quick].waiters) == 0) {
 		if g := m.tryAcquire(service, class, hopID); g != nil {
 			m.mu.Unlock()
 			return g, nil
@@ -127,16 +166,29 @@
 		m.mu.Unlock()
 		return nil, errkind.New(errkind.NoCapacity, "", nil)
 	}
-	if len(m.waiters[class]) >= queueLimit[class] {
+	if q.byService[service] >= m.queueLimit(service, wait) {
 		m.mu.Unlock()
 		return nil, errkind.New(errkind.Overloaded, "too many "+string(class)+" requests wait", nil)
 	}
 	w := &waiter{service: service, class: class, hopID: hopID, grant: make(chan *Grant, 1)}
-	m.waiters[class] = append(m.waiters[class], w)
+	q.add(w)
 	m.mu.Unlock()
 	return m.await(ctx, w, wait)
 }
 
+// queueLimit is how many requests of a service the owned VMs serve within wait,
+// going by their usual latency. m.mu is held.
+func (m *Manager) queueLimit(service string, wait time.Duration) int {
+	svc := m.Config().Document.Services[service]
+	perWait := 0.0
+	for _, mc := range m.owned {
+		if svc.InZone(mc.vm.Zone) && mc.reachable {
+			perWait += float64(mc.ledger.Capacity().Slots) * wait.Seconds() / mc.latency.Seconds()
+		}
+	}
+	return min(max(int(perWait/2), minQueue), maxQueue)
+}
+
 func (m *Manager) await(ctx context.Context, w *waiter, wait time.Duration) (*Grant, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -150,32 +202,34 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for i, other := range m.waiters[w.class] {
-		if other == w {
-			m.waiters[w.class] = append(m.waiters[w.class][:i:i], m.waiters[w.class][i+1:]...)
-			return nil, err
-		}
+	if m.queues[w.class].remove(w) {
+		return nil, err
 	}
 	// The grant came at the same moment.
 	return <-w.grant, nil
 }
 
-// wakeWaiters gives what is free to those who wait. m.mu is held.
+// wakeWaiters gives what is free to those who wait, class by class. While quick
+// requests are left waiting, the others get nothing. m.mu is held.
 func (m *Manager) wakeWaiters() {
 	for _, class := range admitOrder {
-		queue := m.waiters[class]
-		if len(queue) == 0 {
-			continue
-		}
-		left := queue[:0]
-		for _, w := range queue {
-			if g := m.tryAcquire(w.service, class, w.hopID); g != nil {
-				w.grant <- g
-			} else {
-				left = append(left, w)
+		q := m.queues[class]
+		full := map[string]bool{}
+		q.filter(func(w *waiter) bool {
+			if full[w.service] {
+				return true
+			}
+			g := m.tryAcquire(w.service, class, w.hopID)
+			if g == nil {
+				full[w.service] = true
+				return true
 			}
+			w.grant <- g
+			return false
+		})
+		if class == model.Quick && len(q.waiters) > 0 {
+			return
 		}
-		m.waiters[class] = left
 	}
 }
 
@@ -187,11 +241,12 @@
 	if !ok {
 		return nil
 	}
+	ask := ledger.Ask{Service: service, Class: class, Shared: len(m.Config().Document.Services) > 1}
 	now := time.Now()
 	var first, second *machine
 	seen := 0
 	for _, mc := range m.owned {
-		if !svc.InZone(mc.vm.Zone) || !mc.reachable || now.Before(mc.suspectUntil) || mc.ledger.FreeRequests(class) <= 0 || !m.mayAct(mc) {
+		if !svc.InZone(mc.vm.Zone) || !mc.reachable || now.Before(mc.suspectUntil) || mc.ledger.MayRequest(ask) != ledger.Admitted || !m.mayAct(mc) {
 			continue
 		}
 		seen++
@@ -215,11 +270,11 @@
 	if second != nil && expectedWait(second) < expectedWait(first) {
 		first = second
 	}
-	if first.ledger.AdmitRequest(hopID, class) != ledger.Admitted {
+	if first.ledger.AdmitRequest(hopID, ask) != ledger.Admitted {
 		return nil
 	}
 	return &Grant{
-		HopID: hopID, VM: first.vm.Name, Address: first.vm.TargetAddress, Client: first.client,
+		HopID: hopID, VM: first.vm.Name, Target: first.target,
 		manager: m, machine: first, class: class, startedAt: now,
 	}
 }
@@ -256,9 +311,18 @@
 	return free
 }
 
+// waiting counts the requests that wait. m.mu is held.
+func (m *Manager) waiting() int64 {
+	var n int64
+	for _, q := range m.queues {
+		n += int64(len(q.waiters))
+	}
+	return n
+}
+
 // Waiting returns how many requests wait for a slot here.
 func (m *Manager) Waiting() int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return int64(len(m.waiters[model.Quick]) + len(m.waiters[model.Heavy]))
+	return m.waiting()
 }
