--- a/internal/fakenet/conn.go
+++ b/internal/fakenet/conn.go
@@ -1,6 +1,7 @@
 package fakenet
 
 import (
+	"errors"
 	"io"
 	"net"
 	"os"
@@ -66,7 +67,7 @@
 func (e *end) Write(b []byte) (int, error) {
 	cut := e.network.isCut(e.ip, e.peer.ip)
 	e.mu.Lock()
-	if e.closed || e.err != nil && e.err != io.EOF {
+	if e.closed || e.err != nil && !errors.Is(e.err, io.EOF) {
 		e.mu.Unlock()
 		return 0, syscall.EPIPE
 	}
--- a/internal/harness/faults_test.go
+++ b/internal/harness/faults_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"sync"
 	"testing"
@@ -161,13 +160,13 @@
 	}
 }
 
-// replace kills nodes and starts empty ones in their place after a time.
-func replace(after time.Duration, zone string, names ...string) fault {
+// replace kills nodes of the east and starts empty ones in their place after a time.
+func replace(after time.Duration, names ...string) fault {
 	return func(ctx context.Context, r *run) {
 		kill(names...)(ctx, r)
 		time.Sleep(after)
 		for _, name := range names {
-			require.NoError(r.t, r.StartNode(name, zone))
+			require.NoError(r.t, r.StartNode(name, "east"))
 		}
 	}
 }
@@ -253,8 +252,8 @@
 		{"store watch silent", []fault{storeFor(25*time.Second, platform.Faults{WatchSilent: true})}, 0, 0},
 		{"store watch replays", []fault{storeFor(20*time.Second, platform.Faults{WatchReplay: true})}, 0, 0},
 		{"node killed", []fault{kill("east-n1")}, 0.02, 0.3},
-		{"node killed and replaced", []fault{replace(2*time.Second, "east", "east-n1")}, 0.02, 0.3},
-		{"zone's nodes killed and replaced", []fault{replace(5*time.Second, "east", eastNodes...)}, 0.02, 0.3},
+		{"node killed and replaced", []fault{replace(2*time.Second, "east-n1")}, 0.02, 0.3},
+		{"zone's nodes killed and replaced", []fault{replace(5*time.Second, eastNodes...)}, 0.02, 0.3},
 		{"rolling planned stop", []fault{rolling("east-n1", "east-n2", "west-n1", "west-n2")}, 0, 0},
 		{"zone cut off from platform", []fault{cutFor(25*time.Second, east, platforms)}, 0, 0},
 		{"zones cut off from each other", []fault{cutFor(25*time.Second, east, west)}, 0, 0},
@@ -282,9 +281,9 @@
 	lost := storeFor(20*time.Second, platform.Faults{LoseAnswers: 60})
 	runTable(t, []faultCase{
 		{"node killed while store down", []fault{storeDown, kill("east-n1")}, 0.05, 0.5},
-		{"node killed twice", []fault{then(replace(3*time.Second, "east", "east-n1"), func(context.Context, *run) { time.Sleep(8 * time.Second) }, replace(3*time.Second, "east", "east-n1"))}, 0.05, 0.5},
-		{"both nodes killed in turn", []fault{then(replace(2*time.Second, "east", "east-n1"), replace(2*time.Second, "east", "east-n2"))}, 0.05, 0.5},
-		{"node killed, answers lost", []fault{lost, replace(3*time.Second, "east", "east-n1")}, 0.05, 0.5},
+		{"node killed twice", []fault{then(replace(3*time.Second, "east-n1"), func(context.Context, *run) { time.Sleep(8 * time.Second) }, replace(3*time.Second, "east-n1"))}, 0.05, 0.5},
+		{"both nodes killed in turn", []fault{then(replace(2*time.Second, "east-n1"), replace(2*time.Second, "east-n2"))}, 0.05, 0.5},
+		{"node killed, answers lost", []fault{lost, replace(3*time.Second, "east-n1")}, 0.05, 0.5},
 		{"VM dies, its owner too", []fault{vmDies("east-w01"), kill("east-n1")}, 0.05, 0.5},
 		{"VM dies while store down", []fault{vmDies("east-w01"), storeDown}, 0.05, 0.05},
 		{"VM leaves while store down", []fault{vmLeaves("east-w01"), storeDown}, 0.05, 0.05},
@@ -293,7 +292,7 @@
 		{"rolling stop while store slow", []fault{storeFor(20*time.Second, platform.Faults{SlowMS: 700}), rolling("east-n1", "west-n1")}, 0.01, 0.05},
 		{"store down twice", []fault{then(storeDown, func(context.Context, *run) { time.Sleep(4 * time.Second) }, storeDown)}, 0, 0},
 		{"burst while node killed", []fault{burst(1000), kill("west-n2")}, 0.2, 1},
-		{"VM cut off, node replaced", []fault{cutFor(20*time.Second, []string{"east-w01"}, append(append([]string{}, eastNodes...), westNodes...)), replace(3*time.Second, "east", "east-n2")}, 0.05, 0.5},
+		{"VM cut off, node replaced", []fault{cutFor(20*time.Second, []string{"east-w01"}, append(append([]string{}, eastNodes...), westNodes...)), replace(3*time.Second, "east-n2")}, 0.05, 0.5},
 		{"starts' answers lost, node killed", []fault{vmFaults(20*time.Second, "east-w02", worker.Faults{LoseStartAnswers: 20}), kill("east-n2")}, 0.05, 0.5},
 	})
 }
@@ -309,7 +308,7 @@
 			}
 			q := o.load.Classes[model.Quick]
 			all := float64(q.Ran + q.NotRun + q.Unknown)
-			t.Log(fmt.Sprintf("%d events; quick ran %d not-run %d unknown %d p99 %.0f ms; watches %+v; jobs %+v", total, q.Ran, q.NotRun, q.Unknown, q.P99, o.load.Watches, o.load.Jobs))
+			t.Logf("%d events; quick ran %d not-run %d unknown %d p99 %.0f ms; watches %+v; jobs %+v", total, q.Ran, q.NotRun, q.Unknown, q.P99, o.load.Watches, o.load.Jobs)
 			require.Zero(t, o.jobsLeft, "jobs left behind")
 			require.Zero(t, o.load.Watches.Gaps, "events of watches missed or repeated")
 			require.LessOrEqual(t, float64(q.Unknown)/all, c.unknown, "share of unknown outcomes")
--- a/internal/route/exchange.go
+++ b/internal/route/exchange.go
@@ -217,6 +217,9 @@
 	}
 	resp.Header.Del(headerFree)
 	if kind := errkind.Kind(resp.Header.Get(HeaderError)); kind != "" {
+		if kind == errkind.NoCapacity || kind == errkind.Overloaded {
+			rt.Peers.Heard(p.Node, req.service, req.class, 0)
+		}
 		message, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
 		_ = resp.Body.Close()
 		return nil, errkind.New(kind, strings.TrimSpace(strings.TrimPrefix(string(message), string(kind)+":")), nil)
--- a/internal/route/watch.go
+++ b/internal/route/watch.go
@@ -45,13 +45,17 @@
 // serveWatch holds a caller's watch and takes it up elsewhere when its place
 // goes away, without the caller noticing.
 func (rt *Router) serveWatch(ctx context.Context, w http.ResponseWriter, req *request) {
+	if rt.stopping() {
+		WriteError(w, errkind.New(errkind.Draining, "come back at once: the balancer knows other nodes", nil))
+		return
+	}
 	w.Header().Set("Trailer", HeaderResume+", "+HeaderEnd)
 	w.Header().Set(HeaderRequestID, req.origin)
 	begun := false
 	failures := 0
 	idle := firstIdle
 	for {
-		got, err := rt.offer(ctx, req, req.body(w), map[string]bool{}, failures > 0)
+		got, err := rt.offer(ctx, req, req.body(w), map[string]bool{}, failures == watchRetries)
 		if err == nil {
 			if !begun {
 				copyHeader(w.Header(), got.Header)
