Contracts of store, VM list, agent and target as importable tests

Cause: the platform's wire formats are not known; whoever writes the adapter to the real ones needs to know what the rest relies on, in a form that runs.

Change: platformtest, workertest and targettest hold one check per clause; the stand-ins run them directly and through the HTTP adapters, in virtual time.

Ruled out: comparing marked errors with the standard library's errors.Is, which does not see them; the code uses cockroachdb/errors throughout.

--- /dev/null
+++ b/internal/standin/platform/contract_test.go
@@ -0,0 +1,72 @@
+package platform
+
+import (
+	"testing"
+	"testing/synctest"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanwall/rattanwall/internal/fakenet"
+	"github.com/rattanwall/rattanwall/internal/model"
+	"github.com/rattanwall/rattanwall/internal/platform"
+	"github.com/rattanwall/rattanwall/internal/platform/httpplatform"
+	"github.com/rattanwall/rattanwall/internal/platform/platformtest"
+	"github.com/rattanwall/rattanwall/internal/standin/record"
+)
+
+var listed = model.VM{Name: "a", Zone: "east", Rack: "r", State: model.VMLive, Capacity: model.Resources{MilliCPU: 1}}
+
+func TestStandinKeepsTheContract(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := New(&record.Recorder{})
+		p.SetVM(listed)
+		platformtest.Store(t, Direct{p})
+		platformtest.VMList(t, Direct{p}, []model.VM{listed})
+	})
+}
+
+func TestAdapterKeepsTheContract(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := fakenet.New()
+		p := New(&record.Recorder{})
+		p.SetVM(listed)
+		l, err := p.Listen(net.Host("10.0.0.1"), "10.0.0.1:0")
+		require.NoError(t, err)
+		defer l.Close()
+		client := httpplatform.New(net.Host("10.0.0.2"), l.Address())
+		defer client.Close()
+		platformtest.Store(t, client)
+		platformtest.VMList(t, client, []model.VM{listed})
+	})
+}
+
+// Symptom: a write that took effect is reported as refused, and made again.
+// Sequence: the store applies the write and its answer is lost; or the store is
+// away and applies nothing. Cause: both look like a failed call.
+func TestAdapterTellsLostAnswersFromRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := fakenet.New()
+		p := New(&record.Recorder{})
+		l, err := p.Listen(net.Host("10.0.0.1"), "10.0.0.1:0")
+		require.NoError(t, err)
+		defer l.Close()
+		client := httpplatform.New(net.Host("10.0.0.2"), l.Address())
+		defer client.Close()
+
+		l.SetFaults(Faults{LoseAnswers: 1})
+		_, err = client.Put(t.Context(), "k", []byte("1"), 0, "")
+		require.True(t, errors.Is(err, platform.ErrUnknown))
+		e, err := client.Get(t.Context(), "k")
+		require.NoError(t, err)
+		require.Equal(t, "1", string(e.Value))
+
+		l.SetFaults(Faults{Down: true})
+		_, err = client.Put(t.Context(), "k", []byte("2"), e.Revision, "")
+		require.ErrorIs(t, err, platform.ErrUnavailable)
+		l.SetFaults(Faults{})
+		e, err = client.Get(t.Context(), "k")
+		require.NoError(t, err)
+		require.Equal(t, "1", string(e.Value))
+	})
+}
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -183,23 +184,29 @@
 		after = 0
 	}
 	waitMS, _ := strconv.ParseInt(r.FormValue("wait_ms"), 10, 64)
-	deadline := time.NewTimer(time.Duration(waitMS) * time.Millisecond)
+	return l.platform.await(r.Context(), r.FormValue("prefix"), after, time.Duration(waitMS)*time.Millisecond), statusOK
+}
+
+// await returns the changes under prefix after a revision as soon as there are
+// any, or none after wait.
+func (p *Platform) await(ctx context.Context, prefix string, after int64, wait time.Duration) wire.WireList {
+	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
+	tick := time.NewTicker(expiryTick)
+	defer tick.Stop()
 	for {
-		answer, changed := l.platform.since(r.FormValue("prefix"), after)
+		answer, changed := p.since(prefix, after)
 		if len(answer.Entries) > 0 {
-			return answer, statusOK
+			return answer
 		}
-		tick := time.NewTimer(expiryTick)
 		select {
 		case <-changed:
 		case <-tick.C:
 		case <-deadline.C:
-			return answer, statusOK
-		case <-r.Context().Done():
-			return answer, statusOK
+			return answer
+		case <-ctx.Done():
+			return answer
 		}
-		tick.Stop()
 	}
 }
 
--- a/internal/standin/worker/agent.go
+++ b/internal/standin/worker/agent.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"context"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -36,11 +37,7 @@
 		return wire.WireOK{}, http.StatusOK
 	})
 	mux.HandleFunc("GET /agent/usage", func(rw http.ResponseWriter, _ *http.Request) {
-		slow := w.slowdown()
-		w.mu.Lock()
-		u := worker.Usage{AgeMS: w.faults.UsageLagMS, InUse: w.held, Slowdown: slow}
-		w.mu.Unlock()
-		writeJSON(rw, u, http.StatusOK)
+		writeJSON(rw, w.usage(), http.StatusOK)
 	})
 	// For tests, not part of the published protocol.
 	mux.HandleFunc("PUT /faults", func(_ http.ResponseWriter, r *http.Request) {
@@ -91,25 +88,35 @@
 func (w *Worker) handleStatus(rw http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.ParseInt(r.FormValue("after"), 10, 64)
 	waitMS, _ := strconv.ParseInt(r.FormValue("wait_ms"), 10, 64)
-	timeout := time.NewTimer(time.Duration(waitMS) * time.Millisecond)
+	writeJSON(rw, w.await(r.Context(), after, time.Duration(waitMS)*time.Millisecond), http.StatusOK)
+}
+
+// await returns the list once it is newer than after, or after wait.
+func (w *Worker) await(ctx context.Context, after int64, wait time.Duration) worker.Status {
+	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
 		s, changed := w.status()
 		if s.Sequence > after {
-			writeJSON(rw, s, http.StatusOK)
-			return
+			return s
 		}
 		select {
 		case <-changed:
 		case <-timeout.C:
-			writeJSON(rw, s, http.StatusOK)
-			return
-		case <-r.Context().Done():
-			return
+			return s
+		case <-ctx.Done():
+			return s
 		}
 	}
 }
 
+func (w *Worker) usage() worker.Usage {
+	slow := w.slowdown()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return worker.Usage{AgeMS: w.faults.UsageLagMS, InUse: w.held, Slowdown: slow}
+}
+
 // handle serves one call whose body is a B.
 func handle[B any](mux *http.ServeMux, pattern string, f func(B) (any, int)) {
 	mux.HandleFunc(pattern, func(rw http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/internal/target/targettest/contract.go
@@ -0,0 +1,85 @@
+// Package targettest holds the contract of package target as a test. Every
+// implementation of its interface runs it.
+package targettest
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanwall/rattanwall/internal/hop"
+	"github.com/rattanwall/rattanwall/internal/model"
+	"github.com/rattanwall/rattanwall/internal/target"
+)
+
+func request(id, path, query string) *target.Request {
+	return &target.Request{
+		HopID: "hop-" + id, OriginID: id, Class: model.Quick, Deadline: time.Now().Add(5 * time.Second),
+		Method: http.MethodPost, Path: path, RawQuery: "size=100&" + query, Header: http.Header{},
+		Body: io.NopCloser(strings.NewReader("{}")), Length: 2, Patience: hop.Patience{Guarded: true, For: time.Second},
+	}
+}
+
+// Target checks a target that takes "ms" to answer path with the body that want
+// gives for the caller's id. At most four connections may be open to it.
+func Target(t *testing.T, c target.Target, path string, want func(origin string) []byte) {
+	t.Helper()
+	wholeAnswers(t, c, path, want)
+	deadline(t, c, path)
+	cutOffBody(t, c, path)
+	c.CloseIdle()
+	require.Zero(t, c.Connections())
+}
+
+// wholeAnswers sends many at once: each gets its own answer, on few connections.
+func wholeAnswers(t *testing.T, c target.Target, path string, want func(string) []byte) {
+	var wg sync.WaitGroup
+	for i := range 20 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			id := string(rune('a' + i))
+			got, err := c.Send(t.Context(), request(id, path, "ms=10"))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			body, err := io.ReadAll(got.Body)
+			_ = got.Body.Close()
+			if err != nil || string(body) != string(want(id)) || got.Length != int64(len(body)) {
+				t.Errorf("%s: %v %q", id, err, body)
+			}
+			if c.Connections() > 4 {
+				t.Errorf("%d connections", c.Connections())
+			}
+		}()
+	}
+	wg.Wait()
+}
+
+// deadline: a caller that stops waiting is told that the target may have run it.
+func deadline(t *testing.T, c target.Target, path string) {
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err := c.Send(ctx, request("late", path, "ms=3000"))
+	var failed *hop.Error
+	require.True(t, errors.As(err, &failed))
+	require.False(t, failed.NotRun)
+	time.Sleep(time.Second)
+}
+
+// cutOffBody: a body that breaks off is never answered as if it were whole.
+func cutOffBody(t *testing.T, c target.Target, path string) {
+	r := request("cut", path, "")
+	r.Length = 1000
+	_, err := c.Send(t.Context(), r)
+	require.Error(t, err)
+	time.Sleep(time.Second)
+}
