Failure runs with real processes: killed, paused, stopped by process id

Cause: virtual time cannot freeze a process; a paused holder that acts when it wakes is the usual way to lose I1 and I2.

Change: 'make faults' (build tag faults) starts the binary's 9 nodes, a stand-in platform and 3 processes of stand-in workers, sends SIGKILL, SIGSTOP, SIGCONT and SIGTERM by process id under load, and ends each row with the checker's verdict on the stand-ins' record, which is now also appended to a file so that it outlives its process.

--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -38,13 +39,18 @@
 
 func standinPlatform() *cobra.Command {
 	var listen []string
+	var recordFile string
 	cmd := &cobra.Command{
 		Use:     "platform",
 		Short:   "Serve the key-value service and the list of VMs",
 		Example: "  rattanwall standin platform --listen 127.0.0.1:7000 --listen 127.0.0.1:7001",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			p := platform.New(&record.Recorder{})
+			recorder, err := openRecorder(recordFile)
+			if err != nil {
+				return err
+			}
+			p := platform.New(recorder)
 			for _, address := range listen {
 				l, err := p.Listen(netio.TCP{}, address)
 				if err != nil {
@@ -57,12 +63,13 @@
 			return nil
 		},
 	}
+	cmd.Flags().StringVar(&recordFile, "record", "", "file to append the record to")
 	cmd.Flags().StringArrayVar(&listen, "listen", []string{"127.0.0.1:7000"}, "ip:port; repeat for listeners with faults of their own")
 	return cmd
 }
 
 func standinWorker() *cobra.Command {
-	var name, zone, platformAddress, host string
+	var name, zone, platformAddress, host, recordFile string
 	cmd := &cobra.Command{
 		Use:     "worker",
 		Short:   "Serve the agents and targets of an availability zone's VMs",
@@ -73,7 +80,10 @@
 			if !ok {
 				return fmt.Errorf("--deployment: use one of %v", deploymentNames())
 			}
-			recorder := &record.Recorder{}
+			recorder, err := openRecorder(recordFile)
+			if err != nil {
+				return err
+			}
 			for _, vm := range shape.VMs() {
 				if zone != "" && vm.Zone != zone {
 					continue
@@ -92,6 +102,7 @@
 			return nil
 		},
 	}
+	cmd.Flags().StringVar(&recordFile, "record", "", "file to append the record to")
 	cmd.Flags().StringVar(&name, "deployment", "cofnod-criw", "shape whose VMs to serve")
 	cmd.Flags().StringVar(&zone, "zone", "", "availability zone; all if not given")
 	cmd.Flags().StringVar(&platformAddress, "platform", "127.0.0.1:7000", "ip:port of the stand-in platform to be listed at")
@@ -99,6 +110,18 @@
 	return cmd
 }
 
+// openRecorder returns a recorder that also appends to a file, if named.
+func openRecorder(file string) (*record.Recorder, error) {
+	if file == "" {
+		return &record.Recorder{}, nil
+	}
+	f, err := os.OpenFile(file, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	return &record.Recorder{Sink: f}, nil
+}
+
 // register puts a VM on the stand-in platform's list.
 func register(ctx context.Context, address string, vm model.VM) error {
 	s := sling.New().Base("http://" + address).Put("/vm").BodyJSON(vm)
--- /dev/null
+++ b/internal/faults/faults_test.go
@@ -0,0 +1,136 @@
+//go:build faults
+
+// Package faults runs the program's real processes and kills, pauses and stops
+// them by process id, while stand-ins record what really ran. Each row ends with
+// the checker's verdict on that record. Run it with 'make faults'.
+package faults
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanwall/rattanwall/internal/checker"
+	"github.com/rattanwall/rattanwall/internal/deployment"
+	"github.com/rattanwall/rattanwall/internal/load"
+	"github.com/rattanwall/rattanwall/internal/model"
+	"github.com/rattanwall/rattanwall/internal/netio"
+	"github.com/rattanwall/rattanwall/internal/standin/platform"
+)
+
+const (
+	before = 3 * time.Second
+	after  = 6 * time.Second
+)
+
+type row struct {
+	name string
+	do   func(w *world)
+}
+
+func rows() []row {
+	storeDown := func(w *world, d time.Duration) {
+		w.storeFaults(platform.Faults{Down: true})
+		time.Sleep(d)
+		w.storeFaults(platform.Faults{})
+	}
+	both := func(fs ...func()) {
+		var wg sync.WaitGroup
+		for _, f := range fs {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				f()
+			}()
+		}
+		wg.Wait()
+	}
+	return []row{
+		{"node killed and replaced", func(w *world) {
+			w.kill("cardiff-n1")
+			took := w.await(30*time.Second, func() bool { return w.owned() == w.shape.Workers })
+			w.t.Logf("all VMs owned again %v after the kill", took)
+			w.startNode("cardiff-n1")
+		}},
+		{"zone's nodes killed and replaced", func(w *world) {
+			for _, n := range []string{"newport-n1", "newport-n2", "newport-n3"} {
+				w.kill(n)
+			}
+			for _, n := range []string{"newport-n1", "newport-n2", "newport-n3"} {
+				w.startNode(n)
+			}
+			took := w.await(30*time.Second, func() bool { return w.owned() == w.shape.Workers })
+			w.t.Logf("all VMs owned again %v after the restart", took)
+		}},
+		{"node paused 1s", func(w *world) { w.pause("cardiff-n2", time.Second) }},
+		{"node paused 8s", func(w *world) { w.pause("cardiff-n2", 8*time.Second) }},
+		{"node paused 20s", func(w *world) { w.pause("cardiff-n2", 20*time.Second) }},
+		{"two nodes of a zone paused in turn", func(w *world) {
+			w.pause("cardiff-n1", 7*time.Second)
+			w.pause("cardiff-n2", 7*time.Second)
+		}},
+		{"workers paused 3s", func(w *world) { w.pause("workers-swansea", 3*time.Second) }},
+		{"workers paused 20s", func(w *world) { w.pause("workers-swansea", 20*time.Second) }},
+		{"platform paused 10s", func(w *world) { w.pause("platform", 10*time.Second) }},
+		{"store down 15s, node paused 8s", func(w *world) {
+			both(func() { storeDown(w, 15*time.Second) }, func() { time.Sleep(2 * time.Second); w.pause("cardiff-n2", 8*time.Second) })
+		}},
+		{"store down 15s, node killed", func(w *world) {
+			both(func() { storeDown(w, 15*time.Second) }, func() { time.Sleep(2 * time.Second); w.kill("cardiff-n2"); w.startNode("cardiff-n2") })
+		}},
+		{"answers lost, node killed", func(w *world) {
+			w.storeFaults(platform.Faults{LoseAnswers: 60})
+			w.kill("swansea-n1")
+			w.startNode("swansea-n1")
+		}},
+		{"rolling planned stop of all nodes", func(w *world) {
+			for _, n := range w.shape.Nodes() {
+				w.stopNode(n.Name)
+				w.startNode(n.Name)
+				w.await(20*time.Second, func() bool { return w.balancer.Ready() == len(w.shape.Nodes()) })
+			}
+		}},
+	}
+}
+
+func TestRealProcesses(t *testing.T) {
+	for _, r := range rows() {
+		t.Run(r.name, func(t *testing.T) {
+			w := newWorld(t, deployment.Shapes()["cofnod-criw"])
+			g := load.New(load.Options{
+				Recorder: w.recorder, Balancer: w.balancer, Network: netio.TCP{}, Service: w.shape.Service,
+				Team: w.shape.Team, Token: teamToken, BatchTeam: "batch", BatchToken: batchToken, OperatorToken: operatorToken,
+				QuickRate: 100, HeavyRate: 5, Watches: 18, JobEvery: time.Second, JobTasks: 8, PatchEvery: 2 * time.Second, Seed: 11,
+			})
+			defer g.Close()
+			ctx, cancel := context.WithCancel(t.Context())
+			var wg sync.WaitGroup
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				g.Run(ctx)
+			}()
+			started := time.Now()
+			time.Sleep(before)
+			r.do(w)
+			time.Sleep(after)
+			cancel()
+			wg.Wait()
+			jobsCtx, stop := context.WithTimeout(t.Context(), 3*time.Minute)
+			defer stop()
+			left := g.AwaitJobs(jobsCtx)
+			s := g.Summary(time.Since(started))
+			q := s.Classes[model.Quick]
+			t.Logf("quick ran %d not-run %d unknown %d p99 %.0f ms; watches %+v; jobs %+v", q.Ran, q.NotRun, q.Unknown, q.P99, s.Watches, s.Jobs)
+			for _, i := range checker.Check(w.events()) {
+				t.Logf("%s checked on %d, broken %d %v", i.ID, i.Checked, i.Broken, i.Examples)
+				require.Zerof(t, i.Broken, "%s %s", i.ID, i.Title)
+			}
+			require.Zero(t, left, "jobs left behind")
+			require.Zero(t, s.Watches.Gaps, "events missed or repeated")
+		})
+	}
+}
--- a/internal/route/failures_test.go
+++ b/internal/route/failures_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -25,9 +26,12 @@
 	"github.com/rattanwall/rattanwall/internal/standin/worker"
 )
 
-// TestMain: see package harness.
+// TestMain: see package harness. Benchmarks use all processors.
 func TestMain(m *testing.M) {
-	runtime.GOMAXPROCS(1)
+	flag.Parse()
+	if flag.Lookup("test.bench").Value.String() == "" {
+		runtime.GOMAXPROCS(1)
+	}
 	os.Exit(m.Run())
 }
 
--- a/internal/standin/record/record.go
+++ b/internal/standin/record/record.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/rattanwall/rattanwall/internal/model"
 )
 
@@ -74,6 +76,10 @@
 
 // Recorder collects events from many goroutines, in one order.
 type Recorder struct {
+	// Sink, if set, is written each event as a line of JSON at once, so that the
+	// record outlives its process.
+	Sink io.Writer
+
 	mu     sync.Mutex
 	events []Event
 }
@@ -85,6 +91,9 @@
 	e.Sequence = int64(len(r.events)) + 1
 	e.At = time.Now()
 	r.events = append(r.events, e)
+	if r.Sink != nil {
+		_ = json.NewEncoder(r.Sink).Encode(e)
+	}
 }
 
 // Events returns a copy of all events so far.
@@ -94,6 +103,24 @@
 	return append([]Event(nil), r.events...)
 }
 
+// Read reads events as Dump and Sink write them. A line cut off at the end, by
+// the death of its writer, is left out.
+func Read(r io.Reader) ([]Event, error) {
+	dec := json.NewDecoder(r)
+	var events []Event
+	for {
+		var e Event
+		err := dec.Decode(&e)
+		switch {
+		case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+			return events, nil
+		case err != nil:
+			return events, err
+		}
+		events = append(events, e)
+	}
+}
+
 // Dump writes the events as JSON, one a line.
 func (r *Recorder) Dump(w io.Writer) error {
 	enc := json.NewEncoder(w)
