Control traffic: fewer, larger messages between nodes and agents

Change: status calls wait 15 s and are abandoned when something turns up; one checkpoint call per VM a minute; leases of 30 s renewed each 10 s; usage comes with the status; running attempts are reported once per node and shard each 30 s; exchanges fall with the number of nodes, three of four within the zone.

Found on the way: with long status calls a given-up request's slot was freed up to 15 s late (TestCallerLeaving); the call is now abandoned under the lock that marks the slot. Audited attempts were asked for again every 3 s for ever.

The price: a task of a dead VM runs again after 35 s instead of 17 s once the platform's list drops the VM.

--- a/internal/cluster/calls.go
+++ b/internal/cluster/calls.go
@@ -166,20 +166,20 @@
 }
 
 // Audit implements jobs.Cluster.
-func (c *Cluster) Audit(ctx context.Context, node string, attempts []vms.Attempt) ([]vms.Attempt, error) {
+func (c *Cluster) Audit(ctx context.Context, node string, attempts []vms.Attempt) (ended []vms.Attempt, notOwned []string, err error) {
 	if node == c.node {
-		ended, _ := c.vms.Audit(attempts)
-		return ended, nil
+		ended, notOwned = c.vms.Audit(attempts)
+		return ended, notOwned, nil
 	}
 	n, err := c.peerByID(node)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	answer, err := c.dial(n).Audit(ctx, &pb.AuditRequest{Attempts: toWire(attempts)})
 	if err != nil {
-		return nil, callError(err)
+		return nil, nil, callError(err)
 	}
-	return fromWire(answer.Ended), nil
+	return fromWire(answer.Ended), answer.NotOwned, nil
 }
 
 // reportTimeout bounds one report to a job shard's leader.
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -28,18 +28,22 @@
 )
 
 const (
-	// exchangeEvery is how often a few peers are told this node's state. With
-	// each exchange going both ways, every pair of nodes of a small deployment
-	// hears of each other about once a second.
-	exchangeEvery = 500 * time.Millisecond
-	// exchangePeers is how many peers are told each time.
-	exchangePeers = 2
+	// exchangeRate is how many exchanges a second all nodes begin together, some
+	// 1,100 bytes each; a node's share falls as nodes are added, within bounds.
+	exchangeRate  = 36.0
+	fewestPerNode = 0.5
+	mostPerNode   = 4.0
+	// nearShare: of so many exchanges all but one go to the own zone, where most
+	// requests that need another node find one.
+	nearShare = 4
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = time.Second
 	// idleConnections is how many connections to each peer are kept for calls.
 	idleConnections = 4
-	// staleAfter is when a peer's word on its room counts no more.
-	staleAfter = 15 * time.Second
+	// staleAfter is when a peer's word on its room counts no more. At the target
+	// size far peers hear of each other once in a minute or two; what they say is
+	// only where to ask first.
+	staleAfter = 3 * time.Minute
 )
 
 // Cluster connects a node with its peers. Serve runs the exchange.
@@ -55,7 +59,8 @@
 	mu       sync.Mutex
 	draining bool
 	peers    map[string]*peerState
-	next     int
+	// turn counts the exchanges begun.
+	turn int
 }
 
 // peerState is what a peer last said.
@@ -89,40 +94,48 @@
 
 // Serve implements suture.Service.
 func (c *Cluster) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(exchangeEvery)
-	defer ticker.Stop()
 	for {
-		var wg sync.WaitGroup
-		for _, n := range c.nextPeers() {
-			wg.Add(1)
-			go func() {
-				defer wg.Done()
-				c.exchange(ctx, n)
-			}()
+		nodes := c.others()
+		if n, ok := c.nextPeer(nodes); ok {
+			go c.exchange(ctx, n)
 		}
-		wg.Wait()
+		rate := min(max(exchangeRate/float64(len(nodes)+1), fewestPerNode), mostPerNode)
+		timer := time.NewTimer(time.Duration(float64(time.Second) / rate))
 		select {
 		case <-ctx.Done():
+			timer.Stop()
 			return ctx.Err()
-		case <-ticker.C:
+		case <-timer.C:
 		}
 	}
 }
 
-// nextPeers returns the peers to tell now, in turn.
-func (c *Cluster) nextPeers() []ownership.Node {
-	nodes := c.others()
-	if len(nodes) <= exchangePeers {
-		return nodes
+// nextPeer returns the peer to tell now: near ones and far ones in turn.
+func (c *Cluster) nextPeer(nodes []ownership.Node) (ownership.Node, bool) {
+	zone := c.members.Self().Zone
+	var near, far []ownership.Node
+	for _, n := range nodes {
+		if n.Zone == zone {
+			near = append(near, n)
+		} else {
+			far = append(far, n)
+		}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var picked []ownership.Node
-	for range exchangePeers {
-		c.next = (c.next + 1) % len(nodes)
-		picked = append(picked, nodes[c.next])
+	c.turn++
+	list := near
+	if len(near) == 0 || len(far) > 0 && c.turn%nearShare == 0 {
+		list = far
+	}
+	if len(list) == 0 {
+		return ownership.Node{}, false
+	}
+	i := c.turn % len(list)
+	if len(near) > 0 && len(far) > 0 && c.turn%nearShare == 0 {
+		i = c.turn / nearShare % len(far)
 	}
-	return picked
+	return list[i], true
 }
 
 // others returns the other live nodes, sorted by id.
--- a/internal/jobs/leader.go
+++ b/internal/jobs/leader.go
@@ -35,7 +35,7 @@
 	Reserve(ctx context.Context, node string, refs []worker.Ref, need model.Resources, zones []string) ([]vms.Attempt, error)
 	Start(ctx context.Context, node string, attempts []vms.Attempt, durationMS int64) ([]vms.Attempt, error)
 	Stop(ctx context.Context, node string, attempts []vms.Attempt, checkpoint bool) error
-	Audit(ctx context.Context, node string, attempts []vms.Attempt) (ended []vms.Attempt, err error)
+	Audit(ctx context.Context, node string, attempts []vms.Attempt) (ended []vms.Attempt, notOwned []string, err error)
 }
 
 const (
--- a/internal/jobs/planner.go
+++ b/internal/jobs/planner.go
@@ -24,11 +24,15 @@
 	callTimeout = 5 * time.Second
 	// auditEvery is how often attempts not heard of are asked for.
 	auditEvery = 3 * time.Second
-	// heardWithin is how long an attempt may go unreported before it is asked for.
-	heardWithin = 6 * time.Second
+	// heardWithin is how long an attempt may go unreported before it is asked for:
+	// two reports may be missed.
+	heardWithin = 75 * time.Second
+	// placedWithin is how long after its commitment an attempt is asked for first:
+	// its start may have been lost.
+	placedWithin = 6 * time.Second
 	// unlistedLimit is how long an attempt on a VM that the platform no longer
 	// lists counts as running: longer than any lease and any owner's fence.
-	unlistedLimit = 40 * time.Second
+	unlistedLimit = 60 * time.Second
 	// failureBackoff is doubled with each failure of a task, up to maxBackoff.
 	failureBackoff = 500 * time.Millisecond
 	maxBackoff     = 30 * time.Second
@@ -91,7 +95,7 @@
 	ref := worker.Ref{Task: task, Attempt: op.Attempt}
 	switch op.Kind {
 	case OpPlace:
-		p.lastHeard[ref] = time.Now()
+		p.lastHeard[ref] = time.Now().Add(placedWithin - heardWithin)
 	case OpEnd:
 		delete(p.lastHeard, ref)
 		delete(p.unlisted, ref)
@@ -336,9 +340,30 @@
 func (p *planner) audit(ctx context.Context, node string, list []vms.Attempt) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if ended, err := p.leader.cluster.Audit(callCtx, node, list); err == nil {
-		p.recordEnds(ctx, ended, "")
+	ended, notOwned, err := p.leader.cluster.Audit(callCtx, node, list)
+	if err != nil {
+		return
+	}
+	p.recordEnds(ctx, ended, "")
+	unknown := map[string]bool{}
+	for _, vm := range notOwned {
+		unknown[vm] = true
+	}
+	now := time.Now()
+	for _, a := range list {
+		if !unknown[a.VM] {
+			p.heard(a.Ref, now)
+		}
 	}
+	for _, a := range ended {
+		p.forgetHeard(a.Ref)
+	}
+}
+
+func (p *planner) forgetHeard(ref worker.Ref) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.lastHeard, ref)
 }
 
 // unheard lists the placed attempts that were not reported lately.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -71,7 +71,7 @@
 	// SessionMS is how long the store keeps a node's session without a renewal;
 	// a dead node's shards are taken over after that. Default 5,000.
 	SessionMS int64 `json:"session_ms"`
-	// TaskMS is how long a task runs without a renewal. Default 12,000.
+	// TaskMS is how long a task runs without a renewal. Default 30,000.
 	TaskMS int64 `json:"task_ms"`
 }
 
@@ -83,14 +83,18 @@
 	Format string `json:"format"`
 }
 
-// Defaults and limits of fields.
+// Defaults of the leases, in milliseconds.
 const (
-	defaultNoticeMS  = 3_000
-	defaultLimitMS   = 60_000
-	defaultSessionMS = 5_000
-	defaultTaskMS    = 12_000
-	minSessionMS     = 2_000
-	minTaskMS        = 4_000
+	DefaultSessionMS = 5_000
+	DefaultTaskMS    = 30_000
+)
+
+// Other defaults and limits of fields.
+const (
+	defaultNoticeMS = 3_000
+	defaultLimitMS  = 60_000
+	minSessionMS    = 2_000
+	minTaskMS       = 4_000
 )
 
 // Load reads and checks the file. Its error lists every fault found.
@@ -117,8 +121,8 @@
 func (n *Node) defaults() {
 	setDefault(&n.Drain.NoticeMS, defaultNoticeMS)
 	setDefault(&n.Drain.LimitMS, defaultLimitMS)
-	setDefault(&n.Leases.SessionMS, defaultSessionMS)
-	setDefault(&n.Leases.TaskMS, defaultTaskMS)
+	setDefault(&n.Leases.SessionMS, DefaultSessionMS)
+	setDefault(&n.Leases.TaskMS, DefaultTaskMS)
 	if n.Log.Level == "" {
 		n.Log.Level = "info"
 	}
--- a/internal/vms/machine.go
+++ b/internal/vms/machine.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/rattanwall/rattanwall/internal/ledger"
 	"github.com/rattanwall/rattanwall/internal/model"
 	"github.com/rattanwall/rattanwall/internal/target"
@@ -11,15 +13,14 @@
 )
 
 const (
-	// statusWait is how long one status call waits for a change.
-	statusWait = 2 * time.Second
+	// statusWait is how long one status call waits for a change. Long, because
+	// each costs a few hundred bytes for each VM; that a VM is gone shows at once
+	// in what else is sent to it.
+	statusWait = 15 * time.Second
 	// settleEvery is how often the status is read while something is uncertain.
 	settleEvery = 100 * time.Millisecond
 	// retryPause is the least time between failed status calls.
 	retryPause = 500 * time.Millisecond
-	// reportEvery is how often running attempts are reported, so that those that
-	// should not run are found.
-	reportEvery = 10 * time.Second
 	// lostMargin is added to the lease before an attempt counts as lost: it covers
 	// a renewal still on its way and clocks that run at different rates.
 	lostMargin = 5 * time.Second
@@ -54,6 +55,9 @@
 	// latency is a moving average over whole requests.
 	latency  time.Duration
 	slowdown float64
+	// abandonStatus ends the present status call; it may be called any number of
+	// times.
+	abandonStatus func()
 }
 
 // taskHold is an attempt that the VM holds or held.
@@ -78,35 +82,51 @@
 // watchStatus follows the VM's own list.
 func (m *Manager) watchStatus(ctx context.Context, mc *machine) {
 	var after int64 = -1
-	lastReport := time.Now()
 	for ctx.Err() == nil {
-		m.mu.Lock()
-		uncertain := mc.ledger.Uncertain() || !mc.ledger.Ready()
-		m.mu.Unlock()
-		wait := statusWait
-		if uncertain {
-			wait, after = 0, -1
-		}
 		askedAt := time.Now()
 		own := mc.target.Connections()
-		status, err := mc.agent.Status(ctx, after, wait)
+		status, uncertain, err := m.readStatus(ctx, mc, after)
+		if errors.Is(err, errAbandoned) {
+			after = -1
+			continue
+		}
 		if err != nil {
 			m.statusFailed(ctx, mc)
 			continue
 		}
 		after = status.Sequence
 		m.observe(mc, status, askedAt, own)
-		m.settle(ctx, mc, time.Since(lastReport) >= reportEvery)
-		if time.Since(lastReport) >= reportEvery {
-			lastReport = time.Now()
-			m.measure(ctx, mc)
-		}
+		m.settle(ctx, mc)
 		if uncertain {
 			pause(ctx, settleEvery)
 		}
 	}
 }
 
+// errAbandoned: a status call was ended to read the list at once.
+var errAbandoned = errors.New("status call abandoned")
+
+// readStatus reads the VM's list: at once while anything is uncertain, else when
+// it changes. machine.again abandons the call; whatever becomes uncertain after
+// the look at the ledger does so, since both are under one lock.
+func (m *Manager) readStatus(ctx context.Context, mc *machine, after int64) (s worker.Status, uncertain bool, err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	wait := statusWait
+	m.mu.Lock()
+	mc.abandonStatus = func() { cancel(errAbandoned) }
+	uncertain = mc.ledger.Uncertain() || !mc.ledger.Ready()
+	m.mu.Unlock()
+	if uncertain {
+		wait, after = 0, -1
+	}
+	s, err = mc.agent.Status(ctx, after, wait)
+	if err != nil && errors.Is(context.Cause(ctx), errAbandoned) {
+		err = errAbandoned
+	}
+	return s, uncertain, err
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -116,17 +136,6 @@
 	}
 }
 
-// measure reads the VM's lagging usage.
-func (m *Manager) measure(ctx context.Context, mc *machine) {
-	u, err := mc.agent.Usage(ctx)
-	if err != nil {
-		return
-	}
-	m.mu.Lock()
-	mc.slowdown = u.Slowdown
-	m.mu.Unlock()
-}
-
 // statusFailed notes that the VM is not reached, and gives its attempts up once
 // their leases have certainly run out.
 func (m *Manager) statusFailed(ctx context.Context, mc *machine) {
@@ -140,7 +149,7 @@
 		}
 	}
 	m.mu.Unlock()
-	m.settle(ctx, mc, false)
+	m.settle(ctx, mc)
 	pause(ctx, retryPause)
 }
 
@@ -163,7 +172,7 @@
 func (m *Manager) observe(mc *machine, s worker.Status, askedAt time.Time, own int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	mc.reachable = true
+	mc.reachable, mc.slowdown = true, s.Usage.Slowdown
 	o := ledger.Observation{AskedAt: askedAt, Tasks: map[string]model.Resources{}, InFlight: s.InFlight}
 	if !mc.ledger.Ready() || mc.ledger.Uncertain() {
 		o.ForeignConnections = max(int64(s.Connections)-max(own, mc.target.Connections()), 0)
@@ -210,16 +219,15 @@
 	return EndStopped
 }
 
-// settle reports the attempts that ended, and all if asked; forgets those whose
-// end is recorded; stops those that should not run; and empties a VM that is
-// leaving.
-func (m *Manager) settle(ctx context.Context, mc *machine, all bool) {
+// settle reports the attempts that ended, forgets those whose end is recorded,
+// and empties a VM that is leaving.
+func (m *Manager) settle(ctx context.Context, mc *machine) {
 	m.mu.Lock()
 	var report []Attempt
 	var evict []worker.Ref
 	leaving := mc.ledger.MayPlace(model.Resources{}) == ledger.Leaving
 	for ref, h := range mc.tasks {
-		if h.end != "" || all && !h.starting {
+		if h.end != "" {
 			report = append(report, Attempt{Ref: ref, VM: mc.vm.Name, End: h.end, Checkpoint: h.checkpoint})
 		}
 		if leaving && h.end == "" && !h.starting && !h.stopping && mc.reachable {
@@ -232,11 +240,36 @@
 	if len(report) == 0 {
 		return
 	}
-	recorded, obsolete := m.Reporter.Report(ctx, report)
-	m.stopAll(ctx, mc, obsolete)
+	recorded, _ := m.Reporter.Report(ctx, report)
 	m.forget(ctx, mc, recorded)
 }
 
+// reportRunning tells the leaders of the job shards, all VMs together, which
+// attempts run, and stops those that should not.
+func (m *Manager) reportRunning(ctx context.Context) {
+	m.mu.Lock()
+	var report []Attempt
+	at := map[worker.Ref]*machine{}
+	for _, mc := range m.owned {
+		for ref, h := range mc.tasks {
+			if h.end == "" && !h.starting && mc.reachable {
+				report = append(report, Attempt{Ref: ref, VM: mc.vm.Name})
+				at[ref] = mc
+			}
+		}
+	}
+	m.mu.Unlock()
+	if len(report) == 0 {
+		return
+	}
+	_, obsolete := m.Reporter.Report(ctx, report)
+	for _, ref := range obsolete {
+		if mc := at[ref]; mc != nil {
+			m.stopAll(ctx, mc, []worker.Ref{ref})
+		}
+	}
+}
+
 // stopAll ends attempts with a checkpoint; their end shows in the next status.
 func (m *Manager) stopAll(ctx context.Context, mc *machine, refs []worker.Ref) {
 	for _, ref := range refs {
@@ -289,8 +322,8 @@
 		due := mc.reachable && len(mc.tasks) > 0
 		m.mu.Unlock()
 		if due && m.mayAct(mc) {
-			_ = mc.agent.Renew(ctx, m.Timing.Lease)
-			m.contactEnded(mc)
+			err := mc.agent.Renew(ctx, m.Timing.Lease)
+			m.contactEnded(mc, err)
 		}
 		if due && time.Since(lastCheckpoint) >= m.Timing.CheckpointEvery {
 			lastCheckpoint = time.Now()
@@ -305,33 +338,36 @@
 	}
 }
 
-func (m *Manager) contactEnded(mc *machine) {
+// contactEnded notes the end of a call that may have begun or renewed a lease. A
+// VM that did not answer gets nothing more until its list is read again.
+func (m *Manager) contactEnded(mc *machine, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	mc.lastContactEnd = time.Now()
+	if err != nil && !errors.Is(err, worker.ErrRefused) {
+		mc.reachable = false
+		mc.again()
+	}
+}
+
+// again makes the present status call end, so that the list is read at once: a
+// call that waits for a change of tasks does not tell that a request has ended.
+func (mc *machine) again() {
+	if mc.abandonStatus != nil {
+		mc.abandonStatus()
+	}
 }
 
 func (m *Manager) checkpointAll(ctx context.Context, mc *machine) {
-	m.mu.Lock()
-	var refs []worker.Ref
-	for ref, h := range mc.tasks {
-		if h.end == "" && !h.starting {
-			refs = append(refs, ref)
-		}
+	saved, err := mc.agent.CheckpointAll(ctx)
+	if err != nil {
+		return
 	}
-	m.mu.Unlock()
-	for _, ref := range refs {
-		if !m.mayAct(mc) {
-			return
-		}
-		checkpoint, err := mc.agent.Checkpoint(ctx, ref)
-		if err != nil {
-			continue
-		}
-		m.mu.Lock()
-		if h := mc.tasks[ref]; h != nil {
-			h.checkpoint = checkpoint
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, t := range saved {
+		if h := mc.tasks[t.Ref]; h != nil && h.end == "" {
+			h.checkpoint = t.Checkpoint
 		}
-		m.mu.Unlock()
 	}
 }
--- a/internal/vms/manager.go
+++ b/internal/vms/manager.go
@@ -71,11 +71,12 @@
 
 // Timing of the tasks' leases.
 type Timing struct {
-	// Lease is how long a task runs without a renewal; default 12 s.
+	// Lease is how long a task runs without a renewal; default 30 s. Each renewal
+	// costs some 350 bytes for each VM.
 	Lease time.Duration
-	// RenewEvery is how often leases are renewed; default 4 s.
+	// RenewEvery is how often leases are renewed; default 10 s.
 	RenewEvery time.Duration
-	// CheckpointEvery is how often running tasks are checkpointed; default 10 s.
+	// CheckpointEvery is how often running tasks are checkpointed; default 60 s.
 	CheckpointEvery time.Duration
 	// DoubtFor is how long the tasks of a VM that is listed but not reached are
 	// waited for after their leases have run out; default 2 min. A task may have
@@ -87,7 +88,7 @@
 // DefaultTiming returns the defaults named in Timing.
 func DefaultTiming() Timing {
 	return Timing{
-		Lease: 12 * time.Second, RenewEvery: 4 * time.Second, CheckpointEvery: 10 * time.Second, DoubtFor: 2 * time.Minute,
+		Lease: 30 * time.Second, RenewEvery: 10 * time.Second, CheckpointEvery: time.Minute, DoubtFor: 2 * time.Minute,
 	}
 }
 
@@ -131,6 +132,7 @@
 	m.mu.Lock()
 	m.ctx = ctx
 	m.mu.Unlock()
+	go m.reportLoop(ctx)
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	for {
@@ -145,6 +147,23 @@
 	}
 }
 
+// reportEvery is how often running attempts are reported, so that those that
+// should not run are found.
+const reportEvery = 30 * time.Second
+
+func (m *Manager) reportLoop(ctx context.Context) {
+	ticker := time.NewTicker(reportEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			m.reportRunning(ctx)
+		}
+	}
+}
+
 // tickEvery is how often reservations and waiters are looked at.
 const tickEvery = 250 * time.Millisecond
 
--- a/internal/vms/requests.go
+++ b/internal/vms/requests.go
@@ -130,9 +130,11 @@
 	switch kind {
 	case EndUncertain:
 		g.machine.ledger.MarkUncertain(g.HopID, now)
+		g.machine.again()
 		return
 	case EndUnreached:
 		g.machine.unreached++
+		g.machine.again()
 		g.machine.suspectUntil = now.Add(min(suspectFor<<min(g.machine.unreached, 10), maxSuspect))
 	case EndWhole:
 		g.machine.unreached = 0
--- a/internal/vms/tasks.go
+++ b/internal/vms/tasks.go
@@ -116,7 +116,7 @@
 		LeaseMS:        m.Timing.Lease.Milliseconds(),
 		NotAfterUnixMS: time.Now().Add(startWithin).UnixMilli(),
 	})
-	m.contactEnded(mc)
+	m.contactEnded(mc, err)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch {
--- a/internal/worker/httpworker/client.go
+++ b/internal/worker/httpworker/client.go
@@ -132,11 +132,11 @@
 	return t, err
 }
 
-// Checkpoint implements worker.Agent.
-func (c *Client) Checkpoint(ctx context.Context, ref worker.Ref) (string, error) {
-	var t worker.Task
-	err := c.do(ctx, c.base.New().Post("checkpoint").BodyJSON(ref), callTimeout, &t)
-	return t.Checkpoint, err
+// CheckpointAll implements worker.Agent.
+func (c *Client) CheckpointAll(ctx context.Context) ([]worker.Task, error) {
+	var tasks []worker.Task
+	err := c.do(ctx, c.base.New().Post("checkpoint"), callTimeout, &tasks)
+	return tasks, err
 }
 
 // Throttle implements worker.Agent.
@@ -148,10 +148,3 @@
 func (c *Client) Forget(ctx context.Context, refs []worker.Ref) error {
 	return c.do(ctx, c.base.New().Post("forget").BodyJSON(WireForget{refs}), callTimeout, &WireOK{})
 }
-
-// Usage implements worker.Agent.
-func (c *Client) Usage(ctx context.Context) (worker.Usage, error) {
-	var u worker.Usage
-	err := c.do(ctx, c.base.New().Get("usage"), callTimeout, &u)
-	return u, err
-}
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -55,6 +55,8 @@
 	InFlight []string `json:"in_flight"`
 	// Connections counts the connections open at the VM's target.
 	Connections int `json:"connections"`
+	// Usage is the newest measurement, which lags.
+	Usage Usage `json:"usage"`
 }
 
 // StartRequest asks an agent to run one attempt at a task.
@@ -105,12 +107,10 @@
 	// Stop ends an attempt, with a checkpoint first if asked, and returns its
 	// final entry. Stopping an ended attempt returns that entry.
 	Stop(ctx context.Context, ref Ref, checkpoint bool) (Task, error)
-	// Checkpoint saves a running attempt's progress and returns where.
-	Checkpoint(ctx context.Context, ref Ref) (string, error)
+	// CheckpointAll saves the progress of all running attempts and returns them.
+	CheckpointAll(ctx context.Context) ([]Task, error)
 	// Throttle limits an attempt to a share of its processors, 0 to 1.
 	Throttle(ctx context.Context, ref Ref, share float64) error
 	// Forget drops ended attempts from the list, once their end is recorded.
 	Forget(ctx context.Context, refs []Ref) error
-	// Usage returns the newest measurement, which lags.
-	Usage(ctx context.Context) (Usage, error)
 }
