Clean-up: membership in four files, one way to wait, one test of zones

Cause: membership.go had grown to 560 lines with four jobs in it; waiting for a time or the end of a context stood five times, the question whether a zone is allowed three times. Change: session.go, view.go, plan.go beside membership.go; package pause; model.InZones.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -119,17 +119,7 @@
 }
 
 // InZone reports whether targets of an availability zone serve s.
-func (s Service) InZone(zone string) bool {
-	if len(s.Zones) == 0 {
-		return true
-	}
-	for _, z := range s.Zones {
-		if z == zone {
-			return true
-		}
-	}
-	return false
-}
+func (s Service) InZone(zone string) bool { return model.InZones(s.Zones, zone) }
 
 // HashToken returns the form in which a token is kept.
 func HashToken(token string) string {
--- a/internal/config/keeper.go
+++ b/internal/config/keeper.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/rattanwall/rattanwall/internal/errkind"
+	"github.com/rattanwall/rattanwall/internal/pause"
 	"github.com/rattanwall/rattanwall/internal/platform"
 )
 
@@ -104,7 +105,7 @@
 		}
 		listed = err == nil
 		if err != nil {
-			pause(ctx, retryPause)
+			pause.For(ctx, retryPause)
 		}
 	}
 	return ctx.Err()
@@ -151,20 +152,11 @@
 	k.confirm()
 	if len(events) > 0 && k.Current().revision == before {
 		// A watch that replays what is known answers at once, again and again.
-		pause(ctx, retryPause)
+		pause.For(ctx, retryPause)
 	}
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // Offer takes a head that a peer uses, read from the store by that peer. A node
 // that cannot reach the store keeps up with the others this way.
 func (k *Keeper) Offer(head []byte, revision int64) error {
--- a/internal/jobs/leader.go
+++ b/internal/jobs/leader.go
@@ -11,6 +11,7 @@
 	"github.com/rattanwall/rattanwall/internal/config"
 	"github.com/rattanwall/rattanwall/internal/errkind"
 	"github.com/rattanwall/rattanwall/internal/model"
+	"github.com/rattanwall/rattanwall/internal/pause"
 	"github.com/rattanwall/rattanwall/internal/platform"
 	"github.com/rattanwall/rattanwall/internal/vms"
 	"github.com/rattanwall/rattanwall/internal/worker"
@@ -133,10 +134,7 @@
 			return true
 		}
 		l.logger.WithError(err).Warn("job shard could not be taken up; trying again")
-		select {
-		case <-ctx.Done():
-		case <-time.After(commitPause):
-		}
+		pause.For(ctx, commitPause)
 	}
 	return false
 }
@@ -208,19 +206,15 @@
 	if err != nil {
 		return err
 	}
-	for l.log.snapshotDue() {
+	for l.log.snapshotDue() && ctx.Err() == nil {
 		err := l.log.writeSnapshot(ctx, l.state)
 		if err == nil || !l.log.snapshotOverdue() {
 			break
 		}
 		l.logger.WithError(err).Warn("snapshot of job shard failed; the ring is full, trying again")
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(commitPause):
-		}
+		pause.For(ctx, commitPause)
 	}
-	return nil
+	return ctx.Err()
 }
 
 // do runs ops in the loop and returns once they are committed. When ctx ends
--- a/internal/jobs/log.go
+++ b/internal/jobs/log.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/rattanwall/rattanwall/internal/pause"
 	"github.com/rattanwall/rattanwall/internal/platform"
 )
 
@@ -153,11 +154,7 @@
 		case ctx.Err() != nil:
 			return ctx.Err()
 		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(commitPause):
-		}
+		pause.For(ctx, commitPause)
 	}
 }
 
--- a/internal/jobs/planner.go
+++ b/internal/jobs/planner.go
@@ -200,7 +200,7 @@
 	var total int64
 	var picked string
 	for _, o := range p.leader.cluster.Offers() {
-		if now.Before(p.noRoom[o.Node]) || !spec.PerTask.FitsIn(o.Free) || !zoneAllowed(spec.Zones, o.Zone) {
+		if now.Before(p.noRoom[o.Node]) || !spec.PerTask.FitsIn(o.Free) || !model.InZones(spec.Zones, o.Zone) {
 			continue
 		}
 		weight := max(o.Free.MilliCPU, 1)
@@ -212,15 +212,6 @@
 	return picked
 }
 
-func zoneAllowed(zones []string, zone string) bool {
-	for _, z := range zones {
-		if z == zone {
-			return true
-		}
-	}
-	return len(zones) == 0
-}
-
 // place takes a batch of tasks from reserved to started: room first, then the
 // commitment in the store, then the start. Each step is safe to break off
 // after: room that is not used expires, and a commitment that is not started is
--- /dev/null
+++ b/internal/membership/plan.go
@@ -0,0 +1,141 @@
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/rattanwall/rattanwall/internal/ownership"
+	"github.com/rattanwall/rattanwall/internal/platform"
+)
+
+// planLoop asks the machine what to do and does it.
+func (m *Membership) planLoop(ctx context.Context) {
+	ticker := time.NewTicker(planEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-m.planNow:
+		}
+		m.mu.Lock()
+		var actions []ownership.Action
+		if m.listed || !m.machine.StoreReachable() {
+			actions = m.machine.Plan(time.Now())
+		}
+		m.mu.Unlock()
+		m.perform(ctx, actions)
+	}
+}
+
+func (m *Membership) perform(ctx context.Context, actions []ownership.Action) {
+	var asked sync.WaitGroup
+	for _, a := range actions {
+		switch a.Kind {
+		case ownership.Acquire, ownership.Release:
+			m.write(ctx, a)
+		case ownership.AskPromise:
+			asked.Add(1)
+			go func() {
+				defer asked.Done()
+				m.ask(ctx, a.Peer)
+			}()
+		case ownership.AskOwner:
+			asked.Add(1)
+			go func() {
+				defer asked.Done()
+				m.askOwner(ctx, a)
+			}()
+		}
+	}
+	asked.Wait()
+}
+
+// write puts an ownership record. On a lost answer nothing is concluded until
+// the record was read back: until then the machine does not count the shard as
+// owned.
+func (m *Membership) write(ctx context.Context, a ownership.Action) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	m.mu.Lock()
+	self, lease := m.machine.Self(), m.lease
+	m.mu.Unlock()
+	if lease == "" {
+		return
+	}
+	record := ownership.Owner{Node: self.ID, PeerAddress: self.PeerAddress}
+	if a.Kind == ownership.Acquire {
+		record.Session = self.Session
+	}
+	value, err := json.Marshal(record)
+	if err != nil {
+		return
+	}
+	if a.Kind == ownership.Release {
+		// Stop acting before others may start.
+		m.forget(a.Shard)
+		m.changed()
+	}
+	key := ownPrefix + a.Shard
+	rev, err := m.store.Put(ctx, key, value, platform.Revision(a.Expect), "")
+	written := platform.Entry{Key: key, Value: value, Revision: rev}
+	if err != nil {
+		// Conflict or lost answer: what the store holds now decides.
+		if written, err = m.store.Get(ctx, key); err != nil {
+			return
+		}
+	}
+	m.log.WithFields(logrus.Fields{"shard": a.Shard, "epoch": rev}).Debug(string(a.Kind))
+	m.mu.Lock()
+	if m.entries[key].Revision < written.Revision {
+		m.entries[key] = written
+		m.rebuildView()
+	}
+	m.mu.Unlock()
+	m.changed()
+}
+
+// forget drops a shard's record from the view until the store shows it again.
+func (m *Membership) forget(shard string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.entries, ownPrefix+shard)
+	m.rebuildView()
+}
+
+func (m *Membership) ask(ctx context.Context, peer ownership.Node) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	askedAt := time.Now()
+	granted, reached := m.peers.AskPromise(ctx, peer, m.Self(), m.timing.PromiseFor)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.machine.PromiseAnswer(peer.ID, granted, reached, askedAt)
+}
+
+func (m *Membership) askOwner(ctx context.Context, a ownership.Action) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	acting, state := m.peers.AskOwner(ctx, a.Peer, a.Shards)
+	acts := map[string]bool{}
+	for _, shard := range acting {
+		acts[shard] = true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, shard := range a.Shards {
+		answer := state
+		if acts[shard] {
+			answer = ownership.OwnerActs
+		}
+		m.machine.OwnerAnswer(shard, answer, time.Now())
+	}
+	if len(acts) == 0 && state == ownership.OwnerStopped {
+		m.wake()
+	}
+}
--- /dev/null
+++ b/internal/membership/session.go
@@ -0,0 +1,115 @@
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/rattanwall/rattanwall/internal/ownership"
+	"github.com/rattanwall/rattanwall/internal/platform"
+)
+
+// renewLoop keeps the session's lease.
+func (m *Membership) renewLoop(ctx context.Context) {
+	ticker := time.NewTicker(m.timing.RenewEvery)
+	defer ticker.Stop()
+	for {
+		m.renew(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (m *Membership) renew(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	m.mu.Lock()
+	lease, session, drained := m.lease, m.machine.Self().Session, m.drained
+	m.mu.Unlock()
+	if drained {
+		return
+	}
+	if lease == "" {
+		m.open(ctx)
+		return
+	}
+	sentAt := time.Now()
+	err := m.store.Renew(ctx, lease)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case err == nil:
+		m.machine.Renewed(session, sentAt)
+	case errors.Is(err, platform.ErrLeaseGone):
+		m.log.Warn("the store ended this node's session; opening another")
+		m.machine.SessionGone(time.Now())
+		m.lease = ""
+	default:
+		m.machine.RenewFailed()
+	}
+}
+
+// open starts a session: a lease, then the node's record bound to it.
+func (m *Membership) open(ctx context.Context) {
+	sentAt := time.Now()
+	lease, err := m.store.Grant(ctx, m.timing.TTL)
+	if err != nil {
+		m.mu.Lock()
+		m.machine.RenewFailed()
+		m.mu.Unlock()
+		return
+	}
+	session := uuid.NewString()
+	m.mu.Lock()
+	self := m.machine.Self()
+	self.Session = session
+	m.mu.Unlock()
+	rev, err := m.putNode(ctx, self, lease)
+	if err != nil {
+		m.log.WithError(err).Warn("the node's record could not be written")
+		_ = m.store.Revoke(ctx, lease)
+		return
+	}
+	m.mu.Lock()
+	m.lease, m.nodeRev = lease, rev
+	m.machine.Renewed(session, sentAt)
+	m.mu.Unlock()
+	m.wake()
+}
+
+// publish writes the node's record anew under the present session.
+func (m *Membership) publish(ctx context.Context) error {
+	m.mu.Lock()
+	self, lease := m.machine.Self(), m.lease
+	m.mu.Unlock()
+	rev, err := m.putNode(ctx, self, lease)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	m.nodeRev = rev
+	m.mu.Unlock()
+	return nil
+}
+
+// putNode writes the record over whatever an earlier process of the same node left.
+func (m *Membership) putNode(ctx context.Context, self ownership.Node, lease platform.LeaseID) (platform.Revision, error) {
+	value, err := json.Marshal(self)
+	if err != nil {
+		return 0, errors.Wrap(err, "encode node record")
+	}
+	key := nodePrefix + self.ID
+	var expect platform.Revision
+	if e, err := m.store.Get(ctx, key); err == nil {
+		expect = e.Revision
+	} else if !errors.Is(err, platform.ErrNotFound) {
+		return 0, err
+	}
+	return m.store.Put(ctx, key, value, expect, lease)
+}
--- /dev/null
+++ b/internal/membership/view.go
@@ -0,0 +1,116 @@
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+
+	"github.com/rattanwall/rattanwall/internal/ownership"
+	"github.com/rattanwall/rattanwall/internal/pause"
+	"github.com/rattanwall/rattanwall/internal/platform"
+)
+
+// watchLoop keeps the view. After a failed watch it lists anew: a watch that
+// went silent may have missed changes.
+func (m *Membership) watchLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := m.watchOnce(ctx); err != nil {
+			m.mu.Lock()
+			m.listed = false
+			m.mu.Unlock()
+			pause.For(ctx, watchPause)
+		}
+	}
+}
+
+func (m *Membership) watchOnce(ctx context.Context) error {
+	m.mu.Lock()
+	listed, after := m.listed, m.revision
+	m.mu.Unlock()
+	if !listed {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		entries, rev, err := m.store.List(ctx, prefix)
+		if err != nil {
+			return err
+		}
+		m.install(entries, rev)
+		return nil
+	}
+	events, rev, err := m.store.Watch(ctx, prefix, after, watchWait)
+	if err != nil {
+		return err
+	}
+	if !m.apply(events, rev) && len(events) > 0 {
+		// A watch that replays what is known answers at once, again and again.
+		pause.For(ctx, watchPause)
+	}
+	return nil
+}
+
+// install replaces the view by a listing. A listing older than the view is a
+// stale read and is dropped.
+func (m *Membership) install(entries []platform.Entry, rev platform.Revision) {
+	m.mu.Lock()
+	if rev >= m.revision {
+		m.entries = make(map[string]platform.Entry, len(entries))
+		for _, e := range entries {
+			m.entries[e.Key] = e
+		}
+		m.revision = rev
+	}
+	m.listed = true
+	m.rebuildView()
+	m.mu.Unlock()
+	m.changed()
+	m.wake()
+}
+
+// apply adds events to the view and reports whether any was new. Events of
+// revisions already seen are dropped: a watch may replay them.
+func (m *Membership) apply(events []platform.Event, rev platform.Revision) bool {
+	m.mu.Lock()
+	changed := false
+	for _, e := range events {
+		if e.Revision <= m.revision {
+			continue
+		}
+		changed = true
+		if e.Deleted {
+			delete(m.entries, e.Key)
+		} else {
+			m.entries[e.Key] = e.Entry
+		}
+	}
+	m.revision = max(m.revision, rev)
+	if changed {
+		m.rebuildView()
+	}
+	m.mu.Unlock()
+	if changed {
+		m.changed()
+		m.wake()
+	}
+	return changed
+}
+
+// rebuildView decodes the entries. m.mu is held.
+func (m *Membership) rebuildView() {
+	v := ownership.View{Nodes: map[string]ownership.Node{}, Owners: map[string]ownership.Owner{}}
+	for key, e := range m.entries {
+		if id, ok := strings.CutPrefix(key, nodePrefix); ok {
+			var n ownership.Node
+			if json.Unmarshal(e.Value, &n) == nil {
+				v.Nodes[id] = n
+			}
+		}
+		if shard, ok := strings.CutPrefix(key, ownPrefix); ok {
+			var o ownership.Owner
+			if json.Unmarshal(e.Value, &o) == nil {
+				o.Epoch = int64(e.Revision)
+				v.Owners[shard] = o
+			}
+		}
+	}
+	m.machine.SetView(v)
+}
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -4,7 +4,10 @@
 // the project.
 package model
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 // Class says how urgent a piece of work is. Admission sheds the least urgent
 // class first.
@@ -105,6 +108,11 @@
 // RackKey names the ownership shard that the VM belongs to.
 func (v VM) RackKey() string { return v.Zone + "/" + v.Rack }
 
+// InZones reports whether zone is one of zones; none means any.
+func InZones(zones []string, zone string) bool {
+	return len(zones) == 0 || slices.Contains(zones, zone)
+}
+
 // TaskID names a task: one of the equal parts of a job.
 type TaskID struct {
 	Job   string `json:"job" cbor:"1,keyasint"`
--- a/internal/vms/machine.go
+++ b/internal/vms/machine.go
@@ -8,6 +8,7 @@
 
 	"github.com/rattanwall/rattanwall/internal/ledger"
 	"github.com/rattanwall/rattanwall/internal/model"
+	"github.com/rattanwall/rattanwall/internal/pause"
 	"github.com/rattanwall/rattanwall/internal/target"
 	"github.com/rattanwall/rattanwall/internal/worker"
 )
@@ -98,7 +99,7 @@
 		m.observe(mc, status, askedAt, own)
 		m.settle(ctx, mc)
 		if uncertain {
-			pause(ctx, settleEvery)
+			pause.For(ctx, settleEvery)
 		}
 	}
 }
@@ -127,15 +128,6 @@
 	return s, uncertain, err
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // statusFailed notes that the VM is not reached, and gives its attempts up once
 // their leases have certainly run out.
 func (m *Manager) statusFailed(ctx context.Context, mc *machine) {
@@ -150,7 +142,7 @@
 	}
 	m.mu.Unlock()
 	m.settle(ctx, mc)
-	pause(ctx, retryPause)
+	pause.For(ctx, retryPause)
 }
 
 // leasesOver reports whether every lease that anyone gave to tasks on the VM
--- a/internal/vms/tasks.go
+++ b/internal/vms/tasks.go
@@ -32,7 +32,7 @@
 	var machines []*machine
 	var candidates []placement.Candidate
 	for _, mc := range m.owned {
-		if !contains(zones, mc.vm.Zone) || !mc.reachable || !m.mayAct(mc) || mc.ledger.MayPlace(need) != ledger.Admitted {
+		if !model.InZones(zones, mc.vm.Zone) || !mc.reachable || !m.mayAct(mc) || mc.ledger.MayPlace(need) != ledger.Admitted {
 			continue
 		}
 		machines = append(machines, mc)
@@ -57,15 +57,6 @@
 	return reserved
 }
 
-func contains(zones []string, zone string) bool {
-	for _, z := range zones {
-		if z == zone {
-			return true
-		}
-	}
-	return len(zones) == 0
-}
-
 // Start runs attempts on the room reserved for them and returns those that were
 // refused: they certainly do not run and never will. An attempt in neither
 // state is reported later.
