A zone cut off from the store goes on when one of its nodes dies

The explorer now has dead nodes that restart later, and lets a node crash whatever it has promised. Ruled out: a majority of the zone's nodes (two have none; a consensus group in all but name). Open: an entry VM that loses power gives no such answer (design note 002).

--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -55,6 +55,23 @@
 	Samples []Sample `json:"samples"`
 	// Held is a size that the fit does not use, to check it.
 	Held Sample `json:"held"`
+	// Churn is the same size while tasks start and end.
+	Churn Churn `json:"churn"`
+}
+
+// Churn is what task starts cost beyond rest, each with its end.
+type Churn struct {
+	Starts          int     `json:"starts"`
+	StartsPerSecond float64 `json:"starts_per_second"`
+	// BytesPerStart is by kind, counted at the sockets, over all nodes.
+	BytesPerStart map[Kind]float64 `json:"bytes_per_start"`
+	// PutsPerStart are writes to the store; commits are shared when busy.
+	PutsPerStart float64 `json:"puts_per_start"`
+	// CPUMSPerStart is processor time in ms, the stand-ins' share included.
+	CPUMSPerStart float64 `json:"cpu_ms_per_start"`
+	// StartP50MS and StartP99MS are from submission to running at the VM.
+	StartP50MS float64 `json:"start_p50_ms"`
+	StartP99MS float64 `json:"start_p99_ms"`
 }
 
 // Sizes are those measured for the fit, and the one held back.
@@ -87,7 +104,7 @@
 	var m Measured
 	fit, held := Sizes()
 	for _, size := range fit {
-		s, err := measureOne(ctx, size, log)
+		s, _, err := measureOne(ctx, size, log, false)
 		if err != nil {
 			return m, errors.Wrapf(err, "size %+v", size)
 		}
@@ -95,7 +112,7 @@
 		m.Samples = append(m.Samples, s)
 	}
 	var err error
-	m.Held, err = measureOne(ctx, held, log)
+	m.Held, m.Churn, err = measureOne(ctx, held, log, true)
 	return m, errors.Wrapf(err, "size %+v", held)
 }
 
@@ -118,7 +135,7 @@
 	return shape
 }
 
-func measureOne(ctx context.Context, size Size, log *logrus.Logger) (Sample, error) {
+func measureOne(ctx context.Context, size Size, log *logrus.Logger, churn bool) (Sample, Churn, error) {
 	shape := size.shape()
 	counters := newCounters()
 	h := hosts{counters: counters, nodes: map[string]bool{}}
@@ -127,7 +144,7 @@
 	}
 	d, err := harness.Start(ctx, harness.Options{Shape: shape, Hosts: h, Log: log})
 	if err != nil {
-		return Sample{}, err
+		return Sample{}, Churn{}, err
 	}
 	defer d.Close()
 	for _, zone := range shape.ZoneNames() {
@@ -138,10 +155,15 @@
 		counters.mark(vm.TargetAddress, KindTarget)
 	}
 	if err := grow(ctx, d, size); err != nil {
-		return Sample{}, err
+		return Sample{}, Churn{}, err
 	}
 	time.Sleep(settleFor)
-	return observe(d, counters, size), nil
+	rest := observe(d, counters, size)
+	if !churn {
+		return rest, Churn{}, nil
+	}
+	c, err := observeChurn(ctx, d, counters, rest)
+	return rest, c, err
 }
 
 // grow adds teams and services, and starts the tasks.
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -146,10 +146,42 @@
 	writeSlopes(&b, m)
 	writeTarget(&b, m)
 	writeStore(&b, m)
+	writeChurn(&b, m)
 	writeCheck(&b, m)
 	return b.String()
 }
 
+// peakStarts is the target's peak of task starts a second.
+const peakStarts = 50.0
+
+// writeChurn writes what starts cost and what the peak adds to a node.
+func writeChurn(b *strings.Builder, m Measured) {
+	c := m.Churn
+	fmt.Fprintf(b, "### Task starts, each with its end, beyond rest (measured at %.0f starts/s, %d starts, %d nodes)\n\n| cost | per start |", c.StartsPerSecond, c.Starts, m.Held.Nodes)
+	for _, n := range targetNodes {
+		fmt.Fprintf(b, " a node at %.0f starts/s, %d nodes |", peakStarts, n)
+	}
+	b.WriteString("\n|---|---|" + strings.Repeat("---|", len(targetNodes)) + "\n")
+	line := func(name, format string, perStart, share float64) {
+		fmt.Fprintf(b, "| %s | "+format+" |", name, perStart)
+		for _, n := range targetNodes {
+			fmt.Fprintf(b, " "+format+" |", share*perStart*peakStarts/float64(n))
+		}
+		b.WriteString("\n")
+	}
+	for _, k := range Kinds {
+		share := 1.0
+		if k == KindPeer {
+			share = 2
+		}
+		line("bytes, "+string(k), "%.0f", c.BytesPerStart[k], share)
+	}
+	line("store puts", "%.2f", c.PutsPerStart, 1)
+	line("processor time, ms (with stand-ins)", "%.2f", c.CPUMSPerStart, 1)
+	fmt.Fprintf(b, "\nFrom submission to running: p50 %.0f ms, p99 %.0f ms. Puts of the fleet at %.0f starts/s: %.0f a second at most, since commits are shared when busy.\n\n",
+		c.StartP50MS, c.StartP99MS, peakStarts, c.PutsPerStart*peakStarts)
+}
+
 func writeSlopes(b *strings.Builder, m Measured) {
 	b.WriteString("### Measured slopes, per node at rest\n\n| cost | fixed | per VM owned | per task held | per exchange begun/s | fit misses by (rms) |\n|---|---|---|---|---|---|\n")
 	for _, x := range metrics(m) {
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -291,24 +291,32 @@
 }
 
 // AskPromise implements membership.Promiser.
-func (c *Cluster) AskPromise(ctx context.Context, peer, self ownership.Node, d time.Duration) (granted, reached bool) {
+func (c *Cluster) AskPromise(ctx context.Context, peer, self ownership.Node, d time.Duration) ownership.PromiseState {
 	answer, err := c.dial(peer).Promise(ctx, &pb.PromiseRequest{
 		Node: self.ID, Incarnation: self.Session, DurationMs: d.Milliseconds(),
 	})
-	if err != nil {
-		return false, false
+	switch {
+	case nothingListens(err):
+		return ownership.PromiseDead
+	case err != nil:
+		return ownership.PromiseSilent
+	case answer.Granted:
+		return ownership.PromiseGiven
 	}
-	return answer.Granted, true
+	return ownership.PromiseRefused
 }
 
+// nothingListens reports whether a host answered that no process listens there:
+// the process that did is dead.
+func nothingListens(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // AskOwner implements membership.Promiser.
 func (c *Cluster) AskOwner(ctx context.Context, owner ownership.Node, shards []string) (acting []string, state ownership.OwnerState) {
 	answer, err := c.dial(owner).Acting(ctx, &pb.ActingRequest{Shards: shards})
 	switch {
 	case err == nil:
 		return answer.Shards, ownership.OwnerStopped
-	case errors.Is(err, syscall.ECONNREFUSED):
-		// The host is there and no process listens: it is dead.
+	case nothingListens(err):
 		return nil, ownership.OwnerStopped
 	}
 	return nil, ownership.OwnerSilent
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -34,9 +34,10 @@
 	watchWait = 3 * time.Second
 )
 
-// Promiser asks a peer for a promise; reached is false when no answer came.
+// Promiser asks other nodes what the decisions of package ownership need.
 type Promiser interface {
-	AskPromise(ctx context.Context, peer, self ownership.Node, d time.Duration) (granted, reached bool)
+	// AskPromise asks a peer not to take over this node's VMs for a time.
+	AskPromise(ctx context.Context, peer, self ownership.Node, d time.Duration) ownership.PromiseState
 	// AskOwner asks for which of the shards an owner still acts; state is
 	// OwnerStopped when it answered, or certainly cannot.
 	AskOwner(ctx context.Context, owner ownership.Node, shards []string) (acting []string, state ownership.OwnerState)
--- a/internal/membership/plan.go
+++ b/internal/membership/plan.go
@@ -112,10 +112,10 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	askedAt := time.Now()
-	granted, reached := m.peers.AskPromise(ctx, peer, m.Self(), m.timing.PromiseFor)
+	state := m.peers.AskPromise(ctx, peer, m.Self(), m.timing.PromiseFor)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.machine.PromiseAnswer(peer.ID, granted, reached, askedAt)
+	m.machine.PromiseAnswer(peer.ID, state, askedAt)
 }
 
 func (m *Membership) askOwner(ctx context.Context, a ownership.Action) {
--- a/internal/ownership/explore_test.go
+++ b/internal/ownership/explore_test.go
@@ -35,9 +35,6 @@
 	timing  Timing
 	// slowClock makes the first node's clock run at 3/4 of the store's.
 	slowClock bool
-	// afterPromise lets a node crash although its promise is still held: the
-	// open case of docs/design/002-ownership.md.
-	afterPromise bool
 	// noCondition makes the store write without comparing revisions.
 	noCondition bool
 	// earlyLapse makes the store end leases after half their time.
@@ -45,8 +42,6 @@
 	// cut makes an owner that is asked look stopped, as when nodes of a zone are
 	// cut off from each other: the open case of docs/design/002-ownership.md.
 	cut bool
-	// promiseAlways makes nodes promise while they reach the store.
-	promiseAlways bool
 }
 
 // world is one state of the search.
@@ -61,6 +56,8 @@
 	owner    Owner
 	hasOwner bool
 	crashes  int
+	// down nodes are dead until they restart; nothing listens there.
+	down [2]bool
 }
 
 var exploreShard = Shard{Key: "s", Zone: "z"}
@@ -147,7 +144,7 @@
 		session(q.session)
 		rel(q.clear)
 		buf = append(buf, o.Node...)
-		flag(m.storeOK, o.Epoch == w.owner.Epoch, m.lost["s"])
+		flag(m.storeOK, o.Epoch == w.owner.Epoch, m.lost["s"], w.down[i])
 	}
 	return xxhash.Sum64(buf)
 }
@@ -215,16 +212,21 @@
 		switch a.Kind {
 		case AskPromise:
 			j := 1 - i
-			granted := false
-			if reached {
-				granted = w.nodes[j].Promise(nodeID(i), b.timing.PromiseFor, b.local(w, j)) || b.promiseAlways
+			state := PromiseSilent
+			switch {
+			case reached && w.down[j]:
+				state = PromiseDead
+			case reached && w.nodes[j].Promise(nodeID(i), b.timing.PromiseFor, b.local(w, j)):
+				state = PromiseGiven
+			case reached:
+				state = PromiseRefused
 			}
-			m.PromiseAnswer(nodeID(j), granted, reached, b.local(w, i))
+			m.PromiseAnswer(nodeID(j), state, b.local(w, i))
 		case AskOwner:
 			// A live owner answers for itself, a restarted one acts for nothing. That
 			// two live nodes of a zone reach each other is assumed here.
 			state := OwnerStopped
-			if j := int(a.Peer.ID[0] - 'a'); !b.cut {
+			if j := int(a.Peer.ID[0] - 'a'); !b.cut && !w.down[j] {
 				if _, ok := w.nodes[j].Epoch("s", b.local(w, j)); ok {
 					state = OwnerActs
 				}
@@ -262,6 +264,13 @@
 	steps := []step{{"tick", func(w *world) { w.now++; w.lapse() }}}
 	for i := range w.nodes {
 		id := nodeID(i)
+		if w.down[i] {
+			steps = append(steps, step{id + " restarts", func(w *world) {
+				w.down[i] = false
+				w.nodes[i] = b.machine(w, i)
+			}})
+			continue
+		}
 		steps = append(steps,
 			step{id + " renews, looks and acts", func(w *world) {
 				b.renew(w, i, true)
@@ -282,10 +291,10 @@
 				w.nodes[i].RenewFailed()
 				b.perform(w, i, false, false)
 			}})
-		promised := w.nodes[i].given[nodeID(1-i)].After(b.local(w, i)) || w.nodes[1-i].got[id].given
-		if w.crashes < b.crashes && (b.afterPromise || !promised) {
-			steps = append(steps, step{id + " crashes and restarts", func(w *world) {
+		if w.crashes < b.crashes {
+			steps = append(steps, step{id + " crashes", func(w *world) {
 				w.crashes++
+				w.down[i] = true
 				w.nodes[i] = b.machine(w, i)
 			}})
 		}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -104,6 +104,22 @@
 	AskOwner ActionKind = "ask-owner"
 )
 
+// PromiseState is what became of asking a peer for a promise.
+type PromiseState int
+
+// The answers.
+const (
+	// PromiseGiven: it will not take over for a time.
+	PromiseGiven PromiseState = iota
+	// PromiseRefused: it reaches the store.
+	PromiseRefused
+	// PromiseDead: its host is there and nothing listens. Whatever starts in its
+	// place asks the owner before it takes over.
+	PromiseDead
+	// PromiseSilent: no answer. It may be cut off from us only.
+	PromiseSilent
+)
+
 // OwnerState is what became of asking an owner whose session has ended.
 type OwnerState int
 
@@ -432,16 +448,15 @@
 }
 
 // PromiseAnswer tells what a peer said to a question sent at askedAt.
-// reached is false when no answer came.
-func (m *Machine) PromiseAnswer(peer string, granted, reached bool, askedAt time.Time) {
+func (m *Machine) PromiseAnswer(peer string, state PromiseState, askedAt time.Time) {
 	p := m.got[peer]
-	p.unreachable = !reached
-	if reached {
-		p.refused = !granted
-	}
-	if granted {
-		p.given = true
+	p.unreachable = state == PromiseSilent
+	switch state {
+	case PromiseGiven, PromiseDead:
+		p.given, p.refused = true, false
 		p.until = askedAt.Add(m.timing.PromiseFor - m.timing.FenceMargin)
+	case PromiseRefused:
+		p.refused = true
 	}
 	m.got[peer] = p
 	m.extend(askedAt)
