--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -27,7 +27,7 @@
 	// callTimeout bounds one administration call.
 	callTimeout = 8 * time.Second
 	// waitPause is how often a wait for a version looks again.
-	waitPause = 50 * time.Millisecond
+	waitPause = 100 * time.Millisecond
 	maxWait   = 60 * time.Second
 )
 
@@ -292,6 +292,7 @@
 	}
 	deadline := time.Now().Add(limit)
 	for {
+		a.node.Cluster().AskVersions(ctx, version)
 		nodes := a.node.InForce()
 		answer := WaitAnswer{Version: version, InForce: true, Nodes: nodes}
 		for _, v := range nodes {
--- a/internal/cluster/calls.go
+++ b/internal/cluster/calls.go
@@ -118,16 +118,16 @@
 }
 
 // Reserve implements jobs.Cluster.
-func (c *Cluster) Reserve(ctx context.Context, node string, refs []worker.Ref, need model.Resources, zones []string) ([]vms.Attempt, error) {
+func (c *Cluster) Reserve(ctx context.Context, node string, refs []worker.Ref, room vms.Room) ([]vms.Attempt, error) {
 	if node == c.node {
-		return c.vms.Reserve(refs, need, zones), nil
+		return c.vms.Reserve(refs, room), nil
 	}
 	n, err := c.peerByID(node)
 	if err != nil {
 		return nil, err
 	}
 	answer, err := c.dial(n).Reserve(ctx, &pb.ReserveRequest{
-		Attempts: toWire(attemptsOf(refs)), PerTask: amount(need), Zones: zones,
+		Attempts: toWire(attemptsOf(refs)), PerTask: amount(room.PerTask), Zones: room.Zones, Urgent: room.Urgent,
 	})
 	if err != nil {
 		return nil, callError(err)
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -167,6 +167,28 @@
 	}
 }
 
+// AskVersions exchanges state with every peer not yet known to use a version of
+// the configuration, at the same time, so that whoever waits for it does not
+// wait for the next exchange.
+func (c *Cluster) AskVersions(ctx context.Context, version int64) {
+	known := map[string]int64{}
+	for _, p := range c.Dump() {
+		known[p.Node] = p.ConfigVersion
+	}
+	var wg sync.WaitGroup
+	for _, n := range c.others() {
+		if known[n.ID] >= version {
+			continue
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c.exchange(ctx, n)
+		}()
+	}
+	wg.Wait()
+}
+
 // fetchConfig takes a newer configuration over from a peer. Usually the store's
 // watch is faster; it is for nodes that the store does not answer.
 func (c *Cluster) fetchConfig(ctx context.Context, n ownership.Node) {
--- a/internal/cluster/server.go
+++ b/internal/cluster/server.go
@@ -9,6 +9,7 @@
 	"github.com/rattanwall/rattanwall/internal/errkind"
 	"github.com/rattanwall/rattanwall/internal/jobs"
 	pb "github.com/rattanwall/rattanwall/internal/peer"
+	"github.com/rattanwall/rattanwall/internal/vms"
 )
 
 // Server answers peers' calls. It is the receiving side of Cluster.
@@ -57,7 +58,7 @@
 
 // Reserve implements pb.Peer.
 func (s Server) Reserve(_ context.Context, in *pb.ReserveRequest) (*pb.ReserveResponse, error) {
-	reserved := s.vms.Reserve(refsOf(in.Attempts), resources(in.PerTask), in.Zones)
+	reserved := s.vms.Reserve(refsOf(in.Attempts), vms.Room{PerTask: resources(in.PerTask), Zones: in.Zones, Urgent: in.Urgent})
 	return &pb.ReserveResponse{Attempts: toWire(reserved)}, nil
 }
 
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -56,6 +56,9 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	// What a verb prints is its result; cobra would send it to standard error.
+	root.SetOut(os.Stdout)
+	root.SetErr(os.Stderr)
 	root.AddCommand(newNode(), newDev(), newStandin(), newSettings(), newCapacity())
 	root.AddCommand(newConfig(), newService(), newWatch(), newJob(), newTeam(), newVM(), newStatus(), newDump())
 	return root
--- a/internal/jobs/planner.go
+++ b/internal/jobs/planner.go
@@ -227,7 +227,7 @@
 	}()
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	reserved, err := p.leader.cluster.Reserve(callCtx, node, refs, spec.PerTask, spec.Zones)
+	reserved, err := p.leader.cluster.Reserve(callCtx, node, refs, vms.Room{PerTask: spec.PerTask, Zones: spec.Zones, Urgent: spec.Urgent})
 	if err != nil || len(reserved) < len(refs) {
 		p.mu.Lock()
 		p.noRoom[node] = time.Now().Add(noRoomPause)
--- a/internal/route/failures_test.go
+++ b/internal/route/failures_test.go
@@ -18,11 +18,13 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rattanwall/rattanwall/internal/checker"
+	"github.com/rattanwall/rattanwall/internal/cluster"
 	"github.com/rattanwall/rattanwall/internal/deployment"
 	"github.com/rattanwall/rattanwall/internal/errkind"
 	"github.com/rattanwall/rattanwall/internal/harness"
 	"github.com/rattanwall/rattanwall/internal/model"
 	"github.com/rattanwall/rattanwall/internal/route"
+	"github.com/rattanwall/rattanwall/internal/standin/record"
 	"github.com/rattanwall/rattanwall/internal/standin/worker"
 )
 
@@ -352,3 +354,51 @@
 func (b *bed) patch(patch string) {
 	require.NoError(b.t, b.Patch(b.t.Context(), patch))
 }
+
+// Symptom: batch work is started while quick requests queue. Sequence: more
+// quick requests than slots keep coming; an ordinary and an urgent job are
+// submitted. Cause: placement looks at processors only.
+func TestBatchIsShedWhileQuickRequestsWait(t *testing.T) {
+	inBed(t, func(t *testing.T, b *bed) {
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		// 120 callers in turn for 24 slots: always some wait at either node.
+		for i := range 120 {
+			caller := b.caller
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				for n := 0; ctx.Err() == nil; n++ {
+					caller.Send(ctx, http.MethodGet, service+"/work?ms=100", fmt.Sprintf("busy-%d-%d", i, n), nil, nil)
+					// What is shed is answered at once, and no time would pass.
+					time.Sleep(10 * time.Millisecond)
+				}
+			}()
+		}
+		time.Sleep(time.Second)
+		submit := func(id string, urgent bool) {
+			spec := model.JobSpec{ID: id, Team: "batch", Tasks: 2, DurationMS: 500, Urgent: urgent, PerTask: model.Resources{MilliCPU: 100}}
+			_, err := b.Nodes()[0].Cluster().Job(ctx, "batch", cluster.VerbSubmit, spec)
+			require.NoError(t, err)
+		}
+		submit("ordinary", false)
+		submit("urgent", true)
+		time.Sleep(1400 * time.Millisecond)
+		require.Equal(t, 2, b.taskStarts("batch/urgent"), "urgent work starts within 1.4 s")
+		require.Zero(t, b.taskStarts("batch/ordinary"))
+		cancel()
+		wg.Wait()
+		time.Sleep(3 * time.Second)
+		require.Equal(t, 2, b.taskStarts("batch/ordinary"))
+	})
+}
+
+func (b *bed) taskStarts(job string) int {
+	n := 0
+	for _, e := range b.Recorder.Events() {
+		if e.Kind == record.TaskStart && strings.HasPrefix(e.ID, job+":") {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/vms/tasks.go
+++ b/internal/vms/tasks.go
@@ -24,15 +24,28 @@
 	parallelStarts = 16
 )
 
-// Reserve finds room for attempts, each taking need, on VMs of the given
-// availability zones (none: any), and returns those that got it, with their VM.
-func (m *Manager) Reserve(refs []worker.Ref, need model.Resources, zones []string) []Attempt {
+// Room is what attempts need.
+type Room struct {
+	PerTask model.Resources
+	// Zones limits the availability zones; none means any.
+	Zones []string
+	// Urgent tasks are placed even while quick requests wait.
+	Urgent bool
+}
+
+// Reserve finds room for attempts and returns those that got it, with their VM.
+// While quick requests wait here, only urgent ones do: batch work is shed first.
+func (m *Manager) Reserve(refs []worker.Ref, room Room) []Attempt {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !room.Urgent && len(m.queues[model.Quick].waiters) > 0 {
+		return nil
+	}
+	need := room.PerTask
 	var machines []*machine
 	var candidates []placement.Candidate
 	for _, mc := range m.owned {
-		if !model.InZones(zones, mc.vm.Zone) || !mc.reachable || !m.mayAct(mc) || mc.ledger.MayPlace(need) != ledger.Admitted {
+		if !model.InZones(room.Zones, mc.vm.Zone) || !mc.reachable || !m.mayAct(mc) || mc.ledger.MayPlace(need) != ledger.Admitted {
 			continue
 		}
 		machines = append(machines, mc)
