Read-through for doubled tasks: lists trusted only when asked for late enough

Cause: a review of the ways in which a task could run twice found three without a test: (1) an audit went by the time since take-over, although the list it went by may have been asked for before, by a call that waits 15 s for a change; a start of the old owner that lands in between would be declared lost and run again; (2) a restarted VM counts its list's sequence anew, and an agent that compares 'above' rather than 'different' keeps the new list back, empty, for 15 s; (3) a VM listed at a new address went on being managed at the old one. Change: an audit believes 'the list lacks it' only of a list asked for after the last moment at which an earlier owner's start can land; the contract says 'differs' and checks a sequence from before a restart; a VM at a new address is taken up anew, and what may still run at the old one is waited for as long as a lease. Ruled out: the HTTP library's repeat of a start (nothing was written in the cases in which it repeats a POST); a start sent by a paused owner (it expires at the agent).

--- a/internal/harness/faults_test.go
+++ b/internal/harness/faults_test.go
@@ -212,6 +212,16 @@
 	}
 }
 
+// vmRestarts ends a VM with all it holds and starts it anew, at other ports.
+func vmRestarts(name string) fault {
+	return func(_ context.Context, r *run) {
+		r.Worker(name).Close()
+		r.hosts.Kill(r.hosts.IP(name))
+		time.Sleep(2 * time.Second)
+		require.NoError(r.t, r.RestartWorker(name))
+	}
+}
+
 func vmLeaves(name string) fault {
 	return func(_ context.Context, r *run) { r.Platform.SetVMState(name, model.VMLeaving) }
 }
@@ -264,6 +274,8 @@
 		{"connections between nodes go silent", []fault{silence(eastNodes, append(append([]string{}, westNodes...), "east-n2"))}, 0, 0},
 		{"connections to platform go silent", []fault{silence(append(append([]string{}, eastNodes...), westNodes...), platforms)}, 0, 0},
 		{"VM dies", []fault{vmDies("east-w01")}, 0.02, 0.02},
+		{"VM restarts", []fault{vmRestarts("east-w01")}, 0.02, 0.02},
+		{"VM restarts twice", []fault{then(vmRestarts("east-w01"), func(context.Context, *run) { time.Sleep(5 * time.Second) }, vmRestarts("east-w01"))}, 0.02, 0.02},
 		{"VM cut off 40s and back", []fault{cutFor(40*time.Second, []string{"east-w01"}, append(append([]string{}, eastNodes...), westNodes...))}, 0.02, 0.02},
 		{"VM cut off 8s and back", []fault{cutFor(8*time.Second, []string{"east-w01"}, append(append([]string{}, eastNodes...), westNodes...))}, 0.02, 0.02},
 		{"VM fails all tasks", []fault{vmFaults(20*time.Second, "east-w01", worker.Faults{FailTasks: true})}, 0, 0},
--- a/internal/harness/harness.go
+++ b/internal/harness/harness.go
@@ -219,7 +219,31 @@
 }
 
 // Worker returns a stand-in VM by name.
-func (d *Deployment) Worker(name string) *worker.Worker { return d.workers[name] }
+func (d *Deployment) Worker(name string) *worker.Worker {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.workers[name]
+}
+
+// RestartWorker starts an empty stand-in VM in the place of a closed one, at
+// ports of its own choice.
+func (d *Deployment) RestartWorker(name string) error {
+	for _, vm := range d.Shape.VMs() {
+		if vm.Name != name {
+			continue
+		}
+		network, ip := d.Hosts.Host(name)
+		w, err := worker.Start(vm, network, ip, d.Recorder)
+		if err != nil {
+			return errors.Wrap(err, "stand-in worker")
+		}
+		d.mu.Lock()
+		d.workers[name] = w
+		d.mu.Unlock()
+		d.Platform.SetVM(w.VM())
+	}
+	return nil
+}
 
 // Listener returns the platform's listener that a zone's nodes use.
 func (d *Deployment) Listener(zone string) *platform.Listener { return d.listeners[zone] }
--- a/internal/standin/worker/agent.go
+++ b/internal/standin/worker/agent.go
@@ -90,13 +90,13 @@
 	writeJSON(rw, w.await(r.Context(), after, time.Duration(waitMS)*time.Millisecond), http.StatusOK)
 }
 
-// await returns the list once it is newer than after, or after wait.
+// await returns the list once its sequence is not after, or after wait.
 func (w *Worker) await(ctx context.Context, after int64, wait time.Duration) worker.Status {
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
 		s, changed := w.status()
-		if s.Sequence > after {
+		if s.Sequence != after {
 			return s
 		}
 		select {
--- a/internal/vms/machine.go
+++ b/internal/vms/machine.go
@@ -41,8 +41,14 @@
 	nudge  chan struct{}
 
 	// since is when this node took the VM over.
-	since     time.Time
-	reachable bool
+	since time.Time
+	// listAsked is when the newest list was asked for; a call that waited for a
+	// change may have been asked for long before it was answered.
+	listAsked time.Time
+	// trustAfter is when the list tells of all attempts: what an earlier owner, or
+	// the VM at an earlier address, may still run is over by then.
+	trustAfter time.Time
+	reachable  bool
 	// unlisted is set while the platform's list lacks the VM.
 	unlisted bool
 	// lastContactEnd is when the last call that may have started or renewed a
@@ -170,7 +176,7 @@
 func (m *Manager) observe(mc *machine, s worker.Status, askedAt time.Time, own int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	mc.reachable, mc.slowdown = true, s.Usage.Slowdown
+	mc.reachable, mc.slowdown, mc.listAsked = true, s.Usage.Slowdown, askedAt
 	o := ledger.Observation{AskedAt: askedAt, Tasks: map[string]model.Resources{}, InFlight: s.InFlight}
 	if !mc.ledger.Ready() || mc.ledger.Uncertain() {
 		o.ForeignConnections = max(int64(s.Connections)-max(own, mc.target.Connections()), 0)
--- a/internal/vms/manager.go
+++ b/internal/vms/manager.go
@@ -246,13 +246,18 @@
 	for name, vm := range m.listed {
 		epoch, own := m.Ownership.Epoch(ShardOf(vm).Key)
 		mc := m.owned[name]
-		if mc != nil && (!own || mc.epoch != epoch) {
+		moved := mc != nil && (mc.vm.AgentAddress != vm.AgentAddress || mc.vm.TargetAddress != vm.TargetAddress)
+		if mc != nil && (!own || mc.epoch != epoch || moved) {
 			m.drop(mc)
 			mc = nil
 		}
 		if own && mc == nil {
 			mc = m.take(vm, epoch, now)
 		}
+		if moved && mc != nil {
+			// What runs at the old address is not in the new one's list.
+			mc.trustAfter = now.Add(m.Timing.Lease + lostMargin)
+		}
 		if mc != nil {
 			mc.ledger.SetLeaving(vm.State != model.VMLive || doc.DrainedVMs[name])
 			mc.ledger.SetReserve(reserveOn(doc, vm))
@@ -283,7 +288,7 @@
 func (m *Manager) take(vm model.VM, epoch int64, now time.Time) *machine {
 	ctx, cancel := context.WithCancel(m.ctx)
 	mc := &machine{
-		vm: vm, shard: ShardOf(vm).Key, epoch: epoch, since: now, lastContactEnd: now,
+		vm: vm, shard: ShardOf(vm).Key, epoch: epoch, since: now, trustAfter: now.Add(startWithin), lastContactEnd: now,
 		ledger: ledger.New(vm.Capacity, model.Resources{}),
 		agent:  m.NewAgent(vm.AgentAddress),
 		target: m.NewTarget(vm.TargetAddress, maxConnections(vm)),
--- a/internal/vms/tasks.go
+++ b/internal/vms/tasks.go
@@ -176,10 +176,14 @@
 		case h != nil && h.end == "", mc.ledger.Reserved(ledgerID(a.Ref)):
 		case h != nil:
 			ended = append(ended, Attempt{Ref: a.Ref, VM: a.VM, End: h.end, Checkpoint: h.checkpoint})
-		case mc.ledger.Ready() && mc.reachable && now.Sub(mc.since) > startWithin, m.attemptsOver(mc, now):
-			// The VM's own list does not have it, and no earlier owner's start can
-			// still be on its way; or the VM is gone for longer than any lease.
+		case mc.ledger.Ready() && mc.reachable && mc.listAsked.After(mc.trustAfter), m.attemptsOver(mc, now):
+			// The VM's own list does not have it, and was asked for when no earlier
+			// owner's start could still be on its way; or the VM is gone for longer
+			// than any lease.
 			ended = append(ended, Attempt{Ref: a.Ref, VM: a.VM, End: EndLost})
+		case now.After(mc.trustAfter):
+			// The list is older than that: read it again before the next audit.
+			mc.again()
 		}
 	}
 	return ended, notOwned
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -99,8 +99,9 @@
 
 // Agent runs tasks on one VM.
 type Agent interface {
-	// Status returns the list as soon as its sequence is above after, or after
-	// wait at the latest.
+	// Status returns the list as soon as its sequence differs from after, which is
+	// at once when the VM has restarted and counts anew, or after wait at the
+	// latest.
 	Status(ctx context.Context, after int64, wait time.Duration) (Status, error)
 	// Start runs an attempt. Repeating it for the same attempt has no effect.
 	Start(ctx context.Context, req StartRequest) error
--- a/internal/worker/workertest/contract.go
+++ b/internal/worker/workertest/contract.go
@@ -134,6 +134,9 @@
 	require.Equal(t, s.Sequence, same.Sequence)
 	require.Empty(t, same.Tasks, "an unchanged list is not sent again")
 	require.InDelta(t, 2.0, time.Since(began).Seconds(), 0.5, "nothing changed")
+	restarted, err := a.Status(t.Context(), s.Sequence+100, time.Hour)
+	require.NoError(t, err, "a sequence from before a restart")
+	require.Equal(t, s.Sequence, restarted.Sequence)
 	time.AfterFunc(time.Second, func() {
 		_ = a.Start(t.Context(), worker.StartRequest{Ref: worker.Ref{Task: "w", Attempt: 1}, DurationMS: 100, LeaseMS: 1000})
 	})
