--- a/internal/command/config.go
+++ b/internal/command/config.go
@@ -99,9 +99,10 @@
 
 func configHistory(c *client) *cobra.Command {
 	return &cobra.Command{
-		Use:   "history",
-		Short: "List the newest changes: version, when, by whom",
-		Args:  cobra.NoArgs,
+		Use:     "history",
+		Short:   "List the newest changes: version, when, by whom",
+		Example: "  rattanwall config history --json",
+		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			var changes []config.Change
 			if err := c.do(cmd.Context(), c.base().Get("/v1/config/history"), &changes); err != nil {
@@ -197,7 +198,7 @@
 	cmd.AddCommand(
 		namedCreate[V](c, kind, path, example), namedDelete(c, kind, path),
 		&cobra.Command{
-			Use: "list", Short: "List all " + path, Args: cobra.NoArgs,
+			Use: "list", Short: "List all " + path, Args: cobra.NoArgs, Example: "  rattanwall " + kind + " list",
 			RunE: func(cmd *cobra.Command, _ []string) error {
 				found, err := all(cmd)
 				if err != nil {
@@ -213,7 +214,7 @@
 			},
 		},
 		&cobra.Command{
-			Use: "get NAME", Short: "Print one " + kind, Args: cobra.ExactArgs(1),
+			Use: "get NAME", Short: "Print one " + kind, Args: cobra.ExactArgs(1), Example: "  rattanwall " + kind + " get orders",
 			RunE: func(cmd *cobra.Command, args []string) error {
 				found, err := all(cmd)
 				if err != nil {
@@ -250,7 +251,7 @@
 
 func namedDelete(c *client, kind, path string) *cobra.Command {
 	return &cobra.Command{
-		Use: "delete NAME", Short: "Delete a " + kind, Args: cobra.ExactArgs(1),
+		Use: "delete NAME", Short: "Delete a " + kind, Args: cobra.ExactArgs(1), Example: "  rattanwall " + kind + " delete orders",
 		RunE: func(cmd *cobra.Command, args []string) error {
 			return c.change(cmd, c.base().Delete("/v1/"+path+"/"+args[0]))
 		},
--- a/internal/command/inspect.go
+++ b/internal/command/inspect.go
@@ -16,6 +16,7 @@
 	c.flags(cmd)
 	cmd.AddCommand(&cobra.Command{
 		Use: "list", Short: "List the teams with their quotas", Args: cobra.NoArgs,
+		Example: "  rattanwall team list",
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			var teams []admin.TeamInfo
 			if err := c.do(cmd.Context(), c.base().Get("/v1/teams"), &teams); err != nil {
@@ -36,6 +37,7 @@
 func teamUsage(c *client) *cobra.Command {
 	return &cobra.Command{
 		Use: "usage TEAM", Short: "Show what a team's tasks take now", Args: cobra.ExactArgs(1),
+		Example: "  rattanwall team usage training",
 		RunE: func(cmd *cobra.Command, args []string) error {
 			var listing jobs.Listing
 			if err := c.do(cmd.Context(), c.base().Get("/v1/teams/"+args[0]+"/jobs"), &listing); err != nil {
@@ -55,6 +57,7 @@
 	c.flags(cmd)
 	cmd.AddCommand(&cobra.Command{
 		Use: "list", Short: "List the VMs with their owners", Args: cobra.NoArgs,
+		Example: "  rattanwall vm list --json",
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			var list []admin.VMInfo
 			if err := c.do(cmd.Context(), c.base().Get("/v1/vms"), &list); err != nil {
@@ -89,6 +92,7 @@
 	c := &client{}
 	cmd := &cobra.Command{
 		Use: "status", Short: "Show a node and its peers", Args: cobra.NoArgs,
+		Example: "  rattanwall status --admin 10.1.0.11:8081",
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			var s node.Status
 			if err := c.do(cmd.Context(), c.base().Get("/v1/status"), &s); err != nil {
@@ -116,6 +120,7 @@
 	c := &client{}
 	cmd := &cobra.Command{
 		Use: "dump", Short: "Print a node's whole state as JSON", Args: cobra.NoArgs,
+		Example: "  rattanwall dump --admin 10.1.0.11:8081",
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			var dump json.RawMessage
 			if err := c.do(cmd.Context(), c.base().Get("/v1/dump"), &dump); err != nil {
--- a/internal/command/job.go
+++ b/internal/command/job.go
@@ -59,6 +59,7 @@
 func jobList(c *client, path func(string) (string, error)) *cobra.Command {
 	return &cobra.Command{
 		Use: "list", Short: "List a team's open and newest ended jobs", Args: cobra.NoArgs,
+		Example: "  rattanwall job list --team training",
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			p, err := path("")
 			if err != nil {
@@ -93,6 +94,7 @@
 func jobGet(c *client, path func(string) (string, error)) *cobra.Command {
 	return &cobra.Command{
 		Use: "get ID", Short: "Print a job with its tasks", Args: cobra.ExactArgs(1),
+		Example: "  rattanwall job get night-1 --team training",
 		RunE: func(cmd *cobra.Command, args []string) error {
 			p, err := path("/" + args[0])
 			if err != nil {
@@ -119,6 +121,7 @@
 func jobCancel(c *client, path func(string) (string, error), verb string) *cobra.Command {
 	return &cobra.Command{
 		Use: verb + " ID", Short: "Cancel a job: what waits is dropped, what runs is stopped", Args: cobra.ExactArgs(1),
+		Example: "  rattanwall job " + verb + " night-1 --team training",
 		RunE: func(cmd *cobra.Command, args []string) error {
 			p, err := path("/" + args[0] + "/cancel")
 			if err != nil {
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -29,21 +29,25 @@
 func Main() int {
 	root := newRoot()
 	err := root.Execute()
-	if err == nil {
-		return exitOK
-	}
-	if errors.Is(err, errFailed) {
-		return exitFailed
+	if err != nil && !errors.Is(err, errFailed) {
+		_, _ = os.Stderr.WriteString("rattanwall: " + err.Error() + "\n")
 	}
-	_, _ = os.Stderr.WriteString("rattanwall: " + err.Error() + "\n")
+	return exitCode(err)
+}
+
+// exitCode tells a program what became of its call.
+func exitCode(err error) int {
 	var kind *errkind.Error
-	if !errors.As(err, &kind) {
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.Is(err, errFailed):
+		return exitFailed
+	case !errors.As(err, &kind):
 		return exitUsage
-	}
-	switch a := kind.Answer(); {
-	case a.Outcome == errkind.Unknown:
+	case kind.Answer().Outcome == errkind.Unknown:
 		return exitUnknown
-	case a.Retryable:
+	case kind.Answer().Retryable:
 		return exitLater
 	}
 	return exitUsage
--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -24,8 +24,10 @@
 		Use:   "standin",
 		Short: "Run a stand-in for the platform or its workers, for failure runs",
 		Long: `Run a stand-in for the platform or for workers as a process of its own. Faults
-are switched by HTTP: PUT /faults at the platform's or an agent's address, POST
-/silence at an agent's. GET /record tells what really happened.`,
+are switched by HTTP: PUT /faults at the platform's or an agent's address (down,
+slow, answers lost, watch silent, usage late, tasks fail), POST /silence at an
+agent's, PUT /vm at the platform's with a VM whose state is "leaving". GET
+/record tells what really happened.`,
 	}
 	cmd.AddCommand(standinPlatform(), standinWorker())
 	return cmd
