VMs emptied at once, ends reported again within a second

Cause: a read-through of the status loop after it had been made to wait 15 s: a VM that begins to leave was emptied up to 15 s late, an end that its job leader did not take was reported again as late, and a saved checkpoint was forgotten at the next list, since saving is no change that the list tells of. Change: the call is abandoned when a VM begins to leave; with ends unrecorded it waits 1 s; the copy of the list takes the saved checkpoint.

--- a/internal/vms/machine.go
+++ b/internal/vms/machine.go
@@ -20,6 +20,8 @@
 	statusWait = 15 * time.Second
 	// settleEvery is how often the status is read while something is uncertain.
 	settleEvery = 100 * time.Millisecond
+	// reportRetry is how soon an end that was not recorded is reported again.
+	reportRetry = time.Second
 	// retryPause is the least time between failed status calls.
 	retryPause = 500 * time.Millisecond
 	// lostMargin is added to the lease before an attempt counts as lost: it covers
@@ -51,6 +53,8 @@
 	reachable  bool
 	// unlisted is set while the platform's list lacks the VM.
 	unlisted bool
+	// leaving is set while the VM must get nothing new and is emptied.
+	leaving bool
 	// lastContactEnd is when the last call that may have started or renewed a
 	// task's lease ended, answered or not.
 	lastContactEnd time.Time
@@ -128,6 +132,9 @@
 	m.mu.Lock()
 	mc.abandonStatus = func() { cancel(errAbandoned) }
 	uncertain = mc.ledger.Uncertain() || !mc.ledger.Ready()
+	if mc.unrecorded() {
+		wait = reportRetry
+	}
 	m.mu.Unlock()
 	if uncertain {
 		wait = 0
@@ -139,6 +146,16 @@
 	return s, uncertain, err
 }
 
+// unrecorded reports whether the end of an attempt has yet to be recorded.
+func (mc *machine) unrecorded() bool {
+	for _, h := range mc.tasks {
+		if h.end != "" {
+			return true
+		}
+	}
+	return false
+}
+
 // statusFailed notes that the VM is not reached, and gives its attempts up once
 // their leases have certainly run out.
 func (m *Manager) statusFailed(ctx context.Context, mc *machine) {
@@ -382,6 +399,8 @@
 	for _, t := range saved {
 		if h := mc.tasks[t.Ref]; h != nil && h.end == "" {
 			h.checkpoint = t.Checkpoint
+			// Saving is no change that the list tells of.
+			mc.list[t.Ref] = t
 		}
 	}
 }
--- a/internal/vms/manager.go
+++ b/internal/vms/manager.go
@@ -259,7 +259,7 @@
 			mc.trustAfter = now.Add(m.Timing.Lease + lostMargin)
 		}
 		if mc != nil {
-			mc.ledger.SetLeaving(vm.State != model.VMLive || doc.DrainedVMs[name])
+			mc.setLeaving(vm.State != model.VMLive || doc.DrainedVMs[name])
 			mc.ledger.SetReserve(reserveOn(doc, vm))
 			mc.ledger.Tick(now)
 		}
@@ -273,6 +273,16 @@
 	m.mu.Unlock()
 }
 
+// setLeaving makes a VM that begins to leave be emptied at once rather than
+// after the present status call. m.mu is held.
+func (mc *machine) setLeaving(leaving bool) {
+	mc.ledger.SetLeaving(leaving)
+	if leaving && !mc.leaving {
+		mc.again()
+	}
+	mc.leaving = leaving
+}
+
 // reserveOn is what a VM keeps free of tasks for its services.
 func reserveOn(doc config.Document, vm model.VM) model.Resources {
 	var sum model.Resources
