Read-through: dead state removed, one way to take a node out

Cause: the whole change read once more. A channel that nothing sent to (machine.nudge), a field that nothing read (taskHold.resource) and one that was only written (Leader.storeOK) had outlived what they were for; killing and stopping a node of the harness each took it out of the deployment by hand; a local name hid the predeclared any. Change: removed; Deployment.take; renamed. No behaviour changes and no test was touched. Measured: harness, route, jobs and stand-in tests pass, vet, staticcheck and golangci-lint clean.

--- a/internal/harness/harness.go
+++ b/internal/harness/harness.go
@@ -150,10 +150,10 @@
 // StartNode starts a node, empty, as when its VM is replaced.
 func (d *Deployment) StartNode(name, zone string) error {
 	network, ip := d.Hosts.Host(name)
-	any := anyPort(ip)
+	address := anyPort(ip)
 	s := settings.Node{
 		Name: name, Zone: zone,
-		Listen:                  settings.Listen{Callers: any, Admin: any, Peers: any, Operations: any},
+		Listen:                  settings.Listen{Callers: address, Admin: address, Peers: address, Operations: address},
 		Platform:                settings.Platform{Address: d.listeners[zone].Address()},
 		Drain:                   settings.Drain{NoticeMS: drainNotice.Milliseconds(), LimitMS: drainLimit.Milliseconds()},
 		Leases:                  settings.Leases{SessionMS: settings.DefaultSessionMS, TaskMS: settings.DefaultTaskMS},
@@ -180,12 +180,18 @@
 
 func anyPort(ip string) string { return net.JoinHostPort(ip, "0") }
 
-// KillNode ends a node as a crash does: nothing is handed over or said.
-func (d *Deployment) KillNode(name string) {
+// take removes a running node from the deployment; nil if there is none.
+func (d *Deployment) take(name string) *runningNode {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	r := d.nodes[name]
 	delete(d.nodes, name)
-	d.mu.Unlock()
+	return r
+}
+
+// KillNode ends a node as a crash does: nothing is handed over or said.
+func (d *Deployment) KillNode(name string) {
+	r := d.take(name)
 	if r == nil {
 		return
 	}
@@ -196,10 +202,7 @@
 
 // StopNode stops a node as planned and returns when it has ended.
 func (d *Deployment) StopNode(name string) {
-	d.mu.Lock()
-	r := d.nodes[name]
-	delete(d.nodes, name)
-	d.mu.Unlock()
+	r := d.take(name)
 	if r == nil {
 		return
 	}
--- a/internal/jobs/leader.go
+++ b/internal/jobs/leader.go
@@ -72,9 +72,8 @@
 	stopped  chan struct{}
 	planner  *planner
 
-	// state and what follows belong to the loop's goroutine.
-	state   *State
-	storeOK bool
+	// state belongs to the loop's goroutine.
+	state *State
 }
 
 func newLeader(shard, node string, store platform.Store, cluster Cluster, cfg func() *config.Installed, logger *logrus.Entry) *Leader {
@@ -129,7 +128,7 @@
 			}
 		}
 		if err == nil {
-			l.state, l.storeOK = state, true
+			l.state = state
 			l.planner.adopt(state, time.Now())
 			return true
 		}
@@ -200,10 +199,7 @@
 // away it waits: running tasks go on, and what waits here is told by its own
 // timeout that the outcome is unknown.
 func (l *Leader) commit(ctx context.Context, ops []Op) error {
-	started := time.Now()
-	err := l.log.append(ctx, ops)
-	l.storeOK = err == nil && time.Since(started) < logCallTimeout
-	if err != nil {
+	if err := l.log.append(ctx, ops); err != nil {
 		return err
 	}
 	for l.log.snapshotDue() && ctx.Err() == nil {
--- a/internal/vms/machine.go
+++ b/internal/vms/machine.go
@@ -40,7 +40,6 @@
 	agent  worker.Agent
 	target target.Target
 	cancel context.CancelFunc
-	nudge  chan struct{}
 
 	// since is when this node took the VM over.
 	since time.Time
@@ -78,8 +77,7 @@
 type taskHold struct {
 	checkpoint string
 	// end is set once the attempt has ended; it stays listed until recorded.
-	end      End
-	resource model.Resources
+	end End
 	// starting is set while the start's outcome is not known.
 	starting bool
 	// settledAt is when the start's outcome was settled. A list asked for earlier
@@ -204,7 +202,7 @@
 		}
 		h := mc.tasks[t.Ref]
 		if h == nil {
-			h = &taskHold{resource: t.Resources}
+			h = &taskHold{}
 			mc.tasks[t.Ref] = h
 		}
 		h.starting = false
@@ -364,7 +362,6 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		case <-mc.nudge:
 		}
 	}
 }
--- a/internal/vms/manager.go
+++ b/internal/vms/manager.go
@@ -302,7 +302,7 @@
 		ledger: ledger.New(vm.Capacity, model.Resources{}),
 		agent:  m.NewAgent(vm.AgentAddress),
 		target: m.NewTarget(vm.TargetAddress, maxConnections(vm)),
-		cancel: cancel, tasks: map[worker.Ref]*taskHold{}, nudge: make(chan struct{}, 1), latency: initialLatency,
+		cancel: cancel, tasks: map[worker.Ref]*taskHold{}, latency: initialLatency,
 	}
 	m.owned[vm.Name] = mc
 	go m.watchStatus(ctx, mc)
