--- /dev/null
+++ b/internal/command/edge.go
@@ -0,0 +1,82 @@
+package command
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+	"github.com/rattanwall/rattanwall/internal/edge"
+	"github.com/rattanwall/rattanwall/internal/entry"
+	"github.com/rattanwall/rattanwall/internal/eventlog"
+	"github.com/rattanwall/rattanwall/platform"
+)
+
+// peerConns is how many connections a process keeps to each of its peers.
+const peerConns = 8
+
+func newEdge() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:     "edge",
+		Short:   "Run the process of an entry VM on the users' platform",
+		Long:    "Run the process of an entry VM on the users' platform until SIGTERM or SIGINT, which begin a planned stop.",
+		Example: "  rattanwall edge --settings boot.conf",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := platform.LoadSettings(path)
+			if err != nil {
+				return err
+			}
+			log := eventlog.New(os.Stdout, logrus.InfoLevel)
+			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			go reload(ctx, path, log)
+			return edge.New(s.Settings, edgePlatform(s), log).Run(ctx)
+		},
+	}
+	cmd.Flags().StringVar(&path, "settings", platform.SettingsPath(), "the platform's settings file")
+	return cmd
+}
+
+// reload checks the settings again at each SIGHUP, whose default would end the
+// process. Addresses and bounds stay for the life of a process; faults are told.
+func reload(ctx context.Context, path string, log *eventlog.Log) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		if _, err := platform.LoadSettings(path); err != nil {
+			log.Warn("settings_refused", err, eventlog.Fields{"file": path})
+			continue
+		}
+		log.Event("settings_read", eventlog.Fields{"file": path})
+	}
+}
+
+// edgePlatform makes the clients of the platform that the settings name.
+func edgePlatform(s *platform.Settings) edge.Platform {
+	store := platform.NewStore(s.StoreAddress)
+	return edge.Platform{
+		Store:        store,
+		Agents:       platform.NewWorkers(),
+		Instances:    func(ctx context.Context) ([]batch.Instance, error) { return platform.ListInstances(ctx, store) },
+		ConfigKey:    platform.ConfigKey,
+		DecodeConfig: platform.DecodeConfig,
+		PeerClient:   platform.NewHTTPClient(peerConns),
+		Callers: func(e *entry.Entry) (http.Handler, http.Handler) {
+			in := platform.NewIngress(e)
+			return in, http.HandlerFunc(in.ServeReady)
+		},
+	}
+}
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -63,7 +63,7 @@
 	// What a verb prints is its result; cobra would send it to standard error.
 	root.SetOut(os.Stdout)
 	root.SetErr(os.Stderr)
-	root.AddCommand(newNode(), newDev(), newStandin(), newSettings(), newCapacity())
+	root.AddCommand(newNode(), newEdge(), newDev(), newStandin(), newSettings(), newCapacity())
 	root.AddCommand(newConfig(), newService(), newWatch(), newJob(), newTeam(), newVM(), newStatus(), newDump())
 	return root
 }
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,221 @@
+// Package edge puts the parts of an entry VM's process together that serve
+// callers and schedule steps, under one supervisor tree, and stops them in order.
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+	"github.com/rattanwall/rattanwall/internal/durable"
+	"github.com/rattanwall/rattanwall/internal/entry"
+	"github.com/rattanwall/rattanwall/internal/eventlog"
+	"github.com/rattanwall/rattanwall/internal/follow"
+	"github.com/rattanwall/rattanwall/internal/leader"
+	"github.com/rattanwall/rattanwall/internal/scheduler"
+	"github.com/rattanwall/rattanwall/internal/scheduling"
+)
+
+// Settings of the process.
+type Settings struct {
+	// Node is the process's name in logs.
+	Node string
+	Zone string
+	// Callers, Readiness, Peers and Operations are the ip:port to listen on.
+	Callers    string
+	Readiness  string
+	Peers      string
+	Operations string
+	// Processor is the share of a core that the VM has.
+	Processor float64
+	// MemoryMB is the memory limit of the process.
+	MemoryMB float64
+	// Grace is the time from the signal to stop until the process is killed.
+	Grace  time.Duration
+	Bounds scheduler.Settings
+}
+
+// Platform is what the process needs of the outside.
+type Platform struct {
+	Store     durable.Store
+	Agents    leader.Agents
+	Instances leader.Instances
+	// ConfigKey is the key of the operator's configuration, DecodeConfig reads it.
+	ConfigKey    string
+	DecodeConfig func([]byte) (*batch.Config, error)
+	// Callers makes the handler of callers' requests, and of the balancer's probe.
+	Callers func(*entry.Entry) (callers, ready http.Handler)
+	// PeerClient is the client for the other processes.
+	PeerClient *http.Client
+}
+
+const (
+	// configWatch is how long one watch of the configuration waits. A watch
+	// whose connection went silent is given up 0.6 s later, so that a change
+	// is in force within 2 s all the same.
+	configWatch = time.Second
+	// noticeTime is how long the balancer takes to see that a process is not
+	// ready: two probes, one a second, and their way.
+	noticeTime = 2500 * time.Millisecond
+	// leaveMargin is kept of the grace for the last steps of a stop.
+	leaveMargin = 700 * time.Millisecond
+	// headerTimeout bounds the time that a client takes to send its headers,
+	// idleTimeout that between its requests.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 60 * time.Second
+	// memoryShare is the part of the memory limit at which the collector works
+	// harder; the rest is for stacks and bytes not yet read.
+	memoryShare = 0.6
+	// collectAt is the growth of the heap between collections, in percent: twice
+	// the usual, since the heap is small beside the limit.
+	collectAt = 200
+)
+
+// Edge is the process.
+type Edge struct {
+	settings Settings
+	platform Platform
+	log      *eventlog.Log
+	election *leader.Election
+	leader   *leader.Leader
+	entry    *entry.Entry
+	config   atomic.Pointer[batch.Config]
+	draining atomic.Bool
+	servers  []*http.Server
+}
+
+// New puts the process together.
+func New(s Settings, p Platform, log *eventlog.Log) *Edge {
+	e := &Edge{settings: s, platform: p, log: log}
+	e.leader = &leader.Leader{
+		Store: p.Store, Agents: p.Agents, Instances: p.Instances, Config: e.config.Load,
+		Settings: s.Bounds, Log: log, WallMS: wallMS,
+	}
+	e.election = leader.NewElection(p.Store, leader.Record{Node: s.Node, Address: s.Peers}, s.Processor, log, e.leader.Lead)
+	local := &peerServer{leader: e.leader, store: p.Store}
+	e.entry = &entry.Entry{
+		Store: p.Store, InForce: e.config.Load, Accepting: e.ready, WallMS: wallMS, Log: log,
+		Peers: &peers{self: s.Peers, election: e.election, local: local, client: p.PeerClient},
+	}
+	callers, ready := p.Callers(e.entry)
+	e.serve(s.Callers, callers)
+	e.serve(s.Readiness, ready)
+	e.serve(s.Peers, scheduling.NewSchedulingServer(local))
+	return e
+}
+
+func wallMS() int64 { return time.Now().UnixMilli() }
+
+func (e *Edge) serve(address string, handler http.Handler) {
+	e.servers = append(e.servers, &http.Server{
+		Addr: address, Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	})
+}
+
+// Run serves until ctx ends, then stops in order.
+func (e *Edge) Run(ctx context.Context) error {
+	debug.SetGCPercent(collectAt)
+	debug.SetMemoryLimit(int64(e.settings.MemoryMB * memoryShare * (1 << 20)))
+	e.log.Event("process_started", eventlog.Fields{"zone": e.settings.Zone, "processor": e.settings.Processor})
+	tree := suture.New("edge", suture.Spec{
+		EventHook:                func(ev suture.Event) { e.log.Event("supervisor", ev.Map()) },
+		DontPropagateTermination: true,
+	})
+	tree.Add(&follow.Follower{
+		Store: e.platform.Store, Prefix: e.platform.ConfigKey, Wait: configWatch, Handle: e.observeConfig,
+		Failed: func(err error) { e.log.Warn("config_watch_failed", err, nil) },
+	})
+	tree.Add(e.election.Follower())
+	tree.Add(e.election)
+	for _, s := range e.servers {
+		tree.Add(httpService{s})
+	}
+	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	ended := tree.ServeBackground(runCtx)
+	select {
+	case err := <-ended:
+		return errors.Wrap(err, "supervisor")
+	case <-ctx.Done():
+	}
+	e.drain()
+	cancel()
+	<-ended
+	e.log.Event("process_stopped", nil)
+	return nil
+}
+
+// ready reports whether callers should come here.
+func (e *Edge) ready() bool { return e.config.Load() != nil && !e.draining.Load() }
+
+// observeConfig installs a newer configuration. An older one, from a read that
+// overtook, is never installed.
+func (e *Edge) observeConfig(items []durable.Item, _ bool) {
+	for i := range items {
+		if items[i].Key != e.platform.ConfigKey || items[i].Deleted {
+			continue
+		}
+		c, err := e.platform.DecodeConfig(items[i].Value)
+		if err != nil {
+			e.log.Warn("config_unreadable", err, eventlog.Fields{"revision": items[i].Revision})
+			continue
+		}
+		current := e.config.Load()
+		if current != nil && c.Version <= current.Version {
+			continue
+		}
+		e.config.Store(c)
+		e.log.Event("config_installed", eventlog.Fields{"version": c.Version, "revision": items[i].Revision, "queues": len(c.Queues)})
+	}
+}
+
+// drain is the planned stop. The lead is given up first, by a write, so that
+// another takes over at once. The listener stays open until the balancer has
+// seen that the process is not ready: a request that comes meanwhile is served.
+func (e *Edge) drain() {
+	began := time.Now()
+	e.log.Event("process_stopping", eventlog.Fields{"grace_ms": e.settings.Grace.Milliseconds()})
+	e.draining.Store(true)
+	e.election.Resign(context.Background())
+	time.Sleep(noticeTime)
+	for _, s := range e.servers {
+		s.SetKeepAlivesEnabled(false)
+	}
+	limit := began.Add(e.settings.Grace - leaveMargin)
+	ctx, cancel := context.WithDeadline(context.Background(), limit)
+	defer cancel()
+	for _, s := range e.servers {
+		if err := s.Shutdown(ctx); err != nil {
+			e.log.Warn("requests_cut_off", err, eventlog.Fields{"listener": s.Addr})
+		}
+	}
+}
+
+// httpService runs a server under the supervisor.
+type httpService struct{ server *http.Server }
+
+// Serve implements suture.Service.
+func (s httpService) Serve(ctx context.Context) error {
+	ln, err := net.Listen("tcp", s.server.Addr)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", s.server.Addr)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
+	defer stop()
+	err = s.server.Serve(ln)
+	if errors.Is(err, http.ErrServerClosed) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return err
+}
+
+// String names the service in the supervisor's events.
+func (s httpService) String() string { return "server " + s.server.Addr }
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,285 @@
+// Package entry answers callers: it accepts jobs, tells their state, and cancels
+// them. What it accepts is in the durable store before the caller is told.
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+	"github.com/rattanwall/rattanwall/internal/durable"
+	"github.com/rattanwall/rattanwall/internal/errkind"
+	"github.com/rattanwall/rattanwall/internal/eventlog"
+	"github.com/rattanwall/rattanwall/internal/leader"
+)
+
+const (
+	// commitTimeout bounds one try of a write. The store answers within
+	// milliseconds; slow spells of it last for seconds.
+	commitTimeout = 800 * time.Millisecond
+	// leaderTimeout bounds a question to the leader, after which the store is asked.
+	leaderTimeout = 500 * time.Millisecond
+	// readTimeout bounds one reading of a job's records.
+	readTimeout = 800 * time.Millisecond
+	// answerMargin is kept of a caller's deadline for the answer's way back.
+	answerMargin = 100 * time.Millisecond
+	// retryPause is the wait between tries of a write whose outcome is unknown.
+	retryPause = 60 * time.Millisecond
+)
+
+// Peers asks the leader.
+type Peers interface {
+	// State returns a job's state; known is false when the leader has not heard of it.
+	State(ctx context.Context, id string) (state batch.State, known bool, err error)
+	// Waiting counts a queue's jobs of which nothing has started.
+	Waiting(ctx context.Context, queue string) (int, error)
+	// Submit has the leader store a job: durable.ErrRefused or ErrUnknown as
+	// from the store itself.
+	Submit(ctx context.Context, id string, record []byte) error
+	// Cancel has the leader store a cancellation.
+	Cancel(ctx context.Context, id string) (known bool, err error)
+}
+
+// Entry answers callers.
+type Entry struct {
+	Store durable.Store
+	Peers Peers
+	// InForce returns the configuration in force, or nil.
+	InForce func() *batch.Config
+	// Accepting reports whether the balancer should send callers here.
+	Accepting func() bool
+	// WallMS is the time of day in milliseconds since 1970.
+	WallMS func() int64
+	Log    *eventlog.Log
+}
+
+// Config returns the configuration in force, or nil.
+func (e *Entry) Config() *batch.Config { return e.InForce() }
+
+// Ready reports whether the balancer should send callers here.
+func (e *Entry) Ready() bool { return e.Accepting() }
+
+// Submit stores the job, or returns why it is not accepted.
+func (e *Entry) Submit(ctx context.Context, queue *batch.Queue, job *batch.Job) error {
+	began := time.Now()
+	record, err := json.Marshal(leader.JobRecord{Queue: queue.Name, Pool: queue.Pool, SubmittedMS: e.WallMS(), Job: job})
+	if err != nil {
+		return errkind.New(errkind.Internal, "", err)
+	}
+	err = e.store(ctx, job.ID, record)
+	e.logAnswer("job_submitted", job.ID, queue.Name, began, err)
+	return err
+}
+
+func (e *Entry) logAnswer(event, id, queue string, began time.Time, err error) {
+	f := eventlog.Fields{"job": id, "queue": queue, "took_ms": time.Since(began).Milliseconds(), "outcome": "ok"}
+	if err != nil {
+		f["outcome"] = string(errkind.From(err).Kind)
+		f["error"] = err.Error()
+	}
+	e.Log.Event(event, f)
+}
+
+// store creates the job's key. A refusal is only told when no try can have
+// written it; after a lost answer the same write is repeated, and finds what the
+// first has done.
+func (e *Entry) store(ctx context.Context, id string, record []byte) error {
+	unknown := false
+	for {
+		err := e.storeOnce(ctx, id, record)
+		switch {
+		case err == nil:
+			return nil
+		case errors.Is(err, durable.ErrUnknown):
+			unknown = true
+		case !unknown:
+			return errkind.New(errkind.StoreUnavailable, "not accepted", err)
+		}
+		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < answerMargin+retryPause {
+			return errkind.New(errkind.StoreUnknown, "it is not known whether the job was accepted", err)
+		}
+		if !sleep(ctx, retryPause) {
+			return errkind.New(errkind.CallerGone, "", ctx.Err())
+		}
+	}
+}
+
+// storeOnce tries the store, and then the leader's way to it.
+func (e *Entry) storeOnce(ctx context.Context, id string, record []byte) error {
+	tryCtx, cancel := e.bounded(ctx, commitTimeout)
+	defer cancel()
+	err := Create(tryCtx, e.Store, leader.JobKey(id), record)
+	if err == nil {
+		return nil
+	}
+	byLeader := e.Peers.Submit(ctx, id, record)
+	if byLeader == nil {
+		return nil
+	}
+	if errors.Is(err, durable.ErrUnknown) || errors.Is(byLeader, durable.ErrUnknown) {
+		return errors.Mark(err, durable.ErrUnknown)
+	}
+	return err
+}
+
+// Create creates a key. A key that is there already is as good: it was created
+// by an earlier try, or by another process for the same ID.
+func Create(ctx context.Context, store durable.Store, key string, value []byte) error {
+	_, err := store.Commit(ctx, durable.Txn{
+		Conditions: []durable.Condition{{Key: key}},
+		Writes:     []durable.Write{{Key: key, Value: value}},
+	})
+	var conflict *durable.ConflictError
+	if errors.As(err, &conflict) {
+		return nil
+	}
+	return err
+}
+
+// bounded returns a context that ends after d, and before the caller's deadline.
+func (e *Entry) bounded(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	if deadline, ok := ctx.Deadline(); ok {
+		d = min(d, max(time.Until(deadline)-answerMargin, 0))
+	}
+	return context.WithTimeout(ctx, d)
+}
+
+// State returns the job's state. Only the store's own answer can say that there
+// is no such job.
+func (e *Entry) State(ctx context.Context, _ *batch.Queue, id string) (batch.State, error) {
+	askCtx, cancel := e.bounded(ctx, leaderTimeout)
+	state, known, err := e.Peers.State(askCtx, id)
+	cancel()
+	if err == nil && known {
+		return state, nil
+	}
+	readCtx, cancel := e.bounded(ctx, readTimeout)
+	defer cancel()
+	return e.storedState(readCtx, id)
+}
+
+func (e *Entry) storedState(ctx context.Context, id string) (batch.State, error) {
+	unavailable := func(err error) error {
+		return errkind.New(errkind.StoreUnavailable, "the job's state is not known here", err)
+	}
+	items, _, err := e.Store.Range(ctx, leader.JobKey(id))
+	if err != nil {
+		return "", unavailable(err)
+	}
+	state := batch.State("")
+	for i := range items {
+		switch items[i].Key {
+		case leader.JobKey(id):
+			if state == "" {
+				state = batch.Queued
+			}
+		case leader.CancelKey(id):
+			state = batch.Cancelled
+		}
+	}
+	if state == "" {
+		return "", errkind.Newf(errkind.NotFound, "no such job")
+	}
+	item, err := e.Store.Get(ctx, leader.ProgressKey(id))
+	if err != nil {
+		return "", unavailable(err)
+	}
+	if item == nil {
+		return state, nil
+	}
+	final, err := leader.DecodeFinalState(id, item.Value)
+	switch {
+	case err != nil:
+		return "", errkind.New(errkind.Internal, "", err)
+	case final != "":
+		return final, nil
+	case state == batch.Queued:
+		return batch.Running, nil
+	}
+	return state, nil
+}
+
+// Waiting counts the queue's jobs of which nothing has started.
+func (e *Entry) Waiting(ctx context.Context, queue *batch.Queue) (int, error) {
+	ctx, cancel := e.bounded(ctx, 2*leaderTimeout)
+	defer cancel()
+	n, err := e.Peers.Waiting(ctx, queue.Name)
+	if err != nil {
+		return 0, errkind.New(errkind.NoOwner, "no leader answers", err)
+	}
+	return n, nil
+}
+
+// Cancel stores that the job is cancelled. It is idempotent.
+func (e *Entry) Cancel(ctx context.Context, queue *batch.Queue, id string) error {
+	began := time.Now()
+	err := e.cancel(ctx, id)
+	e.logAnswer("job_cancelled", id, queue.Name, began, err)
+	return err
+}
+
+func (e *Entry) cancel(ctx context.Context, id string) error {
+	unknown := false
+	for {
+		err := e.cancelOnce(ctx, id)
+		switch {
+		case err == nil:
+			return nil
+		case errkind.Is(err, errkind.NotFound):
+			return err
+		case errors.Is(err, durable.ErrUnknown):
+			unknown = true
+		}
+		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < answerMargin+retryPause {
+			if unknown {
+				return errkind.New(errkind.StoreUnknown, "it is not known whether the job was cancelled", err)
+			}
+			return errkind.New(errkind.StoreUnavailable, "not cancelled", err)
+		}
+		if !sleep(ctx, retryPause) {
+			return errkind.New(errkind.CallerGone, "", ctx.Err())
+		}
+	}
+}
+
+func (e *Entry) cancelOnce(ctx context.Context, id string) error {
+	tryCtx, cancel := e.bounded(ctx, commitTimeout)
+	defer cancel()
+	known, err := StoreCancel(tryCtx, e.Store, id)
+	if err != nil {
+		askCtx, cancel := e.bounded(ctx, leaderTimeout)
+		defer cancel()
+		var byLeader error
+		known, byLeader = e.Peers.Cancel(askCtx, id)
+		if byLeader != nil {
+			return err
+		}
+	}
+	if !known {
+		return errkind.Newf(errkind.NotFound, "no such job")
+	}
+	return nil
+}
+
+// StoreCancel marks a job as cancelled, if there is one.
+func StoreCancel(ctx context.Context, store durable.Store, id string) (known bool, err error) {
+	item, err := store.Get(ctx, leader.JobKey(id))
+	if err != nil || item == nil {
+		return false, err
+	}
+	return true, Create(ctx, store, leader.CancelKey(id), []byte("{}"))
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -5,6 +5,7 @@
 package errkind
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
@@ -107,7 +108,9 @@
 type Error struct {
 	Kind    Kind
 	Message string
-	cause   error
+	// RetryAfter, where set, goes before the table's.
+	RetryAfter time.Duration
+	cause      error
 }
 
 // New returns an error of a kind. message is told to whoever asked; cause, if
@@ -116,6 +119,11 @@
 	return &Error{Kind: kind, Message: message, cause: cause}
 }
 
+// Newf returns an error of a kind with a formatted message.
+func Newf(kind Kind, format string, args ...any) *Error {
+	return New(kind, fmt.Sprintf(format, args...), nil)
+}
+
 // Error implements error.
 func (e *Error) Error() string {
 	s := string(e.Kind)
@@ -132,7 +140,13 @@
 func (e *Error) Unwrap() error { return e.cause }
 
 // Answer returns the row of the table for the error's kind.
-func (e *Error) Answer() Answer { return Table[e.Kind] }
+func (e *Error) Answer() Answer {
+	a := Table[e.Kind]
+	if e.RetryAfter > 0 {
+		a.RetryAfter = e.RetryAfter
+	}
+	return a
+}
 
 // From returns err as an *Error; an error of no kind becomes Internal.
 func From(err error) *Error {
--- /dev/null
+++ b/internal/leader/election.go
@@ -0,0 +1,302 @@
+package leader
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rattanwall/rattanwall/internal/durable"
+	"github.com/rattanwall/rattanwall/internal/eventlog"
+	"github.com/rattanwall/rattanwall/internal/follow"
+	"github.com/rattanwall/rattanwall/internal/steady"
+)
+
+const (
+	// leaseTTL is how long the store keeps the leader's key without a renewal:
+	// the time until the others notice its death. Renewals travel a few
+	// milliseconds; four in a row may be lost.
+	leaseTTL     = 2 * time.Second
+	renewEvery   = 450 * time.Millisecond
+	renewTimeout = 500 * time.Millisecond
+	// callTimeout bounds one call of the election.
+	callTimeout = 900 * time.Millisecond
+	// actWithoutStore is how long after its last renewal a leader goes on giving
+	// orders while the store does not answer. The VMs' fencing tokens keep it
+	// safe: a successor shows its token to every VM it reaches before its first
+	// order, and waits the time out for those that it does not reach.
+	actWithoutStore = 6 * time.Second
+	// campaignJitter spreads the candidates, so that most find the key taken
+	// before they write.
+	campaignJitter = 120 * time.Millisecond
+	// handicap delays a candidate on a small VM, so that a large one leads: for
+	// a VM with no processor at all.
+	handicap = 400 * time.Millisecond
+	// fullProcessor is the share of a core from which a VM has no handicap.
+	fullProcessor = 0.8
+	// leaderWatch is how long one watch of the leader's key waits.
+	leaderWatch = 2 * time.Second
+)
+
+// Election takes part in the choice of the leader.
+type Election struct {
+	store durable.Store
+	self  Record
+	// processor is the share of a core that this VM has.
+	processor float64
+	log       *eventlog.Log
+	lead      func(ctx context.Context, term *Tenure)
+
+	mu       sync.Mutex
+	leader   Record
+	fence    int64
+	seen     bool
+	tenure   *Tenure
+	resigned bool
+	wake     chan struct{}
+	follower *follow.Follower
+}
+
+// Tenure is one time of being the leader.
+type Tenure struct {
+	// Fence is the fencing token: the revision of the leader's key.
+	Fence int64
+	lease int64
+
+	mu        sync.Mutex
+	renewedAt time.Duration
+	ended     bool
+	cancel    context.CancelFunc
+}
+
+// MayAct reports whether orders may be given now. It is asked before each one:
+// a process that was suspended wakes up in the middle of anything.
+func (t *Tenure) MayAct() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.ended && steady.Now()-t.renewedAt < actWithoutStore
+}
+
+// End ends the tenure: another one leads, or may.
+func (t *Tenure) End() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ended = true
+	t.cancel()
+}
+
+func (t *Tenure) renewed(sentAt time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.renewedAt = sentAt
+}
+
+// NewElection returns an election; lead is called for each tenure and returns
+// when its context ends.
+func NewElection(store durable.Store, self Record, processor float64, log *eventlog.Log, lead func(context.Context, *Tenure)) *Election {
+	e := &Election{store: store, self: self, processor: processor, log: log, lead: lead, wake: make(chan struct{}, 1)}
+	e.follower = &follow.Follower{Store: store, Prefix: leaderKey, Wait: leaderWatch, Handle: e.observe}
+	return e
+}
+
+// Leader returns who leads, as far as this process knows.
+func (e *Election) Leader() (Record, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leader, e.fence != 0
+}
+
+// Leading returns the tenure of this process, or nil.
+func (e *Election) Leading() *Tenure {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.tenure
+}
+
+// Follower watches the leader's key; run it beside Serve.
+func (e *Election) Follower() *follow.Follower { return e.follower }
+
+// observe takes a change of the leader's key over.
+func (e *Election) observe(items []durable.Item, whole bool) {
+	var found *durable.Item
+	for i := range items {
+		if items[i].Key == leaderKey {
+			found = &items[i]
+		}
+	}
+	if found == nil && !whole {
+		return
+	}
+	e.mu.Lock()
+	e.seen = true
+	if found == nil || found.Deleted {
+		e.leader, e.fence = Record{}, 0
+	} else {
+		var r Record
+		if err := json.Unmarshal(found.Value, &r); err != nil {
+			e.log.Warn("leader_record_unreadable", err, nil)
+		}
+		e.leader, e.fence = r, found.Revision
+	}
+	if t := e.tenure; t != nil && e.fence != t.Fence && (found == nil || found.Revision > t.Fence) {
+		// The key is another's, or was taken away: the store may do that without
+		// any call showing it.
+		e.log.Event("leader_deposed", eventlog.Fields{"fence": t.Fence, "successor": e.leader.Node})
+		t.End()
+	}
+	e.log.Event("leader_seen", eventlog.Fields{"leader": e.leader.Node, "fence": e.fence})
+	e.mu.Unlock()
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Resign gives the lead up for good, as part of a planned stop.
+func (e *Election) Resign(ctx context.Context) {
+	e.mu.Lock()
+	e.resigned = true
+	t := e.tenure
+	e.mu.Unlock()
+	if t == nil {
+		return
+	}
+	t.End()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := e.store.End(ctx, t.lease); err != nil {
+		e.log.Warn("leader_resign_failed", err, eventlog.Fields{"fence": t.Fence})
+	}
+}
+
+func (e *Election) vacant() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.seen && e.fence == 0 && !e.resigned
+}
+
+// Serve implements suture.Service.
+func (e *Election) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if !e.vacant() {
+			select {
+			case <-ctx.Done():
+			case <-e.wake:
+			}
+			continue
+		}
+		e.campaign(ctx)
+	}
+	return ctx.Err()
+}
+
+// campaign tries to become the leader once, and leads if it succeeds.
+func (e *Election) campaign(ctx context.Context) {
+	small := max(0, 1-e.processor/fullProcessor)
+	delay := time.Duration(small*float64(handicap)) + rand.N(campaignJitter)
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(delay):
+	}
+	if !e.vacant() {
+		return
+	}
+	t, err := e.acquire(ctx)
+	if err != nil {
+		var conflict *durable.ConflictError
+		if errors.As(err, &conflict) {
+			if item := conflict.Item(leaderKey); item != nil {
+				e.observe([]durable.Item{*item}, false)
+			}
+			return
+		}
+		e.log.Warn("leader_campaign_failed", err, nil)
+		return
+	}
+	e.log.Event("leader_elected", eventlog.Fields{"fence": t.Fence})
+	e.serveTenure(ctx, t)
+}
+
+func (e *Election) acquire(ctx context.Context) (*Tenure, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sentAt := steady.Now()
+	lease, err := e.store.Grant(ctx, leaseTTL)
+	if err != nil {
+		return nil, err
+	}
+	value, err := json.Marshal(e.self)
+	if err != nil {
+		return nil, err
+	}
+	revision, err := e.store.Commit(ctx, durable.Txn{
+		Conditions: []durable.Condition{{Key: leaderKey}},
+		Writes:     []durable.Write{{Key: leaderKey, Value: value, Lease: lease}},
+	})
+	if err != nil {
+		// After a lost answer the key may be ours: without renewals it goes
+		// with its lease.
+		return nil, err
+	}
+	return &Tenure{Fence: revision, lease: lease, renewedAt: sentAt}, nil
+}
+
+// serveTenure leads until the tenure ends.
+func (e *Election) serveTenure(ctx context.Context, t *Tenure) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	t.cancel = cancel
+	e.mu.Lock()
+	e.tenure = t
+	e.leader, e.fence = e.self, t.Fence
+	e.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		e.lead(ctx, t)
+	}()
+	e.renew(ctx, t)
+	t.End()
+	<-done
+	e.mu.Lock()
+	e.tenure = nil
+	if e.fence == t.Fence {
+		// Whether the key is still there the follower will tell; until then
+		// nobody is known to lead.
+		e.leader, e.fence, e.seen = Record{}, 0, false
+		e.follower.Reread()
+	}
+	e.mu.Unlock()
+	e.log.Event("leader_stepped_down", eventlog.Fields{"fence": t.Fence})
+}
+
+// renew keeps the lease until it is lost or ctx ends.
+func (e *Election) renew(ctx context.Context, t *Tenure) {
+	ticker := time.NewTicker(renewEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		sentAt := steady.Now()
+		callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
+		err := e.store.Renew(callCtx, t.lease)
+		cancel()
+		switch {
+		case err == nil:
+			t.renewed(sentAt)
+		case errors.Is(err, durable.ErrLeaseGone):
+			e.log.Event("leader_lease_gone", eventlog.Fields{"fence": t.Fence})
+			return
+		case !t.MayAct():
+			e.log.Event("leader_lease_unrenewed", eventlog.Fields{"fence": t.Fence})
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/leader/leader.go
@@ -0,0 +1,391 @@
+package leader
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+	"github.com/rattanwall/rattanwall/internal/durable"
+	"github.com/rattanwall/rattanwall/internal/eventlog"
+	"github.com/rattanwall/rattanwall/internal/follow"
+	"github.com/rattanwall/rattanwall/internal/scheduler"
+	"github.com/rattanwall/rattanwall/internal/steady"
+)
+
+// Agents gives orders to instances. A *batch.RefusalError is certain; after any
+// other error the order may have been, or may yet be, carried out.
+type Agents interface {
+	Start(ctx context.Context, instance *batch.Instance, o batch.StartOrder) (time.Duration, error)
+	Stop(ctx context.Context, instance *batch.Instance, task batch.TaskID, run, fence int64) error
+	Pace(ctx context.Context, instance *batch.Instance, task batch.TaskID, run int64, percent int, fence int64) error
+	Hold(ctx context.Context, instance *batch.Instance, o batch.HoldOrder) (batch.Report, error)
+}
+
+// Instances lists the instances that are registered.
+type Instances func(ctx context.Context) ([]batch.Instance, error)
+
+const (
+	// listEvery is how often the list of instances is read: a draining one must
+	// get nothing new after 2 s, and one read costs the store as little as one
+	// change of one entry.
+	listEvery = 500 * time.Millisecond
+	// listTimeout bounds one reading of the list.
+	listTimeout = time.Second
+	// flushEvery is how often progress is written. Ends wait for it at their
+	// VMs, jobs that are done until their callers are told.
+	flushEvery   = 40 * time.Millisecond
+	flushTimeout = time.Second
+	// recordsPerTxn: each record takes a condition and a write, and the leader's
+	// key one more condition.
+	recordsPerTxn = (durable.MaxTxnEntries - 1) / 2
+	// planTick is how often the plan is looked at without a cause.
+	planTick = 50 * time.Millisecond
+	// rebuildTimeout bounds one attempt to read all records.
+	rebuildTimeout = 5 * time.Second
+	rebuildPause   = 200 * time.Millisecond
+	// jobsWatch is how long one watch for new jobs waits.
+	jobsWatch = 2 * time.Second
+	// keepEnded is how long ended jobs are remembered: longer than callers may
+	// ask, and than a repeated submission may come late.
+	keepEnded   = 10 * time.Minute
+	forgetEvery = time.Second
+	// forgetMost bounds the jobs forgotten at once: three keys each.
+	forgetMost = 10
+)
+
+// Leader does the leader's work during a tenure.
+type Leader struct {
+	Store     durable.Store
+	Agents    Agents
+	Instances Instances
+	// Config returns the configuration in force, or nil.
+	Config   func() *batch.Config
+	Settings scheduler.Settings
+	Log      *eventlog.Log
+	// WallMS is the time of day in milliseconds since 1970.
+	WallMS func() int64
+
+	mu   sync.Mutex
+	term *term
+}
+
+// term is the state of one tenure.
+type term struct {
+	*Leader
+	tenure *Tenure
+	log    *eventlog.Log
+
+	// mu guards sched and what follows.
+	mu       sync.Mutex
+	sched    *scheduler.Scheduler
+	recorded map[string]bool
+	// instancesRevision is that of the record of instances.
+	instancesRevision int64
+	holds             map[string]context.CancelFunc
+	config            *batch.Config
+	ready             bool
+	// flushed is closed and replaced after each flush.
+	flushed chan struct{}
+	kick    chan struct{}
+	work    sync.WaitGroup
+}
+
+// Lead does the leader's work until ctx ends.
+func (l *Leader) Lead(ctx context.Context, tenure *Tenure) {
+	t := &term{
+		Leader: l, tenure: tenure, log: l.Log, recorded: map[string]bool{}, holds: map[string]context.CancelFunc{},
+		flushed: make(chan struct{}), kick: make(chan struct{}, 1),
+	}
+	t.sched = scheduler.New(l.Settings, tenure.Fence, t.logDecision)
+	jobs, err := t.rebuild(ctx)
+	if err != nil {
+		return
+	}
+	l.setTerm(t)
+	defer l.setTerm(nil)
+	t.log.Event("leader_ready", eventlog.Fields{"fence": tenure.Fence, "jobs": jobs.count})
+	t.run(ctx, jobs.revision)
+	t.work.Wait()
+}
+
+func (l *Leader) setTerm(t *term) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.term = t
+}
+
+func (l *Leader) current() *term {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.term
+}
+
+// State returns what callers may be told of a job. leading is false when this
+// process does not lead; known is false when it has not heard of the job.
+func (l *Leader) State(id string) (state batch.State, known, leading bool) {
+	t := l.current()
+	if t == nil || !t.tenure.MayAct() {
+		return "", false, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	state, known = t.sched.State(id)
+	return state, known, true
+}
+
+// Waiting counts a queue's jobs of which nothing has started.
+func (l *Leader) Waiting(queue string) (n int, leading bool) {
+	t := l.current()
+	if t == nil || !t.tenure.MayAct() {
+		return 0, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sched.Waiting(queue), true
+}
+
+// run starts the loops of the tenure and waits for its end.
+func (t *term) run(ctx context.Context, revision int64) {
+	jobs := &follow.Follower{Store: t.Store, Prefix: jobsPrefix, Wait: jobsWatch, Handle: t.observeJobs, After: revision}
+	for _, loop := range []func(context.Context){
+		func(ctx context.Context) { _ = jobs.Serve(ctx) }, t.listLoop, t.flushLoop, t.forgetLoop,
+	} {
+		t.work.Go(func() { loop(ctx) })
+	}
+	ticker := time.NewTicker(planTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.kick:
+		case <-ticker.C:
+		}
+		if !t.tenure.MayAct() {
+			t.tenure.End()
+			return
+		}
+		t.plan(ctx)
+	}
+}
+
+// awake makes the plan be looked at soon.
+func (t *term) awake() {
+	select {
+	case t.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (t *term) plan(ctx context.Context) {
+	now := steady.Now()
+	t.mu.Lock()
+	if c := t.Config(); c != nil && c != t.config {
+		t.config = c
+		t.sched.SetConfig(c)
+	}
+	t.sched.Expire(now)
+	t.sched.OpenDue(now, t.WallMS())
+	orders := t.sched.Plan(now)
+	t.mu.Unlock()
+	for i := range orders {
+		o := orders[i]
+		t.work.Go(func() { t.carryOut(ctx, o) })
+	}
+}
+
+// observeJobs takes new jobs and cancels over.
+func (t *term) observeJobs(items []durable.Item, _ bool) {
+	t.mu.Lock()
+	for i := range items {
+		if !items[i].Deleted {
+			t.observeJob(&items[i])
+		}
+	}
+	t.mu.Unlock()
+	t.awake()
+}
+
+func (t *term) observeJob(item *durable.Item) {
+	now := steady.Now()
+	id, cancelled := jobKey(item.Key)
+	if cancelled {
+		t.sched.Cancel(now, id)
+		return
+	}
+	r, err := decodeJob(id, item.Value)
+	if err != nil {
+		t.log.Warn("job_unreadable", err, eventlog.Fields{"job": id})
+		return
+	}
+	t.sched.Submit(now, scheduler.Submission{Job: r.Job, Queue: r.Queue, Pool: r.Pool, Age: t.age(r)})
+}
+
+// maxAge bounds the age of a submission: it comes from two clocks of the time of
+// day, which may jump.
+const maxAge = time.Minute
+
+// age is how long ago a job was submitted.
+func (t *term) age(r *JobRecord) time.Duration {
+	age := time.Duration(t.WallMS()-r.SubmittedMS) * time.Millisecond
+	return min(max(age, 0), maxAge)
+}
+
+func (t *term) logDecision(d scheduler.Decision) {
+	f := eventlog.Fields{}
+	if d.Job != "" {
+		f["job"] = d.Job
+	}
+	if d.Task.Job != "" {
+		f["job"], f["task"] = d.Task.Job, d.Task.String()
+	}
+	if d.VM != "" {
+		f["vm"] = d.VM
+	}
+	if d.Run != 0 {
+		f["run"] = d.Run
+	}
+	if d.Reason != "" {
+		f["reason"] = d.Reason
+	}
+	if d.Age != 0 {
+		f["age_ms"] = d.Age.Milliseconds()
+	}
+	if d.Value != 0 {
+		f["value"] = d.Value
+	}
+	t.log.Event(d.Event, f)
+}
+
+// flushLoop writes progress.
+func (t *term) flushLoop(ctx context.Context) {
+	ticker := time.NewTicker(flushEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		t.mu.Lock()
+		f := t.sched.Pending()
+		t.mu.Unlock()
+		if f == nil {
+			continue
+		}
+		if err := t.flush(ctx, f); err != nil {
+			if ctx.Err() == nil {
+				t.log.Warn("progress_not_written", err, eventlog.Fields{"records": len(f.Records)})
+			}
+			continue
+		}
+		t.mu.Lock()
+		t.sched.Flushed(f)
+		close(t.flushed)
+		t.flushed = make(chan struct{})
+		t.mu.Unlock()
+	}
+}
+
+// errDeposed: the leader's key is no longer the one of this tenure.
+var errDeposed = errors.New("another leads")
+
+func (t *term) flush(ctx context.Context, f *scheduler.Flush) error {
+	for start := 0; start < len(f.Records); start += recordsPerTxn {
+		end := min(start+recordsPerTxn, len(f.Records))
+		if err := t.write(ctx, f.Records[start:end]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// write commits some records on condition that this tenure goes on.
+func (t *term) write(ctx context.Context, records []scheduler.Record) error {
+	txn := durable.Txn{Conditions: []durable.Condition{t.leads()}}
+	for i := range records {
+		value, err := json.Marshal(records[i].Progress)
+		if err != nil {
+			return err
+		}
+		key := ProgressKey(records[i].Job)
+		txn.Conditions = append(txn.Conditions, durable.Condition{Key: key, Revision: records[i].Revision})
+		txn.Writes = append(txn.Writes, durable.Write{Key: key, Value: value})
+	}
+	revision, err := t.commit(ctx, txn)
+	var conflict *durable.ConflictError
+	if errors.As(err, &conflict) {
+		// A write whose answer was lost: the next one goes by what is there.
+		t.mu.Lock()
+		for i := range records {
+			found := int64(0)
+			if item := conflict.Item(ProgressKey(records[i].Job)); item != nil {
+				found = item.Revision
+			}
+			t.sched.RecordFound(records[i].Job, found)
+		}
+		t.mu.Unlock()
+	}
+	if err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range records {
+		t.sched.RecordWritten(records[i], revision)
+	}
+	return nil
+}
+
+// leads is the condition that this tenure goes on.
+func (t *term) leads() durable.Condition {
+	return durable.Condition{Key: leaderKey, Revision: t.tenure.Fence}
+}
+
+// commit writes on condition of the leader's key and ends the tenure when that
+// has changed.
+func (t *term) commit(ctx context.Context, txn durable.Txn) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	revision, err := t.Store.Commit(ctx, txn)
+	var conflict *durable.ConflictError
+	if errors.As(err, &conflict) {
+		if item := conflict.Item(leaderKey); item == nil || item.Revision != t.tenure.Fence {
+			t.log.Event("leader_deposed", eventlog.Fields{"fence": t.tenure.Fence})
+			t.tenure.End()
+			return 0, errDeposed
+		}
+	}
+	return revision, err
+}
+
+// forgetLoop removes jobs that ended long ago.
+func (t *term) forgetLoop(ctx context.Context) {
+	ticker := time.NewTicker(forgetEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		t.mu.Lock()
+		gone := t.sched.Forget(steady.Now(), keepEnded, forgetMost)
+		t.mu.Unlock()
+		if len(gone) == 0 {
+			continue
+		}
+		txn := durable.Txn{Conditions: []durable.Condition{t.leads()}}
+		for _, id := range gone {
+			txn.Deletes = append(txn.Deletes, JobKey(id), CancelKey(id), ProgressKey(id))
+		}
+		if _, err := t.commit(ctx, txn); err != nil {
+			// They are read again, and forgotten again, by the next leader.
+			t.log.Warn("jobs_not_removed", err, eventlog.Fields{"jobs": len(gone)})
+		}
+	}
+}
--- /dev/null
+++ b/internal/leader/orders.go
@@ -0,0 +1,254 @@
+package leader
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+	"github.com/rattanwall/rattanwall/internal/eventlog"
+	"github.com/rattanwall/rattanwall/internal/scheduler"
+	"github.com/rattanwall/rattanwall/internal/steady"
+)
+
+const (
+	// holdWait is how long a hold waits for an end; it is also how often the
+	// leases are renewed.
+	holdWait = time.Second
+	// holdGrace is how much later a hold may answer before its connection
+	// counts as silent.
+	holdGrace = 700 * time.Millisecond
+	// holdPause is the wait after a hold that failed.
+	holdPause = 100 * time.Millisecond
+	// ackPause bounds the wait for the flush of ends before the next hold: a
+	// hold that does not acknowledge them returns at once with the same.
+	ackPause = 150 * time.Millisecond
+	// orderTimeout bounds one try of an order; tries is how often a start is
+	// repeated before its run is given up.
+	orderTimeout = 500 * time.Millisecond
+	startTries   = 3
+	// stopPause is the wait between tries of a stop.
+	stopPause = 200 * time.Millisecond
+	// stopFor bounds how long a stop is repeated; the lease is over by then.
+	stopFor = 25 * time.Second
+)
+
+// holdAll runs one hold loop for each instance.
+func (t *term) holdAll(ctx context.Context) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	instances := t.sched.Instances()
+	for id, cancel := range t.holds {
+		if _, ok := instances[id]; !ok {
+			cancel()
+			delete(t.holds, id)
+		}
+	}
+	for id, inst := range instances {
+		if t.holds[id] != nil {
+			continue
+		}
+		holdCtx, cancel := context.WithCancel(ctx)
+		t.holds[id] = cancel
+		t.work.Go(func() { t.holdLoop(holdCtx, inst) })
+	}
+}
+
+// holdLoop renews the leases of an instance and takes its reports over.
+func (t *term) holdLoop(ctx context.Context, inst batch.Instance) {
+	wait := time.Duration(0)
+	failures := 0
+	for ctx.Err() == nil && t.tenure.MayAct() {
+		ok, err := t.holdOnce(ctx, &inst, wait)
+		if !ok {
+			return
+		}
+		if err != nil {
+			failures++
+			if failures == 1 {
+				t.log.Warn("vm_unanswered", err, eventlog.Fields{"vm": inst.ID})
+			}
+			wait = 0
+			pause(ctx, holdPause)
+			continue
+		}
+		failures = 0
+		wait = holdWait
+		t.awaitFlush(ctx, inst.ID)
+	}
+}
+
+// holdOnce makes one hold. ok is false when the instance need not be held any more.
+func (t *term) holdOnce(ctx context.Context, inst *batch.Instance, wait time.Duration) (ok bool, err error) {
+	sentAt := steady.Now()
+	t.mu.Lock()
+	order, known := t.sched.Hold(sentAt, inst.ID, wait)
+	t.mu.Unlock()
+	if !known {
+		return false, nil
+	}
+	callCtx, cancel := context.WithTimeout(ctx, order.Wait+holdGrace)
+	report, err := t.Agents.Hold(callCtx, inst, order)
+	cancel()
+	if ctx.Err() != nil {
+		return false, nil
+	}
+	now := steady.Now()
+	switch refusalOf(err) {
+	case batch.RefusedGone:
+		t.mu.Lock()
+		t.sched.Gone(now, inst.ID, "another instance answers")
+		t.mu.Unlock()
+		t.awake()
+		return false, nil
+	case batch.RefusedFence:
+		t.fenced(inst.ID)
+		return false, nil
+	}
+	if err != nil {
+		return true, err
+	}
+	t.mu.Lock()
+	t.sched.Heard(now, sentAt, inst.ID, report)
+	t.mu.Unlock()
+	t.awake()
+	return true, nil
+}
+
+// awaitFlush waits until the ends that the instance has told may be acknowledged.
+func (t *term) awaitFlush(ctx context.Context, id string) {
+	limit := time.NewTimer(ackPause)
+	defer limit.Stop()
+	for {
+		t.mu.Lock()
+		unacked := t.sched.Unacked(id)
+		flushed := t.flushed
+		t.mu.Unlock()
+		if !unacked {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-limit.C:
+			return
+		case <-flushed:
+		}
+	}
+}
+
+// fenced ends the tenure: an instance has seen a successor's fencing token.
+func (t *term) fenced(id string) {
+	t.log.Event("leader_fenced", eventlog.Fields{"vm": id, "fence": t.tenure.Fence})
+	t.tenure.End()
+}
+
+func refusalOf(err error) batch.Refusal {
+	var refusal *batch.RefusalError
+	if errors.As(err, &refusal) {
+		return refusal.Reason
+	}
+	return ""
+}
+
+// carryOut gives an order to its instance.
+func (t *term) carryOut(ctx context.Context, o scheduler.Order) {
+	switch o.Kind {
+	case scheduler.OrderStart:
+		t.start(ctx, o)
+	case scheduler.OrderStop:
+		t.stop(ctx, o)
+	case scheduler.OrderPace:
+		t.pace(ctx, o)
+	}
+}
+
+// start gives a start order until its outcome is known, a few times. A refusal
+// after a try that got no answer says nothing of that try, which may be carried
+// out later: the outcome is unknown.
+func (t *term) start(ctx context.Context, o scheduler.Order) {
+	unanswered := false
+	var refusal batch.Refusal
+	var clock time.Duration
+	var sentAt time.Duration
+	for try := 0; ; try++ {
+		if ctx.Err() != nil || !t.tenure.MayAct() {
+			return
+		}
+		sentAt = steady.Now()
+		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+		value, err := t.Agents.Start(callCtx, &o.Instance, o.Start)
+		cancel()
+		refusal = refusalOf(err)
+		clock = value
+		if err == nil {
+			unanswered = false
+			break
+		}
+		if refusal == batch.RefusedFence {
+			t.fenced(o.Instance.ID)
+			return
+		}
+		if refusal != "" {
+			break
+		}
+		unanswered = true
+		if try+1 >= startTries {
+			break
+		}
+	}
+	t.mu.Lock()
+	now := steady.Now()
+	if refusal == batch.RefusedGone {
+		t.sched.Gone(now, o.Instance.ID, "another instance answers")
+	} else {
+		t.sched.Started(now, sentAt, o, clock, refusal, unanswered)
+	}
+	t.mu.Unlock()
+	t.awake()
+}
+
+// stop repeats a stop until it is confirmed.
+func (t *term) stop(ctx context.Context, o scheduler.Order) {
+	began := steady.Now()
+	for ctx.Err() == nil && t.tenure.MayAct() && steady.Now()-began < stopFor {
+		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+		err := t.Agents.Stop(callCtx, &o.Instance, o.Task, o.Run, t.tenure.Fence)
+		cancel()
+		switch refusalOf(err) {
+		case batch.RefusedGone:
+			return
+		case batch.RefusedFence:
+			t.fenced(o.Instance.ID)
+			return
+		}
+		// "Old" says that the run has ended there already.
+		if err == nil || refusalOf(err) == batch.RefusedOld {
+			t.mu.Lock()
+			t.sched.Stopped(steady.Now(), o)
+			t.mu.Unlock()
+			return
+		}
+		pause(ctx, stopPause)
+	}
+}
+
+func (t *term) pace(ctx context.Context, o scheduler.Order) {
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	err := t.Agents.Pace(callCtx, &o.Instance, o.Task, o.Run, o.Percent, t.tenure.Fence)
+	if err != nil && ctx.Err() == nil {
+		// The instance's report shows the pace; it is ordered again if it differs.
+		t.log.Warn("pace_failed", err, eventlog.Fields{"vm": o.Instance.ID, "task": o.Task.String()})
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/leader/rebuild.go
@@ -0,0 +1,236 @@
+package leader
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+	"github.com/rattanwall/rattanwall/internal/durable"
+	"github.com/rattanwall/rattanwall/internal/eventlog"
+	"github.com/rattanwall/rattanwall/internal/scheduler"
+	"github.com/rattanwall/rattanwall/internal/steady"
+)
+
+// rebuilt is what a new leader has read.
+type rebuilt struct {
+	count int
+	// revision is where the watch for new jobs begins.
+	revision int64
+}
+
+// rebuild reads what earlier leaders left, until it succeeds or the tenure ends.
+func (t *term) rebuild(ctx context.Context) (rebuilt, error) {
+	for {
+		r, err := t.tryRebuild(ctx)
+		if err == nil || ctx.Err() != nil {
+			return r, err
+		}
+		t.log.Warn("rebuild_failed", err, eventlog.Fields{"fence": t.tenure.Fence})
+		select {
+		case <-ctx.Done():
+			return r, ctx.Err()
+		case <-time.After(rebuildPause):
+		}
+	}
+}
+
+func (t *term) tryRebuild(ctx context.Context) (rebuilt, error) {
+	ctx, cancel := context.WithTimeout(ctx, rebuildTimeout)
+	defer cancel()
+	progress, err := t.readProgress(ctx)
+	if err != nil {
+		return rebuilt{}, err
+	}
+	jobs, revision, err := t.Store.Range(ctx, jobsPrefix)
+	if err != nil {
+		return rebuilt{}, err
+	}
+	earlier, err := t.readInstances(ctx)
+	if err != nil {
+		return rebuilt{}, err
+	}
+	list, err := t.Instances(ctx)
+	if err != nil {
+		return rebuilt{}, err
+	}
+	if err := t.recordInstances(ctx, list, earlier); err != nil {
+		return rebuilt{}, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c := t.Config(); c != nil {
+		t.config = c
+		t.sched.SetConfig(c)
+	}
+	now := steady.Now()
+	t.sched.SetInstances(now, list)
+	t.sched.Expect(earlier, now+t.longestLease())
+	count := t.takeJobs(now, jobs, progress)
+	return rebuilt{count: count, revision: revision}, nil
+}
+
+// longestLease is how long an instance that is not heard may go on running what
+// an earlier leader started there: that leader may have renewed the lease until
+// it stopped acting, and the instance's clock may be slow.
+func (t *term) longestLease() time.Duration {
+	lease := time.Duration(float64(t.Settings.MaxLease) / slowestClock)
+	return actWithoutStore - leaseTTL + lease + longestLeaseMargin
+}
+
+const (
+	// slowestClock is the least rate of an instance's clock.
+	slowestClock       = 0.98
+	longestLeaseMargin = 300 * time.Millisecond
+)
+
+func (t *term) readProgress(ctx context.Context) (map[string]durable.Item, error) {
+	items, _, err := t.Store.Range(ctx, progressPrefix)
+	if err != nil {
+		return nil, err
+	}
+	byJob := make(map[string]durable.Item, len(items))
+	for _, item := range items {
+		byJob[strings.TrimPrefix(item.Key, progressPrefix)] = item
+	}
+	return byJob, nil
+}
+
+func (t *term) takeJobs(now time.Duration, items []durable.Item, progress map[string]durable.Item) int {
+	cancelled := map[string]bool{}
+	for i := range items {
+		if id, c := jobKey(items[i].Key); c {
+			cancelled[id] = true
+		}
+	}
+	count := 0
+	for i := range items {
+		id, c := jobKey(items[i].Key)
+		if c {
+			continue
+		}
+		r, err := decodeJob(id, items[i].Value)
+		if err != nil {
+			t.log.Warn("job_unreadable", err, eventlog.Fields{"job": id})
+			continue
+		}
+		sub := scheduler.Submission{Job: r.Job, Queue: r.Queue, Pool: r.Pool, Age: t.age(r), Existed: true, Cancelled: cancelled[id]}
+		if item, ok := progress[id]; ok {
+			sub.Record = item.Revision
+			if sub.Progress, err = decodeProgress(id, item.Value); err != nil {
+				t.log.Warn("progress_unreadable", err, eventlog.Fields{"job": id})
+			}
+		}
+		t.sched.Submit(now, sub)
+		count++
+	}
+	return count
+}
+
+// readInstances returns the instances that earlier leaders may have used.
+func (t *term) readInstances(ctx context.Context) ([]string, error) {
+	item, err := t.Store.Get(ctx, instancesKey)
+	if err != nil || item == nil {
+		return nil, err
+	}
+	var ids []string
+	if err := json.Unmarshal(item.Value, &ids); err != nil {
+		return nil, errors.Wrap(err, "record of instances")
+	}
+	t.mu.Lock()
+	t.instancesRevision = item.Revision
+	t.mu.Unlock()
+	return ids, nil
+}
+
+// recordInstances makes sure that the store names every instance before it may
+// be given work: a successor has to hear each, or to wait its lease out.
+func (t *term) recordInstances(ctx context.Context, list []batch.Instance, earlier []string) error {
+	t.mu.Lock()
+	next := map[string]bool{}
+	for _, id := range earlier {
+		next[id] = true
+	}
+	for id := range t.sched.Instances() {
+		next[id] = true
+	}
+	fresh := false
+	for i := range list {
+		next[list[i].ID] = true
+	}
+	for id := range next {
+		fresh = fresh || !t.recorded[id]
+	}
+	revision := t.instancesRevision
+	t.mu.Unlock()
+	if !fresh {
+		return nil
+	}
+	ids := make([]string, 0, len(next))
+	for id := range next {
+		ids = append(ids, id)
+	}
+	value, err := json.Marshal(ids)
+	if err != nil {
+		return err
+	}
+	written, err := t.commit(ctx, durable.Txn{
+		Conditions: []durable.Condition{t.leads(), {Key: instancesKey, Revision: revision}},
+		Writes:     []durable.Write{{Key: instancesKey, Value: value}},
+	})
+	var conflict *durable.ConflictError
+	if errors.As(err, &conflict) {
+		t.mu.Lock()
+		t.instancesRevision = 0
+		if item := conflict.Item(instancesKey); item != nil {
+			t.instancesRevision = item.Revision
+		}
+		t.mu.Unlock()
+	}
+	if err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.instancesRevision = written
+	t.recorded = next
+	return nil
+}
+
+// listLoop follows the list of instances and holds each of them.
+func (t *term) listLoop(ctx context.Context) {
+	ticker := time.NewTicker(listEvery)
+	defer ticker.Stop()
+	t.holdAll(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if err := t.refreshInstances(ctx); err != nil && ctx.Err() == nil {
+			t.log.Warn("instances_not_read", err, nil)
+		}
+		t.holdAll(ctx)
+	}
+}
+
+func (t *term) refreshInstances(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	list, err := t.Instances(ctx)
+	if err != nil {
+		return err
+	}
+	if err := t.recordInstances(ctx, list, nil); err != nil {
+		return err
+	}
+	t.mu.Lock()
+	t.sched.SetInstances(steady.Now(), list)
+	t.mu.Unlock()
+	t.awake()
+	return nil
+}
--- /dev/null
+++ b/internal/leader/records.go
@@ -0,0 +1,92 @@
+// Package leader elects the one process that schedules, and carries out what
+// package scheduler decides while it leads.
+package leader
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+	"github.com/rattanwall/rattanwall/internal/scheduler"
+)
+
+// Keys of the durable store.
+const (
+	// leaderKey exists while there is a leader; its revision is the fencing token.
+	leaderKey = "lead/leader"
+	// instancesKey lists the instances that leaders may have given work to.
+	instancesKey = "lead/instances"
+	// jobsPrefix holds accepted jobs, and a second key for each cancelled one.
+	jobsPrefix = "job/"
+	// cancelSuffix ends the key that marks a job as cancelled.
+	cancelSuffix = "/cancelled"
+	// progressPrefix holds what leaders record of jobs.
+	progressPrefix = "progress/"
+)
+
+// JobKey is the key of an accepted job. Its creation is the acceptance: whoever
+// creates it first decides, and every later submission of the ID finds it.
+func JobKey(id string) string { return jobsPrefix + id }
+
+// CancelKey is the key that marks a job as cancelled.
+func CancelKey(id string) string { return jobsPrefix + id + cancelSuffix }
+
+// ProgressKey is the key of a job's progress.
+func ProgressKey(id string) string { return progressPrefix + id }
+
+// JobRecord is the value of an accepted job.
+type JobRecord struct {
+	Queue string `json:"queue"`
+	Pool  string `json:"pool"`
+	// SubmittedMS is the time of day of the first submission that this process
+	// knows of, in milliseconds since 1970.
+	SubmittedMS int64      `json:"submitted_ms"`
+	Job         *batch.Job `json:"job"`
+}
+
+// jobKey splits a key under jobsPrefix.
+func jobKey(key string) (id string, cancelled bool) {
+	id = strings.TrimPrefix(key, jobsPrefix)
+	return strings.CutSuffix(id, cancelSuffix)
+}
+
+func decodeJob(id string, value []byte) (*JobRecord, error) {
+	var r JobRecord
+	if err := json.Unmarshal(value, &r); err != nil {
+		return nil, errors.Wrapf(err, "job record %s", id)
+	}
+	if r.Job == nil {
+		return nil, errors.Newf("job record %s has no job", id)
+	}
+	r.Job.ID = id
+	if err := r.Job.Validate(); err != nil {
+		return nil, errors.Wrapf(err, "job record %s", id)
+	}
+	return &r, nil
+}
+
+func decodeProgress(id string, value []byte) (*scheduler.Progress, error) {
+	var p scheduler.Progress
+	if err := json.Unmarshal(value, &p); err != nil {
+		return nil, errors.Wrapf(err, "progress record %s", id)
+	}
+	return &p, nil
+}
+
+// DecodeFinalState returns the final state in a progress record, or "".
+func DecodeFinalState(id string, value []byte) (batch.State, error) {
+	p, err := decodeProgress(id, value)
+	if err != nil {
+		return "", err
+	}
+	return p.State, nil
+}
+
+// Record is the value of leaderKey: who leads.
+type Record struct {
+	Node string `json:"node"`
+	// Address is where the leader serves its peers.
+	Address string `json:"address"`
+}
--- /dev/null
+++ b/internal/scheduler/ends.go
@@ -0,0 +1,238 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+// retryPause is the wait before a task that failed is started again; it grows
+// with each failure, so that a task that always fails leaves room to others.
+const retryPause = 50 * time.Millisecond
+
+// ended takes the end of a run over. Ends are told again until they are
+// acknowledged, to this leader and to the next: all of it is idempotent.
+func (s *Scheduler) ended(now Time, v *vm, e *batch.RunEnd) {
+	r := v.runs[e.Task]
+	if r != nil && r.number != e.Run {
+		r = nil
+	}
+	var lasted time.Duration
+	if r != nil {
+		lasted = now - r.orderedAt
+	}
+	s.logf(Decision{Event: "run_ended", Task: e.Task, VM: v.inst.ID, Run: e.Run, Reason: string(e.Kind), Age: lasted})
+	t := s.task(e.Task)
+	if t != nil && e.Checkpoint != "" && !t.done {
+		t.checkpoint = e.Checkpoint
+	}
+	if r != nil {
+		s.learn(now, r, e.Kind)
+	}
+	if t == nil || t.step.occ.job.state.Final() {
+		if r != nil {
+			s.release(now, r)
+		}
+		return
+	}
+	switch e.Kind {
+	case batch.EndDone:
+		if r != nil {
+			s.release(now, r)
+		}
+		s.taskDone(now, t)
+		return
+	case batch.EndFailed:
+		s.taskFailed(now, t, v, e.Run)
+	case batch.EndStopped, batch.EndLapsed, batch.EndBroken, batch.EndAlone:
+		// Not the task's fault: no attempt is counted.
+	}
+	if r != nil {
+		s.release(now, r)
+	}
+}
+
+func (s *Scheduler) taskDone(now Time, t *task) {
+	if t.step.spec.Lasting || t.done {
+		return
+	}
+	if t.step.spec.Gang {
+		// One end stands for the whole gang.
+		for k := range t.step.tasks {
+			s.markDone(now, &t.step.tasks[k])
+		}
+	} else {
+		s.markDone(now, t)
+	}
+	s.touch(t.step.occ.job)
+	if t.step.left == 0 {
+		s.stepDone(now, t.step)
+	}
+	s.changed = true
+}
+
+func (s *Scheduler) markDone(now Time, t *task) {
+	if t.done {
+		return
+	}
+	t.done = true
+	t.step.left--
+	if len(t.runs) == 0 {
+		t.step.waiting--
+	}
+	if !t.step.spec.Gang {
+		s.stopRuns(now, t, "copy done")
+	}
+}
+
+// taskFailed counts a failed run once, however often its end is told.
+func (s *Scheduler) taskFailed(now Time, t *task, v *vm, number int64) {
+	if slices.Contains(t.failedRuns, number) {
+		return
+	}
+	t.failedRuns = append(t.failedRuns, number)
+	t.lastFailedOn = v.inst.ID
+	if t.step.spec.Lasting {
+		t.notBefore = now + retryPause
+		return
+	}
+	failures := len(t.failedRuns)
+	if t.step.spec.Gang {
+		failures = 0
+		for k := range t.step.tasks {
+			failures += len(t.step.tasks[k].failedRuns)
+		}
+	}
+	t.notBefore = now + time.Duration(failures)*retryPause
+	j := t.step.occ.job
+	s.touch(j)
+	if failures >= j.attempts {
+		s.finish(now, j, batch.Failed, "a task failed "+t.id().String())
+	}
+}
+
+// hold counts a run on its VM and task.
+func (s *Scheduler) hold(r *run) {
+	v, spec := r.vm, r.task.step.spec
+	v.runs[r.task.id()] = r
+	if spec.Filler {
+		v.fillerCPU += spec.Need.MilliCPU
+		v.used.MemoryMB += spec.Need.MemoryMB
+		v.used.Accelerators += spec.Need.Accelerators
+	} else {
+		v.used = v.used.Add(spec.Need)
+	}
+	if spec.Serves() {
+		v.serving++
+		v.servingCPU += spec.Need.MilliCPU
+	}
+	st := r.task.step
+	if len(r.task.runs) == 0 && !r.task.done {
+		st.waiting--
+	}
+	r.task.runs = append(r.task.runs, r)
+	if st.spec.MaxPerVM > 0 {
+		if st.perVM == nil {
+			st.perVM = map[*vm]int{}
+		}
+		st.perVM[v]++
+	}
+}
+
+// release takes a run that has ended off its VM and its task.
+func (s *Scheduler) release(now Time, r *run) {
+	if r.dead {
+		return
+	}
+	r.dead = true
+	v, t := r.vm, r.task
+	spec := t.step.spec
+	delete(v.runs, t.id())
+	if spec.Filler {
+		v.fillerCPU -= spec.Need.MilliCPU
+		v.used.MemoryMB -= spec.Need.MemoryMB
+		v.used.Accelerators -= spec.Need.Accelerators
+	} else {
+		v.used = v.used.Sub(spec.Need)
+	}
+	if spec.Serves() {
+		v.serving--
+		v.servingCPU -= spec.Need.MilliCPU
+	}
+	if t.step.perVM != nil {
+		t.step.perVM[v]--
+	}
+	if i := slices.Index(t.runs, r); i >= 0 {
+		t.runs = slices.Delete(t.runs, i, i+1)
+	}
+	t.lastRunEnd = now
+	if len(t.runs) == 0 && !t.done {
+		t.step.waiting++
+		s.enqueue(t.step)
+	}
+	s.changed = true
+}
+
+// stopRuns orders all runs of a task to stop.
+func (s *Scheduler) stopRuns(now Time, t *task, reason string) {
+	for _, r := range t.runs {
+		s.stop(now, r, reason)
+	}
+}
+
+func (s *Scheduler) stop(now Time, r *run, reason string) {
+	if r.state == stopping {
+		return
+	}
+	r.state = stopping
+	s.logf(Decision{Event: "run_stopped", Task: r.task.id(), VM: r.vm.inst.ID, Run: r.number, Reason: reason, Age: now - r.orderedAt})
+	s.orderStop(r.vm, r.task.id(), r.number)
+}
+
+func (s *Scheduler) orderStop(v *vm, id batch.TaskID, number int64) {
+	s.orders = append(s.orders, Order{Kind: OrderStop, Instance: v.inst, Task: id, Run: number})
+}
+
+// Started takes the outcome of a start order over. err is nil when the VM has
+// the run, a refusal when it certainly has not and never will, and anything else
+// when that is not known: then the run is stopped, since only a confirmed stop
+// keeps a late start from happening.
+func (s *Scheduler) Started(now, sentAt Time, o Order, clockValue time.Duration, refusal batch.Refusal, unknown bool) {
+	v := s.vms[o.Instance.ID]
+	if v == nil {
+		return
+	}
+	if clockValue > 0 {
+		v.setClock(sentAt, now, clockValue)
+	}
+	r := v.runs[o.Task]
+	if r == nil || r.number != o.Run {
+		return
+	}
+	switch {
+	case unknown:
+		s.logf(Decision{Event: "start_unknown", Task: o.Task, VM: v.inst.ID, Run: o.Run, Age: now - r.orderedAt})
+		v.health.unanswered(now)
+		s.stop(now, r, "start unknown")
+	case refusal != "":
+		s.logf(Decision{Event: "start_refused", Task: o.Task, VM: v.inst.ID, Run: o.Run, Reason: string(refusal), Age: now - r.orderedAt})
+		v.health.refused(now, refusal)
+		r.task.notBefore = now + retryPause
+		s.release(now, r)
+	case r.state == starting:
+		r.state = running
+		r.confirmedAt = now
+	}
+}
+
+// Stopped notes that a VM confirmed a stop: the run has ended or never starts.
+func (s *Scheduler) Stopped(now Time, o Order) {
+	v := s.vms[o.Instance.ID]
+	if v == nil {
+		return
+	}
+	if r := v.runs[o.Task]; r != nil && r.number == o.Run {
+		r.stopConfirmedAt = now
+	}
+}
--- /dev/null
+++ b/internal/scheduler/jobs.go
@@ -0,0 +1,250 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+// Submission is an accepted job as the store has it.
+type Submission struct {
+	Job *batch.Job
+	// Queue and Pool are those that the job was submitted to.
+	Queue string
+	Pool  string
+	// Age is how long ago the caller asked.
+	Age time.Duration
+	// Existed is set when the submission is older than this leader.
+	Existed bool
+	// Cancelled is set when the job is cancelled already.
+	Cancelled bool
+	// Progress is what an earlier leader recorded; nil for none.
+	Progress *Progress
+	// Record is the store revision of Progress.
+	Record int64
+}
+
+// Submit takes a job on. A job that is known is left as it is.
+func (s *Scheduler) Submit(now Time, sub Submission) {
+	if _, known := s.jobs[sub.Job.ID]; known {
+		return
+	}
+	j := &job{
+		spec: sub.Job, queue: sub.Queue, pool: sub.Pool, submittedAt: now - sub.Age, state: batch.Queued,
+		existed: sub.Existed, occs: map[int]*occurrence{}, doneOccs: map[int]bool{}, record: sub.Record,
+		chain: sub.Job.Chain(), work: sub.Job.Work(), attempts: 1,
+	}
+	j.objective = j.chain
+	s.jobs[sub.Job.ID] = j
+	s.applyConfig(j)
+	if sub.Progress != nil {
+		j.restore(sub.Progress)
+	}
+	s.logf(Decision{Event: "job_taken", Job: sub.Job.ID, Reason: sub.Queue, Age: sub.Age, Value: j.work})
+	if sub.Cancelled {
+		s.cancel(now, j)
+	}
+	if j.state.Final() {
+		return
+	}
+	s.open(now, j)
+	s.changed = true
+}
+
+// applyConfig takes the queue's figures over. A queue that is gone leaves those
+// of the last configuration that had it.
+func (s *Scheduler) applyConfig(j *job) {
+	if s.config == nil {
+		return
+	}
+	q := s.config.Queue(j.queue)
+	if q == nil {
+		return
+	}
+	j.pool = q.Pool
+	j.attempts = max(q.Attempts, 1)
+	j.priority = q.Priority
+	j.objective = time.Duration(q.Stretch*float64(j.chain)) + q.Slack
+}
+
+// SetConfig installs a configuration; the caller makes sure that it is newer.
+func (s *Scheduler) SetConfig(c *batch.Config) {
+	s.config = c
+	for _, j := range s.jobs {
+		s.applyConfig(j)
+	}
+	s.changed = true
+}
+
+// open creates the occurrences that are to be executed now.
+func (s *Scheduler) open(now Time, j *job) {
+	if j.spec.Schedule != nil {
+		j.nextOcc = j.doneLow
+		s.timed[j.spec.ID] = j
+		return
+	}
+	s.openOccurrence(now, j, 0)
+}
+
+// OpenDue creates the occurrences of timed jobs that are due by the time of day.
+func (s *Scheduler) OpenDue(now Time, wallMS int64) {
+	for id, j := range s.timed {
+		for j.nextOcc < j.spec.Occurrences() && j.spec.DueMS(j.nextOcc) <= wallMS {
+			if !j.doneOccs[j.nextOcc] {
+				s.openOccurrence(now, j, j.nextOcc)
+			}
+			j.nextOcc++
+		}
+		if j.nextOcc >= j.spec.Occurrences() {
+			delete(s.timed, id)
+		}
+	}
+}
+
+func (s *Scheduler) openOccurrence(now Time, j *job, number int) {
+	o := &occurrence{job: j, number: number, steps: make([]step, len(j.spec.Steps)), left: len(j.spec.Steps), dueAt: now}
+	if j.spec.Schedule == nil {
+		o.dueAt = j.submittedAt
+	}
+	j.occs[number] = o
+	for i := range o.steps {
+		spec := &j.spec.Steps[i]
+		o.steps[i] = step{occ: o, index: i, spec: spec, tasks: make([]task, spec.Tasks), left: spec.Tasks, waiting: spec.Tasks, blockers: len(spec.After)}
+		st := &o.steps[i]
+		for k := range st.tasks {
+			st.tasks[k] = task{step: st, index: k}
+		}
+	}
+	if j.pending != nil {
+		j.pending.apply(o)
+	}
+	for i := range o.steps {
+		if o.steps[i].left == 0 {
+			s.stepDone(now, &o.steps[i])
+		}
+	}
+	for i := range o.steps {
+		s.enqueue(&o.steps[i])
+	}
+}
+
+// enqueue puts a step with tasks to start into the ready list.
+func (s *Scheduler) enqueue(st *step) {
+	if st.queued || st.blockers > 0 || st.waiting == 0 || st.occ.job.state.Final() {
+		return
+	}
+	st.queued = true
+	s.ready = append(s.ready, st)
+	s.changed = true
+}
+
+// stepDone releases the steps that waited for st.
+func (s *Scheduler) stepDone(now Time, st *step) {
+	o := st.occ
+	o.left--
+	for i := st.index + 1; i < len(o.steps); i++ {
+		next := &o.steps[i]
+		for _, d := range next.spec.After {
+			if d == st.index {
+				next.blockers--
+			}
+		}
+		s.enqueue(next)
+	}
+	if o.left == 0 {
+		s.occurrenceDone(now, o)
+	}
+}
+
+func (s *Scheduler) occurrenceDone(now Time, o *occurrence) {
+	j := o.job
+	delete(j.occs, o.number)
+	j.doneOccs[o.number] = true
+	for j.doneOccs[j.doneLow] {
+		delete(j.doneOccs, j.doneLow)
+		j.doneLow++
+	}
+	if j.doneLow >= j.spec.Occurrences() {
+		s.finish(now, j, batch.Completed, "all tasks done")
+	}
+}
+
+// finish gives a job its final state and stops what still runs of it.
+func (s *Scheduler) finish(now Time, j *job, state batch.State, reason string) {
+	if j.state.Final() {
+		return
+	}
+	j.state = state
+	j.endedAt = now
+	delete(s.timed, j.spec.ID)
+	s.touch(j)
+	s.logf(Decision{Event: "job_ended", Job: j.spec.ID, Reason: string(state) + ": " + reason, Age: now - j.submittedAt, Value: j.objective.Seconds()})
+	for _, o := range j.occs {
+		for i := range o.steps {
+			for k := range o.steps[i].tasks {
+				s.stopRuns(now, &o.steps[i].tasks[k], "job "+string(state))
+			}
+		}
+	}
+}
+
+// Cancel ends a job at its caller's wish.
+func (s *Scheduler) Cancel(now Time, id string) {
+	if j := s.jobs[id]; j != nil {
+		s.cancel(now, j)
+	}
+}
+
+func (s *Scheduler) cancel(now Time, j *job) { s.finish(now, j, batch.Cancelled, "caller") }
+
+// State returns what callers may be told of a job, and whether it is known.
+// "Completed" and "failed" are told once the store has them, since another
+// leader must not contradict them.
+func (s *Scheduler) State(id string) (batch.State, bool) {
+	j := s.jobs[id]
+	switch {
+	case j == nil:
+		return "", false
+	case j.state == batch.Cancelled:
+		return batch.Cancelled, true
+	case j.state.Final() && j.durableState != j.state:
+		return batch.Running, true
+	case j.state.Final():
+		return j.state, true
+	case j.started:
+		return batch.Running, true
+	}
+	return batch.Queued, true
+}
+
+// Waiting counts the jobs of a queue of which nothing has started.
+func (s *Scheduler) Waiting(queue string) int {
+	n := 0
+	for _, j := range s.jobs {
+		if j.queue == queue && !j.started && !j.state.Final() {
+			n++
+		}
+	}
+	return n
+}
+
+// touch marks a job whose record has to be written.
+func (s *Scheduler) touch(j *job) {
+	j.version++
+	s.dirty[j.spec.ID] = j
+}
+
+// Forget drops jobs that ended more than keep ago and returns their IDs.
+func (s *Scheduler) Forget(now Time, keep time.Duration, most int) []string {
+	var gone []string
+	for id, j := range s.jobs {
+		if len(gone) >= most {
+			break
+		}
+		if j.state.Final() && j.durableState == j.state && now-j.endedAt > keep {
+			gone = append(gone, id)
+			delete(s.jobs, id)
+		}
+	}
+	return gone
+}
--- /dev/null
+++ b/internal/scheduler/place.go
@@ -0,0 +1,111 @@
+package scheduler
+
+import "github.com/rattanwall/rattanwall/internal/batch"
+
+const (
+	// servingShare is the part of their declared processors that serving tasks
+	// are taken to use on average; the rest is left to fillers.
+	servingShare = 0.6
+	// fillerOvercommit is how much more than the predicted rest fillers may ask
+	// for on one VM.
+	fillerOvercommit = 1.0
+	// farPenalty is what a place away from the data costs in the score, where 1
+	// is a whole VM's processors.
+	farPenalty = 2.0
+	// rackBonus draws the tasks of one step to one rack.
+	rackBonus = 2.0
+	// servingPenalty keeps fillers off VMs with serving tasks while others have room.
+	servingPenalty = 0.3
+	// pressedPenalty keeps fillers off VMs whose serving tasks are near their target.
+	pressedPenalty = 2.0
+)
+
+// choose returns the best VM for a task, or nil.
+func (s *Scheduler) choose(now Time, t *task) *vm {
+	var best *vm
+	bestScore := 0.0
+	rack := ""
+	if t.step.spec.SameRack {
+		rack = t.step.rack()
+	}
+	for _, v := range s.order {
+		if !s.fits(now, v, t) {
+			continue
+		}
+		score := s.score(v, t.step.spec)
+		if rack != "" && v.inst.Rack() == rack {
+			score += rackBonus
+		}
+		if v.inst.ID == t.lastFailedOn {
+			score -= farPenalty
+		}
+		if best == nil || score > bestScore {
+			best, bestScore = v, score
+		}
+	}
+	return best
+}
+
+// rack is where a task of the step runs already, or "".
+func (st *step) rack() string {
+	for k := range st.tasks {
+		for _, r := range st.tasks[k].runs {
+			return r.vm.inst.Rack()
+		}
+	}
+	return ""
+}
+
+// fits reports whether the VM may be given the task now.
+func (s *Scheduler) fits(now Time, v *vm, t *task) bool {
+	spec := t.step.spec
+	switch {
+	case !v.heard || !v.listed || v.inst.Draining || now-v.heardAt > silentAfter:
+		return false
+	case v.inst.Pool != t.step.occ.job.pool || !v.inst.HasLabel(spec.Label):
+		return false
+	case !v.health.usable(now, len(v.runs)):
+		return false
+	case spec.MaxPerVM > 0 && t.step.perVM[v] >= spec.MaxPerVM:
+		return false
+	case v.runs[t.id()] != nil:
+		return false
+	}
+	free := v.inst.Capacity.Sub(v.used)
+	if !spec.Filler {
+		return spec.Need.FitsIn(free)
+	}
+	need := batch.Resources{MemoryMB: spec.Need.MemoryMB, Accelerators: spec.Need.Accelerators}
+	return need.FitsIn(free) && float64(v.fillerCPU+spec.Need.MilliCPU) <= fillerOvercommit*v.rest()
+}
+
+// rest is what fillers may be expected to get of the VM, in thousandths of a processor.
+func (v *vm) rest() float64 {
+	return float64(v.inst.Capacity.MilliCPU-v.used.MilliCPU) + (1-servingShare)*float64(v.servingCPU)
+}
+
+// score rates a VM that fits; higher is better.
+func (s *Scheduler) score(v *vm, spec *batch.Step) float64 {
+	capacity := float64(max(v.inst.Capacity.MilliCPU, 1))
+	free := float64(v.inst.Capacity.MilliCPU-v.used.MilliCPU) / capacity
+	score := free
+	switch {
+	case spec.Filler:
+		score = (v.rest() - float64(v.fillerCPU)) / capacity
+		if v.serving > 0 {
+			score -= servingPenalty
+		}
+		if v.pressed {
+			score -= pressedPenalty
+		}
+	case spec.Serves():
+		score -= float64(v.fillerCPU) / capacity
+	}
+	if spec.DataRack != "" && v.inst.Rack() != spec.DataRack {
+		score -= farPenalty
+	}
+	if spec.Need.Accelerators == 0 && v.inst.Capacity.Accelerators > 0 {
+		score -= farPenalty
+	}
+	return score
+}
--- /dev/null
+++ b/internal/scheduler/plan.go
@@ -0,0 +1,222 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+const (
+	// lateFactor: a job is worth something, though less, until this many times
+	// its objective.
+	lateFactor = 3
+	// planEvery is how often waiting work is looked at when nothing has changed:
+	// pauses after failures end by time.
+	planEvery = 50 * time.Millisecond
+)
+
+// rank orders waiting steps.
+type rank struct {
+	// group: 0 lasting work, 1 jobs that can meet their objective, 2 those that
+	// are late but count, 3 the others.
+	group    int
+	priority int
+	// slack is the time that may be lost without missing the objective.
+	slack time.Duration
+}
+
+const (
+	groupLasting = iota
+	groupOnTime
+	groupLate
+	groupHopeless
+)
+
+func (j *job) rank(now Time, o *occurrence) rank {
+	if j.spec.Lasts() {
+		return rank{group: groupLasting, priority: j.priority, slack: o.dueAt - now}
+	}
+	remaining := o.remaining()
+	slack := o.dueAt + j.objective - now - remaining
+	r := rank{group: groupOnTime, priority: j.priority, slack: slack}
+	if slack < 0 {
+		r.group = groupLate
+		r.slack = o.dueAt + lateFactor*j.objective - now - remaining
+		if r.slack < 0 {
+			r.group = groupHopeless
+			r.slack = o.dueAt - now
+		}
+	}
+	return r
+}
+
+// remaining is the longest chain of declared durations that is still to come.
+func (o *occurrence) remaining() time.Duration {
+	var buffer [16]time.Duration
+	end := buffer[:0]
+	longest := time.Duration(0)
+	for i := range o.steps {
+		st := &o.steps[i]
+		at := time.Duration(0)
+		for _, d := range st.spec.After {
+			at = max(at, end[d])
+		}
+		if st.left > 0 {
+			at += st.spec.Estimate
+		}
+		end = append(end, at)
+		longest = max(longest, at)
+	}
+	return longest
+}
+
+func compareRanks(a, b rank) int {
+	return cmp.Or(cmp.Compare(a.group, b.group), cmp.Compare(a.priority, b.priority), cmp.Compare(a.slack, b.slack))
+}
+
+// Plan starts what can be started and returns the orders to carry out. The rest
+// waits in the order of its rank.
+func (s *Scheduler) Plan(now Time) []Order {
+	if s.changed || now-s.plannedAt >= planEvery {
+		s.plannedAt = now
+		s.changed = false
+		s.startWaiting(now)
+	}
+	orders := s.orders
+	s.orders = nil
+	return orders
+}
+
+func (s *Scheduler) startWaiting(now Time) {
+	s.ready = slices.DeleteFunc(s.ready, func(st *step) bool {
+		drop := st.waiting == 0 || st.occ.job.state.Final()
+		if drop {
+			st.queued = false
+		}
+		return drop
+	})
+	for _, st := range s.ready {
+		st.rank = st.occ.job.rank(now, st.occ)
+	}
+	slices.SortStableFunc(s.ready, func(a, b *step) int { return compareRanks(a.rank, b.rank) })
+	round := &round{now: now}
+	for _, st := range s.ready {
+		s.startStep(round, st)
+	}
+}
+
+// round is one pass over the waiting steps.
+type round struct {
+	now Time
+	// failed holds the needs for which no VM was found in this pass.
+	failed []need
+}
+
+// need is what makes a VM suitable.
+type need struct {
+	pool   string
+	label  string
+	filler bool
+	res    batch.Resources
+}
+
+// hopeless reports whether something that asks for no more has found no VM.
+func (r *round) hopeless(n need) bool {
+	for i := range r.failed {
+		f := &r.failed[i]
+		if f.pool == n.pool && f.filler == n.filler && (f.label == "" || f.label == n.label) && f.res.FitsIn(n.res) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Scheduler) startStep(r *round, st *step) {
+	j := st.occ.job
+	if j.existed && len(s.silent) > 0 {
+		return
+	}
+	n := need{pool: j.pool, label: st.spec.Label, filler: st.spec.Filler, res: st.spec.Need}
+	if r.hopeless(n) {
+		return
+	}
+	if st.spec.Gang {
+		s.startGang(r, st)
+		return
+	}
+	for k := range st.tasks {
+		t := &st.tasks[k]
+		if t.done || len(t.runs) > 0 || r.now < t.notBefore {
+			continue
+		}
+		v := s.choose(r.now, t)
+		if v == nil {
+			if st.spec.MaxPerVM == 0 {
+				r.failed = append(r.failed, n)
+			}
+			return
+		}
+		s.start(r.now, t, v, s.number())
+	}
+}
+
+// startGang starts all members at once, or none: a member alone holds its room
+// without making progress.
+func (s *Scheduler) startGang(r *round, st *step) {
+	for k := range st.tasks {
+		if len(st.tasks[k].runs) > 0 || r.now < st.tasks[k].notBefore {
+			return
+		}
+	}
+	number := s.number()
+	var held []*run
+	for k := range st.tasks {
+		v := s.choose(r.now, &st.tasks[k])
+		if v == nil {
+			for _, h := range held {
+				s.release(r.now, h)
+			}
+			return
+		}
+		h := &run{task: &st.tasks[k], vm: v, number: number, orderedAt: r.now, percent: 100, paced: 100}
+		s.hold(h)
+		held = append(held, h)
+	}
+	checkpoint := ""
+	for k := range st.tasks {
+		if c := st.tasks[k].checkpoint; c != "" {
+			checkpoint = c
+		}
+	}
+	for _, h := range held {
+		h.task.checkpoint = checkpoint
+		s.orderStart(r.now, h)
+	}
+}
+
+func (s *Scheduler) number() int64 {
+	s.nextRun++
+	return s.nextRun
+}
+
+func (s *Scheduler) start(now Time, t *task, v *vm, number int64) {
+	r := &run{task: t, vm: v, number: number, orderedAt: now, percent: 100, paced: 100}
+	s.hold(r)
+	s.orderStart(now, r)
+}
+
+func (s *Scheduler) orderStart(now Time, r *run) {
+	t, v := r.task, r.vm
+	j := t.step.occ.job
+	j.started = true
+	s.logf(Decision{Event: "run_started", Task: t.id(), VM: v.inst.ID, Run: r.number, Age: now - t.step.occ.dueAt, Value: t.step.rank.slack.Seconds()})
+	s.orders = append(s.orders, Order{
+		Kind: OrderStart, Instance: v.inst, Task: t.id(), Run: r.number,
+		Start: batch.StartOrder{
+			Task: t.id(), Run: r.number, Payload: j.spec.Payload, Checkpoint: t.checkpoint,
+			Fence: s.fence, LeaseUntil: v.lease(now, s.settings.MaxLease),
+		},
+	})
+}
--- /dev/null
+++ b/internal/scheduler/progress.go
@@ -0,0 +1,184 @@
+package scheduler
+
+import (
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+// Progress is the durable part of a job's progress: what an earlier leader may
+// have told a VM or a caller that it knows. Starts are not part of it: the VMs'
+// own lists tell them.
+type Progress struct {
+	// State is final or empty.
+	State batch.State `json:"state,omitempty"`
+	// DoneLow: all occurrences below it are done.
+	DoneLow int `json:"done_low,omitempty"`
+	// Done lists finished occurrences from DoneLow on.
+	Done []int `json:"done,omitempty"`
+	// Open holds the occurrences with some progress.
+	Open []OccurrenceProgress `json:"open,omitempty"`
+}
+
+// OccurrenceProgress is the progress of one occurrence.
+type OccurrenceProgress struct {
+	Number int            `json:"n"`
+	Steps  []StepProgress `json:"steps"`
+}
+
+// StepProgress is the progress of one step.
+type StepProgress struct {
+	// Done is a bitmap of the tasks that are done.
+	Done []byte `json:"d,omitempty"`
+	// Failures lists failed runs, as pairs of task index and run number: an end
+	// that is told again must not count twice.
+	Failures [][2]int64 `json:"f,omitempty"`
+}
+
+// progress builds the record of a job.
+func (j *job) progress() *Progress {
+	p := &Progress{DoneLow: j.doneLow}
+	if j.state.Final() {
+		p.State = j.state
+		return p
+	}
+	for n := range j.doneOccs {
+		p.Done = append(p.Done, n)
+	}
+	for _, o := range j.occs {
+		p.Open = append(p.Open, o.progress())
+	}
+	return p
+}
+
+func (o *occurrence) progress() OccurrenceProgress {
+	p := OccurrenceProgress{Number: o.number, Steps: make([]StepProgress, len(o.steps))}
+	for i := range o.steps {
+		st := &o.steps[i]
+		sp := &p.Steps[i]
+		if st.left < len(st.tasks) {
+			sp.Done = make([]byte, (len(st.tasks)+7)/8)
+		}
+		for k := range st.tasks {
+			t := &st.tasks[k]
+			if t.done {
+				sp.Done[k/8] |= 1 << (k % 8)
+			}
+			if t.done {
+				continue
+			}
+			for _, number := range t.failedRuns {
+				sp.Failures = append(sp.Failures, [2]int64{int64(k), number})
+			}
+		}
+	}
+	return p
+}
+
+// restore takes over what an earlier leader recorded.
+func (j *job) restore(p *Progress) {
+	j.doneLow = p.DoneLow
+	for _, n := range p.Done {
+		j.doneOccs[n] = true
+	}
+	if p.State.Final() {
+		j.state = p.State
+		j.durableState = p.State
+		j.started = true
+	}
+	if len(p.Open) > 0 || p.DoneLow > 0 {
+		j.started = true
+	}
+	j.pending = p
+}
+
+// apply marks what the record says of an occurrence.
+func (p *Progress) apply(o *occurrence) {
+	for i := range p.Open {
+		if p.Open[i].Number != o.number || len(p.Open[i].Steps) != len(o.steps) {
+			continue
+		}
+		for k := range o.steps {
+			p.Open[i].Steps[k].apply(&o.steps[k])
+		}
+	}
+}
+
+func (p *StepProgress) apply(st *step) {
+	for k := range st.tasks {
+		if k/8 < len(p.Done) && p.Done[k/8]&(1<<(k%8)) != 0 {
+			st.tasks[k].done = true
+			st.left--
+			st.waiting--
+		}
+	}
+	for _, f := range p.Failures {
+		if f[0] >= 0 && f[0] < int64(len(st.tasks)) {
+			t := &st.tasks[f[0]]
+			t.failedRuns = append(t.failedRuns, f[1])
+		}
+	}
+}
+
+// Record is a job's progress to be written.
+type Record struct {
+	Job      string
+	Progress *Progress
+	// Revision is that of the record in the store, 0 when there is none.
+	Revision int64
+	version  int64
+}
+
+// Flush is a set of records, and the ends that are durable once all of them are
+// written.
+type Flush struct {
+	Records []Record
+	ends    map[string]int64
+}
+
+// Pending returns what has to be written, or nil when there is nothing.
+func (s *Scheduler) Pending() *Flush {
+	f := &Flush{ends: map[string]int64{}}
+	for id, j := range s.dirty {
+		f.Records = append(f.Records, Record{Job: id, Progress: j.progress(), Revision: j.record, version: j.version})
+	}
+	for id, v := range s.vms {
+		if v.seen > v.durable {
+			f.ends[id] = v.seen
+		}
+	}
+	if len(f.Records) == 0 && len(f.ends) == 0 {
+		return nil
+	}
+	return f
+}
+
+// RecordWritten notes that a record is in the store at a revision.
+func (s *Scheduler) RecordWritten(r Record, revision int64) {
+	j := s.jobs[r.Job]
+	if j == nil {
+		return
+	}
+	j.record = revision
+	if r.Progress.State.Final() {
+		j.durableState = r.Progress.State
+	}
+	if j.version == r.version {
+		delete(s.dirty, r.Job)
+	}
+}
+
+// RecordFound notes the revision that a record has in the store after a conflict.
+func (s *Scheduler) RecordFound(id string, revision int64) {
+	if j := s.jobs[id]; j != nil {
+		j.record = revision
+	}
+}
+
+// Flushed notes that all records of f are written, so that the ends that they
+// hold may be acknowledged.
+func (s *Scheduler) Flushed(f *Flush) {
+	for id, seq := range f.ends {
+		if v := s.vms[id]; v != nil {
+			v.durable = max(v.durable, seq)
+		}
+	}
+}
--- /dev/null
+++ b/internal/scheduler/state.go
@@ -0,0 +1,278 @@
+// Package scheduler decides what runs where: it takes what is known of jobs and
+// VMs, and the time, and returns orders. It is pure: no clocks, sockets or
+// store. One leader at a time feeds it and carries its orders out.
+package scheduler
+
+import (
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+// Time is the leader's steady clock, since the start of the process.
+type Time = time.Duration
+
+// Settings are the deployment's bounds.
+type Settings struct {
+	// MaxLease is the longest lease that a VM grants.
+	MaxLease time.Duration
+	// FarFactor slows tasks down away from their data.
+	FarFactor float64
+	// StopWithin is how long a stop may take at a VM.
+	StopWithin time.Duration
+	// UnavailableFor is how long a lasting task counts as unavailable after a
+	// notice; it limits how fast lasting tasks may be moved.
+	UnavailableFor time.Duration
+	// PaceEffect is how long a change of pace takes to show.
+	PaceEffect time.Duration
+	// HarmAfter is how long a serving task may stay over its target because of fillers.
+	HarmAfter time.Duration
+}
+
+// runState is where a run is in its life, as the leader knows it.
+type runState int
+
+const (
+	// starting: the order was given; it is not known to have been carried out.
+	starting runState = iota
+	running
+	// stopping: a stop was ordered; the run counts until its end is listed.
+	stopping
+)
+
+// run is one start of a task on a VM.
+type run struct {
+	task   *task
+	vm     *vm
+	number int64
+	state  runState
+	// orderedAt is when the start was ordered.
+	orderedAt Time
+	// confirmedAt is when the VM was known to have the run.
+	confirmedAt Time
+	// stopConfirmedAt is when the VM confirmed the stop; 0 before.
+	stopConfirmedAt Time
+	checkpoint      string
+	percent         int
+	usage           float64
+	hasUsage        bool
+	// paced is the share last ordered; percent is what the VM reports.
+	paced   int
+	pacedAt Time
+	// dead is set when the run no longer counts on its VM.
+	dead bool
+}
+
+// task is one task of one occurrence.
+type task struct {
+	step  *step
+	index int
+	done  bool
+	// failedRuns are the numbers of the runs that failed.
+	failedRuns []int64
+	// runs are the runs that have not ended; more than one only of a speculative step.
+	runs       []*run
+	checkpoint string
+	// notBefore delays the next start after a failure.
+	notBefore Time
+	// lastRunEnd is when a run last ended.
+	lastRunEnd Time
+	// lastFailedOn is the VM where a run last failed; it is avoided.
+	lastFailedOn string
+}
+
+func (t *task) id() batch.TaskID {
+	return batch.TaskID{Job: t.step.occ.job.spec.ID, Occurrence: t.step.occ.number, Step: t.step.index, Index: t.index}
+}
+
+// step is one step of one occurrence.
+type step struct {
+	occ   *occurrence
+	index int
+	spec  *batch.Step
+	tasks []task
+	// left counts the tasks that are not done.
+	left int
+	// waiting counts the tasks that are neither done nor have a run.
+	waiting int
+	// blockers counts the steps before it that are not done.
+	blockers int
+	// queued is set while the step is in the scheduler's ready list.
+	queued bool
+	// rank is the step's place in the queue at the last plan.
+	rank rank
+	// perVM counts the runs on each VM, where the step bounds them.
+	perVM map[*vm]int
+}
+
+// occurrence is one execution of a job's steps.
+type occurrence struct {
+	job    *job
+	number int
+	steps  []step
+	left   int
+	// dueAt is when the occurrence was due, on the leader's clock.
+	dueAt Time
+}
+
+// job is one accepted job.
+type job struct {
+	spec  *batch.Job
+	queue string
+	pool  string
+	// submittedAt is when the caller first asked, as far as it is known.
+	submittedAt Time
+	// objective is the time from submittedAt in which the job should be done.
+	objective time.Duration
+	chain     time.Duration
+	work      float64
+	attempts  int
+	priority  int
+	state     batch.State
+	// durableState is the state that the store has; callers are told final
+	// states only from it.
+	durableState batch.State
+	started      bool
+	// existed is set when the job was there before this leader took over: its
+	// tasks may run where this leader has not heard yet.
+	existed bool
+	occs    map[int]*occurrence
+	// nextOcc is the first occurrence that has not been created.
+	nextOcc int
+	// doneOccs counts finished occurrences; all below doneLow are finished.
+	doneOccs map[int]bool
+	doneLow  int
+	dirty    bool
+	// version counts changes of the durable part; a write covers the version that it was made from.
+	version int64
+	// record is the store revision of the job's progress record, 0 for none.
+	record  int64
+	endedAt Time
+	// pending is the record that occurrences opened later start from.
+	pending *Progress
+}
+
+// vm is one instance that the leader knows.
+type vm struct {
+	inst batch.Instance
+	// listed is set while the store's list has the instance.
+	listed bool
+	// unlistedAt is when it left the list.
+	unlistedAt Time
+	// heard is set once the instance has seen this leader's fencing token and
+	// told what it runs.
+	heard   bool
+	heardAt Time
+	clock   clock
+	runs    map[batch.TaskID]*run
+	used    batch.Resources
+	// fillerCPU is what the fillers here would like to use, in thousandths of a processor.
+	fillerCPU int64
+	// serving counts the serving runs, servingCPU what they declared, in
+	// thousandths of a processor.
+	serving    int
+	servingCPU int64
+	// seen is the highest end sequence that was processed, durable the highest
+	// whose effects are written, to be acknowledged.
+	seen    int64
+	durable int64
+	// trouble rates failures of late; see health.go.
+	health health
+	// leaseOver is when everything there has certainly ended, unless the lease is renewed.
+	leaseOver Time
+	// pressed is set while a serving task here is near or over its target;
+	// fillerPace is the share, in percent, that fillers here may work at.
+	pressed    bool
+	fillerPace int
+	pacedAt    Time
+}
+
+// clock relates an instance's clock to the leader's.
+type clock struct {
+	known bool
+	// at and value are a reading: the instance's clock was value at some moment
+	// between sentAt and gotAt.
+	sentAt, gotAt Time
+	value         time.Duration
+}
+
+// slowClock is the least rate of an instance's clock: it may be 2 % slow.
+const slowClock = 0.98
+
+// Scheduler is the leader's state.
+type Scheduler struct {
+	settings Settings
+	fence    int64
+	// nextRun numbers runs. The fencing token is in the upper bits, so that run
+	// numbers rise over all leaders without being stored.
+	nextRun int64
+	config  *batch.Config
+	vms     map[string]*vm
+	order   []*vm
+	jobs    map[string]*job
+	ready   []*step
+	// timed are the jobs with occurrences still to come.
+	timed map[string]*job
+	dirty map[string]*job
+	// silent are instances that an earlier leader may have given work to and
+	// that have not been heard, with the moment when they need not be waited for.
+	silent map[string]Time
+	orders []Order
+	// changed is set when a plan may find something new to do.
+	changed   bool
+	images    images
+	logf      func(Decision)
+	plannedAt Time
+}
+
+// runBits is how many runs one leader may number: 2^24.
+const runBits = 24
+
+// New returns a scheduler for the leader with the given fencing token. log
+// receives a line for each decision.
+func New(settings Settings, fence int64, log func(Decision)) *Scheduler {
+	if log == nil {
+		log = func(Decision) {}
+	}
+	return &Scheduler{
+		settings: settings, fence: fence, nextRun: fence << runBits, vms: map[string]*vm{}, jobs: map[string]*job{},
+		timed: map[string]*job{}, dirty: map[string]*job{}, silent: map[string]Time{}, images: images{}, logf: log,
+	}
+}
+
+// Decision is a line for the log: an event of the closed list in docs/OPERATORS.md
+// with what it is about and what decided it.
+type Decision struct {
+	Event string
+	Job   string
+	Task  batch.TaskID
+	VM    string
+	Run   int64
+	// Reason names the input that decided.
+	Reason string
+	// Age is the age of that input, or how long the subject waited.
+	Age time.Duration
+	// Value is a figure that goes with the reason.
+	Value float64
+}
+
+// OrderKind is what an order asks of an instance.
+type OrderKind int
+
+// The kinds of order.
+const (
+	OrderStart OrderKind = iota
+	OrderStop
+	OrderPace
+)
+
+// Order is for an instance. The leader carries it out and reports the outcome
+// with Started or Stopped.
+type Order struct {
+	Kind     OrderKind
+	Instance batch.Instance
+	Start    batch.StartOrder
+	Task     batch.TaskID
+	Run      int64
+	Percent  int
+}
--- /dev/null
+++ b/internal/scheduler/vms.go
@@ -0,0 +1,273 @@
+package scheduler
+
+import (
+	"sort"
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+// silentAfter is how long an instance may leave a call without an answer before
+// it gets no new work and no longer leases: a call travels a few milliseconds,
+// and one lost packet is sent again within 0.3 s.
+const silentAfter = 1500 * time.Millisecond
+
+// leaseMargin covers rounding and scheduling of the process when a lease is
+// taken to be over.
+const leaseMargin = 200 * time.Millisecond
+
+// Expect names the instances that earlier leaders may have given work to. Until
+// each is heard, or its moment has passed, a task of a job that is older than
+// this leader is not started anywhere: it may run there.
+func (s *Scheduler) Expect(ids []string, until Time) {
+	for _, id := range ids {
+		if v := s.vms[id]; v == nil || !v.heard {
+			s.silent[id] = until
+		}
+	}
+	s.changed = true
+}
+
+// SetInstances takes the store's list over.
+func (s *Scheduler) SetInstances(now Time, list []batch.Instance) {
+	listed := make(map[string]bool, len(list))
+	byAddress := make(map[string]string, len(list))
+	for i := range list {
+		listed[list[i].ID] = true
+		byAddress[list[i].Address] = list[i].ID
+		s.setInstance(now, list[i])
+	}
+	for id, v := range s.vms {
+		if listed[id] {
+			continue
+		}
+		if v.listed {
+			v.listed = false
+			v.unlistedAt = now
+			s.logf(Decision{Event: "vm_unlisted", VM: id})
+		}
+		// A new life at the same address: the old one has ended with all it ran.
+		if other, taken := byAddress[v.inst.Address]; taken && other != id {
+			s.Gone(now, id, "address taken by "+other)
+		}
+	}
+}
+
+func (s *Scheduler) setInstance(now Time, inst batch.Instance) {
+	v := s.vms[inst.ID]
+	if v == nil {
+		v = &vm{inst: inst, runs: map[batch.TaskID]*run{}, heardAt: now, fillerPace: 100}
+		s.vms[inst.ID] = v
+		s.sortVMs()
+		s.logf(Decision{Event: "vm_listed", VM: inst.ID, Reason: inst.Zone, Value: float64(inst.Capacity.MilliCPU)})
+		s.changed = true
+	}
+	if inst.Draining && !v.inst.Draining {
+		s.logf(Decision{Event: "vm_draining", VM: inst.ID, Age: inst.Remaining})
+	}
+	if !v.listed || inst.Draining != v.inst.Draining {
+		s.changed = true
+	}
+	v.listed = true
+	v.inst = inst
+}
+
+// sortVMs keeps the VMs in a fixed order, so that equal inputs give equal plans.
+func (s *Scheduler) sortVMs() {
+	s.order = s.order[:0]
+	for _, v := range s.vms {
+		s.order = append(s.order, v)
+	}
+	sort.Slice(s.order, func(i, k int) bool { return s.order[i].inst.ID < s.order[k].inst.ID })
+}
+
+// Instances returns the instances to be held, by ID.
+func (s *Scheduler) Instances() map[string]batch.Instance {
+	out := make(map[string]batch.Instance, len(s.vms))
+	for id, v := range s.vms {
+		out[id] = v.inst
+	}
+	return out
+}
+
+// Gone takes an instance out whose life has certainly ended.
+func (s *Scheduler) Gone(now Time, id, reason string) {
+	delete(s.silent, id)
+	v := s.vms[id]
+	if v == nil {
+		return
+	}
+	s.logf(Decision{Event: "vm_gone", VM: id, Reason: reason, Value: float64(len(v.runs))})
+	s.dropRuns(now, v, reason)
+	delete(s.vms, id)
+	s.sortVMs()
+	s.changed = true
+}
+
+// dropRuns counts everything on v as ended, without blame for the tasks.
+func (s *Scheduler) dropRuns(now Time, v *vm, reason string) {
+	for _, r := range v.runs {
+		s.logf(Decision{Event: "run_lost", Task: r.task.id(), VM: v.inst.ID, Run: r.number, Reason: reason, Age: now - r.orderedAt})
+		s.release(now, r)
+	}
+}
+
+// Hold returns the order that renews an instance's lease, given that it is sent
+// now. An instance that has been silent gets no new lease: its old one must be
+// able to run out, so that its tasks may be started elsewhere.
+func (s *Scheduler) Hold(now Time, id string, wait time.Duration) (batch.HoldOrder, bool) {
+	v := s.vms[id]
+	if v == nil {
+		return batch.HoldOrder{}, false
+	}
+	o := batch.HoldOrder{Fence: s.fence, Acked: v.durable, Wait: wait}
+	if v.clock.known && now-v.heardAt < silentAfter+wait {
+		o.LeaseUntil = v.lease(now, s.settings.MaxLease)
+	}
+	return o, true
+}
+
+// Unacked reports whether an instance has told ends that may not be
+// acknowledged yet, since their effect is not durable.
+func (s *Scheduler) Unacked(id string) bool {
+	v := s.vms[id]
+	return v != nil && v.seen > v.durable
+}
+
+// lease returns the end of a lease taken now, on the instance's clock, and notes
+// when it is certainly over.
+func (v *vm) lease(now Time, length time.Duration) time.Duration {
+	until := v.clock.value + (now - v.clock.sentAt) + length
+	over := v.clock.gotAt + time.Duration(float64(until-v.clock.value)/slowClock) + leaseMargin
+	v.leaseOver = max(v.leaseOver, over)
+	return until
+}
+
+// Heard takes an instance's report over; the hold was sent at sentAt.
+func (s *Scheduler) Heard(now, sentAt Time, id string, rep batch.Report) {
+	v := s.vms[id]
+	if v == nil {
+		return
+	}
+	v.setClock(sentAt, now, rep.Clock)
+	if !v.heard {
+		v.heard = true
+		s.changed = true
+		s.logf(Decision{Event: "vm_heard", VM: id, Value: float64(len(rep.Running))})
+	}
+	if now-v.heardAt > silentAfter+2*time.Second {
+		s.changed = true
+	}
+	v.heardAt = now
+	delete(s.silent, id)
+	for i := range rep.Ended {
+		if e := &rep.Ended[i]; e.Seq > v.seen {
+			v.seen = e.Seq
+			s.ended(now, v, e)
+		}
+	}
+	listed := make(map[*run]bool, len(rep.Running))
+	for i := range rep.Running {
+		if r := s.observe(now, v, &rep.Running[i]); r != nil {
+			listed[r] = true
+		}
+	}
+	for _, r := range v.runs {
+		if !listed[r] {
+			s.missing(now, sentAt, r)
+		}
+	}
+	s.pace(now, v)
+}
+
+func (v *vm) setClock(sentAt, gotAt Time, value time.Duration) {
+	if value > 0 {
+		v.clock = clock{known: true, sentAt: sentAt, gotAt: gotAt, value: value}
+	}
+}
+
+// observe takes a listed run over and returns it, or nil when it is not to run.
+func (s *Scheduler) observe(now Time, v *vm, st *batch.RunStatus) *run {
+	r := v.runs[st.Task]
+	if r != nil && r.number == st.Run {
+		if r.state == starting {
+			r.state = running
+			r.confirmedAt = now
+		}
+	} else {
+		r = s.adopt(now, v, st)
+	}
+	if r == nil {
+		return nil
+	}
+	r.percent = st.Percent
+	r.usage, r.hasUsage = st.Usage, st.HasUsage
+	if st.Checkpoint != "" {
+		r.checkpoint = st.Checkpoint
+		r.task.checkpoint = st.Checkpoint
+	}
+	return r
+}
+
+// adopt takes on a run that this leader did not start, or stops it.
+func (s *Scheduler) adopt(now Time, v *vm, st *batch.RunStatus) *run {
+	t := s.task(st.Task)
+	if t == nil || t.done || t.step.occ.job.state.Final() || (len(t.runs) > 0 && !t.step.spec.Speculative) || v.runs[st.Task] != nil {
+		s.logf(Decision{Event: "run_unwanted", Task: st.Task, VM: v.inst.ID, Run: st.Run})
+		s.orderStop(v, st.Task, st.Run)
+		return nil
+	}
+	r := &run{task: t, vm: v, number: st.Run, state: running, orderedAt: now, confirmedAt: now, percent: st.Percent, paced: st.Percent}
+	s.hold(r)
+	t.step.occ.job.started = true
+	s.logf(Decision{Event: "run_adopted", Task: st.Task, VM: v.inst.ID, Run: st.Run})
+	return r
+}
+
+// task finds a task of an open occurrence.
+func (s *Scheduler) task(id batch.TaskID) *task {
+	j := s.jobs[id.Job]
+	if j == nil {
+		return nil
+	}
+	o := j.occs[id.Occurrence]
+	if o == nil || id.Step >= len(o.steps) || id.Index >= len(o.steps[id.Step].tasks) {
+		return nil
+	}
+	return &o.steps[id.Step].tasks[id.Index]
+}
+
+// missing handles a run that its VM does not list: the report was asked for
+// after the VM had confirmed the run, or had confirmed that it will not run.
+func (s *Scheduler) missing(now, sentAt Time, r *run) {
+	confirmed := r.state != starting && r.confirmedAt > 0 && r.confirmedAt < sentAt
+	stopped := r.stopConfirmedAt > 0 && r.stopConfirmedAt < sentAt
+	if !confirmed && !stopped {
+		return
+	}
+	s.logf(Decision{Event: "run_lost", Task: r.task.id(), VM: r.vm.inst.ID, Run: r.number, Reason: "not listed", Age: now - r.orderedAt})
+	s.release(now, r)
+}
+
+// Expire counts what silent instances held as ended once its lease is over.
+func (s *Scheduler) Expire(now Time) {
+	for id, until := range s.silent {
+		if now > until {
+			delete(s.silent, id)
+			s.changed = true
+			s.logf(Decision{Event: "vm_waited_out", VM: id})
+		}
+	}
+	for id, v := range s.vms {
+		if v.heard && len(v.runs) > 0 && v.leaseOver > 0 && now > v.leaseOver {
+			s.dropRuns(now, v, "lease over")
+		}
+		if !v.listed && len(v.runs) == 0 && now-v.unlistedAt > forgetAfter && now > v.leaseOver {
+			s.Gone(now, id, "unlisted")
+		}
+	}
+}
+
+// forgetAfter is how long an unlisted instance without runs is kept: entries
+// that lapsed with the store are back about 2 s after its return.
+const forgetAfter = 10 * time.Second
