Interference learned per pair of images, fillers paced and placed by it

The fourth cell of a running row was read as the pace: it is progress, so that every report ordered the pace again. Change: ridge regression on differences between reports gives a slope per pair; the fillers that press are slowed or moved, the others left.

--- a/internal/batch/vm.go
+++ b/internal/batch/vm.go
@@ -70,8 +70,9 @@
 	Run  int64
 	// Checkpoint is the newest saved progress; empty for none.
 	Checkpoint string
-	// Percent is the share at which the run may work, 0 to 100.
-	Percent int
+	// Progress is the share of its work that is done, 0 to 100; for a lasting
+	// run, of its startup: at 100 it is at work.
+	Progress int
 	// Usage is a rough figure of the last half second: milliseconds of tail
 	// latency for a serving task, else thousandths of a processor in use.
 	Usage float64
--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -238,8 +238,10 @@
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	err := t.Agents.Pace(callCtx, &o.Instance, o.Task, o.Run, o.Percent, t.tenure.Fence)
+	t.mu.Lock()
+	t.sched.Paced(o, err == nil)
+	t.mu.Unlock()
 	if err != nil && ctx.Err() == nil {
-		// The instance's report shows the pace; it is ordered again if it differs.
 		t.log.Warn("pace_failed", err, eventlog.Fields{"vm": o.Instance.ID, "task": o.Task.String()})
 	}
 }
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -116,6 +116,7 @@
 func (s *Scheduler) hold(r *run) {
 	v, spec := r.vm, r.task.step.spec
 	v.runs[r.task.id()] = r
+	v.tailsStale = true
 	if spec.Filler {
 		v.fillerCPU += spec.Need.MilliCPU
 		v.used.MemoryMB += spec.Need.MemoryMB
@@ -149,6 +150,7 @@
 	v, t := r.vm, r.task
 	spec := t.step.spec
 	delete(v.runs, t.id())
+	v.tailsStale = true
 	if spec.Filler {
 		v.fillerCPU -= spec.Need.MilliCPU
 		v.used.MemoryMB -= spec.Need.MemoryMB
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -1,76 +1,192 @@
 package scheduler
 
-import "time"
+import (
+	"math"
+	"slices"
+	"time"
+)
 
 const (
-	// pressedAt is the share of its target at which a serving task's tail
-	// counts as pressed: fillers beside it are slowed before it is over.
-	pressedAt = 0.85
-	// easyAt is the share below which fillers get more again.
-	easyAt = 0.6
-	// paceDown and paceUp change the fillers' share: down by half at once, since
-	// the figures lag by half a second and harm counts within seconds; up slowly.
-	paceDown = 0.5
-	paceUp   = 20
-	// paceEvery is the least time between two changes: the figure covers the
-	// last half second, so that an earlier one tells of the former pace.
+	// pressedAt is the share of its target at which a serving task's tail counts
+	// as pressed: fillers beside it are slowed before it is over.
+	pressedAt = 0.8
+	// aimAt is the share that slowing and placing aim for. The rest is for the
+	// task's own load, which moves by a few percent a second.
+	aimAt = 0.7
+	// paceEvery is the least time between two changes on a VM: a change takes
+	// effect after 0.1 s, and the figure then covers half a second more.
 	paceEvery = 700 * time.Millisecond
-	// paceLowest is the share below which fillers stand still.
-	paceLowest = 10
+	// paceUp is how much a filler gets back at a time, in percent.
+	paceUp = 25
+	// least is the effect, as a logarithm, below which a filler is left alone:
+	// to slow it would not show.
+	leastEffect = 0.03
+	// blindAfter is how long a tail may stay over its target with nobody to
+	// blame before all fillers beside it stand still: the harm counts after
+	// about 4 s.
+	blindAfter = 1500 * time.Millisecond
+	// moveBelow is the pace at which a filler is better off elsewhere.
+	moveBelow = 50
+	// moveProgress: a run that cannot resume is moved only below this progress,
+	// in percent: what it has done is lost.
+	moveProgress = 40
+	// moveAfter is how long a run is left where it is at first.
+	moveAfter = time.Second
 )
 
-// images is what is known of images; it is learned from the figures of runs.
-type images map[string]struct{}
-
-// pace sets the share of the fillers on a VM by the tails of what serves there.
+// pace slows the fillers on a VM that press on what serves there, and gives back
+// what the tails allow.
 func (s *Scheduler) pace(now Time, v *vm) {
-	if v.serving == 0 && v.fillerPace == 100 {
-		v.pressed = false
+	if v.serving == 0 {
+		v.overSince = 0
+		s.giveBack(now, v)
 		return
 	}
-	worst := 0.0
+	if now-v.pacedAt < paceEvery {
+		return
+	}
+	worst := v.worst()
+	switch {
+	case worst == nil:
+		v.overSince = 0
+		s.giveBack(now, v)
+	case worst.ratio() > pressedAt:
+		v.noteOver(now, worst.ratio())
+		s.slow(now, v, worst)
+	default:
+		v.overSince = 0
+		s.giveBack(now, v)
+	}
+}
+
+// worst is the serving run nearest to its target, or nil.
+func (v *vm) worst() *run {
+	var worst *run
 	for _, r := range v.runs {
-		if r.task.step.spec.Serves() && r.hasUsage && r.state == running {
-			target := float64(r.task.step.spec.TailTarget) / float64(time.Millisecond)
-			worst = max(worst, r.usage/target)
+		if r.task.step.spec.Serves() && r.hasUsage && r.state == running && (worst == nil || r.ratio() > worst.ratio()) {
+			worst = r
 		}
 	}
-	v.pressed = worst > pressedAt
-	if now-v.pacedAt >= paceEvery {
-		v.setPace(now, worst)
+	return worst
+}
+
+func (v *vm) noteOver(now Time, ratio float64) {
+	if ratio <= 1 {
+		v.overSince = 0
+		return
+	}
+	if v.overSince == 0 {
+		v.overSince = now
 	}
-	s.applyPace(now, v)
 }
 
-func (v *vm) setPace(now Time, worst float64) {
-	pace := v.fillerPace
-	switch {
-	case worst > pressedAt:
-		pace = int(float64(pace) * paceDown)
-		if pace < paceLowest {
-			pace = 0
+// fillers are the VM's running fillers, those with the largest effect on the
+// serving image first.
+func (s *Scheduler) fillers(v *vm, serving string) ([]*run, []float64) {
+	capacity := float64(max(v.inst.Capacity.MilliCPU, 1))
+	var runs []*run
+	for _, r := range v.runs {
+		if r.task.step.spec.Filler && r.state == running {
+			runs = append(runs, r)
+		}
+	}
+	effect := func(r *run) float64 {
+		// What it would use at full pace: the figure lags behind the pace.
+		use := float64(r.task.step.spec.Need.MilliCPU)
+		return s.images.slope(serving, s.images.number(r.task.step.spec.Image)) * use / capacity
+	}
+	slices.SortFunc(runs, func(a, b *run) int {
+		switch ea, eb := effect(a), effect(b); {
+		case ea > eb:
+			return -1
+		case ea < eb:
+			return 1
 		}
-	case worst < easyAt:
-		pace = min(100, pace+paceUp)
+		return int(a.number - b.number)
+	})
+	effects := make([]float64, len(runs))
+	for i, r := range runs {
+		effects[i] = effect(r)
 	}
-	if pace != v.fillerPace {
-		v.fillerPace = pace
-		v.pacedAt = now
+	return runs, effects
+}
+
+// slow takes as much of the fillers' pace as brings the worst tail to aimAt,
+// from those that press most.
+func (s *Scheduler) slow(now Time, v *vm, worst *run) {
+	excess := math.Log(worst.ratio() / aimAt)
+	runs, effects := s.fillers(v, worst.task.step.spec.Image)
+	blind := v.overSince > 0 && now-v.overSince > blindAfter
+	for i, r := range runs {
+		switch {
+		case blind:
+			s.setPace(now, r, 0)
+			continue
+		case excess <= 0 || effects[i] < leastEffect:
+			continue
+		}
+		take := min(float64(r.paced)/100*effects[i], excess)
+		excess -= take
+		s.setPace(now, r, max(0, r.paced-int(math.Ceil(100*take/effects[i]))))
+		s.moveAway(now, r)
 	}
 }
 
-// applyPace orders the VM's pace for each filler that has another one.
-func (s *Scheduler) applyPace(now Time, v *vm) {
+// giveBack raises the pace of slowed fillers, as far as the tails allow.
+func (s *Scheduler) giveBack(now Time, v *vm) {
 	for _, r := range v.runs {
-		if !r.task.step.spec.Filler || r.state != running {
+		if !r.task.step.spec.Filler || r.state != running || r.paced >= 100 {
 			continue
 		}
-		if r.paced == v.fillerPace && (r.percent == r.paced || now-r.pacedAt < paceEvery) {
+		more := min(paceUp, 100-r.paced)
+		use := r.task.step.spec.Need.MilliCPU * int64(more) / 100
+		if worst, effect := s.pressure(now, v, r.task.step.spec.Image, use); worst > aimAt && effect > leastEffect {
+			s.moveAway(now, r)
 			continue
 		}
-		s.logf(Decision{Event: "run_paced", Task: r.task.id(), VM: v.inst.ID, Run: r.number, Value: float64(v.fillerPace)})
-		r.paced = v.fillerPace
-		r.pacedAt = now
-		s.orders = append(s.orders, Order{Kind: OrderPace, Instance: v.inst, Task: r.task.id(), Run: r.number, Percent: v.fillerPace})
+		s.setPace(now, r, r.paced+more)
+		v.tailsStale = true
+	}
+}
+
+func (s *Scheduler) setPace(now Time, r *run, percent int) {
+	if percent == r.paced {
+		return
+	}
+	s.logf(Decision{Event: "run_paced", Task: r.task.id(), VM: r.vm.inst.ID, Run: r.number, Value: float64(percent)})
+	r.paced = percent
+	r.vm.pacedAt = now
+	s.orders = append(s.orders, Order{Kind: OrderPace, Instance: r.vm.inst, Task: r.task.id(), Run: r.number, Percent: percent})
+}
+
+// Paced takes the outcome of an order of pace over: one that failed is ordered
+// again with the next report.
+func (s *Scheduler) Paced(o Order, ok bool) {
+	v := s.vms[o.Instance.ID]
+	if v == nil || ok {
+		return
+	}
+	if r := v.runs[o.Task]; r != nil && r.number == o.Run && r.paced == o.Percent {
+		r.paced = unknownPace
+	}
+}
+
+// unknownPace is the pace of a run whose last order was not answered; any
+// decision differs from it.
+const unknownPace = 99
+
+// moveAway stops a slowed filler that is better off on another VM. It starts
+// again there from its checkpoint.
+func (s *Scheduler) moveAway(now Time, r *run) {
+	t := r.task
+	if r.paced >= moveBelow || now-r.orderedAt < moveAfter || t.step.spec.Gang || t.step.occ.job.state.Final() {
+		return
+	}
+	if !t.step.spec.Checkpoints && r.progress > moveProgress {
+		return
+	}
+	if s.choose(now, t) == nil {
+		return
 	}
+	s.stop(now, r, "slowed")
 }
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -14,10 +14,12 @@
 	farPenalty = 2.0
 	// rackBonus draws the tasks of one step to one rack.
 	rackBonus = 2.0
-	// servingPenalty keeps fillers off VMs with serving tasks while others have room.
-	servingPenalty = 0.3
-	// pressedPenalty keeps fillers off VMs whose serving tasks are near their target.
-	pressedPenalty = 2.0
+	// effectPenalty keeps fillers off VMs where they press on what serves, for
+	// each unit of the logarithm of a tail.
+	effectPenalty = 3.0
+	// negligible is the effect, as a logarithm, of a filler that may start beside
+	// any serving task.
+	negligible = 0.02
 )
 
 // choose returns the best VM for a task, or nil.
@@ -32,7 +34,10 @@
 		if !s.fits(now, v, t) {
 			continue
 		}
-		score := s.score(v, t.step.spec)
+		score, ok := s.score(now, v, t.step.spec)
+		if !ok {
+			continue
+		}
 		if rack != "" && v.inst.Rack() == rack {
 			score += rackBonus
 		}
@@ -84,20 +89,20 @@
 	return float64(v.inst.Capacity.MilliCPU-v.used.MilliCPU) + (1-servingShare)*float64(v.servingCPU)
 }
 
-// score rates a VM that fits; higher is better.
-func (s *Scheduler) score(v *vm, spec *batch.Step) float64 {
+// score rates a VM that fits; higher is better. ok is false when the task would
+// press too hard on what serves there.
+func (s *Scheduler) score(now Time, v *vm, spec *batch.Step) (score float64, ok bool) {
 	capacity := float64(max(v.inst.Capacity.MilliCPU, 1))
 	free := float64(v.inst.Capacity.MilliCPU-v.used.MilliCPU) / capacity
-	score := free
+	score = free
 	switch {
 	case spec.Filler:
 		score = (v.rest() - float64(v.fillerCPU)) / capacity
-		if v.serving > 0 {
-			score -= servingPenalty
-		}
-		if v.pressed {
-			score -= pressedPenalty
+		worst, effect := s.pressure(now, v, spec.Image, spec.Need.MilliCPU)
+		if worst > aimAt && effect > negligible {
+			return 0, false
 		}
+		score -= effectPenalty * effect
 	case spec.Serves():
 		score -= float64(v.fillerCPU) / capacity
 	}
@@ -107,5 +112,5 @@
 	if spec.Need.Accelerators == 0 && v.inst.Capacity.Accelerators > 0 {
 		score -= farPenalty
 	}
-	return score
+	return score, true
 }
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -180,7 +180,7 @@
 			}
 			return
 		}
-		h := &run{task: &st.tasks[k], vm: v, number: number, orderedAt: r.now, percent: 100, paced: 100}
+		h := &run{task: &st.tasks[k], vm: v, number: number, orderedAt: r.now, paced: 100}
 		s.hold(h)
 		held = append(held, h)
 	}
@@ -202,7 +202,7 @@
 }
 
 func (s *Scheduler) start(now Time, t *task, v *vm, number int64) {
-	r := &run{task: t, vm: v, number: number, orderedAt: now, percent: 100, paced: 100}
+	r := &run{task: t, vm: v, number: number, orderedAt: now, paced: 100}
 	s.hold(r)
 	s.orderStart(now, r)
 }
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -53,12 +53,13 @@
 	// stopConfirmedAt is when the VM confirmed the stop; 0 before.
 	stopConfirmedAt Time
 	checkpoint      string
-	percent         int
-	usage           float64
-	hasUsage        bool
-	// paced is the share last ordered; percent is what the VM reports.
-	paced   int
-	pacedAt Time
+	// progress is the share of its work that is done, in percent; for a lasting
+	// run, of its startup.
+	progress int
+	usage    float64
+	hasUsage bool
+	// paced is the pace last ordered, in percent.
+	paced int
 	// dead is set when the run no longer counts on its VM.
 	dead bool
 }
@@ -180,11 +181,16 @@
 	health health
 	// leaseOver is when everything there has certainly ended, unless the lease is renewed.
 	leaseOver Time
-	// pressed is set while a serving task here is near or over its target;
-	// fillerPace is the share, in percent, that fillers here may work at.
-	pressed    bool
-	fillerPace int
-	pacedAt    Time
+	// pacedAt is when the pace of a filler here was last changed; overSince when
+	// a serving task was first seen over its target, 0 when none is.
+	pacedAt   Time
+	overSince Time
+	// sample is the report that the next one is compared with.
+	sample sample
+	// tails is worked out from runs; see tailsOf.
+	tails      []tail
+	tailsAt    Time
+	tailsStale bool
 }
 
 // clock relates an instance's clock to the leader's.
@@ -236,7 +242,7 @@
 	}
 	return &Scheduler{
 		settings: settings, fence: fence, nextRun: fence << runBits, vms: map[string]*vm{}, jobs: map[string]*job{},
-		timed: map[string]*job{}, dirty: map[string]*job{}, silent: map[string]Time{}, images: images{}, logf: log,
+		timed: map[string]*job{}, dirty: map[string]*job{}, silent: map[string]Time{}, images: newImages(), logf: log,
 	}
 }
 
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -56,7 +56,7 @@
 func (s *Scheduler) setInstance(now Time, inst batch.Instance) {
 	v := s.vms[inst.ID]
 	if v == nil {
-		v = &vm{inst: inst, runs: map[batch.TaskID]*run{}, heardAt: now, fillerPace: 100}
+		v = &vm{inst: inst, runs: map[batch.TaskID]*run{}, heardAt: now}
 		s.vms[inst.ID] = v
 		s.sortVMs()
 		s.logf(Decision{Event: "vm_listed", VM: inst.ID, Reason: inst.Zone, Value: float64(inst.Capacity.MilliCPU)})
@@ -177,6 +177,9 @@
 			s.missing(now, sentAt, r)
 		}
 	}
+	v.tailsStale = true
+	s.observeTails(now, v)
+	s.images.solve(now)
 	s.pace(now, v)
 }
 
@@ -200,7 +203,7 @@
 	if r == nil {
 		return nil
 	}
-	r.percent = st.Percent
+	r.progress = st.Progress
 	r.usage, r.hasUsage = st.Usage, st.HasUsage
 	if st.Checkpoint != "" {
 		r.checkpoint = st.Checkpoint
@@ -217,7 +220,7 @@
 		s.orderStop(v, st.Task, st.Run)
 		return nil
 	}
-	r := &run{task: t, vm: v, number: st.Run, state: running, orderedAt: now, confirmedAt: now, percent: st.Percent, paced: st.Percent}
+	r := &run{task: t, vm: v, number: st.Run, state: running, orderedAt: now, confirmedAt: now, paced: unknownPace}
 	s.hold(r)
 	t.step.occ.job.started = true
 	s.logf(Decision{Event: "run_adopted", Task: st.Task, VM: v.inst.ID, Run: st.Run})
