Serving tasks of one image are kept together and packed tightly

Cause: on every VM some serving image minds a filler image; a quarter to a half of the pairs press, so that of five images beside each other one nearly always does. Ruled out: serving tasks pressing on each other (regression of tails on co-resident serving images: slopes about 0). Change: placement by purity.

--- a/internal/scheduler/interference.go
+++ b/internal/scheduler/interference.go
@@ -1,7 +1,11 @@
 package scheduler
 
 import (
+	"fmt"
+	"maps"
 	"math"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -117,6 +121,25 @@
 	}
 }
 
+// describe tells the slopes that matter, for the log.
+func (m *images) describe() string {
+	names := make([]string, min(len(m.index), maxImages))
+	for name, i := range m.index {
+		names[i] = name
+	}
+	var b strings.Builder
+	for _, serving := range slices.Sorted(maps.Keys(m.pairs)) {
+		fmt.Fprintf(&b, "%s:", serving)
+		for i, name := range names {
+			if slope := m.slope(serving, i); slope >= 1 {
+				fmt.Fprintf(&b, " %s=%.1f", name, slope)
+			}
+		}
+		b.WriteString("; ")
+	}
+	return b.String()
+}
+
 // solve finds the slopes of the first n images by Gaussian elimination. The
 // prior keeps the matrix positive definite, so no pivoting is needed.
 func (p *slopes) solve(n int) {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -1,6 +1,11 @@
 package scheduler
 
-import "github.com/rattanwall/rattanwall/internal/batch"
+import (
+	"fmt"
+	"strings"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
 
 const (
 	// servingShare is the part of their declared processors that serving tasks
@@ -14,6 +19,11 @@
 	farPenalty = 2.0
 	// rackBonus draws the tasks of one step to one rack.
 	rackBonus = 2.0
+	// purityWeight draws serving tasks of one image together; see purity.
+	purityWeight = 4.0
+	// emptyPurity rates a VM that serves nothing: worse than one of the same
+	// image, better than one of another.
+	emptyPurity = 0.6
 	// effectPenalty keeps fillers off VMs where they press on what serves, for
 	// each unit of the logarithm of a tail.
 	effectPenalty = 3.0
@@ -31,7 +41,7 @@
 		rack = t.step.rack()
 	}
 	for _, v := range s.order {
-		if !s.fits(now, v, t) {
+		if s.fits(now, v, t) != obstacleNone {
 			continue
 		}
 		score, ok := s.score(now, v, t.step.spec)
@@ -61,27 +71,71 @@
 	return ""
 }
 
-// fits reports whether the VM may be given the task now.
-func (s *Scheduler) fits(now Time, v *vm, t *task) bool {
+// obstacle is why a VM may not be given a task now.
+type obstacle int
+
+// The obstacles. obstaclePressure is last: it is found with the score.
+const (
+	obstacleNone obstacle = iota
+	obstacleUnheard
+	obstacleDraining
+	obstaclePool
+	obstacleSuspected
+	obstaclePerVM
+	obstacleProcessor
+	obstacleMemory
+	obstacleLeftover
+	obstaclePressure
+	obstacles
+)
+
+var obstacleNames = [obstacles]string{"none", "unheard", "draining", "pool", "suspected", "per_vm", "processor", "memory", "leftover", "pressure"}
+
+// fits reports what keeps the VM from being given the task now.
+func (s *Scheduler) fits(now Time, v *vm, t *task) obstacle {
 	spec := t.step.spec
 	switch {
-	case !v.heard || !v.listed || v.inst.Draining || now-v.heardAt > silentAfter:
-		return false
 	case v.inst.Pool != t.step.occ.job.pool || !v.inst.HasLabel(spec.Label):
-		return false
+		return obstaclePool
+	case !v.heard || !v.listed || now-v.heardAt > silentAfter:
+		return obstacleUnheard
+	case v.inst.Draining:
+		return obstacleDraining
 	case !v.health.usable(now, len(v.runs)):
-		return false
-	case spec.MaxPerVM > 0 && t.step.perVM[v] >= spec.MaxPerVM:
-		return false
-	case v.runs[t.id()] != nil:
-		return false
+		return obstacleSuspected
+	case spec.MaxPerVM > 0 && t.step.perVM[v] >= spec.MaxPerVM, v.runs[t.id()] != nil:
+		return obstaclePerVM
 	}
 	free := v.inst.Capacity.Sub(v.used)
-	if !spec.Filler {
-		return spec.Need.FitsIn(free)
+	switch {
+	case spec.Need.MemoryMB > free.MemoryMB || spec.Need.Accelerators > free.Accelerators:
+		return obstacleMemory
+	case !spec.Filler && spec.Need.MilliCPU > free.MilliCPU:
+		return obstacleProcessor
+	case spec.Filler && float64(v.fillerCPU+spec.Need.MilliCPU) > fillerOvercommit*v.rest():
+		return obstacleLeftover
+	}
+	return obstacleNone
+}
+
+// obstaclesOf counts, for a task that found no VM, how many VMs each obstacle
+// rules out.
+func (s *Scheduler) obstaclesOf(now Time, t *task) string {
+	var count [obstacles]int
+	for _, v := range s.order {
+		o := s.fits(now, v, t)
+		if o == obstacleNone {
+			o = obstaclePressure
+		}
+		count[o]++
+	}
+	var b strings.Builder
+	for o, n := range count {
+		if n > 0 {
+			fmt.Fprintf(&b, "%s=%d ", obstacleNames[o], n)
+		}
 	}
-	need := batch.Resources{MemoryMB: spec.Need.MemoryMB, Accelerators: spec.Need.Accelerators}
-	return need.FitsIn(free) && float64(v.fillerCPU+spec.Need.MilliCPU) <= fillerOvercommit*v.rest()
+	return strings.TrimSpace(b.String())
 }
 
 // rest is what fillers may be expected to get of the VM, in thousandths of a processor.
@@ -89,6 +143,24 @@
 	return float64(v.inst.Capacity.MilliCPU-v.used.MilliCPU) + (1-servingShare)*float64(v.servingCPU)
 }
 
+// purity is the share of the image among what serves on the VM. Few pairs of
+// images press, but of five serving images beside each other one nearly always
+// minds a filler: where the images are kept apart, most fillers find VMs where
+// nobody minds them. Serving tasks do not press on each other, so that packing
+// them tightly costs their tails nothing.
+func (v *vm) purity(image string) float64 {
+	if v.serving == 0 {
+		return emptyPurity
+	}
+	same := int64(0)
+	for _, r := range v.runs {
+		if spec := r.task.step.spec; spec.Serves() && spec.Image == image {
+			same += spec.Need.MilliCPU
+		}
+	}
+	return float64(same) / float64(max(v.servingCPU, 1))
+}
+
 // score rates a VM that fits; higher is better. ok is false when the task would
 // press too hard on what serves there.
 func (s *Scheduler) score(now Time, v *vm, spec *batch.Step) (score float64, ok bool) {
@@ -104,7 +176,7 @@
 		}
 		score -= effectPenalty * effect
 	case spec.Serves():
-		score -= float64(v.fillerCPU) / capacity
+		score = purityWeight*v.purity(spec.Image) - free
 	}
 	if spec.DataRack != "" && v.inst.Rack() != spec.DataRack {
 		score -= farPenalty
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -153,6 +153,7 @@
 		}
 		v := s.choose(r.now, t)
 		if v == nil {
+			s.explainWait(r.now, t)
 			if st.spec.MaxPerVM == 0 {
 				r.failed = append(r.failed, n)
 			}
@@ -220,3 +221,22 @@
 		},
 	})
 }
+
+// explainEvery is how often a waiting task's obstacles are logged.
+const explainEvery = 500 * time.Millisecond
+
+// explainWait logs what keeps a task waiting: that of the first in the queue,
+// now and then.
+func (s *Scheduler) explainWait(now Time, t *task) {
+	if now-s.explainedAt < explainEvery {
+		return
+	}
+	s.explainedAt = now
+	waiting := 0
+	for _, st := range s.ready {
+		waiting += st.waiting
+	}
+	s.logf(Decision{
+		Event: "task_waits", Task: t.id(), Reason: s.obstaclesOf(now, t), Age: now - t.step.occ.dueAt, Value: float64(waiting),
+	})
+}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -225,10 +225,12 @@
 	silent map[string]Time
 	orders []Order
 	// changed is set when a plan may find something new to do.
-	changed   bool
-	images    images
-	logf      func(Decision)
-	plannedAt Time
+	changed     bool
+	images      images
+	logf        func(Decision)
+	plannedAt   Time
+	explainedAt Time
+	describedAt Time
 }
 
 // runBits is how many runs one leader may number: 2^24.
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -254,6 +254,10 @@
 
 // Expire counts what silent instances held as ended once its lease is over.
 func (s *Scheduler) Expire(now Time) {
+	if now-s.describedAt > describeEvery && len(s.images.pairs) > 0 {
+		s.describedAt = now
+		s.logf(Decision{Event: "interference", Reason: s.images.describe()})
+	}
 	for id, until := range s.silent {
 		if now > until {
 			delete(s.silent, id)
@@ -271,6 +275,9 @@
 	}
 }
 
+// describeEvery is how often the learned interference is logged.
+const describeEvery = 5 * time.Second
+
 // forgetAfter is how long an unlisted instance without runs is kept: entries
 // that lapsed with the store are back about 2 s after its return.
 const forgetAfter = 10 * time.Second
