--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -10,10 +10,10 @@
 const (
 	// servingShare is the part of their declared processors that serving tasks
 	// are taken to use on average; the rest is left to fillers.
-	servingShare = 0.6
+	servingShare = 0.5
 	// fillerOvercommit is how much more than the predicted rest fillers may ask
 	// for on one VM.
-	fillerOvercommit = 1.0
+	fillerOvercommit = 1.2
 	// farPenalty is what a place away from the data costs in the score, where 1
 	// is a whole VM's processors.
 	farPenalty = 2.0
