--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -133,6 +133,7 @@
 		st.waiting--
 	}
 	r.task.runs = append(r.task.runs, r)
+	st.occ.job.running++
 	if st.spec.MaxPerVM > 0 {
 		if st.perVM == nil {
 			st.perVM = map[*vm]int{}
@@ -168,6 +169,7 @@
 	if i := slices.Index(t.runs, r); i >= 0 {
 		t.runs = slices.Delete(t.runs, i, i+1)
 	}
+	t.step.occ.job.running--
 	t.lastRunEnd = now
 	if len(t.runs) == 0 && !t.done {
 		t.step.waiting++
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -109,7 +109,7 @@
 	j.occs[number] = o
 	for i := range o.steps {
 		spec := &j.spec.Steps[i]
-		o.steps[i] = step{occ: o, index: i, spec: spec, tasks: make([]task, spec.Tasks), left: spec.Tasks, waiting: spec.Tasks, blockers: len(spec.After)}
+		o.steps[i] = step{occ: o, index: i, spec: spec, tasks: make([]task, spec.Tasks), left: spec.Tasks, waiting: spec.Tasks, blockers: len(spec.After), runnableAt: now}
 		st := &o.steps[i]
 		for k := range st.tasks {
 			st.tasks[k] = task{step: st, index: k}
@@ -149,6 +149,7 @@
 				next.blockers--
 			}
 		}
+		next.runnableAt = now
 		s.enqueue(next)
 	}
 	if o.left == 0 {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/rattanwall/rattanwall/internal/batch"
 )
@@ -61,6 +62,38 @@
 	return best
 }
 
+// starvedAfter is how long a job may have nothing running while one of its
+// fillers could run, before that one starts beside others and takes its share of
+// their processors. Without it the fillers that press on every serving image
+// wait for as long as others come that do not.
+const starvedAfter = 2 * time.Second
+
+func (s *Scheduler) starves(now Time, t *task) bool {
+	st := t.step
+	return st.spec.Filler && !st.spec.Gang && st.occ.job.running == 0 && now-max(st.runnableAt, t.lastRunEnd) > starvedAfter
+}
+
+// leastPressed returns the VM with memory for a starving filler on which it
+// presses least, or nil.
+func (s *Scheduler) leastPressed(now Time, t *task) *vm {
+	var best *vm
+	least := 0.0
+	for _, v := range s.order {
+		if o := s.fits(now, v, t); o != obstacleNone && o != obstacleLeftover {
+			continue
+		}
+		worst, _ := s.pressure(now, v, t.step.spec.Image, t.step.spec.Need.MilliCPU)
+		pressed := worst + float64(v.fillerCPU)/float64(max(v.inst.Capacity.MilliCPU, 1))
+		if best == nil || pressed < least {
+			best, least = v, pressed
+		}
+	}
+	if best != nil {
+		s.logf(Decision{Event: "task_starved", Task: t.id(), VM: best.inst.ID, Age: now - t.step.runnableAt, Value: least})
+	}
+	return best
+}
+
 // rack is where a task of the step runs already, or "".
 func (st *step) rack() string {
 	for k := range st.tasks {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -139,7 +139,7 @@
 		return
 	}
 	n := need{pool: j.pool, label: st.spec.Label, filler: st.spec.Filler, res: st.spec.Need}
-	if r.hopeless(n) {
+	if r.hopeless(n) && !s.starves(r.now, &st.tasks[0]) {
 		return
 	}
 	if st.spec.Gang {
@@ -152,6 +152,9 @@
 			continue
 		}
 		v := s.choose(r.now, t)
+		if v == nil && s.starves(r.now, t) {
+			v = s.leastPressed(r.now, t)
+		}
 		if v == nil {
 			s.explainWait(r.now, t)
 			if st.spec.MaxPerVM == 0 {
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -100,6 +100,8 @@
 	blockers int
 	// queued is set while the step is in the scheduler's ready list.
 	queued bool
+	// runnableAt is when the steps before it were done.
+	runnableAt Time
 	// rank is the step's place in the queue at the last plan.
 	rank rank
 	// perVM counts the runs on each VM, where the step bounds them.
@@ -134,6 +136,8 @@
 	// states only from it.
 	durableState batch.State
 	started      bool
+	// running counts the job's runs.
+	running int
 	// existed is set when the job was there before this leader took over: its
 	// tasks may run where this leader has not heard yet.
 	existed bool
