--- a/internal/command/edge.go
+++ b/internal/command/edge.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -10,16 +9,11 @@
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
-	"github.com/rattanwall/rattanwall/internal/batch"
 	"github.com/rattanwall/rattanwall/internal/edge"
-	"github.com/rattanwall/rattanwall/internal/entry"
 	"github.com/rattanwall/rattanwall/internal/eventlog"
 	"github.com/rattanwall/rattanwall/platform"
 )
 
-// peerConns is how many connections a process keeps to each of its peers.
-const peerConns = 8
-
 func newEdge() *cobra.Command {
 	var path string
 	cmd := &cobra.Command{
@@ -37,7 +31,7 @@
 			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
 			go reload(ctx, path, log)
-			return edge.New(s.Settings, edgePlatform(s), log).Run(ctx)
+			return edge.New(s.Settings, s.Connect(), log).Run(ctx)
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", platform.SettingsPath(), "the platform's settings file")
@@ -63,20 +57,3 @@
 		log.Event("settings_read", eventlog.Fields{"file": path})
 	}
 }
-
-// edgePlatform makes the clients of the platform that the settings name.
-func edgePlatform(s *platform.Settings) edge.Platform {
-	store := platform.NewStore(s.StoreAddress)
-	return edge.Platform{
-		Store:        store,
-		Agents:       platform.NewWorkers(),
-		Instances:    func(ctx context.Context) ([]batch.Instance, error) { return platform.ListInstances(ctx, store) },
-		ConfigKey:    platform.ConfigKey,
-		DecodeConfig: platform.DecodeConfig,
-		PeerClient:   platform.NewHTTPClient(peerConns),
-		Callers: func(e *entry.Entry) (http.Handler, http.Handler) {
-			in := platform.NewIngress(e)
-			return in, http.HandlerFunc(in.ServeReady)
-		},
-	}
-}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -88,12 +88,13 @@
 	entry    *entry.Entry
 	config   atomic.Pointer[batch.Config]
 	draining atomic.Bool
+	aborted  chan struct{}
 	servers  []*http.Server
 }
 
 // New puts the process together.
 func New(s Settings, p Platform, log *eventlog.Log) *Edge {
-	e := &Edge{settings: s, platform: p, log: log}
+	e := &Edge{settings: s, platform: p, log: log, aborted: make(chan struct{})}
 	e.leader = &leader.Leader{
 		Store: p.Store, Agents: p.Agents, Instances: p.Instances, Config: e.config.Load,
 		Settings: s.Bounds, Log: log, WallMS: wallMS,
@@ -111,6 +112,16 @@
 	return e
 }
 
+// Abort makes Run end at once, as if the process had died. For tests; call it at
+// most once.
+func (e *Edge) Abort() { close(e.aborted) }
+
+// Leads reports whether this process leads and is done with the rebuild.
+func (e *Edge) Leads() bool {
+	_, leading := e.leader.Waiting("")
+	return leading
+}
+
 func wallMS() int64 { return time.Now().UnixMilli() }
 
 func (e *Edge) serve(address string, handler http.Handler) {
@@ -144,8 +155,9 @@
 	case err := <-ended:
 		return errors.Wrap(err, "supervisor")
 	case <-ctx.Done():
+		e.drain()
+	case <-e.aborted:
 	}
-	e.drain()
 	cancel()
 	<-ended
 	e.log.Event("process_stopped", nil)
