--- a/internal/leader/rebuild.go
+++ b/internal/leader/rebuild.go
@@ -77,7 +77,7 @@
 // an earlier leader started there: that leader may have renewed the lease until
 // it stopped acting, and the instance's clock may be slow.
 func (t *term) longestLease() time.Duration {
-	lease := time.Duration(float64(t.Settings.MaxLease) / slowestClock)
+	lease := time.Duration(float64(t.Settings.Lease()) / slowestClock)
 	return actWithoutStore - leaseTTL + lease + longestLeaseMargin
 }
 
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -220,7 +220,7 @@
 		Kind: OrderStart, Instance: v.inst, Task: t.id(), Run: r.number,
 		Start: batch.StartOrder{
 			Task: t.id(), Run: r.number, Payload: j.spec.Payload, Checkpoint: t.checkpoint,
-			Fence: s.fence, LeaseUntil: v.lease(now, s.settings.MaxLease),
+			Fence: s.fence, LeaseUntil: v.leaseUntil,
 		},
 	})
 }
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -29,6 +29,14 @@
 	HarmAfter time.Duration
 }
 
+// longestLease is the lease taken where the VMs grant a longer one. It outlives a
+// network partition of some six seconds; and when a VM dies, what lasts there is
+// at work elsewhere within nine.
+const longestLease = 8 * time.Second
+
+// Lease is how long a lease is taken for.
+func (s Settings) Lease() time.Duration { return min(s.MaxLease, longestLease) }
+
 // runState is where a run is in its life, as the leader knows it.
 type runState int
 
@@ -183,6 +191,10 @@
 	durable int64
 	// trouble rates failures of late; see health.go.
 	health health
+	// leaseUntil is the end of the lease on the instance's clock.
+	leaseUntil time.Duration
+	// unanswered is set while a hold has no answer.
+	unanswered bool
 	// leaseOver is when everything there has certainly ended, unless the lease is renewed.
 	leaseOver Time
 	// pacedAt is when the pace of a filler here was last changed; overSince when
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -113,20 +113,29 @@
 }
 
 // Hold returns the order that renews an instance's lease, given that it is sent
-// now. An instance that has been silent gets no new lease: its old one must be
-// able to run out, so that its tasks may be started elsewhere.
+// now. While the last hold has no answer the lease is not renewed: it must be
+// able to run out, so that what ran there may be started elsewhere.
 func (s *Scheduler) Hold(now Time, id string, wait time.Duration) (batch.HoldOrder, bool) {
 	v := s.vms[id]
 	if v == nil {
 		return batch.HoldOrder{}, false
 	}
 	o := batch.HoldOrder{Fence: s.fence, Acked: v.durable, Wait: wait}
-	if v.clock.known && now-v.heardAt < silentAfter+wait {
-		o.LeaseUntil = v.lease(now, s.settings.MaxLease)
+	if v.clock.known && !v.unanswered {
+		o.LeaseUntil = v.renew(now, s.settings.Lease())
 	}
+	v.unanswered = true
 	return o, true
 }
 
+// renew takes a lease from now on and returns its end on the instance's clock.
+func (v *vm) renew(now Time, length time.Duration) time.Duration {
+	v.leaseUntil = v.clock.value + (now - v.clock.sentAt) + length
+	over := v.clock.gotAt + time.Duration(float64(v.leaseUntil-v.clock.value)/slowClock) + leaseMargin
+	v.leaseOver = max(v.leaseOver, over)
+	return v.leaseUntil
+}
+
 // Unacked reports whether an instance has told ends that may not be
 // acknowledged yet, since their effect is not durable.
 func (s *Scheduler) Unacked(id string) bool {
@@ -134,15 +143,6 @@
 	return v != nil && v.seen > v.durable
 }
 
-// lease returns the end of a lease taken now, on the instance's clock, and notes
-// when it is certainly over.
-func (v *vm) lease(now Time, length time.Duration) time.Duration {
-	until := v.clock.value + (now - v.clock.sentAt) + length
-	over := v.clock.gotAt + time.Duration(float64(until-v.clock.value)/slowClock) + leaseMargin
-	v.leaseOver = max(v.leaseOver, over)
-	return until
-}
-
 // Heard takes an instance's report over; the hold was sent at sentAt.
 func (s *Scheduler) Heard(now, sentAt Time, id string, rep batch.Report) {
 	v := s.vms[id]
@@ -159,6 +159,7 @@
 		s.changed = true
 	}
 	v.heardAt = now
+	v.unanswered = false
 	delete(s.silent, id)
 	for i := range rep.Ended {
 		if e := &rep.Ended[i]; e.Seq > v.seen {
