New jobs wait for the VMs to be heard after a take-over; silent VMs stay recorded

Cause: a job that comes while an earlier leader has not noticed its end is started by both. The record of instances dropped those that were still waited for.

--- a/internal/leader/rebuild.go
+++ b/internal/leader/rebuild.go
@@ -68,7 +68,7 @@
 	}
 	now := steady.Now()
 	t.sched.SetInstances(now, list)
-	t.sched.Expect(earlier, now+t.longestLease())
+	t.sched.Expect(now, earlier, now+t.longestLease())
 	count := t.takeJobs(now, jobs, progress)
 	return rebuilt{count: count, revision: revision}, nil
 }
@@ -157,6 +157,9 @@
 	for id := range t.sched.Instances() {
 		next[id] = true
 	}
+	for _, id := range t.sched.Silent() {
+		next[id] = true
+	}
 	fresh := false
 	for i := range list {
 		next[list[i].ID] = true
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -135,7 +135,7 @@
 
 func (s *Scheduler) startStep(r *round, st *step) {
 	j := st.occ.job
-	if j.existed && len(s.silent) > 0 {
+	if len(s.silent) > 0 && (j.existed || r.now < s.freshAt) {
 		return
 	}
 	n := need{pool: j.pool, label: st.spec.Label, filler: st.spec.Filler, res: st.spec.Need}
@@ -215,6 +215,10 @@
 	t, v := r.task, r.vm
 	j := t.step.occ.job
 	j.started = true
+	if v.leaseUntil == 0 {
+		// The first report has told the clock; no hold has taken a lease yet.
+		v.renew(now, s.settings.Lease())
+	}
 	s.logf(Decision{Event: "run_started", Task: t.id(), VM: v.inst.ID, Run: r.number, Age: now - t.step.occ.dueAt, Value: t.step.rank.slack.Seconds()})
 	s.orders = append(s.orders, Order{
 		Kind: OrderStart, Instance: v.inst, Task: t.id(), Run: r.number,
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -239,7 +239,9 @@
 	// silent are instances that an earlier leader may have given work to and
 	// that have not been heard, with the moment when they need not be waited for.
 	silent map[string]Time
-	orders []Order
+	// freshAt is when jobs newer than this leader need not wait for silent instances.
+	freshAt Time
+	orders  []Order
 	// changed is set when a plan may find something new to do.
 	changed     bool
 	images      images
--- /dev/null
+++ b/internal/scheduler/takeover_test.go
@@ -0,0 +1,123 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+// Symptom: 37 tasks run twice, within half a second after the store came back.
+// Sequence: the store is away until the leader's lease is over; on its return
+// another is elected, while the first has not heard of it and follows new jobs
+// still; a job comes, and both start it, each on VMs that the other has not
+// reached yet.
+// Cause: only jobs older than the new leader waited for the VMs to be heard.
+func TestNewJobsWaitForVMsAfterTakeover(t *testing.T) {
+	f := newFixture(t, 2)
+	f.s.Expect(f.now, []string{"vm00", "vm01"}, f.now+12*time.Second)
+	f.hear("vm00", batch.Report{})
+	f.submit("new", tasks(1, 100))
+	f.plan()
+	require.Empty(t, f.started, "started while vm01 may run it for the earlier leader")
+	f.hear("vm01", batch.Report{})
+	f.plan()
+	require.Len(t, f.started, 1)
+}
+
+func TestNewJobsDoNotWaitForSilentVMsForLong(t *testing.T) {
+	f := newFixture(t, 2)
+	f.s.Expect(f.now, []string{"vm00", "vm01"}, f.now+12*time.Second)
+	f.advance(deposedWithin + time.Millisecond)
+	f.hear("vm00", batch.Report{})
+	f.submit("new", tasks(1, 100))
+	f.plan()
+	require.Len(t, f.started, 1)
+}
+
+// Symptom: a task of an old job runs on two VMs after a change of leader.
+// Sequence: the old leader started it on a VM that the new one does not reach.
+func TestOldJobsWaitOutSilentVMs(t *testing.T) {
+	f := newFixture(t, 2)
+	f.s.Expect(f.now, []string{"vm00", "vm01"}, f.now+12*time.Second)
+	s := Submission{Job: &batch.Job{ID: "old", Steps: []batch.Step{tasks(1, 100)}}, Queue: testQueue, Pool: "pool", Existed: true}
+	f.s.Submit(f.now, s)
+	for range 11 {
+		f.advance(time.Second)
+		f.hear("vm00", batch.Report{})
+		f.s.Expire(f.now)
+		f.plan()
+	}
+	require.Empty(t, f.started)
+	f.advance(1100 * time.Millisecond)
+	f.hear("vm00", batch.Report{})
+	f.s.Expire(f.now)
+	f.plan()
+	require.Len(t, f.started, 1)
+}
+
+// A run that a VM lists is taken on, not started again.
+func TestRunningTasksAreAdopted(t *testing.T) {
+	f := newFixture(t, 1)
+	f.s.Expect(f.now, []string{"vm00"}, f.now+12*time.Second)
+	f.s.Submit(f.now, Submission{Job: &batch.Job{ID: "old", Steps: []batch.Step{tasks(2, 100)}}, Queue: testQueue, Pool: "pool", Existed: true})
+	id := batch.TaskID{Job: "old"}
+	f.hear("vm00", batch.Report{Running: []batch.RunStatus{{Task: id, Run: 3}}})
+	f.plan()
+	require.Len(t, f.started, 1)
+	require.Contains(t, f.started, "old.0.0.1")
+	f.hear("vm00", batch.Report{Ended: []batch.RunEnd{{Seq: 1, Task: id, Run: 3, Kind: batch.EndDone}}})
+	require.NotNil(t, f.s.Pending())
+}
+
+// Symptom: a job fails after fewer failures than it may have.
+// Sequence: a failed end is recorded; the leader dies before it acknowledges it;
+// the next leader reads the record and is told the same end again.
+func TestFailedEndToldAgainCountsOnce(t *testing.T) {
+	f := newFixture(t, 1)
+	f.hearAll(nil)
+	f.submit("j", tasks(1, 100))
+	f.plan()
+	first := f.last("j.0.0.0")
+	f.hear("vm00", batch.Report{Ended: []batch.RunEnd{ended(1, first, batch.EndFailed)}})
+	record := f.s.Pending().Records[0].Progress
+
+	next := newFixture(t, 1)
+	next.s.Submit(next.now, Submission{Job: &batch.Job{ID: "j", Steps: []batch.Step{tasks(1, 100)}}, Queue: testQueue, Pool: "pool", Existed: true, Progress: record})
+	next.hear("vm00", batch.Report{Ended: []batch.RunEnd{ended(1, first, batch.EndFailed)}})
+	require.Len(t, next.s.task(first.Task).failedRuns, 1)
+}
+
+// An end may be acknowledged only once the record that holds it is written.
+func TestEndsAreAcknowledgedAfterTheWrite(t *testing.T) {
+	f := newFixture(t, 1)
+	f.hearAll(nil)
+	f.submit("j", tasks(2, 100))
+	f.plan()
+	f.hear("vm00", batch.Report{Ended: []batch.RunEnd{ended(1, f.last("j.0.0.0"), batch.EndDone)}, Running: runs(f.last("j.0.0.1")).Running})
+	hold, _ := f.s.Hold(f.now, "vm00", 0)
+	require.Zero(t, hold.Acked)
+	flush := f.s.Pending()
+	require.Len(t, flush.Records, 1)
+	f.s.RecordWritten(flush.Records[0], 7)
+	f.s.Flushed(flush)
+	hold, _ = f.s.Hold(f.now, "vm00", 0)
+	require.EqualValues(t, 1, hold.Acked)
+}
+
+// A job is shown as completed only once the store has it.
+func TestCompletedIsToldAfterTheWrite(t *testing.T) {
+	f := newFixture(t, 1)
+	f.hearAll(nil)
+	f.submit("j", tasks(1, 100))
+	f.plan()
+	f.hear("vm00", batch.Report{Ended: []batch.RunEnd{ended(1, f.last("j.0.0.0"), batch.EndDone)}})
+	state, _ := f.s.State("j")
+	require.Equal(t, batch.Running, state)
+	flush := f.s.Pending()
+	f.s.RecordWritten(flush.Records[0], 7)
+	state, _ = f.s.State("j")
+	require.Equal(t, batch.Completed, state)
+}
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -16,10 +16,18 @@
 // taken to be over.
 const leaseMargin = 200 * time.Millisecond
 
+// deposedWithin is how long a leader whose key is gone may go on taking new jobs
+// up: it renews its lease each 0.45 s, and a renewal that reaches the store tells
+// it within 0.5 s. Both leaders would start a job that comes in this time.
+const deposedWithin = 1500 * time.Millisecond
+
 // Expect names the instances that earlier leaders may have given work to. Until
 // each is heard, or its moment has passed, a task of a job that is older than
-// this leader is not started anywhere: it may run there.
-func (s *Scheduler) Expect(ids []string, until Time) {
+// this leader is not started anywhere: it may run there. Newer jobs wait for
+// deposedWithin at most: until an earlier leader that still follows new jobs has
+// certainly learned that it is one.
+func (s *Scheduler) Expect(now Time, ids []string, until Time) {
+	s.freshAt = now + deposedWithin
 	for _, id := range ids {
 		if v := s.vms[id]; v == nil || !v.heard {
 			s.silent[id] = until
@@ -81,6 +89,15 @@
 	sort.Slice(s.order, func(i, k int) bool { return s.order[i].inst.ID < s.order[k].inst.ID })
 }
 
+// Silent returns the instances that are still waited for.
+func (s *Scheduler) Silent() []string {
+	ids := make([]string, 0, len(s.silent))
+	for id := range s.silent {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
 // Instances returns the instances to be held, by ID.
 func (s *Scheduler) Instances() map[string]batch.Instance {
 	out := make(map[string]batch.Instance, len(s.vms))
