--- a/internal/leader/election.go
+++ b/internal/leader/election.go
@@ -22,6 +22,8 @@
 	leaseTTL     = 2 * time.Second
 	renewEvery   = 450 * time.Millisecond
 	renewTimeout = 500 * time.Millisecond
+	// confirmMargin covers what passes between the look at the clock and the act.
+	confirmMargin = 200 * time.Millisecond
 	// callTimeout bounds one call of the election.
 	callTimeout = 900 * time.Millisecond
 	// actWithoutStore is how long after its last renewal a leader goes on giving
@@ -80,6 +82,13 @@
 	return !t.ended && steady.Now()-t.renewedAt < actWithoutStore
 }
 
+// Confirmed reports whether the lease can't have run out: nobody else leads.
+func (t *Tenure) Confirmed() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.ended && steady.Now()-t.renewedAt < leaseTTL-confirmMargin
+}
+
 // End ends the tenure: another one leads, or may.
 func (t *Tenure) End() {
 	t.mu.Lock()
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -198,8 +198,28 @@
 	}
 }
 
+// confirmPause is how often an unconfirmed leader looks whether it is confirmed.
+const confirmPause = 20 * time.Millisecond
+
+// awaitConfirmed waits until the lease is known to be ours, and reports whether
+// it is. A leader that was cut off and comes back goes on with what it had, but
+// must not take up what came meanwhile: a successor may have started it, on VMs
+// that this one does not hear.
+func (t *term) awaitConfirmed() bool {
+	for !t.tenure.Confirmed() {
+		if !t.tenure.MayAct() {
+			return false
+		}
+		time.Sleep(confirmPause)
+	}
+	return true
+}
+
 // observeJobs takes new jobs and cancels over.
 func (t *term) observeJobs(items []durable.Item, _ bool) {
+	if !t.awaitConfirmed() {
+		return
+	}
 	t.mu.Lock()
 	for i := range items {
 		if !items[i].Deleted {
