--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -124,6 +124,9 @@
 	} else {
 		v.used = v.used.Add(spec.Need)
 	}
+	if short(spec) {
+		v.shortCPU += spec.Need.MilliCPU
+	}
 	if spec.Serves() {
 		v.serving++
 		v.servingCPU += spec.Need.MilliCPU
@@ -159,6 +162,9 @@
 	} else {
 		v.used = v.used.Sub(spec.Need)
 	}
+	if short(spec) {
+		v.shortCPU -= spec.Need.MilliCPU
+	}
 	if spec.Serves() {
 		v.serving--
 		v.servingCPU -= spec.Need.MilliCPU
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -116,13 +116,14 @@
 	obstacleSuspected
 	obstaclePerVM
 	obstacleProcessor
+	obstacleReserve
 	obstacleMemory
 	obstacleLeftover
 	obstaclePressure
 	obstacles
 )
 
-var obstacleNames = [obstacles]string{"none", "unheard", "draining", "pool", "suspected", "per_vm", "processor", "memory", "leftover", "pressure"}
+var obstacleNames = [obstacles]string{"none", "unheard", "draining", "pool", "suspected", "per_vm", "processor", "reserve", "memory", "leftover", "pressure"}
 
 // fits reports what keeps the VM from being given the task now.
 func (s *Scheduler) fits(now Time, v *vm, t *task) obstacle {
@@ -145,6 +146,8 @@
 		return obstacleMemory
 	case !spec.Filler && spec.Need.MilliCPU > free.MilliCPU:
 		return obstacleProcessor
+	case spec.Lasting && !spec.Filler && !s.keeps(v, spec.Need, free):
+		return obstacleReserve
 	case spec.Filler && float64(v.fillerCPU+spec.Need.MilliCPU) > fillerOvercommit*v.rest():
 		return obstacleLeftover
 	}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -101,6 +101,7 @@
 		st.rank = st.occ.job.rank(now, st.occ)
 	}
 	slices.SortStableFunc(s.ready, func(a, b *step) int { return compareRanks(a.rank, b.rank) })
+	s.followShort(now)
 	round := &round{now: now}
 	for _, st := range s.ready {
 		s.startStep(round, st)
@@ -116,17 +117,18 @@
 
 // need is what makes a VM suitable.
 type need struct {
-	pool   string
-	label  string
-	filler bool
-	res    batch.Resources
+	pool    string
+	label   string
+	filler  bool
+	lasting bool
+	res     batch.Resources
 }
 
 // hopeless reports whether something that asks for no more has found no VM.
 func (r *round) hopeless(n need) bool {
 	for i := range r.failed {
 		f := &r.failed[i]
-		if f.pool == n.pool && f.filler == n.filler && (f.label == "" || f.label == n.label) && f.res.FitsIn(n.res) {
+		if f.pool == n.pool && f.filler == n.filler && f.lasting == n.lasting && (f.label == "" || f.label == n.label) && f.res.FitsIn(n.res) {
 			return true
 		}
 	}
@@ -138,7 +140,7 @@
 	if len(s.silent) > 0 && (j.existed || r.now < s.freshAt) {
 		return
 	}
-	n := need{pool: j.pool, label: st.spec.Label, filler: st.spec.Filler, res: st.spec.Need}
+	n := need{pool: j.pool, label: st.spec.Label, filler: st.spec.Filler, lasting: st.spec.Lasting, res: st.spec.Need}
 	if r.hopeless(n) && !s.starves(r.now, &st.tasks[0]) {
 		return
 	}
--- /dev/null
+++ b/internal/scheduler/reserve.go
@@ -0,0 +1,81 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+// Lasting tasks hold their processors for minutes. Where more of them come than
+// there is room for, they fill every gap as it opens, and short tasks that may
+// not share processors find none: they wait while they could have run a hundred
+// times. A part of each VM is therefore kept from lasting tasks, sized by what
+// short tasks use. It is kept on every VM rather than as whole VMs: a lasting
+// task that fits somewhere twice over is started there all the same.
+
+const (
+	// reserveStart is the share kept before anything is known.
+	reserveStart = 0.05
+	// reserveMost bounds the share: lasting work is not to be crowded out.
+	reserveMost = 0.12
+	// reservePeak is the ratio of the kept share to the mean use: arrivals come
+	// in bursts.
+	reservePeak = 1.0
+	// reserveRise and reserveFall are the time constants of the mean.
+	reserveRise = 2 * time.Second
+	reserveFall = 15 * time.Second
+)
+
+// reserve follows the use of short tasks.
+type reserve struct {
+	// use is the mean share of all processors that short tasks use or wait for.
+	use float64
+	at  Time
+	set bool
+}
+
+// short reports whether a step's tasks hold processors of their own for a while only.
+func short(spec *batch.Step) bool { return !spec.Lasting && !spec.Filler }
+
+// follow takes the share of now into the mean.
+func (r *reserve) follow(now Time, use float64) {
+	if !r.set {
+		*r = reserve{use: reserveStart / reservePeak, at: now, set: true}
+	}
+	constant := reserveFall
+	if use > r.use {
+		constant = reserveRise
+	}
+	r.use += (use - r.use) * (1 - math.Exp(-float64(now-r.at)/float64(constant)))
+	r.at = now
+}
+
+// share is the part of each VM's processors that lasting tasks leave free.
+func (r *reserve) share() float64 { return min(reservePeak*r.use, reserveMost) }
+
+// followShort measures what short tasks use and wait for.
+func (s *Scheduler) followShort(now Time) {
+	capacity, use := 0.0, 0.0
+	for _, v := range s.order {
+		if v.heard {
+			capacity += float64(v.inst.Capacity.MilliCPU)
+			use += float64(v.shortCPU)
+		}
+	}
+	for _, st := range s.ready {
+		if short(st.spec) {
+			use += float64(st.waiting) * float64(st.spec.Need.MilliCPU)
+		}
+	}
+	if capacity > 0 {
+		s.reserve.follow(now, min(use/capacity, 1))
+	}
+}
+
+// keeps reports whether a lasting task leaves the VM's reserve free, or fits
+// there twice over.
+func (s *Scheduler) keeps(v *vm, need, free batch.Resources) bool {
+	left := float64(free.MilliCPU - need.MilliCPU)
+	return left >= s.reserve.share()*float64(v.inst.Capacity.MilliCPU) || need.Add(need).FitsIn(free)
+}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -185,6 +185,8 @@
 	// thousandths of a processor.
 	serving    int
 	servingCPU int64
+	// shortCPU is what tasks that hold processors for a while only declared.
+	shortCPU int64
 	// seen is the highest end sequence that was processed, durable the highest
 	// whose effects are written, to be acknowledged.
 	seen    int64
@@ -245,6 +247,7 @@
 	// changed is set when a plan may find something new to do.
 	changed     bool
 	images      images
+	reserve     reserve
 	logf        func(Decision)
 	plannedAt   Time
 	explainedAt Time
