The learned interference is stored for the next leader

Cause: each change of leader was followed by some ten seconds of fillers placed beside tasks that mind them (windows of 0.5 to 0.6 in a roll of all processes).

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -152,7 +152,7 @@
 func (t *term) run(ctx context.Context, revision int64) {
 	jobs := &follow.Follower{Store: t.Store, Prefix: jobsPrefix, Wait: jobsWatch, Handle: t.observeJobs, After: revision}
 	for _, loop := range []func(context.Context){
-		func(ctx context.Context) { _ = jobs.Serve(ctx) }, t.listLoop, t.flushLoop, t.forgetLoop,
+		func(ctx context.Context) { _ = jobs.Serve(ctx) }, t.listLoop, t.flushLoop, t.forgetLoop, t.modelLoop,
 	} {
 		t.work.Go(func() { loop(ctx) })
 	}
--- /dev/null
+++ b/internal/leader/model.go
@@ -0,0 +1,68 @@
+package leader
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/durable"
+	"github.com/rattanwall/rattanwall/internal/scheduler"
+)
+
+// modelEvery is how often the learned model is stored: a successor lacks at most
+// what was learned since.
+const modelEvery = 3 * time.Second
+
+// modelLoop stores the learned model.
+func (t *term) modelLoop(ctx context.Context) {
+	ticker := time.NewTicker(modelEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if err := t.storeModel(ctx); err != nil && ctx.Err() == nil {
+			t.log.Warn("model_not_stored", err, nil)
+		}
+	}
+}
+
+func (t *term) storeModel(ctx context.Context) error {
+	t.mu.Lock()
+	model := t.sched.Model()
+	t.mu.Unlock()
+	if len(model.Pairs) == 0 {
+		return nil
+	}
+	value, err := json.Marshal(model)
+	if err != nil {
+		return err
+	}
+	_, err = t.commit(ctx, durable.Txn{
+		Conditions: []durable.Condition{t.leads()},
+		Writes:     []durable.Write{{Key: modelKey, Value: value}},
+	})
+	return err
+}
+
+// loadModel reads what an earlier leader learned. Without it the leader learns
+// anew, so that a failure is no reason not to lead.
+func (t *term) loadModel(ctx context.Context) {
+	item, err := t.Store.Get(ctx, modelKey)
+	if err == nil && item == nil {
+		return
+	}
+	var model scheduler.Model
+	if err == nil {
+		err = json.Unmarshal(item.Value, &model)
+	}
+	if err != nil {
+		t.log.Warn("model_not_read", err, nil)
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sched.SetModel(model)
+}
--- a/internal/leader/rebuild.go
+++ b/internal/leader/rebuild.go
@@ -57,6 +57,7 @@
 	if err != nil {
 		return rebuilt{}, err
 	}
+	t.loadModel(ctx)
 	if err := t.recordInstances(ctx, list, earlier); err != nil {
 		return rebuilt{}, err
 	}
--- a/internal/leader/records.go
+++ b/internal/leader/records.go
@@ -18,6 +18,8 @@
 	leaderKey = "lead/leader"
 	// instancesKey lists the instances that leaders may have given work to.
 	instancesKey = "lead/instances"
+	// modelKey holds what leaders have learned of interference.
+	modelKey = "lead/model"
 	// jobsPrefix holds accepted jobs, and a second key for each cancelled one.
 	jobsPrefix = "job/"
 	// cancelSuffix ends the key that marks a job as cancelled.
--- /dev/null
+++ b/internal/scheduler/model.go
@@ -0,0 +1,58 @@
+package scheduler
+
+// Model is what a leader has learned of interference, for its successor: without
+// it every change of leader would begin with some ten seconds of fillers placed
+// beside tasks that mind them.
+type Model struct {
+	// Images are the filler images, in the order of the vectors below.
+	Images []string `json:"images"`
+	// Pairs holds the evidence on each serving image.
+	Pairs map[string]Evidence `json:"pairs"`
+}
+
+// Evidence is the normal equations of one serving image's regression. Single
+// precision is enough: the figures are rough and a quarter as long.
+type Evidence struct {
+	A [][]float32 `json:"a"`
+	B []float32   `json:"b"`
+}
+
+// Model returns what was learned so far.
+func (s *Scheduler) Model() Model {
+	n := min(len(s.images.index), maxImages)
+	m := Model{Images: make([]string, n), Pairs: map[string]Evidence{}}
+	for image, i := range s.images.index {
+		m.Images[i] = image
+	}
+	for serving, p := range s.images.pairs {
+		e := Evidence{A: make([][]float32, n), B: make([]float32, n)}
+		for i := range n {
+			e.A[i] = make([]float32, n)
+			for k := range n {
+				e.A[i][k] = float32(p.a[i][k])
+			}
+			e.B[i] = float32(p.b[i])
+		}
+		m.Pairs[serving] = e
+	}
+	return m
+}
+
+// SetModel takes over what an earlier leader learned.
+func (s *Scheduler) SetModel(m Model) {
+	n := min(len(m.Images), maxImages)
+	s.images = newImages()
+	for i := range n {
+		s.images.index[m.Images[i]] = i
+	}
+	for serving, e := range m.Pairs {
+		p := s.images.pair(serving)
+		for i := range min(n, len(e.A), len(e.B)) {
+			for k := range min(n, len(e.A[i])) {
+				p.a[i][k] = float64(e.A[i][k])
+			}
+			p.b[i] = float64(e.B[i])
+		}
+		p.solve(n)
+	}
+}
