Take-overs sooner: lease of 1.3 s, own earlier life replaced at once, ended VMs taken off the record

Cause: a dead leader's key lasted 2 s, also after all processes were killed; the record of instances named crashed VMs until the next new one came, so that a new leader waited 12.5 s for them with every old job.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -144,7 +144,7 @@
 
 // maxWrite bounds the bytes that are joined into one write: a system call a
 // line costs more than the line.
-const maxWrite = 32 << 10
+const maxWrite = 4 << 10
 
 func (a *asyncWriter) run() {
 	for line := range a.lines {
--- a/internal/leader/election.go
+++ b/internal/leader/election.go
@@ -18,12 +18,12 @@
 const (
 	// leaseTTL is how long the store keeps the leader's key without a renewal:
 	// the time until the others notice its death. Renewals travel a few
-	// milliseconds; four in a row may be lost.
-	leaseTTL     = 2 * time.Second
-	renewEvery   = 450 * time.Millisecond
-	renewTimeout = 500 * time.Millisecond
+	// milliseconds; two in a row may be lost.
+	leaseTTL     = 1300 * time.Millisecond
+	renewEvery   = 350 * time.Millisecond
+	renewTimeout = 400 * time.Millisecond
 	// confirmMargin covers what passes between the look at the clock and the act.
-	confirmMargin = 200 * time.Millisecond
+	confirmMargin = 150 * time.Millisecond
 	// callTimeout bounds one call of the election.
 	callTimeout = 900 * time.Millisecond
 	// actWithoutStore is how long after its last renewal a leader goes on giving
@@ -181,10 +181,13 @@
 	}
 }
 
+// vacant reports whether nobody leads: there is no leader's key, or it is that of
+// this process's own earlier life, which has certainly ended. Without the latter
+// all processes of a deployment that died together would wait the lease out.
 func (e *Election) vacant() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.seen && e.fence == 0 && !e.resigned
+	return e.seen && !e.resigned && e.tenure == nil && (e.fence == 0 || e.leader == e.self)
 }
 
 // Serve implements suture.Service.
@@ -218,9 +221,11 @@
 	if err != nil {
 		var conflict *durable.ConflictError
 		if errors.As(err, &conflict) {
+			var current []durable.Item
 			if item := conflict.Item(leaderKey); item != nil {
-				e.observe([]durable.Item{*item}, false)
+				current = append(current, *item)
 			}
+			e.observe(current, true)
 			return
 		}
 		e.log.Warn("leader_campaign_failed", err, nil)
@@ -242,8 +247,11 @@
 	if err != nil {
 		return nil, err
 	}
+	e.mu.Lock()
+	previous := e.fence
+	e.mu.Unlock()
 	revision, err := e.store.Commit(ctx, durable.Txn{
-		Conditions: []durable.Condition{{Key: leaderKey}},
+		Conditions: []durable.Condition{{Key: leaderKey, Revision: previous}},
 		Writes:     []durable.Write{{Key: leaderKey, Value: value, Lease: lease}},
 	})
 	if err != nil {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -82,7 +82,7 @@
 	// mu guards sched and what follows.
 	mu       sync.Mutex
 	sched    *scheduler.Scheduler
-	recorded map[string]bool
+	recorded instances
 	// instancesRevision is that of the record of instances.
 	instancesRevision int64
 	holds             map[string]context.CancelFunc
@@ -97,7 +97,7 @@
 // Lead does the leader's work until ctx ends.
 func (l *Leader) Lead(ctx context.Context, tenure *Tenure) {
 	t := &term{
-		Leader: l, tenure: tenure, log: l.Log, recorded: map[string]bool{}, holds: map[string]context.CancelFunc{},
+		Leader: l, tenure: tenure, log: l.Log, recorded: instances{}, holds: map[string]context.CancelFunc{},
 		flushed: make(chan struct{}), kick: make(chan struct{}, 1),
 	}
 	t.sched = scheduler.New(l.Settings, tenure.Fence, t.logDecision)
--- a/internal/leader/rebuild.go
+++ b/internal/leader/rebuild.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"strings"
 	"time"
 
@@ -69,7 +70,7 @@
 	}
 	now := steady.Now()
 	t.sched.SetInstances(now, list)
-	t.sched.Expect(now, earlier, now+t.longestLease())
+	t.sched.Expect(now, survivors(earlier, list), now+t.longestLease())
 	count := t.takeJobs(now, jobs, progress)
 	return rebuilt{count: count, revision: revision}, nil
 }
@@ -131,53 +132,49 @@
 	return count
 }
 
+// instances are the addresses of instances by ID.
+type instances map[string]string
+
 // readInstances returns the instances that earlier leaders may have used.
-func (t *term) readInstances(ctx context.Context) ([]string, error) {
+func (t *term) readInstances(ctx context.Context) (instances, error) {
 	item, err := t.Store.Get(ctx, instancesKey)
 	if err != nil || item == nil {
 		return nil, err
 	}
-	var ids []string
-	if err := json.Unmarshal(item.Value, &ids); err != nil {
+	var used instances
+	if err := json.Unmarshal(item.Value, &used); err != nil {
 		return nil, errors.Wrap(err, "record of instances")
 	}
 	t.mu.Lock()
 	t.instancesRevision = item.Revision
+	t.recorded = used
 	t.mu.Unlock()
-	return ids, nil
+	return used, nil
 }
 
 // recordInstances makes sure that the store names every instance before it may
-// be given work: a successor has to hear each, or to wait its lease out.
-func (t *term) recordInstances(ctx context.Context, list []batch.Instance, earlier []string) error {
+// be given work: a successor has to hear each, or to wait its lease out. Those
+// that are known to have ended are taken off, so that it need not.
+func (t *term) recordInstances(ctx context.Context, list []batch.Instance, earlier instances) error {
 	t.mu.Lock()
-	next := map[string]bool{}
-	for _, id := range earlier {
-		next[id] = true
-	}
-	for id := range t.sched.Instances() {
-		next[id] = true
-	}
+	next := instances{}
 	for _, id := range t.sched.Silent() {
-		next[id] = true
+		next[id] = t.recorded[id]
 	}
-	fresh := false
-	for i := range list {
-		next[list[i].ID] = true
+	for id, inst := range t.sched.Instances() {
+		next[id] = inst.Address
 	}
-	for id := range next {
-		fresh = fresh || !t.recorded[id]
+	maps.Copy(next, earlier)
+	for i := range list {
+		next[list[i].ID] = list[i].Address
 	}
 	revision := t.instancesRevision
+	unchanged := maps.Equal(next, t.recorded)
 	t.mu.Unlock()
-	if !fresh {
+	if unchanged {
 		return nil
 	}
-	ids := make([]string, 0, len(next))
-	for id := range next {
-		ids = append(ids, id)
-	}
-	value, err := json.Marshal(ids)
+	value, err := json.Marshal(next)
 	if err != nil {
 		return err
 	}
@@ -204,6 +201,21 @@
 	return nil
 }
 
+// survivors are the instances of used whose address no other instance has taken.
+func survivors(used instances, list []batch.Instance) []string {
+	byAddress := make(map[string]string, len(list))
+	for i := range list {
+		byAddress[list[i].Address] = list[i].ID
+	}
+	var ids []string
+	for id, address := range used {
+		if other, taken := byAddress[address]; !taken || other == id {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // listLoop follows the list of instances and holds each of them.
 func (t *term) listLoop(ctx context.Context) {
 	ticker := time.NewTicker(listEvery)
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -17,8 +17,8 @@
 const leaseMargin = 200 * time.Millisecond
 
 // deposedWithin is how long a leader whose key is gone may go on taking new jobs
-// up: it renews its lease each 0.45 s, and a renewal that reaches the store tells
-// it within 0.5 s. Both leaders would start a job that comes in this time.
+// up: it renews its lease each 0.35 s, and a renewal that reaches the store tells
+// it within 0.4 s. Both leaders would start a job that comes in this time.
 const deposedWithin = 1500 * time.Millisecond
 
 // Expect names the instances that earlier leaders may have given work to. Until
