Advice and waves of maintenance

Pure decisions with tests: tickets per step that expire, one question at a time; waves that close, empty and maintain machines within their bound, lasting tasks moved as their steps allow.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -4,9 +4,12 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -46,10 +49,16 @@
 type Platform struct {
 	Store     durable.Store
 	Agents    leader.Agents
+	Adviser   leader.Adviser
+	Machines  leader.Machines
 	Instances leader.Instances
-	// ConfigKey is the key of the operator's configuration, DecodeConfig reads it.
-	ConfigKey    string
-	DecodeConfig func([]byte) (*batch.Config, error)
+	// OperatorPrefix is where the operator writes, ConfigKey the key of the
+	// configuration; DecodeConfig and DecodeWave read what is there.
+	OperatorPrefix string
+	ConfigKey      string
+	DecodeConfig   func([]byte) (*batch.Config, error)
+	DecodeWave     func(durable.Item) (batch.Wave, bool, error)
+	ReportWave     leader.WaveReport
 	// Callers makes the handler of callers' requests, and of the balancer's probe.
 	Callers func(*entry.Entry) (callers, ready http.Handler)
 	// PeerClient is the client for the other processes.
@@ -87,6 +96,9 @@
 	leader   *leader.Leader
 	entry    *entry.Entry
 	config   atomic.Pointer[batch.Config]
+	// waves are those that the operator asked for, by number.
+	wavesMu  sync.Mutex
+	waves    map[int64]batch.Wave
 	draining atomic.Bool
 	aborted  chan struct{}
 	servers  []*http.Server
@@ -94,10 +106,11 @@
 
 // New puts the process together.
 func New(s Settings, p Platform, log *eventlog.Log) *Edge {
-	e := &Edge{settings: s, platform: p, log: log, aborted: make(chan struct{})}
+	e := &Edge{settings: s, platform: p, log: log, waves: map[int64]batch.Wave{}, aborted: make(chan struct{})}
 	e.leader = &leader.Leader{
-		Store: p.Store, Agents: p.Agents, Instances: p.Instances, Config: e.config.Load,
+		Store: p.Store, Agents: p.Agents, Adviser: p.Adviser, Instances: p.Instances, Config: e.config.Load,
 		Settings: s.Bounds, Log: log, WallMS: wallMS,
+		Machines: p.Machines, Node: s.Node, Waves: e.listWaves, ReportWave: p.ReportWave,
 	}
 	e.election = leader.NewElection(p.Store, leader.Record{Node: s.Node, Address: s.Peers}, s.Processor, log, e.leader.Lead)
 	local := &peerServer{leader: e.leader, store: p.Store}
@@ -140,7 +153,7 @@
 		DontPropagateTermination: true,
 	})
 	tree.Add(&follow.Follower{
-		Store: e.platform.Store, Prefix: e.platform.ConfigKey, Wait: configWatch, Handle: e.observeConfig,
+		Store: e.platform.Store, Prefix: e.platform.OperatorPrefix, Wait: configWatch, Handle: e.observeOperator,
 		Failed: func(err error) { e.log.Warn("config_watch_failed", err, nil) },
 	})
 	tree.Add(e.election.Follower())
@@ -167,27 +180,46 @@
 // ready reports whether callers should come here.
 func (e *Edge) ready() bool { return e.config.Load() != nil && !e.draining.Load() }
 
-// observeConfig installs a newer configuration. An older one, from a read that
-// overtook, is never installed.
-func (e *Edge) observeConfig(items []durable.Item, _ bool) {
+// observeOperator takes over what the operator wrote.
+func (e *Edge) observeOperator(items []durable.Item, _ bool) {
 	for i := range items {
-		if items[i].Key != e.platform.ConfigKey || items[i].Deleted {
+		if items[i].Key == e.platform.ConfigKey && !items[i].Deleted {
+			e.installConfig(&items[i])
 			continue
 		}
-		c, err := e.platform.DecodeConfig(items[i].Value)
+		w, ok, err := e.platform.DecodeWave(items[i])
 		if err != nil {
-			e.log.Warn("config_unreadable", err, eventlog.Fields{"revision": items[i].Revision})
-			continue
+			e.log.Warn("wave_unreadable", err, eventlog.Fields{"key": items[i].Key})
 		}
-		current := e.config.Load()
-		if current != nil && c.Version <= current.Version {
-			continue
+		if ok {
+			e.wavesMu.Lock()
+			e.waves[w.Number] = w
+			e.wavesMu.Unlock()
 		}
-		e.config.Store(c)
-		e.log.Event("config_installed", eventlog.Fields{"version": c.Version, "revision": items[i].Revision, "queues": len(c.Queues)})
 	}
 }
 
+func (e *Edge) listWaves() []batch.Wave {
+	e.wavesMu.Lock()
+	defer e.wavesMu.Unlock()
+	return slices.Collect(maps.Values(e.waves))
+}
+
+// installConfig installs a newer configuration. An older one, from a read that
+// overtook, is never installed.
+func (e *Edge) installConfig(item *durable.Item) {
+	c, err := e.platform.DecodeConfig(item.Value)
+	if err != nil {
+		e.log.Warn("config_unreadable", err, eventlog.Fields{"revision": item.Revision})
+		return
+	}
+	if current := e.config.Load(); current != nil && c.Version <= current.Version {
+		return
+	}
+	e.config.Store(c)
+	e.log.Event("config_installed", eventlog.Fields{"version": c.Version, "revision": item.Revision, "queues": len(c.Queues)})
+}
+
 // drain is the planned stop. The lead is given up first, by a write, so that
 // another takes over at once. The listener stays open until the balancer has
 // seen that the process is not ready: a request that comes meanwhile is served.
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -25,6 +25,12 @@
 	Hold(ctx context.Context, instance *batch.Instance, o batch.HoldOrder) (batch.Report, error)
 }
 
+// Adviser knows which instances may run a step of some queues. It returns their
+// tickets by ID and how long these last.
+type Adviser interface {
+	Advise(ctx context.Context, task batch.TaskID, ids []string) (map[string]string, time.Duration, error)
+}
+
 // Instances lists the instances that are registered.
 type Instances func(ctx context.Context) ([]batch.Instance, error)
 
@@ -61,7 +67,14 @@
 type Leader struct {
 	Store     durable.Store
 	Agents    Agents
+	Adviser   Adviser
 	Instances Instances
+	Machines  Machines
+	// Node is this process's name, told to the machine service.
+	Node string
+	// Waves returns the waves that the operator asked for.
+	Waves      func() []batch.Wave
+	ReportWave WaveReport
 	// Config returns the configuration in force, or nil.
 	Config   func() *batch.Config
 	Settings scheduler.Settings
@@ -92,6 +105,8 @@
 	flushed chan struct{}
 	kick    chan struct{}
 	work    sync.WaitGroup
+	// advising is held during a question to the adviser.
+	advising sync.Mutex
 }
 
 // Lead does the leader's work until ctx ends.
@@ -152,7 +167,7 @@
 func (t *term) run(ctx context.Context, revision int64) {
 	jobs := &follow.Follower{Store: t.Store, Prefix: jobsPrefix, Wait: jobsWatch, Handle: t.observeJobs, After: revision}
 	for _, loop := range []func(context.Context){
-		func(ctx context.Context) { _ = jobs.Serve(ctx) }, t.listLoop, t.flushLoop, t.forgetLoop, t.modelLoop,
+		func(ctx context.Context) { _ = jobs.Serve(ctx) }, t.listLoop, t.flushLoop, t.forgetLoop, t.modelLoop, t.wavesLoop,
 	} {
 		t.work.Go(func() { loop(ctx) })
 	}
--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -161,6 +161,10 @@
 		t.stop(ctx, o)
 	case scheduler.OrderPace:
 		t.pace(ctx, o)
+	case scheduler.OrderAdvise:
+		t.advise(ctx, o)
+	case scheduler.OrderMaintain:
+		t.maintain(ctx, o)
 	}
 }
 
@@ -246,6 +250,27 @@
 	}
 }
 
+// adviceTimeout bounds one question to the adviser, the wait for its turn included.
+const adviceTimeout = 4 * time.Second
+
+func (t *term) advise(ctx context.Context, o scheduler.Order) {
+	// Questions are asked one at a time: the adviser takes no more, and a
+	// ticket's life is counted from the question.
+	t.advising.Lock()
+	defer t.advising.Unlock()
+	askedAt := steady.Now()
+	callCtx, cancel := context.WithTimeout(ctx, adviceTimeout)
+	defer cancel()
+	good, validFor, err := t.Adviser.Advise(callCtx, o.Task, o.Candidates)
+	if err != nil && ctx.Err() == nil {
+		t.log.Warn("advice_failed", err, eventlog.Fields{"task": o.Task.String(), "candidates": len(o.Candidates)})
+	}
+	t.mu.Lock()
+	t.sched.Advised(steady.Now(), askedAt, o, good, validFor, err == nil)
+	t.mu.Unlock()
+	t.awake()
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- /dev/null
+++ b/internal/leader/waves.go
@@ -0,0 +1,152 @@
+package leader
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+	"github.com/rattanwall/rattanwall/internal/durable"
+	"github.com/rattanwall/rattanwall/internal/eventlog"
+	"github.com/rattanwall/rattanwall/internal/scheduler"
+	"github.com/rattanwall/rattanwall/internal/steady"
+)
+
+const (
+	// wavesEvery is how often waves are looked at. Without one that costs nothing.
+	wavesEvery = 500 * time.Millisecond
+	// machineTimeout bounds one call of the machine service.
+	machineTimeout = 2 * time.Second
+	// wavePrefix holds which machines of a wave have begun.
+	wavePrefix = "wave/"
+	// holderPause is how long a new leader gives no orders to machines: two
+	// holders must not take turns within the platform's lease of 3 s.
+	holderPause = 3500 * time.Millisecond
+)
+
+// Machines is the machine service.
+type Machines interface {
+	List(ctx context.Context) ([]batch.Machine, error)
+	Maintain(ctx context.Context, o batch.MaintainOrder) error
+}
+
+// WaveReport returns the key and value that tell the operator of a wave.
+type WaveReport func(number int64, completed bool) (key string, value []byte, err error)
+
+// wavesLoop follows the waves that the operator asks for.
+func (t *term) wavesLoop(ctx context.Context) {
+	pause(ctx, holderPause)
+	ticker := time.NewTicker(wavesEvery)
+	defer ticker.Stop()
+	written := map[int64]scheduler.WaveStatus{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if waves := t.Waves(); len(waves) > 0 {
+			t.followWaves(ctx, waves, written)
+		}
+	}
+}
+
+func (t *term) followWaves(ctx context.Context, waves []batch.Wave, written map[int64]scheduler.WaveStatus) {
+	open := false
+	for _, w := range waves {
+		if _, known := written[w.Number]; !known && !t.addWave(ctx, w, written) {
+			return
+		}
+		open = open || !written[w.Number].Completed
+	}
+	if !open {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, machineTimeout)
+	list, err := t.Machines.List(callCtx)
+	cancel()
+	if err != nil {
+		t.log.Warn("machines_not_read", err, nil)
+		return
+	}
+	t.mu.Lock()
+	t.sched.SetMachines(list)
+	statuses := t.sched.WaveStatuses()
+	t.mu.Unlock()
+	t.awake()
+	for _, st := range statuses {
+		slices.Sort(st.Begun)
+		if old := written[st.Number]; old.Completed != st.Completed || !slices.Equal(old.Begun, st.Begun) || old.Number == 0 {
+			if t.writeWave(ctx, st) {
+				written[st.Number] = st
+			}
+		}
+	}
+}
+
+// addWave reads what an earlier leader recorded of a wave and takes it on.
+func (t *term) addWave(ctx context.Context, w batch.Wave, written map[int64]scheduler.WaveStatus) bool {
+	callCtx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	item, err := t.Store.Get(callCtx, wavePrefix+strconv.FormatInt(w.Number, 10))
+	var status scheduler.WaveStatus
+	if err == nil && item != nil {
+		err = json.Unmarshal(item.Value, &status)
+	}
+	if err != nil {
+		t.log.Warn("wave_not_read", err, eventlog.Fields{"wave": w.Number})
+		return false
+	}
+	written[w.Number] = status
+	t.mu.Lock()
+	t.sched.AddWave(steady.Now(), w, status.Begun)
+	t.mu.Unlock()
+	return true
+}
+
+// writeWave records a wave's state for a successor and for the operator.
+func (t *term) writeWave(ctx context.Context, st scheduler.WaveStatus) bool {
+	value, err := json.Marshal(st)
+	if err != nil {
+		t.log.Warn("wave_not_written", err, eventlog.Fields{"wave": st.Number})
+		return false
+	}
+	key, report, err := t.ReportWave(st.Number, st.Completed)
+	if err == nil {
+		_, err = t.commit(ctx, durable.Txn{
+			Conditions: []durable.Condition{t.leads()},
+			Writes:     []durable.Write{{Key: wavePrefix + strconv.FormatInt(st.Number, 10), Value: value}, {Key: key, Value: report}},
+		})
+	}
+	if err != nil {
+		t.log.Warn("wave_not_written", err, eventlog.Fields{"wave": st.Number})
+	}
+	return err == nil
+}
+
+// maintain begins a machine's maintenance.
+func (t *term) maintain(ctx context.Context, o scheduler.Order) {
+	if !t.tenure.Confirmed() {
+		t.mu.Lock()
+		t.sched.Maintained(steady.Now(), o, false, batch.RefusedUnreached)
+		t.mu.Unlock()
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, machineTimeout)
+	defer cancel()
+	err := t.Machines.Maintain(callCtx, batch.MaintainOrder{Machine: o.Machine, Wave: o.Wave, Holder: t.Node, Fence: t.tenure.Fence})
+	refusal := refusalOf(err)
+	if refusal == batch.RefusedFence {
+		t.fenced(o.Machine)
+		return
+	}
+	if err != nil && ctx.Err() == nil {
+		t.log.Warn("maintenance_not_begun", err, eventlog.Fields{"machine": o.Machine, "wave": o.Wave})
+	}
+	t.mu.Lock()
+	t.sched.Maintained(steady.Now(), o, err == nil, refusal)
+	t.mu.Unlock()
+	t.awake()
+}
--- /dev/null
+++ b/internal/scheduler/advice.go
@@ -0,0 +1,143 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+// Some queues have a policy that allows only some VMs to run a step, and only an
+// adviser knows which. It answers one question at a time, and the longer the more
+// VMs are named; what it allows for a step does not change, but its tickets expire.
+
+const (
+	// askMost is how many VMs one question names: what a job's objective allows
+	// for, and enough to find several good ones where one in five is.
+	askMost = 30
+	// askAgain is the wait after a question that was not answered.
+	askAgain = 150 * time.Millisecond
+	// ticketMargin is kept of a ticket's life for the start's way to the VM.
+	ticketMargin = 300 * time.Millisecond
+)
+
+// ticket is the adviser's leave for one VM.
+type ticket struct {
+	text    string
+	expires Time
+}
+
+// advice is what is known of a step's VMs, by instance ID.
+type advice struct {
+	// asking is set while a question is under way; askAt is when the next may be.
+	asking  bool
+	askAt   Time
+	tickets map[string]ticket
+	// refused are the VMs that the adviser did not allow.
+	refused map[string]bool
+}
+
+// advised reports whether the VM may run the step now, and its ticket.
+func (st *step) advised(now Time, v *vm) (string, bool) {
+	if st.advice == nil {
+		return "", false
+	}
+	t, ok := st.advice.tickets[v.inst.ID]
+	return t.text, ok && now < t.expires
+}
+
+// needsAdvice reports whether the step's queue has an adviser.
+func (s *Scheduler) needsAdvice(st *step) bool { return st.occ.job.advice != nil }
+
+// askAdvice asks for VMs for a step that found none with a ticket.
+func (s *Scheduler) askAdvice(now Time, st *step) {
+	a := st.advice
+	if a == nil {
+		a = &advice{tickets: map[string]ticket{}, refused: map[string]bool{}}
+		st.advice = a
+	}
+	if a.asking || now < a.askAt {
+		return
+	}
+	ids := s.askAbout(now, st)
+	if len(ids) == 0 {
+		a.askAt = now + askAgain
+		return
+	}
+	a.asking = true
+	s.orders = append(s.orders, Order{
+		Kind: OrderAdvise, Task: batch.TaskID{Job: st.occ.job.spec.ID, Occurrence: st.occ.number, Step: st.index}, Candidates: ids,
+	})
+}
+
+// askAbout chooses the VMs to name: those known to be good first, then those
+// with the most room that were not asked about.
+func (s *Scheduler) askAbout(now Time, st *step) []string {
+	a := st.advice
+	type candidate struct {
+		id    string
+		good  bool
+		score float64
+	}
+	var list []candidate
+	t := &st.tasks[0]
+	for _, v := range s.order {
+		if o := s.fits(now, v, t); a.refused[v.inst.ID] || (o != obstacleNone && o != obstacleAdvice) {
+			continue
+		}
+		_, good := a.tickets[v.inst.ID]
+		score, _ := s.score(now, v, st.spec)
+		list = append(list, candidate{v.inst.ID, good, score})
+	}
+	slices.SortStableFunc(list, func(x, y candidate) int {
+		if x.good != y.good {
+			if x.good {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(y.score, x.score)
+	})
+	ids := make([]string, 0, askMost)
+	for i := range min(len(list), askMost) {
+		ids = append(ids, list[i].id)
+	}
+	return ids
+}
+
+// Advised takes an answer over; ok is false when there was none. good maps the
+// allowed instances to their tickets, which live for validFor from askedAt on.
+func (s *Scheduler) Advised(now, askedAt Time, o Order, good map[string]string, validFor time.Duration, ok bool) {
+	j := s.jobs[o.Task.Job]
+	if j == nil || j.occs[o.Task.Occurrence] == nil || o.Task.Step >= len(j.occs[o.Task.Occurrence].steps) {
+		return
+	}
+	a := j.occs[o.Task.Occurrence].steps[o.Task.Step].advice
+	if a == nil {
+		return
+	}
+	a.asking = false
+	s.changed = true
+	if !ok {
+		a.askAt = now + askAgain
+		return
+	}
+	if len(good) == 0 {
+		s.logf(Decision{Event: "advice_none", Task: o.Task, Value: float64(len(o.Candidates)), Age: now - askedAt})
+	}
+	for _, id := range o.Candidates {
+		if text, allowed := good[id]; allowed {
+			a.tickets[id] = ticket{text: text, expires: askedAt + validFor - ticketMargin}
+		} else {
+			a.refused[id] = true
+		}
+	}
+}
+
+// dropTicket forgets a ticket that a VM did not take.
+func (st *step) dropTicket(id string) {
+	if st.advice != nil {
+		delete(st.advice.tickets, id)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/contracts_test.go
@@ -0,0 +1,326 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+// Steps start in the order that their dependencies give, each only when all
+// tasks before it are done.
+func TestStepsWaitForThoseBefore(t *testing.T) {
+	f := newFixture(t, 1)
+	f.hearAll(nil)
+	second := tasks(1, 100)
+	second.After = []int{0}
+	f.submit("j", tasks(2, 100), second)
+	f.plan()
+	a, b := f.last("j.0.0.0"), f.last("j.0.0.1")
+	f.hear("vm00", batch.Report{Ended: []batch.RunEnd{ended(1, a, batch.EndDone)}, Running: runs(b).Running})
+	f.plan()
+	require.NotContains(t, f.started, "j.0.1.0")
+	f.hear("vm00", batch.Report{Ended: []batch.RunEnd{ended(2, b, batch.EndDone)}})
+	f.plan()
+	require.Contains(t, f.started, "j.0.1.0")
+}
+
+// A VM never holds more than it has; what is being stopped still counts.
+func TestCapacityCountsStoppingRuns(t *testing.T) {
+	f := newFixture(t, 1)
+	f.hearAll(nil)
+	f.submit("a", tasks(1, 8000))
+	f.plan()
+	f.confirm(f.last("a.0.0.0"))
+	f.s.Cancel(f.now, "a")
+	f.submit("b", tasks(1, 8000))
+	f.plan()
+	require.Len(t, f.stops, 1)
+	require.NotContains(t, f.started, "b.0.0.0")
+	f.hear("vm00", batch.Report{Ended: []batch.RunEnd{ended(1, f.last("a.0.0.0"), batch.EndStopped)}})
+	f.plan()
+	require.Contains(t, f.started, "b.0.0.0")
+}
+
+func TestLabelsAndBoundsPerVM(t *testing.T) {
+	f := newFixture(t, 3)
+	f.list[1].Labels[0] = "gpu"
+	f.s.SetInstances(f.now, f.list)
+	f.hearAll(nil)
+	labelled := tasks(2, 100)
+	labelled.Label = "gpu"
+	f.submit("l", labelled)
+	spread := tasks(5, 100)
+	spread.MaxPerVM = 1
+	f.submit("s", spread)
+	f.plan()
+	for i := range 2 {
+		require.Equal(t, "vm01", f.last(fmt.Sprintf("l.0.0.%d", i)).Instance.ID)
+	}
+	on := map[string]int{}
+	for i := range 5 {
+		if orders := f.started[fmt.Sprintf("s.0.0.%d", i)]; len(orders) > 0 {
+			on[orders[0].Instance.ID]++
+		}
+	}
+	require.Equal(t, map[string]int{"vm00": 1, "vm01": 1, "vm02": 1}, on)
+}
+
+func TestDrainingVMsGetNothing(t *testing.T) {
+	f := newFixture(t, 2)
+	f.hearAll(nil)
+	f.list[0].Draining = true
+	f.s.SetInstances(f.now, f.list)
+	f.submit("j", tasks(4, 100))
+	f.plan()
+	for i := range 4 {
+		require.Equal(t, "vm01", f.last(fmt.Sprintf("j.0.0.%d", i)).Instance.ID)
+	}
+}
+
+func TestDataRackIsPreferred(t *testing.T) {
+	f := newFixture(t, 6)
+	f.hearAll(nil)
+	s := tasks(4, 100)
+	s.DataRack = "r2"
+	f.submit("j", s)
+	f.plan()
+	for i := range 4 {
+		require.Equal(t, "r2", f.last(fmt.Sprintf("j.0.0.%d", i)).Instance.Labels[1])
+	}
+}
+
+// A gang starts whole or not at all, with one run number, and one end counts for all.
+func TestGang(t *testing.T) {
+	f := newFixture(t, 2)
+	f.hearAll(nil)
+	gang := tasks(3, 8000)
+	gang.Gang = true
+	f.submit("big", gang)
+	gang.Tasks = 2
+	f.submit("fits", gang)
+	f.plan()
+	require.NotContains(t, f.started, "big.0.0.0")
+	a, b := f.last("fits.0.0.0"), f.last("fits.0.0.1")
+	require.Equal(t, a.Run, b.Run)
+	f.hear(a.Instance.ID, batch.Report{Ended: []batch.RunEnd{ended(1, a, batch.EndDone)}})
+	require.Equal(t, batch.Completed, f.s.Pending().Records[0].Progress.State)
+}
+
+// Symptom: a gang whose member ended is started again member by member.
+func TestBrokenGangStartsAgainWhole(t *testing.T) {
+	f := newFixture(t, 2)
+	f.hearAll(nil)
+	gang := tasks(2, 8000)
+	gang.Gang = true
+	f.submit("g", gang)
+	f.plan()
+	a, b := f.last("g.0.0.0"), f.last("g.0.0.1")
+	f.hear(a.Instance.ID, batch.Report{Ended: []batch.RunEnd{ended(1, a, batch.EndFailed)}})
+	f.advance(time.Second)
+	f.hear(a.Instance.ID, batch.Report{})
+	f.hear(b.Instance.ID, runs(b))
+	f.plan()
+	require.Len(t, f.started["g.0.0.0"], 1, "started alone")
+	f.hear(b.Instance.ID, batch.Report{Ended: []batch.RunEnd{ended(1, b, batch.EndBroken)}})
+	f.plan()
+	require.Len(t, f.started["g.0.0.0"], 2)
+	require.Equal(t, f.last("g.0.0.0").Run, f.last("g.0.0.1").Run)
+	require.Greater(t, f.last("g.0.0.0").Run, a.Run)
+}
+
+func TestAttemptsAreBounded(t *testing.T) {
+	f := newFixture(t, 3)
+	f.hearAll(nil)
+	f.submit("j", tasks(1, 100))
+	seq := map[string]int64{}
+	for n := 1; n <= 3; n++ {
+		f.plan()
+		require.Len(t, f.started["j.0.0.0"], n)
+		o := f.last("j.0.0.0")
+		seq[o.Instance.ID]++
+		f.hear(o.Instance.ID, batch.Report{Ended: []batch.RunEnd{ended(seq[o.Instance.ID], o, batch.EndFailed)}})
+		f.advance(time.Second)
+		f.hearAll(nil)
+	}
+	f.plan()
+	require.Len(t, f.started["j.0.0.0"], 3)
+	require.Equal(t, batch.Failed, f.s.Pending().Records[0].Progress.State)
+}
+
+// Ends that are not the task's fault count no attempt, however many.
+func TestStoppedAndLapsedRunsAreFree(t *testing.T) {
+	f := newFixture(t, 1)
+	f.hearAll(nil)
+	f.submit("j", tasks(1, 100))
+	for n := range 10 {
+		f.plan()
+		require.Len(t, f.started["j.0.0.0"], n+1)
+		kind := []batch.EndKind{batch.EndLapsed, batch.EndStopped, batch.EndBroken, batch.EndAlone}[n%4]
+		f.hear("vm00", batch.Report{Ended: []batch.RunEnd{ended(int64(n+1), f.last("j.0.0.0"), kind)}})
+	}
+}
+
+// Occurrences start when they are due, each once, also when the time of day
+// jumps back, and after a change of leader.
+func TestTimedJob(t *testing.T) {
+	f := newFixture(t, 1)
+	f.hearAll(nil)
+	spec := &batch.Job{ID: "j", Steps: []batch.Step{tasks(1, 100)}, Schedule: &batch.Schedule{FirstMS: 1000, IntervalMS: 1000, Count: 3}}
+	f.s.Submit(f.now, Submission{Job: spec, Queue: testQueue, Pool: "pool"})
+	f.s.OpenDue(f.now, 999)
+	f.plan()
+	require.Empty(t, f.started)
+	f.s.OpenDue(f.now, 2000)
+	f.s.OpenDue(f.now, 500)
+	f.plan()
+	require.Len(t, f.started, 2)
+	f.hear("vm00", batch.Report{Ended: []batch.RunEnd{ended(1, f.last("j.1.0.0"), batch.EndDone)}, Running: runs(f.last("j.0.0.0")).Running})
+	record := f.s.Pending().Records[0].Progress
+
+	next := newFixture(t, 1)
+	next.s.Submit(next.now, Submission{Job: spec, Queue: testQueue, Pool: "pool", Existed: true, Progress: record})
+	next.s.OpenDue(next.now, 3000)
+	next.hear("vm00", runs(f.last("j.0.0.0")))
+	next.plan()
+	require.NotContains(t, next.started, "j.0.0.0", "runs already")
+	require.NotContains(t, next.started, "j.1.0.0", "is done")
+	require.Contains(t, next.started, "j.2.0.0")
+}
+
+// A lasting task is started again however it ends.
+func TestLastingTaskIsRestarted(t *testing.T) {
+	f := newFixture(t, 1)
+	f.hearAll(nil)
+	s := tasks(1, 100)
+	s.Lasting = true
+	f.submit("j", s)
+	for n, kind := range []batch.EndKind{batch.EndFailed, batch.EndDone, batch.EndFailed, batch.EndFailed, batch.EndFailed} {
+		f.plan()
+		require.Len(t, f.started["j.0.0.0"], n+1)
+		f.hear("vm00", batch.Report{Ended: []batch.RunEnd{ended(int64(n+1), f.last("j.0.0.0"), kind)}})
+		f.advance(time.Second)
+		f.hearAll(nil)
+	}
+}
+
+// A queue with an adviser gets no start without a ticket that is still valid.
+func TestAdvice(t *testing.T) {
+	f := newFixture(t, 2)
+	f.s.SetConfig(&batch.Config{Version: 2, Queues: []batch.Queue{
+		{Name: testQueue, Pool: "pool", Attempts: 3, Stretch: 2, Advice: &batch.Advice{ValidFor: 2 * time.Second}},
+	}})
+	f.hearAll(nil)
+	f.submit("j", tasks(2, 6000))
+	orders := f.plan()
+	require.Len(t, orders, 1)
+	ask := orders[0]
+	require.Equal(t, OrderAdvise, ask.Kind)
+	require.ElementsMatch(t, []string{"vm00", "vm01"}, ask.Candidates)
+	f.s.Advised(f.now, f.now, ask, map[string]string{"vm01": "leave"}, 2*time.Second, true)
+	f.plan()
+	o := f.last("j.0.0.0")
+	require.Equal(t, "vm01", o.Instance.ID)
+	require.Equal(t, "leave", o.Start.Ticket)
+	require.NotContains(t, f.started, "j.0.0.1", "vm00 is not allowed, vm01 is full")
+	// The ticket expires; the VM is asked about again once it has room.
+	f.advance(3 * time.Second)
+	f.hear("vm00", batch.Report{})
+	f.hear("vm01", batch.Report{Ended: []batch.RunEnd{ended(1, o, batch.EndDone)}})
+	orders = f.plan()
+	require.Len(t, orders, 1)
+	require.Equal(t, []string{"vm01"}, orders[0].Candidates)
+}
+
+// wave of maintenance over n machines of a fixture, at most so many at once.
+func withWave(f *fixture, n, atOnce int) []batch.Machine {
+	var machines []batch.Machine
+	w := batch.Wave{Number: 1, Duration: 20 * time.Second, MaxAtOnce: atOnce}
+	for i := range n {
+		name := fmt.Sprintf("m%d", i)
+		w.Machines = append(w.Machines, name)
+		machines = append(machines, batch.Machine{Name: name, State: batch.MachineUp, Instance: f.list[i].ID})
+	}
+	f.s.AddWave(f.now, w, nil)
+	f.s.SetMachines(machines)
+	return machines
+}
+
+func maintenances(orders []Order) []Order {
+	var out []Order
+	for _, o := range orders {
+		if o.Kind == OrderMaintain {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// A wave takes each machine down once, no more at once than allowed, and is not
+// completed before all have begun.
+func TestWaveKeepsItsBound(t *testing.T) {
+	f := newFixture(t, 3)
+	f.hearAll(nil)
+	machines := withWave(f, 3, 1)
+	begun := map[string]bool{}
+	for range 3 {
+		var order Order
+		for range 4 {
+			f.advance(100 * time.Millisecond)
+			if m := maintenances(f.plan()); len(m) > 0 {
+				require.Len(t, m, 1)
+				order = m[0]
+			}
+		}
+		require.NotEmpty(t, order.Machine)
+		require.False(t, begun[order.Machine])
+		begun[order.Machine] = true
+		f.s.Maintained(f.now, order, true, "")
+		for i := range machines {
+			if machines[i].Name == order.Machine {
+				machines[i].State, machines[i].Instance = batch.MachineMaintenance, ""
+			}
+		}
+		f.s.SetMachines(machines)
+		f.advance(100 * time.Millisecond)
+		require.Empty(t, maintenances(f.plan()), "two machines of the wave down at once")
+		for i := range machines {
+			if machines[i].State == batch.MachineMaintenance {
+				machines[i].State, machines[i].Instance = batch.MachineUp, "new-"+machines[i].Name
+			}
+		}
+		f.s.SetMachines(machines)
+	}
+	require.True(t, f.s.WaveStatuses()[0].Completed)
+}
+
+// Lasting tasks are moved off a machine no faster than their step allows, before
+// it goes down.
+func TestWaveMovesLastingTasks(t *testing.T) {
+	f := newFixture(t, 2)
+	f.hearAll(nil)
+	f.s.settings.UnavailableFor = 4 * time.Second
+	s := serving("web", 1000)
+	s.Tasks, s.MaxUnavailable = 2, 1
+	f.submit("j", s)
+	f.plan()
+	a, b := f.last("j.0.0.0"), f.last("j.0.0.1")
+	require.Equal(t, a.Instance.ID, b.Instance.ID, "packed")
+	f.confirm(a)
+	f.confirm(b)
+	f.hear(a.Instance.ID, progressing(100, a, b))
+	index := 0
+	if a.Instance.ID == "vm01" {
+		index = 1
+	}
+	f.s.AddWave(f.now, batch.Wave{Number: 1, Machines: []string{"m"}, Duration: 20 * time.Second, MaxAtOnce: 1}, nil)
+	f.s.SetMachines([]batch.Machine{{Name: "m", State: batch.MachineUp, Instance: f.list[index].ID}})
+	for range 5 {
+		f.advance(100 * time.Millisecond)
+		require.Empty(t, maintenances(f.plan()))
+	}
+	require.Len(t, f.stops, 1, "one task at a time")
+}
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -229,6 +229,9 @@
 	case refusal != "":
 		s.logf(Decision{Event: "start_refused", Task: o.Task, VM: v.inst.ID, Run: o.Run, Reason: string(refusal), Age: now - r.orderedAt})
 		v.health.refused(now, refusal)
+		if refusal == batch.RefusedTicket {
+			r.task.step.dropTicket(v.inst.ID)
+		}
 		r.task.notBefore = now + retryPause
 		s.release(now, r)
 	case r.state == starting:
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -64,6 +64,7 @@
 	j.pool = q.Pool
 	j.attempts = max(q.Attempts, 1)
 	j.priority = q.Priority
+	j.advice = q.Advice
 	j.objective = time.Duration(q.Stretch*float64(j.chain)) + q.Slack
 }
 
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -119,11 +119,12 @@
 	obstacleReserve
 	obstacleMemory
 	obstacleLeftover
+	obstacleAdvice
 	obstaclePressure
 	obstacles
 )
 
-var obstacleNames = [obstacles]string{"none", "unheard", "draining", "pool", "suspected", "per_vm", "processor", "reserve", "memory", "leftover", "pressure"}
+var obstacleNames = [obstacles]string{"none", "unheard", "draining", "pool", "suspected", "per_vm", "processor", "reserve", "memory", "leftover", "advice", "pressure"}
 
 // fits reports what keeps the VM from being given the task now.
 func (s *Scheduler) fits(now Time, v *vm, t *task) obstacle {
@@ -133,7 +134,7 @@
 		return obstaclePool
 	case !v.heard || !v.listed || now-v.heardAt > silentAfter:
 		return obstacleUnheard
-	case v.inst.Draining:
+	case v.inst.Draining || v.closed:
 		return obstacleDraining
 	case !v.health.usable(now, len(v.runs)):
 		return obstacleSuspected
@@ -151,6 +152,11 @@
 	case spec.Filler && float64(v.fillerCPU+spec.Need.MilliCPU) > fillerOvercommit*v.rest():
 		return obstacleLeftover
 	}
+	if s.needsAdvice(t.step) {
+		if _, ok := t.step.advised(now, v); !ok {
+			return obstacleAdvice
+		}
+	}
 	return obstacleNone
 }
 
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -82,6 +82,7 @@
 	if s.changed || now-s.plannedAt >= planEvery {
 		s.plannedAt = now
 		s.changed = false
+		s.planWaves(now)
 		s.startWaiting(now)
 	}
 	orders := s.orders
@@ -146,6 +147,9 @@
 	}
 	if st.spec.Gang {
 		s.startGang(r, st)
+		if st.waiting > 0 && s.needsAdvice(st) {
+			s.askAdvice(r.now, st)
+		}
 		return
 	}
 	for k := range st.tasks {
@@ -159,6 +163,10 @@
 		}
 		if v == nil {
 			s.explainWait(r.now, t)
+			if s.needsAdvice(st) {
+				s.askAdvice(r.now, st)
+				return
+			}
 			if st.spec.MaxPerVM == 0 {
 				r.failed = append(r.failed, n)
 			}
@@ -221,11 +229,12 @@
 		// The first report has told the clock; no hold has taken a lease yet.
 		v.renew(now, s.settings.Lease())
 	}
+	allowed, _ := t.step.advised(now, v)
 	s.logf(Decision{Event: "run_started", Task: t.id(), VM: v.inst.ID, Run: r.number, Age: now - t.step.occ.dueAt, Value: t.step.rank.slack.Seconds()})
 	s.orders = append(s.orders, Order{
 		Kind: OrderStart, Instance: v.inst, Task: t.id(), Run: r.number,
 		Start: batch.StartOrder{
-			Task: t.id(), Run: r.number, Payload: j.spec.Payload, Checkpoint: t.checkpoint,
+			Task: t.id(), Run: r.number, Payload: j.spec.Payload, Checkpoint: t.checkpoint, Ticket: allowed,
 			Fence: s.fence, LeaseUntil: v.leaseUntil,
 		},
 	})
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -89,6 +89,8 @@
 	checkpoint string
 	// notBefore delays the next start after a failure.
 	notBefore Time
+	// movedAt is when a run was last stopped to be started elsewhere.
+	movedAt Time
 	// lastRunEnd is when a run last ended.
 	lastRunEnd Time
 	// lastFailedOn is the VM where a run last failed; it is avoided.
@@ -115,6 +117,8 @@
 	queued bool
 	// runnableAt is when the steps before it were done.
 	runnableAt Time
+	// advice is set where the queue has an adviser and was asked.
+	advice *advice
 	// doneRates sums the progress rates, in percent a second, of the doneRuns
 	// runs that are done.
 	doneRates float64
@@ -148,6 +152,7 @@
 	work      float64
 	attempts  int
 	priority  int
+	advice    *batch.Advice
 	state     batch.State
 	// durableState is the state that the store has; callers are told final
 	// states only from it.
@@ -204,6 +209,8 @@
 	health health
 	// leaseUntil is the end of the lease on the instance's clock.
 	leaseUntil time.Duration
+	// closed VMs are being emptied for maintenance and take no new tasks.
+	closed bool
 	// unanswered is set while a hold has no answer.
 	unanswered bool
 	// leaseOver is when everything there has certainly ended, unless the lease is renewed.
@@ -247,6 +254,9 @@
 	// timed are the jobs with occurrences still to come.
 	timed map[string]*job
 	dirty map[string]*job
+	waves map[int64]*wave
+	// machines is the machine service's list; nil before it was read.
+	machines map[string]batch.Machine
 	// silent are instances that an earlier leader may have given work to and
 	// that have not been heard, with the moment when they need not be waited for.
 	silent map[string]Time
@@ -274,7 +284,7 @@
 	}
 	return &Scheduler{
 		settings: settings, fence: fence, nextRun: fence << runBits, vms: map[string]*vm{}, jobs: map[string]*job{},
-		timed: map[string]*job{}, dirty: map[string]*job{}, silent: map[string]Time{}, images: newImages(), logf: log,
+		timed: map[string]*job{}, dirty: map[string]*job{}, waves: map[int64]*wave{}, silent: map[string]Time{}, images: newImages(), logf: log,
 	}
 }
 
@@ -302,6 +312,12 @@
 	OrderStart OrderKind = iota
 	OrderStop
 	OrderPace
+	// OrderAdvise asks the adviser which of Candidates may run the task's step;
+	// the outcome is reported with Advised.
+	OrderAdvise
+	// OrderMaintain begins the maintenance of Machine; the outcome is reported
+	// with Maintained.
+	OrderMaintain
 )
 
 // Order is for an instance. The leader carries it out and reports the outcome
@@ -313,4 +329,9 @@
 	Task     batch.TaskID
 	Run      int64
 	Percent  int
+	// Candidates are instance IDs.
+	Candidates []string
+	// Machine and Wave name a maintenance.
+	Machine string
+	Wave    int64
 }
--- /dev/null
+++ b/internal/scheduler/waves.go
@@ -0,0 +1,262 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+// A wave asks that each of its machines has its maintenance within a time, a few
+// at once. A machine is first closed to new work, then emptied: lasting tasks are
+// moved as fast as their steps' bounds allow, others get some time to end.
+
+const (
+	// emptyLeast and emptyMost bound the time that a machine's work has to end.
+	emptyLeast = 500 * time.Millisecond
+	emptyMost  = 8 * time.Second
+	// waveSpare is the part of a wave's time that is kept for maintenance itself.
+	waveSpare = 0.6
+	// maintainAgain is the wait after an order that was refused or not answered.
+	maintainAgain = 500 * time.Millisecond
+)
+
+// wave is one wave under way.
+type wave struct {
+	spec    batch.Wave
+	beganAt Time
+	// begun are the machines whose maintenance has begun.
+	begun map[string]bool
+	// closed are the machines that are being emptied, with the time since when.
+	closed map[string]Time
+	// ordered are the machines whose order is under way or was not answered.
+	ordered map[string]Time
+	// lives holds the instance that each ordered machine had.
+	lives map[string]string
+}
+
+// done reports whether every machine of the wave that is still there has begun.
+func (w *wave) done(machines map[string]batch.Machine) bool {
+	for _, name := range w.spec.Machines {
+		if _, stays := machines[name]; stays && !w.begun[name] {
+			return false
+		}
+	}
+	return true
+}
+
+// down counts the wave's machines that are, or may be, down for it.
+func (w *wave) down(machines map[string]batch.Machine) int {
+	n := 0
+	for _, name := range w.spec.Machines {
+		m, listed := machines[name]
+		_, ordered := w.ordered[name]
+		back := m.State == batch.MachineUp && m.Instance != "" && m.Instance != w.lives[name]
+		if listed && (ordered || m.State == batch.MachineMaintenance || (w.begun[name] && !back && w.lives[name] != "")) {
+			n++
+		}
+	}
+	return n
+}
+
+// WaveStatus is what operators are told of a wave.
+type WaveStatus struct {
+	Number    int64
+	Completed bool
+	// Begun are the machines whose maintenance has begun.
+	Begun []string
+}
+
+// AddWave takes a wave on; begun are the machines that an earlier leader has
+// recorded as begun.
+func (s *Scheduler) AddWave(now Time, spec batch.Wave, begun []string) {
+	if s.waves[spec.Number] != nil {
+		return
+	}
+	w := &wave{spec: spec, beganAt: now, begun: map[string]bool{}, closed: map[string]Time{}, ordered: map[string]Time{}, lives: map[string]string{}}
+	for _, name := range begun {
+		w.begun[name] = true
+	}
+	s.waves[spec.Number] = w
+	s.logf(Decision{Event: "wave_begun", Reason: spec.Duration.String(), Value: float64(len(spec.Machines))})
+}
+
+// SetMachines takes the machine service's list over.
+func (s *Scheduler) SetMachines(list []batch.Machine) {
+	s.machines = make(map[string]batch.Machine, len(list))
+	for _, m := range list {
+		s.machines[m.Name] = m
+	}
+}
+
+// WaveStatuses tells how the waves go.
+func (s *Scheduler) WaveStatuses() []WaveStatus {
+	var out []WaveStatus
+	for n, w := range s.waves {
+		st := WaveStatus{Number: n, Completed: s.machines != nil && w.done(s.machines)}
+		for name := range w.begun {
+			st.Begun = append(st.Begun, name)
+		}
+		out = append(out, st)
+	}
+	return out
+}
+
+// planWaves closes, empties and maintains machines.
+func (s *Scheduler) planWaves(now Time) {
+	if s.machines == nil {
+		return
+	}
+	for _, w := range s.waves {
+		if w.done(s.machines) {
+			s.reopen(w)
+			continue
+		}
+		s.closeMachines(now, w)
+		for name, since := range w.closed {
+			s.emptyMachine(now, w, name, since)
+		}
+	}
+}
+
+func (s *Scheduler) reopen(w *wave) {
+	for name := range w.closed {
+		if v := s.vms[s.machines[name].Instance]; v != nil {
+			v.closed = false
+		}
+		delete(w.closed, name)
+	}
+}
+
+// closeMachines closes as many machines as may be down at once, those with the
+// least on them first.
+func (s *Scheduler) closeMachines(now Time, w *wave) {
+	for w.down(s.machines)+len(w.closed) < max(w.spec.MaxAtOnce, 1) {
+		var next string
+		least := 0
+		for _, name := range w.spec.Machines {
+			m, listed := s.machines[name]
+			_, ordered := w.ordered[name]
+			_, closed := w.closed[name]
+			if !listed || w.begun[name] || ordered || closed || m.State != batch.MachineUp {
+				continue
+			}
+			load := 0
+			if v := s.vms[m.Instance]; v != nil {
+				load = len(v.runs)
+			}
+			if next == "" || load < least {
+				next, least = name, load
+			}
+		}
+		if next == "" {
+			return
+		}
+		w.closed[next] = now
+		s.logf(Decision{Event: "machine_closed", VM: s.machines[next].Instance, Reason: next, Value: float64(least)})
+	}
+}
+
+// emptyFor is the time that the work on one machine has to end.
+func (w *wave) emptyFor() time.Duration {
+	rounds := (len(w.spec.Machines) + w.spec.MaxAtOnce - 1) / max(w.spec.MaxAtOnce, 1)
+	each := time.Duration(float64(w.spec.Duration) * waveSpare / float64(max(rounds, 1)))
+	return min(max(each, emptyLeast), emptyMost)
+}
+
+// emptyMachine moves what lasts off a closed machine and begins its maintenance
+// once nothing is lost by it, or its time is up.
+func (s *Scheduler) emptyMachine(now Time, w *wave, name string, since Time) {
+	m := s.machines[name]
+	v := s.vms[m.Instance]
+	if v == nil {
+		if m.State == batch.MachineUp {
+			s.maintain(now, w, name)
+		}
+		return
+	}
+	v.closed = true
+	late := now-since > w.emptyFor()
+	lasting := 0
+	for _, r := range v.runs {
+		if r.task.step.spec.Lasting {
+			lasting++
+			s.moveLasting(now, r)
+			continue
+		}
+		if late && r.task.step.spec.Checkpoints {
+			s.stop(now, r, "maintenance")
+		}
+	}
+	if lasting > 0 {
+		return
+	}
+	if len(v.runs) == 0 || (late && now-since > w.emptyFor()+s.settings.StopWithin) {
+		s.maintain(now, w, name)
+	}
+}
+
+// moveLasting stops a lasting run so that it starts elsewhere, if its step can
+// spare one more task.
+func (s *Scheduler) moveLasting(now Time, r *run) {
+	if r.state != running {
+		return
+	}
+	st := r.task.step
+	bound := max(st.spec.MaxUnavailable, 1)
+	if st.unavailable(now, s.settings.UnavailableFor) >= bound || s.choose(now, r.task) == nil {
+		return
+	}
+	r.task.movedAt = now
+	s.stop(now, r, "maintenance")
+}
+
+// atWork is the progress of a lasting run that has started up.
+const atWork = 100
+
+// unavailable counts the step's tasks that are not at work, or that were moved so
+// recently that they count as not at work still.
+func (st *step) unavailable(now Time, notice time.Duration) int {
+	n := 0
+	for k := range st.tasks {
+		t := &st.tasks[k]
+		up := false
+		for _, r := range t.runs {
+			up = up || (r.state == running && r.progress >= atWork)
+		}
+		if !up || (t.movedAt > 0 && now-t.movedAt < notice) {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *Scheduler) maintain(now Time, w *wave, name string) {
+	if at, ordered := w.ordered[name]; ordered && now-at < maintainAgain {
+		return
+	}
+	w.ordered[name] = now
+	w.lives[name] = s.machines[name].Instance
+	s.logf(Decision{Event: "machine_maintained", VM: w.lives[name], Reason: name, Age: now - w.beganAt})
+	s.orders = append(s.orders, Order{Kind: OrderMaintain, Machine: name, Wave: w.spec.Number})
+}
+
+// Maintained takes the outcome of an order over: begun when the maintenance has
+// begun, refused when it certainly has not. After no answer the order is repeated:
+// it is idempotent.
+func (s *Scheduler) Maintained(now Time, o Order, begun bool, refusal batch.Refusal) {
+	w := s.waves[o.Wave]
+	if w == nil {
+		return
+	}
+	switch {
+	case begun, refusal == batch.RefusedWave:
+		w.begun[o.Machine] = true
+		delete(w.ordered, o.Machine)
+		delete(w.closed, o.Machine)
+		if begun {
+			s.Gone(now, w.lives[o.Machine], "maintenance")
+		}
+	case refusal != "":
+		delete(w.ordered, o.Machine)
+	}
+}
