--- a/internal/scheduler/contracts_test.go
+++ b/internal/scheduler/contracts_test.go
@@ -324,3 +324,49 @@
 	}
 	require.Len(t, f.stops, 1, "one task at a time")
 }
+
+// Symptom: lasting tasks of a VM that left are not at work for ten seconds.
+// Sequence: the VM says that it drains, leaves, and its entry goes; the leader
+// waits its lease out.
+func TestLastingTasksLeaveDrainingVM(t *testing.T) {
+	f := newFixture(t, 2)
+	f.hearAll(nil)
+	f.submit("j", serving("web", 1000))
+	f.plan()
+	o := f.last("j.0.0.0")
+	f.confirm(o)
+	f.hear(o.Instance.ID, progressing(100, o))
+	for i := range f.list {
+		f.list[i].Draining = f.list[i].ID == o.Instance.ID
+	}
+	f.s.SetInstances(f.now, f.list)
+	f.s.Expire(f.now)
+	f.plan()
+	require.Len(t, f.stops, 1)
+	f.hear(o.Instance.ID, batch.Report{Ended: []batch.RunEnd{ended(1, o, batch.EndStopped)}})
+	f.plan()
+	require.NotEqual(t, o.Instance.ID, f.last("j.0.0.0").Instance.ID)
+}
+
+func TestDrainedVMThatLeftIsGone(t *testing.T) {
+	f := newFixture(t, 2)
+	f.hearAll(nil)
+	f.submit("j", tasks(1, 1000))
+	f.plan()
+	o := f.last("j.0.0.0")
+	f.confirm(o)
+	var rest []batch.Instance
+	for i := range f.list {
+		f.list[i].Draining = f.list[i].ID == o.Instance.ID
+		if !f.list[i].Draining {
+			rest = append(rest, f.list[i])
+		}
+	}
+	f.s.SetInstances(f.now, f.list)
+	f.s.SetInstances(f.now, rest)
+	f.advance(leftAfter + time.Millisecond)
+	f.hear(rest[0].ID, batch.Report{})
+	f.s.Expire(f.now)
+	f.plan()
+	require.Len(t, f.started["j.0.0.0"], 2)
+}
--- a/internal/scheduler/pace_test.go
+++ b/internal/scheduler/pace_test.go
@@ -172,3 +172,18 @@
 		require.Contains(t, f.started, batch.TaskID{Job: "q", Index: i}.String())
 	}
 }
+
+// Symptom: lasting tasks of VMs that left are not at work again, though others
+// have room for them.
+// Cause: the room was kept for short tasks, without bound.
+func TestReserveYieldsToPatience(t *testing.T) {
+	f := newFixture(t, 1)
+	f.hearAll(nil)
+	f.submit("s", serving("web", 9800))
+	f.plan()
+	require.NotContains(t, f.started, "s.0.0.0")
+	f.advance(reservePatience + time.Millisecond)
+	f.hearAll(nil)
+	f.plan()
+	require.Contains(t, f.started, "s.0.0.0")
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -147,7 +147,7 @@
 		return obstacleMemory
 	case !spec.Filler && spec.Need.MilliCPU > free.MilliCPU:
 		return obstacleProcessor
-	case spec.Lasting && !spec.Filler && !s.keeps(v, spec.Need, free):
+	case spec.Lasting && !spec.Filler && !s.keeps(now, v, t, free):
 		return obstacleReserve
 	case spec.Filler && float64(v.fillerCPU+spec.Need.MilliCPU) > fillerOvercommit*v.rest():
 		return obstacleLeftover
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -73,9 +73,16 @@
 	}
 }
 
-// keeps reports whether a lasting task leaves the VM's reserve free, or fits
-// there twice over.
-func (s *Scheduler) keeps(v *vm, need, free batch.Resources) bool {
+// reservePatience is how long a lasting task that never ran leaves the reserve to
+// others. One that did run does not: when a VM dies, what it ran has to be at
+// work again within nine seconds, and its lease takes eight of them.
+const reservePatience = 4 * time.Second
+
+// keeps reports whether a lasting task leaves the VM's reserve free, fits there
+// twice over, or need not because it ran before or has waited for long.
+func (s *Scheduler) keeps(now Time, v *vm, t *task, free batch.Resources) bool {
+	need := t.step.spec.Need
 	left := float64(free.MilliCPU - need.MilliCPU)
-	return left >= s.reserve.share()*float64(v.inst.Capacity.MilliCPU) || need.Add(need).FitsIn(free)
+	return left >= s.reserve.share()*float64(v.inst.Capacity.MilliCPU) || need.Add(need).FitsIn(free) ||
+		t.lastRunEnd > 0 || now-t.step.runnableAt > reservePatience
 }
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -289,12 +289,40 @@
 		if v.heard && len(v.runs) > 0 && v.leaseOver > 0 && now > v.leaseOver {
 			s.dropRuns(now, v, "lease over")
 		}
+		if v.left(now) {
+			s.Gone(now, id, "drained and left")
+			continue
+		}
+		if v.inst.Draining && v.listed {
+			s.emptyDraining(now, v)
+		}
 		if !v.listed && len(v.runs) == 0 && now-v.unlistedAt > forgetAfter && now > v.leaseOver {
 			s.Gone(now, id, "unlisted")
 		}
 	}
 }
 
+// leftAfter is how long a draining VM that is off the list may be unheard before
+// it is taken to have left.
+const leftAfter = 1200 * time.Millisecond
+
+// left reports whether the VM has ended as it announced. Its lease need not run
+// out: an entry goes when the VM has left, and nobody answers at its address.
+func (v *vm) left(now Time) bool {
+	return v.inst.Draining && !v.listed && now-v.unlistedAt > leftAfter && now-v.heardAt > leftAfter
+}
+
+// emptyDraining moves what lasts off a VM that leaves, one task of a step at a
+// time: each is away for its stop and its startup only, not until the VM is known
+// to have left.
+func (s *Scheduler) emptyDraining(now Time, v *vm) {
+	for _, r := range v.runs {
+		if r.task.step.spec.Lasting {
+			s.moveLasting(now, r)
+		}
+	}
+}
+
 // describeEvery is how often the learned interference is logged.
 const describeEvery = 5 * time.Second
 
