--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -117,6 +117,7 @@
 func (s *Scheduler) hold(r *run) {
 	v, spec := r.vm, r.task.step.spec
 	v.runs[r.task.id()] = r
+	v.health.started(r)
 	v.tailsStale = true
 	if spec.Filler {
 		v.fillerCPU += spec.Need.MilliCPU
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -28,14 +28,23 @@
 	streak     int
 	lastFailed *job
 	avoidUntil Time
-	// probing allows one run at a time, until one is done.
+	// probing allows one run at a time, until one is done; probe is the last one.
 	probing  bool
+	probe    *run
 	sentence time.Duration
 }
 
-// usable reports whether the VM may get a run now; used is how many it has.
-func (h *health) usable(now Time, runs int) bool {
-	return now >= h.avoidUntil && (!h.probing || runs == 0)
+// usable reports whether the VM may get a run of the step now. A lasting task is
+// no probe, since it never ends: it goes where it may as soon as the time is over.
+func (h *health) usable(now Time, spec *batch.Step) bool {
+	return now >= h.avoidUntil && (!h.probing || spec.Lasting || h.probe == nil || h.probe.dead)
+}
+
+// started notes a run as the probe of a suspected VM.
+func (h *health) started(r *run) {
+	if h.probing && !r.task.step.spec.Lasting {
+		h.probe = r
+	}
 }
 
 func (h *health) done() { *h = health{} }
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -136,7 +136,7 @@
 		return obstacleUnheard
 	case v.inst.Draining || v.closed:
 		return obstacleDraining
-	case !v.health.usable(now, len(v.runs)):
+	case !v.health.usable(now, spec):
 		return obstacleSuspected
 	case spec.MaxPerVM > 0 && t.step.perVM[v] >= spec.MaxPerVM, v.runs[t.id()] != nil:
 		return obstaclePerVM
