--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -14,7 +14,7 @@
 	"github.com/rattanwall/rattanwall/internal/deployment"
 	"github.com/rattanwall/rattanwall/internal/model"
 	"github.com/rattanwall/rattanwall/internal/netio"
-	"github.com/rattanwall/rattanwall/internal/standin/platform"
+	"github.com/rattanwall/rattanwall/internal/standin/hosting"
 	"github.com/rattanwall/rattanwall/internal/standin/record"
 	"github.com/rattanwall/rattanwall/internal/standin/worker"
 )
@@ -52,7 +52,7 @@
 			if err != nil {
 				return err
 			}
-			p := platform.New(recorder)
+			p := hosting.New(recorder)
 			for _, address := range listen {
 				l, err := p.Listen(netio.TCP{}, address)
 				if err != nil {
--- a/internal/config/keeper.go
+++ b/internal/config/keeper.go
@@ -12,8 +12,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/rattanwall/rattanwall/internal/errkind"
+	"github.com/rattanwall/rattanwall/internal/hosting"
 	"github.com/rattanwall/rattanwall/internal/pause"
-	"github.com/rattanwall/rattanwall/internal/platform"
 )
 
 // headKey holds the whole configuration.
@@ -36,7 +36,7 @@
 type Installed struct {
 	Head     Head
 	Document Document
-	revision platform.Revision
+	revision hosting.Revision
 	// tokens maps a token's hash to who holds it.
 	tokens map[string]Identity
 }
@@ -51,7 +51,7 @@
 
 // Keeper keeps a node's copy of the configuration up to date and makes changes.
 type Keeper struct {
-	store     platform.Store
+	store     hosting.Store
 	log       *logrus.Entry
 	bootstrap string
 	current   atomic.Pointer[Installed]
@@ -63,7 +63,7 @@
 
 // NewKeeper returns a keeper with the empty configuration, version 0. bootstrap
 // is the hash of a token that counts as an operator's while there are none.
-func NewKeeper(store platform.Store, bootstrap string, log *logrus.Entry) *Keeper {
+func NewKeeper(store hosting.Store, bootstrap string, log *logrus.Entry) *Keeper {
 	k := &Keeper{store: store, bootstrap: bootstrap, log: log, changed: make(chan struct{})}
 	k.current.Store(&Installed{tokens: k.tokens(Document{})})
 	return k
@@ -121,7 +121,7 @@
 // refresh reads the head from the store and installs it if it is newer.
 func (k *Keeper) refresh(ctx context.Context) (*Installed, error) {
 	e, err := k.store.Get(ctx, headKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, hosting.ErrNotFound) {
 		k.confirm()
 		return k.Current(), nil
 	}
@@ -160,7 +160,7 @@
 // Offer takes a head that a peer uses, read from the store by that peer. A node
 // that cannot reach the store keeps up with the others this way.
 func (k *Keeper) Offer(head []byte, revision int64) error {
-	return k.install(platform.Entry{Key: headKey, Value: head, Revision: platform.Revision(revision)})
+	return k.install(hosting.Entry{Key: headKey, Value: head, Revision: hosting.Revision(revision)})
 }
 
 // Share returns the head in use as a peer may take it, with its revision.
@@ -179,7 +179,7 @@
 // install puts an entry of the store in use unless it is older than, or the
 // same as, the one in use. A stale read, a replayed watch or a slow answer
 // would otherwise bring back a configuration that operators have replaced.
-func (k *Keeper) install(e platform.Entry) error {
+func (k *Keeper) install(e hosting.Entry) error {
 	var h Head
 	if err := json.Unmarshal(e.Value, &h); err != nil {
 		return errors.Wrap(err, "decode configuration")
@@ -233,20 +233,20 @@
 			return head, nil
 		}
 		lastErr = err
-		uncertain = uncertain || wrote && errors.Is(err, platform.ErrUnknown)
+		uncertain = uncertain || wrote && errors.Is(err, hosting.ErrUnknown)
 		if !isStoreError(err) || !uncertain && !wrote {
 			break
 		}
 	}
 	if uncertain && isStoreError(lastErr) {
-		lastErr = errors.Mark(lastErr, platform.ErrUnknown)
+		lastErr = errors.Mark(lastErr, hosting.ErrUnknown)
 	}
 	return Head{}, storeError(lastErr)
 }
 
 func isStoreError(err error) bool {
-	return errors.Is(err, platform.ErrUnknown) || errors.Is(err, platform.ErrUnavailable) ||
-		errors.Is(err, platform.ErrConflict)
+	return errors.Is(err, hosting.ErrUnknown) || errors.Is(err, hosting.ErrUnavailable) ||
+		errors.Is(err, hosting.ErrConflict)
 }
 
 // tryPatch reads the head and writes the next one. wrote is set when the write
@@ -256,7 +256,7 @@
 	defer cancel()
 	cur, err := k.refresh(ctx)
 	if err != nil {
-		return Head{}, false, errors.Mark(err, platform.ErrUnavailable)
+		return Head{}, false, errors.Mark(err, hosting.ErrUnavailable)
 	}
 	next, err = cur.Head.Apply(p, time.Now())
 	if err != nil || next.Version == cur.Head.Version {
@@ -270,7 +270,7 @@
 	if err != nil {
 		return Head{}, true, err
 	}
-	return next, true, k.install(platform.Entry{Key: headKey, Value: value, Revision: rev})
+	return next, true, k.install(hosting.Entry{Key: headKey, Value: value, Revision: rev})
 }
 
 // storeError gives an error of the store its kind.
@@ -278,7 +278,7 @@
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, hosting.ErrUnknown):
 		return errkind.New(errkind.StoreUnknown, "send the same patch with the same id again", err)
 	case isStoreError(err):
 		return errkind.New(errkind.StoreUnavailable, "nothing was changed", err)
--- a/internal/config/patch.go
+++ b/internal/config/patch.go
@@ -10,7 +10,7 @@
 	jsonpatch "github.com/evanphx/json-patch/v5"
 
 	"github.com/rattanwall/rattanwall/internal/errkind"
-	"github.com/rattanwall/rattanwall/internal/platform"
+	"github.com/rattanwall/rattanwall/internal/hosting"
 )
 
 // Patch is a change that someone asks for.
@@ -96,8 +96,8 @@
 	if err != nil {
 		return errkind.New(errkind.Internal, "encode configuration", err)
 	}
-	if len(raw) > platform.MaxValueBytes/2 {
-		return errkind.New(errkind.InvalidRequest, fmt.Sprintf("the configuration would have %d bytes, the limit is %d; remove unused teams or services", len(raw), platform.MaxValueBytes/2), nil)
+	if len(raw) > hosting.MaxValueBytes/2 {
+		return errkind.New(errkind.InvalidRequest, fmt.Sprintf("the configuration would have %d bytes, the limit is %d; remove unused teams or services", len(raw), hosting.MaxValueBytes/2), nil)
 	}
 	return nil
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -102,6 +102,7 @@
 	draining atomic.Bool
 	aborted  chan struct{}
 	servers  []*http.Server
+	metrics  *metrics
 }
 
 // New puts the process together.
@@ -112,16 +113,22 @@
 		Settings: s.Bounds, Log: log, WallMS: wallMS,
 		Machines: p.Machines, Node: s.Node, Waves: e.listWaves, ReportWave: p.ReportWave,
 	}
+	e.metrics = newMetrics()
+	e.leader.Observe = e.metrics.decision
 	e.election = leader.NewElection(p.Store, leader.Record{Node: s.Node, Address: s.Peers}, s.Processor, log, e.leader.Lead)
 	local := &peerServer{leader: e.leader, store: p.Store}
 	e.entry = &entry.Entry{
 		Store: p.Store, InForce: e.config.Load, Accepting: e.ready, WallMS: wallMS, Log: log,
-		Peers: &peers{self: s.Peers, election: e.election, local: local, client: p.PeerClient},
+		Observe: e.metrics.request,
+		Peers:   &peers{self: s.Peers, election: e.election, local: local, client: p.PeerClient},
 	}
 	callers, ready := p.Callers(e.entry)
 	e.serve(s.Callers, callers)
 	e.serve(s.Readiness, ready)
 	e.serve(s.Peers, scheduling.NewSchedulingServer(local))
+	if s.Operations != "" {
+		e.serve(s.Operations, e.operations())
+	}
 	return e
 }
 
@@ -172,7 +179,9 @@
 	case <-e.aborted:
 	}
 	cancel()
-	<-ended
+	if err := <-ended; err != nil && !errors.Is(err, context.Canceled) {
+		e.log.Warn("supervisor_ended", err, nil)
+	}
 	e.log.Event("process_stopped", nil)
 	return nil
 }
--- /dev/null
+++ b/internal/edge/operations.go
@@ -0,0 +1,116 @@
+package edge
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/rattanwall/rattanwall/internal/errkind"
+	"github.com/rattanwall/rattanwall/internal/eventlog"
+	"github.com/rattanwall/rattanwall/internal/leader"
+	"github.com/rattanwall/rattanwall/internal/scheduler"
+)
+
+// metrics are the process's counters and histograms. Label sets are closed: the
+// events, the callers' operations and the kinds of error.
+type metrics struct {
+	registry  *prometheus.Registry
+	requests  *prometheus.CounterVec
+	latency   *prometheus.HistogramVec
+	decisions *prometheus.CounterVec
+	startWait prometheus.Histogram
+	runTime   prometheus.Histogram
+}
+
+func newMetrics() *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "rattanwall_edge_requests_total", Help: "Callers' requests by operation and outcome.",
+		}, []string{"operation", "outcome"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "rattanwall_edge_request_seconds", Help: "Time until a caller was answered.", Buckets: prometheus.ExponentialBuckets(0.002, 2, 12),
+		}, []string{"operation"}),
+		decisions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "rattanwall_leader_decisions_total", Help: "Decisions of this process while it led, by event.",
+		}, []string{"event"}),
+		startWait: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "rattanwall_leader_start_wait_seconds", Help: "Time from a job's submission to each start of its tasks.", Buckets: prometheus.ExponentialBuckets(0.01, 2, 14),
+		}),
+		runTime: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "rattanwall_leader_run_seconds", Help: "Time from a start order to the end of its run.", Buckets: prometheus.ExponentialBuckets(0.05, 2, 12),
+		}),
+	}
+	m.registry.MustRegister(m.requests, m.latency, m.decisions, m.startWait, m.runTime, collectors.NewGoCollector())
+	return m
+}
+
+// request counts a caller's request.
+func (m *metrics) request(operation string, took time.Duration, err error) {
+	outcome := "ok"
+	if err != nil {
+		outcome = string(errkind.From(err).Kind)
+	}
+	m.requests.WithLabelValues(operation, outcome).Inc()
+	m.latency.WithLabelValues(operation).Observe(took.Seconds())
+}
+
+// decision counts a decision of the scheduler.
+func (m *metrics) decision(d scheduler.Decision) {
+	m.decisions.WithLabelValues(d.Event).Inc()
+	switch d.Event {
+	case scheduler.EventRunStarted:
+		m.startWait.Observe(d.Age.Seconds())
+	case scheduler.EventRunEnded:
+		m.runTime.Observe(d.Age.Seconds())
+	}
+}
+
+// Dump is the process's state, for people who look for a fault.
+type Dump struct {
+	Node          string          `json:"node"`
+	Zone          string          `json:"zone"`
+	Ready         bool            `json:"ready"`
+	ConfigVersion int64           `json:"config_version"`
+	Queues        int             `json:"queues"`
+	Leader        leader.Record   `json:"leader"`
+	Scheduler     *scheduler.Dump `json:"scheduler,omitempty"`
+}
+
+// Dump returns the process's state.
+func (e *Edge) Dump() Dump {
+	d := Dump{Node: e.settings.Node, Zone: e.settings.Zone, Ready: e.ready(), Scheduler: e.leader.Dump()}
+	d.Leader, _ = e.election.Leader()
+	if c := e.config.Load(); c != nil {
+		d.ConfigVersion, d.Queues = c.Version, len(c.Queues)
+	}
+	return d
+}
+
+// operations serves metrics and the state dump.
+func (e *Edge) operations() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(e.metrics.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(e.Dump()); err != nil {
+			e.log.Warn("dump_not_sent", err, nil)
+		}
+	})
+	mux.HandleFunc("GET /jobs/{id}", func(w http.ResponseWriter, r *http.Request) {
+		x, ok := e.leader.Explain(r.PathValue("id"))
+		if !ok {
+			http.Error(w, "this process does not lead, or does not know the job; see leader in /dump", http.StatusNotFound)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(x); err != nil {
+			e.log.Warn("explanation_not_sent", err, eventlog.Fields{"job": x.Job})
+		}
+	})
+	return mux
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -54,6 +54,8 @@
 	// WallMS is the time of day in milliseconds since 1970.
 	WallMS func() int64
 	Log    *eventlog.Log
+	// Observe is told of each answer, for the metrics; may be nil.
+	Observe func(operation string, took time.Duration, err error)
 }
 
 // Config returns the configuration in force, or nil.
@@ -75,6 +77,7 @@
 }
 
 func (e *Entry) logAnswer(event, id, queue string, began time.Time, err error) {
+	e.observe(event, began, err)
 	f := eventlog.Fields{"job": id, "queue": queue, "took_ms": time.Since(began).Milliseconds(), "outcome": "ok"}
 	if err != nil {
 		f["outcome"] = string(errkind.From(err).Kind)
@@ -83,6 +86,12 @@
 	e.Log.Event(event, f)
 }
 
+func (e *Entry) observe(operation string, began time.Time, err error) {
+	if e.Observe != nil {
+		e.Observe(operation, time.Since(began), err)
+	}
+}
+
 // store creates the job's key. A refusal is only told when no try can have
 // written it; after a lost answer the same write is repeated, and finds what the
 // first has done.
@@ -150,6 +159,13 @@
 // State returns the job's state. Only the store's own answer can say that there
 // is no such job.
 func (e *Entry) State(ctx context.Context, _ *batch.Queue, id string) (batch.State, error) {
+	began := time.Now()
+	state, err := e.state(ctx, id)
+	e.observe("job_state", began, err)
+	return state, err
+}
+
+func (e *Entry) state(ctx context.Context, id string) (batch.State, error) {
 	askCtx, cancel := e.bounded(ctx, leaderTimeout)
 	state, known, err := e.Peers.State(askCtx, id)
 	cancel()
--- a/internal/faults/faults_test.go
+++ b/internal/faults/faults_test.go
@@ -18,7 +18,7 @@
 	"github.com/rattanwall/rattanwall/internal/load"
 	"github.com/rattanwall/rattanwall/internal/model"
 	"github.com/rattanwall/rattanwall/internal/netio"
-	"github.com/rattanwall/rattanwall/internal/standin/platform"
+	"github.com/rattanwall/rattanwall/internal/standin/hosting"
 )
 
 const (
@@ -33,9 +33,9 @@
 
 func rows() []row {
 	storeDown := func(w *world, d time.Duration) {
-		w.storeFaults(platform.Faults{Down: true})
+		w.storeFaults(hosting.Faults{Down: true})
 		time.Sleep(d)
-		w.storeFaults(platform.Faults{})
+		w.storeFaults(hosting.Faults{})
 	}
 	both := func(fs ...func()) {
 		var wg sync.WaitGroup
@@ -82,7 +82,7 @@
 			both(func() { storeDown(w, 15*time.Second) }, func() { time.Sleep(2 * time.Second); w.kill("cardiff-n2"); w.startNode("cardiff-n2") })
 		}},
 		{"answers lost, node killed", func(w *world) {
-			w.storeFaults(platform.Faults{LoseAnswers: 60})
+			w.storeFaults(hosting.Faults{LoseAnswers: 60})
 			w.kill("swansea-n1")
 			w.startNode("swansea-n1")
 		}},
--- a/internal/faults/processes_test.go
+++ b/internal/faults/processes_test.go
@@ -24,7 +24,7 @@
 	"github.com/rattanwall/rattanwall/internal/netio"
 	"github.com/rattanwall/rattanwall/internal/node"
 	"github.com/rattanwall/rattanwall/internal/settings"
-	"github.com/rattanwall/rattanwall/internal/standin/platform"
+	"github.com/rattanwall/rattanwall/internal/standin/hosting"
 	"github.com/rattanwall/rattanwall/internal/standin/record"
 )
 
@@ -229,7 +229,7 @@
 	w.recorder.Add(record.Event{Kind: record.NodeStopped, Node: name})
 }
 
-func (w *world) storeFaults(f platform.Faults) {
+func (w *world) storeFaults(f hosting.Faults) {
 	raw, _ := json.Marshal(f)
 	req, _ := http.NewRequest(http.MethodPut, "http://"+w.platform+"/faults", bytes.NewReader(raw))
 	resp, err := http.DefaultClient.Do(req)
--- a/internal/harness/faults_test.go
+++ b/internal/harness/faults_test.go
@@ -15,7 +15,7 @@
 	"github.com/rattanwall/rattanwall/internal/deployment"
 	"github.com/rattanwall/rattanwall/internal/load"
 	"github.com/rattanwall/rattanwall/internal/model"
-	"github.com/rattanwall/rattanwall/internal/standin/platform"
+	"github.com/rattanwall/rattanwall/internal/standin/hosting"
 	"github.com/rattanwall/rattanwall/internal/standin/record"
 	"github.com/rattanwall/rattanwall/internal/standin/worker"
 )
@@ -100,18 +100,18 @@
 	return o
 }
 
-func (r *run) storeFaults(f platform.Faults) {
+func (r *run) storeFaults(f hosting.Faults) {
 	for _, zone := range r.Shape.ZoneNames() {
 		r.Listener(zone).SetFaults(f)
 	}
 }
 
 // storeFor sets faults of the whole store for a time.
-func storeFor(d time.Duration, f platform.Faults) fault {
+func storeFor(d time.Duration, f hosting.Faults) fault {
 	return func(_ context.Context, r *run) {
 		r.storeFaults(f)
 		time.Sleep(d)
-		r.storeFaults(platform.Faults{})
+		r.storeFaults(hosting.Faults{})
 	}
 }
 
@@ -254,13 +254,13 @@
 func singleFaults() []faultCase {
 	return []faultCase{
 		{"quiet", nil, 0, 0},
-		{"store down 30s", []fault{storeFor(30*time.Second, platform.Faults{Down: true, ListDown: true})}, 0, 0},
-		{"store hangs 30s", []fault{storeFor(30*time.Second, platform.Faults{Cut: true})}, 0, 0},
-		{"store slow 900ms", []fault{storeFor(20*time.Second, platform.Faults{SlowMS: 900})}, 0, 0},
-		{"store slow 5s", []fault{storeFor(20*time.Second, platform.Faults{SlowMS: 5000})}, 0, 0},
-		{"store loses answers", []fault{storeFor(20*time.Second, platform.Faults{LoseAnswers: 40})}, 0, 0},
-		{"store watch silent", []fault{storeFor(25*time.Second, platform.Faults{WatchSilent: true})}, 0, 0},
-		{"store watch replays", []fault{storeFor(20*time.Second, platform.Faults{WatchReplay: true})}, 0, 0},
+		{"store down 30s", []fault{storeFor(30*time.Second, hosting.Faults{Down: true, ListDown: true})}, 0, 0},
+		{"store hangs 30s", []fault{storeFor(30*time.Second, hosting.Faults{Cut: true})}, 0, 0},
+		{"store slow 900ms", []fault{storeFor(20*time.Second, hosting.Faults{SlowMS: 900})}, 0, 0},
+		{"store slow 5s", []fault{storeFor(20*time.Second, hosting.Faults{SlowMS: 5000})}, 0, 0},
+		{"store loses answers", []fault{storeFor(20*time.Second, hosting.Faults{LoseAnswers: 40})}, 0, 0},
+		{"store watch silent", []fault{storeFor(25*time.Second, hosting.Faults{WatchSilent: true})}, 0, 0},
+		{"store watch replays", []fault{storeFor(20*time.Second, hosting.Faults{WatchReplay: true})}, 0, 0},
 		{"node killed", []fault{kill("east-n1")}, 0.02, 0.3},
 		{"node killed and replaced", []fault{replace(2*time.Second, "east-n1")}, 0.02, 0.3},
 		{"zone's nodes killed and replaced", []fault{replace(5*time.Second, eastNodes...)}, 0.02, 0.3},
@@ -289,8 +289,8 @@
 
 // Any two together, and some twice.
 func TestPairsOfFaults(t *testing.T) {
-	storeDown := storeFor(20*time.Second, platform.Faults{Down: true})
-	lost := storeFor(20*time.Second, platform.Faults{LoseAnswers: 60})
+	storeDown := storeFor(20*time.Second, hosting.Faults{Down: true})
+	lost := storeFor(20*time.Second, hosting.Faults{LoseAnswers: 60})
 	runTable(t, []faultCase{
 		{"node killed while store down", []fault{storeDown, kill("east-n1")}, 0.05, 0.5},
 		{"node killed twice", []fault{then(replace(3*time.Second, "east-n1"), func(context.Context, *run) { time.Sleep(8 * time.Second) }, replace(3*time.Second, "east-n1"))}, 0.05, 0.5},
@@ -301,7 +301,7 @@
 		{"VM leaves while store down", []fault{vmLeaves("east-w01"), storeDown}, 0.05, 0.05},
 		{"zone cut off, node killed", []fault{isolateEast(25 * time.Second), kill("east-n1")}, 0.05, 0.5},
 		{"rolling stop while answers lost", []fault{lost, rolling("east-n1", "west-n1")}, 0.01, 0.05},
-		{"rolling stop while store slow", []fault{storeFor(20*time.Second, platform.Faults{SlowMS: 700}), rolling("east-n1", "west-n1")}, 0.01, 0.05},
+		{"rolling stop while store slow", []fault{storeFor(20*time.Second, hosting.Faults{SlowMS: 700}), rolling("east-n1", "west-n1")}, 0.01, 0.05},
 		{"store down twice", []fault{then(storeDown, func(context.Context, *run) { time.Sleep(4 * time.Second) }, storeDown)}, 0, 0},
 		{"burst while node killed", []fault{burst(1000), kill("west-n2")}, 0.2, 1},
 		{"VM cut off, node replaced", []fault{cutFor(20*time.Second, []string{"east-w01"}, append(append([]string{}, eastNodes...), westNodes...)), replace(3*time.Second, "east-n2")}, 0.05, 0.5},
--- a/internal/harness/harness.go
+++ b/internal/harness/harness.go
@@ -25,7 +25,7 @@
 	"github.com/rattanwall/rattanwall/internal/netio"
 	"github.com/rattanwall/rattanwall/internal/node"
 	"github.com/rattanwall/rattanwall/internal/settings"
-	"github.com/rattanwall/rattanwall/internal/standin/platform"
+	"github.com/rattanwall/rattanwall/internal/standin/hosting"
 	"github.com/rattanwall/rattanwall/internal/standin/record"
 	"github.com/rattanwall/rattanwall/internal/standin/worker"
 )
@@ -73,12 +73,12 @@
 type Deployment struct {
 	Options
 	Recorder *record.Recorder
-	Platform *platform.Platform
+	Platform *hosting.Platform
 	Balancer *load.Balancer
 	// Operator, Team and Batch are the tokens of the demo's identities.
 	Operator, Team, Batch string
 
-	listeners map[string]*platform.Listener
+	listeners map[string]*hosting.Listener
 	workers   map[string]*worker.Worker
 	bootstrap string
 	cancel    context.CancelFunc
@@ -100,9 +100,9 @@
 	recorder := &record.Recorder{}
 	callers, _ := o.Hosts.Host(CallerHost)
 	d := &Deployment{
-		Options: o, Recorder: recorder, Platform: platform.New(recorder), Balancer: load.NewBalancer(callers),
+		Options: o, Recorder: recorder, Platform: hosting.New(recorder), Balancer: load.NewBalancer(callers),
 		Operator: token(), Team: token(), Batch: token(), bootstrap: token(),
-		listeners: map[string]*platform.Listener{}, workers: map[string]*worker.Worker{}, nodes: map[string]*runningNode{},
+		listeners: map[string]*hosting.Listener{}, workers: map[string]*worker.Worker{}, nodes: map[string]*runningNode{},
 	}
 	if err := d.start(ctx); err != nil {
 		d.Close()
@@ -249,7 +249,7 @@
 }
 
 // Listener returns the platform's listener that a zone's nodes use.
-func (d *Deployment) Listener(zone string) *platform.Listener { return d.listeners[zone] }
+func (d *Deployment) Listener(zone string) *hosting.Listener { return d.listeners[zone] }
 
 // Nodes returns the running nodes, sorted by name.
 func (d *Deployment) Nodes() []*node.Node {
--- a/internal/harness/kinds_test.go
+++ b/internal/harness/kinds_test.go
@@ -22,7 +22,7 @@
 	"github.com/rattanwall/rattanwall/internal/netio"
 	"github.com/rattanwall/rattanwall/internal/peer"
 	"github.com/rattanwall/rattanwall/internal/route"
-	"github.com/rattanwall/rattanwall/internal/standin/platform"
+	"github.com/rattanwall/rattanwall/internal/standin/hosting"
 	"github.com/rattanwall/rattanwall/internal/standin/worker"
 )
 
@@ -183,8 +183,8 @@
 	{errkind.AnswerMismatch, func(k *kindRun) errkind.Kind { return k.post("fault="+worker.FaultWrongID, nil) }},
 	{errkind.AnswerUnbounded, func(k *kindRun) errkind.Kind { return k.post("fault="+worker.FaultCloseDelimited, nil) }},
 	{errkind.StoreUnavailable, func(k *kindRun) errkind.Kind {
-		k.storeFaults(platform.Faults{Down: true})
-		defer k.storeFaults(platform.Faults{})
+		k.storeFaults(hosting.Faults{Down: true})
+		defer k.storeFaults(hosting.Faults{})
 		version := fmt.Sprintf("%q", fmt.Sprint(k.Nodes()[0].Keeper().Current().Head.Version))
 		return k.admin(http.MethodPatch, "/v1/config", k.Operator, version, `{"weights":{"tail":3}}`)
 	}},
@@ -192,9 +192,9 @@
 		// The write takes effect, its answer is lost, and then nothing can be read.
 		time.Sleep(2 * time.Second)
 		version := fmt.Sprintf("%q", fmt.Sprint(k.Nodes()[0].Keeper().Current().Head.Version))
-		k.storeFaults(platform.Faults{SlowMS: 900, LoseAnswers: 1000})
-		time.AfterFunc(time.Second, func() { k.storeFaults(platform.Faults{Down: true}) })
-		defer k.storeFaults(platform.Faults{})
+		k.storeFaults(hosting.Faults{SlowMS: 900, LoseAnswers: 1000})
+		time.AfterFunc(time.Second, func() { k.storeFaults(hosting.Faults{Down: true}) })
+		defer k.storeFaults(hosting.Faults{})
 		return k.admin(http.MethodPatch, "/v1/config", k.Operator, version, `{"weights":{"tail":4}}`)
 	}},
 	{errkind.NotOwner, func(k *kindRun) errkind.Kind { return k.askWrongNode() }},
--- a/internal/platform/platform.go
+++ b/internal/hosting/hosting.go
@@ -1,7 +1,7 @@
-// Package platform says what rattanwall needs of the platform it runs on: a
+// Package hosting says what rattanwall needs of the platform it runs on: a
 // small key-value service (Store) and a lagging list of VMs (VMList). The wire
 // format lives in an adapter package; nothing here knows it.
-package platform
+package hosting
 
 import (
 	"context"
--- a/internal/platform/platformtest/contract.go
+++ b/internal/hosting/hostingtest/contract.go
@@ -1,6 +1,6 @@
-// Package platformtest holds the contracts of package platform as tests. Every
+// Package hostingtest holds the contracts of package platform as tests. Every
 // implementation of its interfaces runs them.
-package platformtest
+package hostingtest
 
 import (
 	"context"
@@ -11,17 +11,17 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rattanwall/rattanwall/internal/hosting"
 	"github.com/rattanwall/rattanwall/internal/model"
-	"github.com/rattanwall/rattanwall/internal/platform"
 )
 
 // Store checks an empty store against the contract. It must run in a bubble of
 // package testing/synctest: leases and watches take time.
-func Store(t *testing.T, s platform.Store) {
+func Store(t *testing.T, s hosting.Store) {
 	t.Helper()
 	for _, c := range []struct {
 		name  string
-		check func(t *testing.T, ctx context.Context, s platform.Store)
+		check func(t *testing.T, ctx context.Context, s hosting.Store)
 	}{
 		{"writes are conditional", conditionalWrites},
 		{"revisions grow", revisionsGrow},
@@ -40,26 +40,26 @@
 	}
 }
 
-func conditionalWrites(t *testing.T, ctx context.Context, s platform.Store) {
+func conditionalWrites(t *testing.T, ctx context.Context, s hosting.Store) {
 	_, err := s.Get(ctx, "cw/a")
-	require.ErrorIs(t, err, platform.ErrNotFound)
+	require.ErrorIs(t, err, hosting.ErrNotFound)
 	_, err = s.Put(ctx, "cw/a", []byte("x"), 7, "")
-	require.ErrorIs(t, err, platform.ErrConflict, "the key does not exist")
+	require.ErrorIs(t, err, hosting.ErrConflict, "the key does not exist")
 	rev, err := s.Put(ctx, "cw/a", []byte("1"), 0, "")
 	require.NoError(t, err)
 	_, err = s.Put(ctx, "cw/a", []byte("2"), 0, "")
-	require.ErrorIs(t, err, platform.ErrConflict, "the key exists")
+	require.ErrorIs(t, err, hosting.ErrConflict, "the key exists")
 	_, err = s.Put(ctx, "cw/a", []byte("2"), rev, "")
 	require.NoError(t, err)
 	_, err = s.Put(ctx, "cw/a", []byte("3"), rev, "")
-	require.ErrorIs(t, err, platform.ErrConflict, "the revision is old")
+	require.ErrorIs(t, err, hosting.ErrConflict, "the revision is old")
 	e, err := s.Get(ctx, "cw/a")
 	require.NoError(t, err)
 	require.Equal(t, "2", string(e.Value))
 }
 
-func revisionsGrow(t *testing.T, ctx context.Context, s platform.Store) {
-	var last platform.Revision
+func revisionsGrow(t *testing.T, ctx context.Context, s hosting.Store) {
+	var last hosting.Revision
 	for i := range 5 {
 		rev, err := s.Put(ctx, fmt.Sprintf("rg/%d", i), nil, 0, "")
 		require.NoError(t, err)
@@ -68,18 +68,18 @@
 	}
 }
 
-func conditionalDeletes(t *testing.T, ctx context.Context, s platform.Store) {
+func conditionalDeletes(t *testing.T, ctx context.Context, s hosting.Store) {
 	rev, err := s.Put(ctx, "cd/a", []byte("1"), 0, "")
 	require.NoError(t, err)
-	require.ErrorIs(t, s.Delete(ctx, "cd/a", rev+100), platform.ErrConflict)
+	require.ErrorIs(t, s.Delete(ctx, "cd/a", rev+100), hosting.ErrConflict)
 	require.NoError(t, s.Delete(ctx, "cd/a", rev))
-	require.ErrorIs(t, s.Delete(ctx, "cd/a", rev), platform.ErrNotFound)
+	require.ErrorIs(t, s.Delete(ctx, "cd/a", rev), hosting.ErrNotFound)
 	again, err := s.Put(ctx, "cd/a", []byte("2"), 0, "")
 	require.NoError(t, err)
 	require.Greater(t, again, rev, "a key made anew does not take up an old revision")
 }
 
-func listing(t *testing.T, ctx context.Context, s platform.Store) {
+func listing(t *testing.T, ctx context.Context, s hosting.Store) {
 	for _, key := range []string{"l/b", "l/a", "lx/c"} {
 		_, err := s.Put(ctx, key, []byte(key), 0, "")
 		require.NoError(t, err)
@@ -92,7 +92,7 @@
 	require.GreaterOrEqual(t, rev, entries[1].Revision)
 }
 
-func leases(t *testing.T, ctx context.Context, s platform.Store) {
+func leases(t *testing.T, ctx context.Context, s hosting.Store) {
 	id, err := s.Grant(ctx, 2*time.Second)
 	require.NoError(t, err)
 	rev, err := s.Put(ctx, "le/a", []byte("1"), 0, id)
@@ -105,25 +105,25 @@
 	require.Equal(t, id, e.Lease)
 	time.Sleep(time.Second)
 	_, err = s.Get(ctx, "le/a")
-	require.ErrorIs(t, err, platform.ErrNotFound)
-	require.ErrorIs(t, s.Renew(ctx, id), platform.ErrLeaseGone)
+	require.ErrorIs(t, err, hosting.ErrNotFound)
+	require.ErrorIs(t, s.Renew(ctx, id), hosting.ErrLeaseGone)
 	_, err = s.Put(ctx, "le/b", nil, 0, id)
-	require.ErrorIs(t, err, platform.ErrLeaseGone)
+	require.ErrorIs(t, err, hosting.ErrLeaseGone)
 	_, err = s.Put(ctx, "le/a", []byte("2"), rev, "")
-	require.ErrorIs(t, err, platform.ErrConflict, "a lapsed key has no revision any more")
+	require.ErrorIs(t, err, hosting.ErrConflict, "a lapsed key has no revision any more")
 }
 
-func revoke(t *testing.T, ctx context.Context, s platform.Store) {
+func revoke(t *testing.T, ctx context.Context, s hosting.Store) {
 	id, err := s.Grant(ctx, time.Hour)
 	require.NoError(t, err)
 	_, err = s.Put(ctx, "re/a", nil, 0, id)
 	require.NoError(t, err)
 	require.NoError(t, s.Revoke(ctx, id))
 	_, err = s.Get(ctx, "re/a")
-	require.ErrorIs(t, err, platform.ErrNotFound)
+	require.ErrorIs(t, err, hosting.ErrNotFound)
 }
 
-func race(t *testing.T, ctx context.Context, s platform.Store) {
+func race(t *testing.T, ctx context.Context, s hosting.Store) {
 	rev, err := s.Put(ctx, "ra/a", nil, 0, "")
 	require.NoError(t, err)
 	const writers = 8
@@ -142,13 +142,13 @@
 		if err == nil {
 			won++
 		} else {
-			require.ErrorIs(t, err, platform.ErrConflict)
+			require.ErrorIs(t, err, hosting.ErrConflict)
 		}
 	}
 	require.Equal(t, 1, won)
 }
 
-func watch(t *testing.T, ctx context.Context, s platform.Store) {
+func watch(t *testing.T, ctx context.Context, s hosting.Store) {
 	_, after, err := s.List(ctx, "wa/")
 	require.NoError(t, err)
 	go func() {
@@ -157,7 +157,7 @@
 		_, _ = s.Put(ctx, "other", nil, 0, "")
 		_ = s.Delete(ctx, "wa/a", rev)
 	}()
-	var seen []platform.Event
+	var seen []hosting.Event
 	for len(seen) < 2 {
 		events, next, err := s.Watch(ctx, "wa/", after, 5*time.Second)
 		require.NoError(t, err)
@@ -172,7 +172,7 @@
 	require.True(t, seen[1].Deleted)
 }
 
-func watchEnds(t *testing.T, ctx context.Context, s platform.Store) {
+func watchEnds(t *testing.T, ctx context.Context, s hosting.Store) {
 	_, after, err := s.List(ctx, "none/")
 	require.NoError(t, err)
 	started := time.Now()
@@ -183,7 +183,7 @@
 }
 
 // VMList checks a list that holds the given VMs against the contract.
-func VMList(t *testing.T, l platform.VMList, want []model.VM) {
+func VMList(t *testing.T, l hosting.VMList, want []model.VM) {
 	t.Helper()
 	list, version, err := l.VMs(t.Context(), "")
 	require.NoError(t, err)
--- a/internal/platform/httpplatform/client.go
+++ b/internal/hosting/httphosting/client.go
@@ -1,7 +1,7 @@
-// Package httpplatform is the adapter to the platform's HTTP interface. It is
+// Package httphosting is the adapter to the platform's HTTP interface. It is
 // the only package that knows the wire format of the store and the VM list;
 // the stand-in platform imports the same message types.
-package httpplatform
+package httphosting
 
 import (
 	"context"
@@ -12,9 +12,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/dghubble/sling"
 
+	"github.com/rattanwall/rattanwall/internal/hosting"
 	"github.com/rattanwall/rattanwall/internal/model"
 	"github.com/rattanwall/rattanwall/internal/netio"
-	"github.com/rattanwall/rattanwall/internal/platform"
 )
 
 // WireEntry is a key on the wire. Value travels as base64.
@@ -62,15 +62,15 @@
 	WaitMS int64 `url:"wait_ms,omitempty"`
 }
 
-// Client implements platform.Store and platform.VMList over HTTP.
+// Client implements hosting.Store and hosting.VMList over HTTP.
 type Client struct {
 	base *sling.Sling
 	http *http.Client
 }
 
 var (
-	_ platform.Store  = (*Client)(nil)
-	_ platform.VMList = (*Client)(nil)
+	_ hosting.Store  = (*Client)(nil)
+	_ hosting.VMList = (*Client)(nil)
 )
 
 const (
@@ -107,13 +107,13 @@
 	req.GetBody = nil
 	resp, err := s.Do(req.WithContext(ctx), answer, nil)
 	if resp == nil {
-		return errors.Mark(errors.Wrap(err, "call store"), platform.ErrUnknown)
+		return errors.Mark(errors.Wrap(err, "call store"), hosting.ErrUnknown)
 	}
 	if kind := statusError(resp.StatusCode); kind != nil {
 		return kind
 	}
 	if err != nil {
-		return errors.Mark(errors.Wrap(err, "read store answer"), platform.ErrUnknown)
+		return errors.Mark(errors.Wrap(err, "read store answer"), hosting.ErrUnknown)
 	}
 	return nil
 }
@@ -124,98 +124,98 @@
 	case http.StatusOK:
 		return nil
 	case http.StatusNotFound:
-		return platform.ErrNotFound
+		return hosting.ErrNotFound
 	case http.StatusPreconditionFailed:
-		return platform.ErrConflict
+		return hosting.ErrConflict
 	case http.StatusGone:
-		return platform.ErrLeaseGone
+		return hosting.ErrLeaseGone
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		return platform.ErrUnavailable
+		return hosting.ErrUnavailable
 	}
-	return errors.Mark(errors.Newf("store answered %s", strconv.Itoa(status)), platform.ErrUnknown)
+	return errors.Mark(errors.Newf("store answered %s", strconv.Itoa(status)), hosting.ErrUnknown)
 }
 
-// Get implements platform.Store.
-func (c *Client) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements hosting.Store.
+func (c *Client) Get(ctx context.Context, key string) (hosting.Entry, error) {
 	var w WireEntry
 	if err := c.do(ctx, c.base.New().Get("key").QueryStruct(keyQuery{Key: key}), callTimeout, &w); err != nil {
-		return platform.Entry{}, err
+		return hosting.Entry{}, err
 	}
 	return fromWire(w), nil
 }
 
-// List implements platform.Store.
-func (c *Client) List(ctx context.Context, prefix string) ([]platform.Entry, platform.Revision, error) {
+// List implements hosting.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]hosting.Entry, hosting.Revision, error) {
 	var w WireList
 	err := c.do(ctx, c.base.New().Get("keys").QueryStruct(keyQuery{Prefix: prefix}), callTimeout, &w)
 	if err != nil {
 		return nil, 0, err
 	}
-	entries := make([]platform.Entry, len(w.Entries))
+	entries := make([]hosting.Entry, len(w.Entries))
 	for i, e := range w.Entries {
 		entries[i] = fromWire(e)
 	}
-	return entries, platform.Revision(w.Revision), nil
+	return entries, hosting.Revision(w.Revision), nil
 }
 
-// Put implements platform.Store.
-func (c *Client) Put(ctx context.Context, key string, value []byte, expect platform.Revision, lease platform.LeaseID) (platform.Revision, error) {
-	if len(value) > platform.MaxValueBytes {
-		return 0, errors.Newf("value of %s has %d bytes, the store takes %d", key, len(value), platform.MaxValueBytes)
+// Put implements hosting.Store.
+func (c *Client) Put(ctx context.Context, key string, value []byte, expect hosting.Revision, lease hosting.LeaseID) (hosting.Revision, error) {
+	if len(value) > hosting.MaxValueBytes {
+		return 0, errors.Newf("value of %s has %d bytes, the store takes %d", key, len(value), hosting.MaxValueBytes)
 	}
 	body := WirePut{Value: value, Expect: int64(expect), Lease: string(lease)}
 	var w WireList
 	err := c.do(ctx, c.base.New().Put("key").QueryStruct(keyQuery{Key: key}).BodyJSON(body), callTimeout, &w)
-	return platform.Revision(w.Revision), err
+	return hosting.Revision(w.Revision), err
 }
 
-// Delete implements platform.Store.
-func (c *Client) Delete(ctx context.Context, key string, expect platform.Revision) error {
+// Delete implements hosting.Store.
+func (c *Client) Delete(ctx context.Context, key string, expect hosting.Revision) error {
 	q := keyQuery{Key: key, Expect: int64(expect)}
 	return c.do(ctx, c.base.New().Delete("key").QueryStruct(q), callTimeout, &WireList{})
 }
 
-// Grant implements platform.Store.
-func (c *Client) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// Grant implements hosting.Store.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (hosting.LeaseID, error) {
 	var w WireLease
 	err := c.do(ctx, c.base.New().Post("leases").BodyJSON(WireLease{TTLMS: ttl.Milliseconds()}), callTimeout, &w)
-	return platform.LeaseID(w.ID), err
+	return hosting.LeaseID(w.ID), err
 }
 
-// Renew implements platform.Store.
-func (c *Client) Renew(ctx context.Context, id platform.LeaseID) error {
+// Renew implements hosting.Store.
+func (c *Client) Renew(ctx context.Context, id hosting.LeaseID) error {
 	return c.do(ctx, c.base.New().Post("leases/renew").BodyJSON(WireLease{ID: string(id)}), callTimeout, &WireLease{})
 }
 
-// Revoke implements platform.Store.
-func (c *Client) Revoke(ctx context.Context, id platform.LeaseID) error {
+// Revoke implements hosting.Store.
+func (c *Client) Revoke(ctx context.Context, id hosting.LeaseID) error {
 	return c.do(ctx, c.base.New().Post("leases/revoke").BodyJSON(WireLease{ID: string(id)}), callTimeout, &WireLease{})
 }
 
-// Watch implements platform.Store.
-func (c *Client) Watch(ctx context.Context, prefix string, after platform.Revision, wait time.Duration) ([]platform.Event, platform.Revision, error) {
+// Watch implements hosting.Store.
+func (c *Client) Watch(ctx context.Context, prefix string, after hosting.Revision, wait time.Duration) ([]hosting.Event, hosting.Revision, error) {
 	var w WireList
 	q := keyQuery{Prefix: prefix, After: int64(after), WaitMS: wait.Milliseconds()}
 	if err := c.do(ctx, c.base.New().Get("watch").QueryStruct(q), wait+watchGrace, &w); err != nil {
 		return nil, after, err
 	}
-	events := make([]platform.Event, len(w.Entries))
+	events := make([]hosting.Event, len(w.Entries))
 	for i, e := range w.Entries {
-		events[i] = platform.Event{Entry: fromWire(e), Deleted: e.Deleted}
+		events[i] = hosting.Event{Entry: fromWire(e), Deleted: e.Deleted}
 	}
-	return events, platform.Revision(w.Revision), nil
+	return events, hosting.Revision(w.Revision), nil
 }
 
-// VMs implements platform.VMList.
+// VMs implements hosting.VMList.
 func (c *Client) VMs(ctx context.Context, known string) ([]model.VM, string, error) {
 	var w WireVMs
 	err := c.do(ctx, c.base.New().Get("vms").QueryStruct(keyQuery{Known: known}), callTimeout, &w)
 	return w.VMs, w.Version, err
 }
 
-func fromWire(w WireEntry) platform.Entry {
-	return platform.Entry{
+func fromWire(w WireEntry) hosting.Entry {
+	return hosting.Entry{
 		Key: w.Key, Value: w.Value,
-		Revision: platform.Revision(w.Revision), Lease: platform.LeaseID(w.Lease),
+		Revision: hosting.Revision(w.Revision), Lease: hosting.LeaseID(w.Lease),
 	}
 }
--- a/internal/jobs/leader.go
+++ b/internal/jobs/leader.go
@@ -10,9 +10,9 @@
 
 	"github.com/rattanwall/rattanwall/internal/config"
 	"github.com/rattanwall/rattanwall/internal/errkind"
+	"github.com/rattanwall/rattanwall/internal/hosting"
 	"github.com/rattanwall/rattanwall/internal/model"
 	"github.com/rattanwall/rattanwall/internal/pause"
-	"github.com/rattanwall/rattanwall/internal/platform"
 	"github.com/rattanwall/rattanwall/internal/vms"
 	"github.com/rattanwall/rattanwall/internal/worker"
 )
@@ -76,7 +76,7 @@
 	state *State
 }
 
-func newLeader(shard, node string, store platform.Store, cluster Cluster, cfg func() *config.Installed, logger *logrus.Entry) *Leader {
+func newLeader(shard, node string, store hosting.Store, cluster Cluster, cfg func() *config.Installed, logger *logrus.Entry) *Leader {
 	l := &Leader{
 		shard: shard, node: node, cluster: cluster, config: cfg, logger: logger.WithField("shard", shard),
 		log:      log{store: store, prefix: "jobs/" + shard + "/"},
--- a/internal/jobs/log.go
+++ b/internal/jobs/log.go
@@ -9,8 +9,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/rattanwall/rattanwall/internal/hosting"
 	"github.com/rattanwall/rattanwall/internal/pause"
-	"github.com/rattanwall/rattanwall/internal/platform"
 )
 
 // A shard is kept in the store as a snapshot and a ring of log entries:
@@ -54,15 +54,15 @@
 
 // log reads and writes one shard's entries.
 type log struct {
-	store    platform.Store
+	store    hosting.Store
 	prefix   string
 	sequence int64
 	snapSeq  int64
-	snapRev  platform.Revision
+	snapRev  hosting.Revision
 	snapSize int
 	// pending counts the bytes of entries since the snapshot.
 	pending int
-	places  [ringSize]platform.Revision
+	places  [ringSize]hosting.Revision
 }
 
 func (l *log) snapKey() string { return l.prefix + "snap" }
@@ -99,7 +99,7 @@
 	return l.replay(snap, bySequence)
 }
 
-func (l *log) decodeEntry(e platform.Entry) (one entry, place int64, err error) {
+func (l *log) decodeEntry(e hosting.Entry) (one entry, place int64, err error) {
 	if err := cbor.Unmarshal(e.Value, &one); err != nil {
 		return one, 0, errors.Wrapf(err, "decode %s", e.Key)
 	}
@@ -160,17 +160,17 @@
 
 // tryAppend writes the entry once and, if the outcome is not certain, reads its
 // place back: the nonce tells our write from another's.
-func (l *log) tryAppend(ctx context.Context, e entry, value []byte) (platform.Revision, error) {
+func (l *log) tryAppend(ctx context.Context, e entry, value []byte) (hosting.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, logCallTimeout)
 	defer cancel()
 	key, expect := l.placeKey(e.Sequence), l.places[e.Sequence%ringSize]
 	rev, err := l.store.Put(ctx, key, value, expect, "")
-	if err == nil || errors.Is(err, platform.ErrUnavailable) {
+	if err == nil || errors.Is(err, hosting.ErrUnavailable) {
 		return rev, err
 	}
 	found, readErr := l.store.Get(ctx, key)
 	switch {
-	case errors.Is(readErr, platform.ErrNotFound):
+	case errors.Is(readErr, hosting.ErrNotFound):
 		return 0, err
 	case readErr != nil:
 		return 0, readErr
--- a/internal/jobs/log_test.go
+++ b/internal/jobs/log_test.go
@@ -11,9 +11,9 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
+	"github.com/rattanwall/rattanwall/internal/hosting"
 	"github.com/rattanwall/rattanwall/internal/model"
-	"github.com/rattanwall/rattanwall/internal/platform"
-	standin "github.com/rattanwall/rattanwall/internal/standin/platform"
+	standin "github.com/rattanwall/rattanwall/internal/standin/hosting"
 	"github.com/rattanwall/rattanwall/internal/standin/record"
 	"github.com/rattanwall/rattanwall/internal/vms"
 )
@@ -21,24 +21,24 @@
 // lossy is a store that loses answers: of writes that took effect, and of
 // writes that did not.
 type lossy struct {
-	platform.Store
+	hosting.Store
 	rng *rand.Rand
 }
 
-func (l lossy) Put(ctx context.Context, key string, value []byte, expect platform.Revision, lease platform.LeaseID) (platform.Revision, error) {
+func (l lossy) Put(ctx context.Context, key string, value []byte, expect hosting.Revision, lease hosting.LeaseID) (hosting.Revision, error) {
 	switch l.rng.IntN(3) {
 	case 0:
 		_, _ = l.Store.Put(ctx, key, value, expect, lease)
-		return 0, errors.Mark(errors.New("lost after the write"), platform.ErrUnknown)
+		return 0, errors.Mark(errors.New("lost after the write"), hosting.ErrUnknown)
 	case 1:
-		return 0, errors.Mark(errors.New("lost before the write"), platform.ErrUnknown)
+		return 0, errors.Mark(errors.New("lost before the write"), hosting.ErrUnknown)
 	}
 	return l.Store.Put(ctx, key, value, expect, lease)
 }
 
-func newStore() platform.Store { return standin.Direct{Platform: standin.New(&record.Recorder{})} }
+func newStore() hosting.Store { return standin.Direct{Platform: standin.New(&record.Recorder{})} }
 
-func newLog(s platform.Store) *log { return &log{store: s, prefix: "jobs/00/"} }
+func newLog(s hosting.Store) *log { return &log{store: s, prefix: "jobs/00/"} }
 
 func spec(id string, tasks int) model.JobSpec {
 	return model.JobSpec{ID: id, Team: "t", Tasks: tasks, PerTask: model.Resources{MilliCPU: 1}}
@@ -176,7 +176,7 @@
 	raw, err := cbor.Marshal(snapshot{State: s})
 	require.NoError(t, err)
 	t.Logf("%d tasks take %d bytes", maxOpenTasks, len(raw))
-	require.Less(t, len(raw), platform.MaxValueBytes)
+	require.Less(t, len(raw), hosting.MaxValueBytes)
 }
 
 // Whatever stands in the store, it is refused or read, never a crash.
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -12,8 +12,8 @@
 
 	"github.com/rattanwall/rattanwall/internal/config"
 	"github.com/rattanwall/rattanwall/internal/errkind"
+	"github.com/rattanwall/rattanwall/internal/hosting"
 	"github.com/rattanwall/rattanwall/internal/ownership"
-	"github.com/rattanwall/rattanwall/internal/platform"
 	"github.com/rattanwall/rattanwall/internal/vms"
 )
 
@@ -48,7 +48,7 @@
 // Service leads the shards that this node owns.
 type Service struct {
 	node      string
-	store     platform.Store
+	store     hosting.Store
 	ownership vms.Ownership
 	cluster   Cluster
 	config    func() *config.Installed
@@ -66,7 +66,7 @@
 }
 
 // NewService returns the service of a node; Serve runs it.
-func NewService(node string, store platform.Store, own vms.Ownership, cluster Cluster, cfg func() *config.Installed, logger *logrus.Entry) *Service {
+func NewService(node string, store hosting.Store, own vms.Ownership, cluster Cluster, cfg func() *config.Installed, logger *logrus.Entry) *Service {
 	return &Service{
 		node: node, store: store, ownership: own, cluster: cluster, config: cfg, logger: logger,
 		leaders: map[string]*running{}, synced: make(chan struct{}, 1),
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -81,6 +81,8 @@
 	Log      *eventlog.Log
 	// WallMS is the time of day in milliseconds since 1970.
 	WallMS func() int64
+	// Observe is told of each decision, for the metrics; may be nil.
+	Observe func(scheduler.Decision)
 
 	mu   sync.Mutex
 	term *term
@@ -100,7 +102,6 @@
 	instancesRevision int64
 	holds             map[string]context.CancelFunc
 	config            *batch.Config
-	ready             bool
 	// flushed is closed and replaced after each flush.
 	flushed chan struct{}
 	kick    chan struct{}
@@ -163,6 +164,30 @@
 	return t.sched.Waiting(queue), true
 }
 
+// Dump returns the scheduler's state, or nil when this process does not lead.
+func (l *Leader) Dump() *scheduler.Dump {
+	t := l.current()
+	if t == nil {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d := t.sched.Dump(steady.Now())
+	return &d
+}
+
+// Explain says where a job stands; ok is false when this process does not lead or
+// does not know it.
+func (l *Leader) Explain(id string) (x scheduler.Explanation, ok bool) {
+	t := l.current()
+	if t == nil {
+		return x, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sched.Explain(steady.Now(), id)
+}
+
 // run starts the loops of the tenure and waits for its end.
 func (t *term) run(ctx context.Context, revision int64) {
 	jobs := &follow.Follower{Store: t.Store, Prefix: jobsPrefix, Wait: jobsWatch, Handle: t.observeJobs, After: revision}
@@ -271,6 +296,9 @@
 }
 
 func (t *term) logDecision(d scheduler.Decision) {
+	if t.Observe != nil {
+		t.Observe(d)
+	}
 	f := eventlog.Fields{}
 	if d.Job != "" {
 		f["job"] = d.Job
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -10,8 +10,8 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/rattanwall/rattanwall/internal/hosting"
 	"github.com/rattanwall/rattanwall/internal/ownership"
-	"github.com/rattanwall/rattanwall/internal/platform"
 )
 
 // Keys in the store. One prefix holds both kinds, so that one watch sees both.
@@ -45,17 +45,17 @@
 
 // Membership is the service that runs one node's Machine.
 type Membership struct {
-	store  platform.Store
+	store  hosting.Store
 	peers  Promiser
 	timing ownership.Timing
 	log    *logrus.Entry
 
 	mu       sync.Mutex
 	machine  *ownership.Machine
-	lease    platform.LeaseID
-	nodeRev  platform.Revision
-	entries  map[string]platform.Entry
-	revision platform.Revision
+	lease    hosting.LeaseID
+	nodeRev  hosting.Revision
+	entries  map[string]hosting.Entry
+	revision hosting.Revision
 	listed   bool
 	onChange []func()
 	planNow  chan struct{}
@@ -63,11 +63,11 @@
 }
 
 // New returns the membership of a node; Serve runs it.
-func New(self ownership.Node, timing ownership.Timing, store platform.Store, peers Promiser, log *logrus.Entry) *Membership {
+func New(self ownership.Node, timing ownership.Timing, store hosting.Store, peers Promiser, log *logrus.Entry) *Membership {
 	return &Membership{
 		store: store, peers: peers, timing: timing, log: log,
 		machine: ownership.New(self, timing, time.Now()),
-		entries: map[string]platform.Entry{}, planNow: make(chan struct{}, 1),
+		entries: map[string]hosting.Entry{}, planNow: make(chan struct{}, 1),
 	}
 }
 
--- a/internal/membership/plan.go
+++ b/internal/membership/plan.go
@@ -8,8 +8,8 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/rattanwall/rattanwall/internal/hosting"
 	"github.com/rattanwall/rattanwall/internal/ownership"
-	"github.com/rattanwall/rattanwall/internal/platform"
 )
 
 // planLoop asks the machine what to do and does it.
@@ -82,8 +82,8 @@
 		m.changed()
 	}
 	key := ownPrefix + a.Shard
-	rev, err := m.store.Put(ctx, key, value, platform.Revision(a.Expect), "")
-	written := platform.Entry{Key: key, Value: value, Revision: rev}
+	rev, err := m.store.Put(ctx, key, value, hosting.Revision(a.Expect), "")
+	written := hosting.Entry{Key: key, Value: value, Revision: rev}
 	if err != nil {
 		// Conflict or lost answer: what the store holds now decides.
 		if written, err = m.store.Get(ctx, key); err != nil {
--- a/internal/membership/session.go
+++ b/internal/membership/session.go
@@ -8,8 +8,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
+	"github.com/rattanwall/rattanwall/internal/hosting"
 	"github.com/rattanwall/rattanwall/internal/ownership"
-	"github.com/rattanwall/rattanwall/internal/platform"
 )
 
 // renewLoop keeps the session's lease.
@@ -46,7 +46,7 @@
 	switch {
 	case err == nil:
 		m.machine.Renewed(session, sentAt)
-	case errors.Is(err, platform.ErrLeaseGone):
+	case errors.Is(err, hosting.ErrLeaseGone):
 		m.log.Warn("the store ended this node's session; opening another")
 		m.machine.SessionGone(time.Now())
 		m.lease = ""
@@ -99,16 +99,16 @@
 }
 
 // putNode writes the record over whatever an earlier process of the same node left.
-func (m *Membership) putNode(ctx context.Context, self ownership.Node, lease platform.LeaseID) (platform.Revision, error) {
+func (m *Membership) putNode(ctx context.Context, self ownership.Node, lease hosting.LeaseID) (hosting.Revision, error) {
 	value, err := json.Marshal(self)
 	if err != nil {
 		return 0, errors.Wrap(err, "encode node record")
 	}
 	key := nodePrefix + self.ID
-	var expect platform.Revision
+	var expect hosting.Revision
 	if e, err := m.store.Get(ctx, key); err == nil {
 		expect = e.Revision
-	} else if !errors.Is(err, platform.ErrNotFound) {
+	} else if !errors.Is(err, hosting.ErrNotFound) {
 		return 0, err
 	}
 	return m.store.Put(ctx, key, value, expect, lease)
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -5,9 +5,9 @@
 	"encoding/json"
 	"strings"
 
+	"github.com/rattanwall/rattanwall/internal/hosting"
 	"github.com/rattanwall/rattanwall/internal/ownership"
 	"github.com/rattanwall/rattanwall/internal/pause"
-	"github.com/rattanwall/rattanwall/internal/platform"
 )
 
 // watchLoop keeps the view. After a failed watch it lists anew: a watch that
@@ -50,10 +50,10 @@
 
 // install replaces the view by a listing. A listing older than the view is a
 // stale read and is dropped.
-func (m *Membership) install(entries []platform.Entry, rev platform.Revision) {
+func (m *Membership) install(entries []hosting.Entry, rev hosting.Revision) {
 	m.mu.Lock()
 	if rev >= m.revision {
-		m.entries = make(map[string]platform.Entry, len(entries))
+		m.entries = make(map[string]hosting.Entry, len(entries))
 		for _, e := range entries {
 			m.entries[e.Key] = e
 		}
@@ -68,7 +68,7 @@
 
 // apply adds events to the view and reports whether any was new. Events of
 // revisions already seen are dropped: a watch may replay them.
-func (m *Membership) apply(events []platform.Event, rev platform.Revision) bool {
+func (m *Membership) apply(events []hosting.Event, rev hosting.Revision) bool {
 	m.mu.Lock()
 	changed := false
 	for _, e := range events {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,12 +14,12 @@
 
 	"github.com/rattanwall/rattanwall/internal/cluster"
 	"github.com/rattanwall/rattanwall/internal/config"
+	"github.com/rattanwall/rattanwall/internal/hosting/httphosting"
 	"github.com/rattanwall/rattanwall/internal/jobs"
 	"github.com/rattanwall/rattanwall/internal/membership"
 	"github.com/rattanwall/rattanwall/internal/model"
 	"github.com/rattanwall/rattanwall/internal/netio"
 	"github.com/rattanwall/rattanwall/internal/ownership"
-	"github.com/rattanwall/rattanwall/internal/platform/httpplatform"
 	"github.com/rattanwall/rattanwall/internal/route"
 	"github.com/rattanwall/rattanwall/internal/settings"
 	"github.com/rattanwall/rattanwall/internal/target"
@@ -46,7 +46,7 @@
 	log      *logrus.Entry
 	registry *prometheus.Registry
 
-	store    *httpplatform.Client
+	store    *httphosting.Client
 	keeper   *config.Keeper
 	members  *membership.Membership
 	cluster  *cluster.Cluster
@@ -63,7 +63,7 @@
 // Run starts it.
 func New(s settings.Node, network netio.Network, log *logrus.Logger) (*Node, error) {
 	n := &Node{settings: s, network: network, log: log.WithField("node", s.Name), registry: prometheus.NewRegistry(), aborted: make(chan struct{})}
-	n.store = httpplatform.New(network, s.Platform.Address)
+	n.store = httphosting.New(network, s.Platform.Address)
 	if err := n.listen(); err != nil {
 		n.closeListeners()
 		return nil, err
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -124,7 +124,7 @@
 		return
 	}
 	if len(good) == 0 {
-		s.logf(Decision{Event: "advice_none", Task: o.Task, Value: float64(len(o.Candidates)), Age: now - askedAt})
+		s.logf(Decision{Event: EventAdviceNone, Task: o.Task, Value: float64(len(o.Candidates)), Age: now - askedAt})
 	}
 	for _, id := range o.Candidates {
 		if text, allowed := good[id]; allowed {
--- /dev/null
+++ b/internal/scheduler/dump.go
@@ -0,0 +1,137 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+// Dump is the scheduler's state in figures.
+type Dump struct {
+	Fence int64 `json:"fence"`
+	// OpenJobs have no final state; WaitingTasks could run and have no place.
+	OpenJobs     int      `json:"open_jobs"`
+	WaitingTasks int      `json:"waiting_tasks"`
+	Silent       []string `json:"silent,omitempty"`
+	VMs          []VMDump `json:"vms"`
+	Interference string   `json:"interference"`
+	// ReserveShare is the part of each VM kept from lasting tasks.
+	ReserveShare float64 `json:"reserve_share"`
+}
+
+// VMDump is one instance.
+type VMDump struct {
+	ID          string          `json:"id"`
+	Zone        string          `json:"zone"`
+	Listed      bool            `json:"listed"`
+	Draining    bool            `json:"draining"`
+	Closed      bool            `json:"closed"`
+	HeardAgoMS  int64           `json:"heard_ago_ms"`
+	Runs        int             `json:"runs"`
+	Capacity    batch.Resources `json:"capacity"`
+	Used        batch.Resources `json:"used"`
+	FillerCPU   int64           `json:"filler_milli_cpu"`
+	WorstTail   float64         `json:"worst_tail_ratio"`
+	AvoidForMS  int64           `json:"avoid_for_ms"`
+	LeaseLeftMS int64           `json:"lease_left_ms"`
+}
+
+// Dump returns the state in figures.
+func (s *Scheduler) Dump(now Time) Dump {
+	d := Dump{Fence: s.fence, Silent: s.Silent(), Interference: s.images.describe(), ReserveShare: s.reserve.share()}
+	for _, j := range s.jobs {
+		if !j.state.Final() {
+			d.OpenJobs++
+		}
+	}
+	for _, st := range s.ready {
+		d.WaitingTasks += st.waiting
+	}
+	for _, v := range s.order {
+		x := VMDump{
+			ID: v.inst.ID, Zone: v.inst.Zone, Listed: v.listed, Draining: v.inst.Draining, Closed: v.closed,
+			HeardAgoMS: (now - v.heardAt).Milliseconds(), Runs: len(v.runs), Capacity: v.inst.Capacity, Used: v.used,
+			FillerCPU: v.fillerCPU, AvoidForMS: max(0, v.health.avoidUntil-now).Milliseconds(),
+			LeaseLeftMS: max(0, v.leaseOver-now).Milliseconds(),
+		}
+		if worst := v.worst(); worst != nil {
+			x.WorstTail = worst.ratio()
+		}
+		d.VMs = append(d.VMs, x)
+	}
+	return d
+}
+
+// Explanation says where a job stands and what its waiting tasks lack.
+type Explanation struct {
+	Job       string        `json:"job"`
+	Queue     string        `json:"queue"`
+	Pool      string        `json:"pool"`
+	State     batch.State   `json:"state"`
+	AgeMS     int64         `json:"age_ms"`
+	Objective time.Duration `json:"objective_ns"`
+	Runs      []RunDump     `json:"runs"`
+	Waiting   []WaitDump    `json:"waiting"`
+}
+
+// RunDump is one run of the job.
+type RunDump struct {
+	Task     string `json:"task"`
+	VM       string `json:"vm"`
+	Run      int64  `json:"run"`
+	Progress int    `json:"progress"`
+	Pace     int    `json:"pace"`
+	AgeMS    int64  `json:"age_ms"`
+}
+
+// WaitDump is a step with tasks that have no place.
+type WaitDump struct {
+	Occurrence int `json:"occurrence"`
+	Step       int `json:"step"`
+	Tasks      int `json:"tasks"`
+	// StepsBefore counts the steps that have to be done first.
+	StepsBefore int `json:"steps_before"`
+	// Obstacles counts the VMs that each obstacle rules out now.
+	Obstacles string  `json:"obstacles,omitempty"`
+	SlackS    float64 `json:"slack_s"`
+}
+
+// Explain says where a job stands; ok is false when it is not known.
+func (s *Scheduler) Explain(now Time, id string) (x Explanation, ok bool) {
+	j := s.jobs[id]
+	if j == nil {
+		return x, false
+	}
+	state, _ := s.State(id)
+	x = Explanation{Job: id, Queue: j.queue, Pool: j.pool, State: state, AgeMS: (now - j.submittedAt).Milliseconds(), Objective: j.objective}
+	for _, o := range j.occs {
+		for i := range o.steps {
+			st := &o.steps[i]
+			s.explainStep(now, st, &x)
+		}
+	}
+	return x, true
+}
+
+func (s *Scheduler) explainStep(now Time, st *step, x *Explanation) {
+	var waits *task
+	for k := range st.tasks {
+		t := &st.tasks[k]
+		if !t.done && len(t.runs) == 0 {
+			waits = t
+		}
+		for _, r := range t.runs {
+			x.Runs = append(x.Runs, RunDump{
+				Task: t.id().String(), VM: r.vm.inst.ID, Run: r.number, Progress: r.progress, Pace: r.paced, AgeMS: (now - r.orderedAt).Milliseconds(),
+			})
+		}
+	}
+	if waits == nil {
+		return
+	}
+	w := WaitDump{Occurrence: st.occ.number, Step: st.index, Tasks: st.waiting, StepsBefore: st.blockers, SlackS: st.occ.job.rank(now, st.occ).slack.Seconds()}
+	if st.blockers == 0 {
+		w.Obstacles = s.obstaclesOf(now, waits)
+	}
+	x.Waiting = append(x.Waiting, w)
+}
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -22,7 +22,7 @@
 	if r != nil {
 		lasted = now - r.orderedAt
 	}
-	s.logf(Decision{Event: "run_ended", Task: e.Task, VM: v.inst.ID, Run: e.Run, Reason: string(e.Kind), Age: lasted})
+	s.logf(Decision{Event: EventRunEnded, Task: e.Task, VM: v.inst.ID, Run: e.Run, Reason: string(e.Kind), Age: lasted})
 	t := s.task(e.Task)
 	if t != nil && e.Checkpoint != "" && !t.done {
 		t.checkpoint = e.Checkpoint
@@ -198,7 +198,7 @@
 		return
 	}
 	r.state = stopping
-	s.logf(Decision{Event: "run_stopped", Task: r.task.id(), VM: r.vm.inst.ID, Run: r.number, Reason: reason, Age: now - r.orderedAt})
+	s.logf(Decision{Event: EventRunStopped, Task: r.task.id(), VM: r.vm.inst.ID, Run: r.number, Reason: reason, Age: now - r.orderedAt})
 	s.orderStop(r.vm, r.task.id(), r.number)
 }
 
@@ -224,11 +224,11 @@
 	}
 	switch {
 	case unknown:
-		s.logf(Decision{Event: "start_unknown", Task: o.Task, VM: v.inst.ID, Run: o.Run, Age: now - r.orderedAt})
+		s.logf(Decision{Event: EventStartUnknown, Task: o.Task, VM: v.inst.ID, Run: o.Run, Age: now - r.orderedAt})
 		v.health.unanswered(now)
 		s.stop(now, r, "start unknown")
 	case refusal != "":
-		s.logf(Decision{Event: "start_refused", Task: o.Task, VM: v.inst.ID, Run: o.Run, Reason: string(refusal), Age: now - r.orderedAt})
+		s.logf(Decision{Event: EventStartRefused, Task: o.Task, VM: v.inst.ID, Run: o.Run, Reason: string(refusal), Age: now - r.orderedAt})
 		v.health.refused(now, refusal)
 		if refusal == batch.RefusedTicket {
 			r.task.step.dropTicket(v.inst.ID)
--- /dev/null
+++ b/internal/scheduler/events.go
@@ -0,0 +1,87 @@
+package scheduler
+
+// The events that a Decision may have. docs/OPERATIONS.md has the same list.
+const (
+	// EventAdviceNone: the adviser allowed none of the VMs it was asked about.
+	EventAdviceNone = "advice_none"
+	// EventInterference: what was learned of interference, now and then.
+	EventInterference = "interference"
+	// EventJobEnded: a job got its final state.
+	EventJobEnded = "job_ended"
+	// EventJobTaken: the leader took a job up.
+	EventJobTaken = "job_taken"
+	// EventMachineClosed: a machine is being emptied for maintenance.
+	EventMachineClosed = "machine_closed"
+	// EventMachineMaintained: a machine's maintenance was ordered.
+	EventMachineMaintained = "machine_maintained"
+	// EventRunAdopted: a run that an earlier leader started was taken over.
+	EventRunAdopted = "run_adopted"
+	// EventRunCopied: a copy of a run was started elsewhere.
+	EventRunCopied = "run_copied"
+	// EventRunEnded: a VM told the end of a run.
+	EventRunEnded = "run_ended"
+	// EventRunLost: a run ended without its VM telling how.
+	EventRunLost = "run_lost"
+	// EventRunPaced: a filler's pace was changed.
+	EventRunPaced = "run_paced"
+	// EventRunStarted: a start was ordered.
+	EventRunStarted = "run_started"
+	// EventRunStopped: a stop was ordered.
+	EventRunStopped = "run_stopped"
+	// EventRunUnwanted: a VM runs what it should not; it is stopped.
+	EventRunUnwanted = "run_unwanted"
+	// EventStartRefused: a VM refused a start.
+	EventStartRefused = "start_refused"
+	// EventStartUnknown: a VM left a start without an answer.
+	EventStartUnknown = "start_unknown"
+	// EventTaskStarved: a task that had nothing running of its job started beside others.
+	EventTaskStarved = "task_starved"
+	// EventTaskWaits: what keeps the first waiting task from being placed.
+	EventTaskWaits = "task_waits"
+	// EventVMDraining: a VM said that it leaves.
+	EventVMDraining = "vm_draining"
+	// EventVMGone: a VM's life has ended.
+	EventVMGone = "vm_gone"
+	// EventVMHeard: a VM told what it runs for the first time.
+	EventVMHeard = "vm_heard"
+	// EventVMListed: a VM came onto the store's list.
+	EventVMListed = "vm_listed"
+	// EventVMSuspected: a VM gets no work for a while because of what ran there.
+	EventVMSuspected = "vm_suspected"
+	// EventVMUnlisted: a VM went off the store's list.
+	EventVMUnlisted = "vm_unlisted"
+	// EventVMWaitedOut: a VM that was never heard need not be waited for any more.
+	EventVMWaitedOut = "vm_waited_out"
+	// EventWaveBegun: a wave of maintenance was taken up.
+	EventWaveBegun = "wave_begun"
+)
+
+// Events lists all of them.
+var Events = []string{
+	EventAdviceNone,
+	EventInterference,
+	EventJobEnded,
+	EventJobTaken,
+	EventMachineClosed,
+	EventMachineMaintained,
+	EventRunAdopted,
+	EventRunCopied,
+	EventRunEnded,
+	EventRunLost,
+	EventRunPaced,
+	EventRunStarted,
+	EventRunStopped,
+	EventRunUnwanted,
+	EventStartRefused,
+	EventStartUnknown,
+	EventTaskStarved,
+	EventTaskWaits,
+	EventVMDraining,
+	EventVMGone,
+	EventVMHeard,
+	EventVMListed,
+	EventVMSuspected,
+	EventVMUnlisted,
+	EventVMWaitedOut,
+	EventWaveBegun,
+}
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -86,7 +86,7 @@
 		}
 		j := r.task.step.occ.job
 		if v.health.failed(now, j, j.failedElsewhere(v.inst.ID)) {
-			s.logf(Decision{Event: "vm_suspected", VM: v.inst.ID, Reason: "failed runs", Age: v.health.sentence, Value: float64(v.health.streak)})
+			s.logf(Decision{Event: EventVMSuspected, VM: v.inst.ID, Reason: "failed runs", Age: v.health.sentence, Value: float64(v.health.streak)})
 		}
 	case batch.EndStopped, batch.EndLapsed, batch.EndBroken, batch.EndAlone:
 	}
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -40,7 +40,7 @@
 	if sub.Progress != nil {
 		j.restore(sub.Progress)
 	}
-	s.logf(Decision{Event: "job_taken", Job: sub.Job.ID, Reason: sub.Queue, Age: sub.Age, Value: j.work})
+	s.logf(Decision{Event: EventJobTaken, Job: sub.Job.ID, Reason: sub.Queue, Age: sub.Age, Value: j.work})
 	if sub.Cancelled {
 		s.cancel(now, j)
 	}
@@ -180,7 +180,7 @@
 	j.endedAt = now
 	delete(s.timed, j.spec.ID)
 	s.touch(j)
-	s.logf(Decision{Event: "job_ended", Job: j.spec.ID, Reason: string(state) + ": " + reason, Age: now - j.submittedAt, Value: j.objective.Seconds()})
+	s.logf(Decision{Event: EventJobEnded, Job: j.spec.ID, Reason: string(state) + ": " + reason, Age: now - j.submittedAt, Value: j.objective.Seconds()})
 	for _, o := range j.occs {
 		for i := range o.steps {
 			for k := range o.steps[i].tasks {
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -153,7 +153,7 @@
 	if percent == r.paced {
 		return
 	}
-	s.logf(Decision{Event: "run_paced", Task: r.task.id(), VM: r.vm.inst.ID, Run: r.number, Value: float64(percent)})
+	s.logf(Decision{Event: EventRunPaced, Task: r.task.id(), VM: r.vm.inst.ID, Run: r.number, Value: float64(percent)})
 	r.paced, r.pacedAt = percent, now
 	r.vm.pacedAt = now
 	s.orders = append(s.orders, Order{Kind: OrderPace, Instance: r.vm.inst, Task: r.task.id(), Run: r.number, Percent: percent})
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -89,7 +89,7 @@
 		}
 	}
 	if best != nil {
-		s.logf(Decision{Event: "task_starved", Task: t.id(), VM: best.inst.ID, Age: now - t.step.runnableAt, Value: least})
+		s.logf(Decision{Event: EventTaskStarved, Task: t.id(), VM: best.inst.ID, Age: now - t.step.runnableAt, Value: least})
 	}
 	return best
 }
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -230,7 +230,7 @@
 		v.renew(now, s.settings.Lease())
 	}
 	allowed, _ := t.step.advised(now, v)
-	s.logf(Decision{Event: "run_started", Task: t.id(), VM: v.inst.ID, Run: r.number, Age: now - t.step.occ.dueAt, Value: t.step.rank.slack.Seconds()})
+	s.logf(Decision{Event: EventRunStarted, Task: t.id(), VM: v.inst.ID, Run: r.number, Age: now - t.step.occ.dueAt, Value: t.step.rank.slack.Seconds()})
 	s.orders = append(s.orders, Order{
 		Kind: OrderStart, Instance: v.inst, Task: t.id(), Run: r.number,
 		Start: batch.StartOrder{
@@ -255,6 +255,6 @@
 		waiting += st.waiting
 	}
 	s.logf(Decision{
-		Event: "task_waits", Task: t.id(), Reason: s.obstaclesOf(now, t), Age: now - t.step.occ.dueAt, Value: float64(waiting),
+		Event: EventTaskWaits, Task: t.id(), Reason: s.obstaclesOf(now, t), Age: now - t.step.occ.dueAt, Value: float64(waiting),
 	})
 }
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -169,7 +169,6 @@
 	// doneOccs counts finished occurrences; all below doneLow are finished.
 	doneOccs map[int]bool
 	doneLow  int
-	dirty    bool
 	// version counts changes of the durable part; a write covers the version that it was made from.
 	version int64
 	// record is the store revision of the job's progress record, 0 for none.
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -129,7 +129,7 @@
 
 func (s *Scheduler) suspect(now Time, v *vm, reason string, r *run) {
 	if v.health.stalled(now) {
-		s.logf(Decision{Event: "vm_suspected", VM: v.inst.ID, Task: r.task.id(), Run: r.number, Reason: reason, Age: v.health.sentence, Value: r.rate(now)})
+		s.logf(Decision{Event: EventVMSuspected, VM: v.inst.ID, Task: r.task.id(), Run: r.number, Reason: reason, Age: v.health.sentence, Value: r.rate(now)})
 	}
 }
 
@@ -154,7 +154,7 @@
 	if v == nil || v == t.runs[0].vm {
 		return
 	}
-	s.logf(Decision{Event: "run_copied", Task: t.id(), VM: v.inst.ID, Run: t.runs[0].number, Reason: reason})
+	s.logf(Decision{Event: EventRunCopied, Task: t.id(), VM: v.inst.ID, Run: t.runs[0].number, Reason: reason})
 	s.start(now, t, v, s.number())
 }
 
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -52,7 +52,7 @@
 		if v.listed {
 			v.listed = false
 			v.unlistedAt = now
-			s.logf(Decision{Event: "vm_unlisted", VM: id})
+			s.logf(Decision{Event: EventVMUnlisted, VM: id})
 		}
 		// A new life at the same address: the old one has ended with all it ran.
 		if other, taken := byAddress[v.inst.Address]; taken && other != id {
@@ -67,11 +67,11 @@
 		v = &vm{inst: inst, runs: map[batch.TaskID]*run{}, heardAt: now}
 		s.vms[inst.ID] = v
 		s.sortVMs()
-		s.logf(Decision{Event: "vm_listed", VM: inst.ID, Reason: inst.Zone, Value: float64(inst.Capacity.MilliCPU)})
+		s.logf(Decision{Event: EventVMListed, VM: inst.ID, Reason: inst.Zone, Value: float64(inst.Capacity.MilliCPU)})
 		s.changed = true
 	}
 	if inst.Draining && !v.inst.Draining {
-		s.logf(Decision{Event: "vm_draining", VM: inst.ID, Age: inst.Remaining})
+		s.logf(Decision{Event: EventVMDraining, VM: inst.ID, Age: inst.Remaining})
 	}
 	if !v.listed || inst.Draining != v.inst.Draining {
 		s.changed = true
@@ -114,7 +114,7 @@
 	if v == nil {
 		return
 	}
-	s.logf(Decision{Event: "vm_gone", VM: id, Reason: reason, Value: float64(len(v.runs))})
+	s.logf(Decision{Event: EventVMGone, VM: id, Reason: reason, Value: float64(len(v.runs))})
 	s.dropRuns(now, v, reason)
 	delete(s.vms, id)
 	s.sortVMs()
@@ -124,7 +124,7 @@
 // dropRuns counts everything on v as ended, without blame for the tasks.
 func (s *Scheduler) dropRuns(now Time, v *vm, reason string) {
 	for _, r := range v.runs {
-		s.logf(Decision{Event: "run_lost", Task: r.task.id(), VM: v.inst.ID, Run: r.number, Reason: reason, Age: now - r.orderedAt})
+		s.logf(Decision{Event: EventRunLost, Task: r.task.id(), VM: v.inst.ID, Run: r.number, Reason: reason, Age: now - r.orderedAt})
 		s.release(now, r)
 	}
 }
@@ -170,7 +170,7 @@
 	if !v.heard {
 		v.heard = true
 		s.changed = true
-		s.logf(Decision{Event: "vm_heard", VM: id, Value: float64(len(rep.Running))})
+		s.logf(Decision{Event: EventVMHeard, VM: id, Value: float64(len(rep.Running))})
 	}
 	if now-v.heardAt > silentAfter+2*time.Second {
 		s.changed = true
@@ -235,14 +235,14 @@
 func (s *Scheduler) adopt(now Time, v *vm, st *batch.RunStatus) *run {
 	t := s.task(st.Task)
 	if t == nil || t.done || t.step.occ.job.state.Final() || (len(t.runs) > 0 && !t.step.spec.Speculative) || v.runs[st.Task] != nil {
-		s.logf(Decision{Event: "run_unwanted", Task: st.Task, VM: v.inst.ID, Run: st.Run})
+		s.logf(Decision{Event: EventRunUnwanted, Task: st.Task, VM: v.inst.ID, Run: st.Run})
 		s.orderStop(v, st.Task, st.Run)
 		return nil
 	}
 	r := &run{task: t, vm: v, number: st.Run, state: running, orderedAt: now, confirmedAt: now, paced: unknownPace}
 	s.hold(r)
 	t.step.occ.job.started = true
-	s.logf(Decision{Event: "run_adopted", Task: st.Task, VM: v.inst.ID, Run: st.Run})
+	s.logf(Decision{Event: EventRunAdopted, Task: st.Task, VM: v.inst.ID, Run: st.Run})
 	return r
 }
 
@@ -267,7 +267,7 @@
 	if !confirmed && !stopped {
 		return
 	}
-	s.logf(Decision{Event: "run_lost", Task: r.task.id(), VM: r.vm.inst.ID, Run: r.number, Reason: "not listed", Age: now - r.orderedAt})
+	s.logf(Decision{Event: EventRunLost, Task: r.task.id(), VM: r.vm.inst.ID, Run: r.number, Reason: "not listed", Age: now - r.orderedAt})
 	s.release(now, r)
 }
 
@@ -275,13 +275,13 @@
 func (s *Scheduler) Expire(now Time) {
 	if now-s.describedAt > describeEvery && len(s.images.pairs) > 0 {
 		s.describedAt = now
-		s.logf(Decision{Event: "interference", Reason: s.images.describe()})
+		s.logf(Decision{Event: EventInterference, Reason: s.images.describe()})
 	}
 	for id, until := range s.silent {
 		if now > until {
 			delete(s.silent, id)
 			s.changed = true
-			s.logf(Decision{Event: "vm_waited_out", VM: id})
+			s.logf(Decision{Event: EventVMWaitedOut, VM: id})
 		}
 	}
 	for id, v := range s.vms {
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -77,7 +77,7 @@
 		w.begun[name] = true
 	}
 	s.waves[spec.Number] = w
-	s.logf(Decision{Event: "wave_begun", Reason: spec.Duration.String(), Value: float64(len(spec.Machines))})
+	s.logf(Decision{Event: EventWaveBegun, Reason: spec.Duration.String(), Value: float64(len(spec.Machines))})
 }
 
 // SetMachines takes the machine service's list over.
@@ -152,7 +152,7 @@
 			return
 		}
 		w.closed[next] = now
-		s.logf(Decision{Event: "machine_closed", VM: s.machines[next].Instance, Reason: next, Value: float64(least)})
+		s.logf(Decision{Event: EventMachineClosed, VM: s.machines[next].Instance, Reason: next, Value: float64(least)})
 	}
 }
 
@@ -236,7 +236,7 @@
 	}
 	w.ordered[name] = now
 	w.lives[name] = s.machines[name].Instance
-	s.logf(Decision{Event: "machine_maintained", VM: w.lives[name], Reason: name, Age: now - w.beganAt})
+	s.logf(Decision{Event: EventMachineMaintained, VM: w.lives[name], Reason: name, Age: now - w.beganAt})
 	s.orders = append(s.orders, Order{Kind: OrderMaintain, Machine: name, Wave: w.spec.Number})
 }
 
--- a/internal/standin/platform/contract_test.go
+++ b/internal/standin/hosting/contract_test.go
@@ -1,4 +1,4 @@
-package platform
+package hosting
 
 import (
 	"testing"
@@ -8,10 +8,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rattanwall/rattanwall/internal/fakenet"
+	"github.com/rattanwall/rattanwall/internal/hosting"
+	"github.com/rattanwall/rattanwall/internal/hosting/hostingtest"
+	"github.com/rattanwall/rattanwall/internal/hosting/httphosting"
 	"github.com/rattanwall/rattanwall/internal/model"
-	"github.com/rattanwall/rattanwall/internal/platform"
-	"github.com/rattanwall/rattanwall/internal/platform/httpplatform"
-	"github.com/rattanwall/rattanwall/internal/platform/platformtest"
 	"github.com/rattanwall/rattanwall/internal/standin/record"
 )
 
@@ -21,8 +21,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := New(&record.Recorder{})
 		p.SetVM(listed)
-		platformtest.Store(t, Direct{p})
-		platformtest.VMList(t, Direct{p}, []model.VM{listed})
+		hostingtest.Store(t, Direct{p})
+		hostingtest.VMList(t, Direct{p}, []model.VM{listed})
 	})
 }
 
@@ -34,10 +34,10 @@
 		l, err := p.Listen(net.Host("10.0.0.1"), "10.0.0.1:0")
 		require.NoError(t, err)
 		defer l.Close()
-		client := httpplatform.New(net.Host("10.0.0.2"), l.Address())
+		client := httphosting.New(net.Host("10.0.0.2"), l.Address())
 		defer client.Close()
-		platformtest.Store(t, client)
-		platformtest.VMList(t, client, []model.VM{listed})
+		hostingtest.Store(t, client)
+		hostingtest.VMList(t, client, []model.VM{listed})
 	})
 }
 
@@ -51,19 +51,19 @@
 		l, err := p.Listen(net.Host("10.0.0.1"), "10.0.0.1:0")
 		require.NoError(t, err)
 		defer l.Close()
-		client := httpplatform.New(net.Host("10.0.0.2"), l.Address())
+		client := httphosting.New(net.Host("10.0.0.2"), l.Address())
 		defer client.Close()
 
 		l.SetFaults(Faults{LoseAnswers: 1})
 		_, err = client.Put(t.Context(), "k", []byte("1"), 0, "")
-		require.True(t, errors.Is(err, platform.ErrUnknown))
+		require.True(t, errors.Is(err, hosting.ErrUnknown))
 		e, err := client.Get(t.Context(), "k")
 		require.NoError(t, err)
 		require.Equal(t, "1", string(e.Value))
 
 		l.SetFaults(Faults{Down: true})
 		_, err = client.Put(t.Context(), "k", []byte("2"), e.Revision, "")
-		require.ErrorIs(t, err, platform.ErrUnavailable)
+		require.ErrorIs(t, err, hosting.ErrUnavailable)
 		l.SetFaults(Faults{})
 		e, err = client.Get(t.Context(), "k")
 		require.NoError(t, err)
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/hosting/platform.go
@@ -1,8 +1,8 @@
-// Package platform is the stand-in for the platform: the key-value service
+// Package hosting is the stand-in for the platform: the key-value service
 // with compare-and-swap, leases and watches, and the list of VMs. It keeps
 // everything in memory, counts each call by kind, and has faults that tests
 // switch on.
-package platform
+package hosting
 
 import (
 	"fmt"
@@ -12,8 +12,8 @@
 	"sync"
 	"time"
 
+	wire "github.com/rattanwall/rattanwall/internal/hosting/httphosting"
 	"github.com/rattanwall/rattanwall/internal/model"
-	wire "github.com/rattanwall/rattanwall/internal/platform/httpplatform"
 	"github.com/rattanwall/rattanwall/internal/standin/record"
 )
 
--- a/internal/standin/platform/server.go
+++ b/internal/standin/hosting/server.go
@@ -1,4 +1,4 @@
-package platform
+package hosting
 
 import (
 	"bytes"
@@ -10,9 +10,9 @@
 	"sync"
 	"time"
 
+	wire "github.com/rattanwall/rattanwall/internal/hosting/httphosting"
 	"github.com/rattanwall/rattanwall/internal/model"
 	"github.com/rattanwall/rattanwall/internal/netio"
-	wire "github.com/rattanwall/rattanwall/internal/platform/httpplatform"
 )
 
 const (
