--- a/internal/leader/election.go
+++ b/internal/leader/election.go
@@ -185,9 +185,16 @@
 // this process's own earlier life, which has certainly ended. Without the latter
 // all processes of a deployment that died together would wait the lease out.
 func (e *Election) vacant() bool {
+	_, ok := e.claim()
+	return ok
+}
+
+// claim returns the revision of the leader's key that this process may replace:
+// 0 for none, or that of its own earlier life.
+func (e *Election) claim() (revision int64, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.seen && !e.resigned && e.tenure == nil && (e.fence == 0 || e.leader == e.self)
+	return e.fence, e.seen && !e.resigned && e.tenure == nil && (e.fence == 0 || e.leader == e.self)
 }
 
 // Serve implements suture.Service.
@@ -228,13 +235,18 @@
 			e.observe(current, true)
 			return
 		}
-		e.log.Warn("leader_campaign_failed", err, nil)
+		if !errors.Is(err, errTaken) {
+			e.log.Warn("leader_campaign_failed", err, nil)
+		}
 		return
 	}
 	e.log.Event("leader_elected", eventlog.Fields{"fence": t.Fence})
 	e.serveTenure(ctx, t)
 }
 
+// errTaken: another process came first.
+var errTaken = errors.New("another leads")
+
 func (e *Election) acquire(ctx context.Context) (*Tenure, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -247,9 +259,12 @@
 	if err != nil {
 		return nil, err
 	}
-	e.mu.Lock()
-	previous := e.fence
-	e.mu.Unlock()
+	// Asked again after the grant: another may have come first meanwhile, and its
+	// key must not be replaced.
+	previous, ok := e.claim()
+	if !ok {
+		return nil, errTaken
+	}
 	revision, err := e.store.Commit(ctx, durable.Txn{
 		Conditions: []durable.Condition{{Key: leaderKey, Revision: previous}},
 		Writes:     []durable.Write{{Key: leaderKey, Value: value, Lease: lease}},
--- /dev/null
+++ b/internal/leader/election_test.go
@@ -0,0 +1,61 @@
+package leader
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanwall/rattanwall/internal/durable"
+)
+
+// electionStore lets something happen while a candidate waits for its lease.
+type electionStore struct {
+	durable.Store
+	onGrant func()
+	commits []durable.Txn
+}
+
+func (s *electionStore) Grant(context.Context, time.Duration) (int64, error) {
+	s.onGrant()
+	return 7, nil
+}
+
+func (s *electionStore) Commit(_ context.Context, txn durable.Txn) (int64, error) {
+	s.commits = append(s.commits, txn)
+	return 100, nil
+}
+
+func leaderItem(node string, revision int64) durable.Item {
+	return durable.Item{Key: leaderKey, Value: []byte(`{"node":"` + node + `","address":"` + node + `:1"}`), Revision: revision}
+}
+
+// Symptom: two leaders are elected within 15 ms, the second deposes the first.
+// Sequence: a candidate finds the key vacant and asks for a lease; meanwhile its
+// watch tells it that another has taken the key; it goes on.
+// Cause: it wrote on condition of the revision known at the time of the write,
+// which was that of the other's key.
+func TestCandidateDoesNotReplaceAnother(t *testing.T) {
+	store := &electionStore{}
+	e := NewElection(store, Record{Node: "me", Address: "me:1"}, 1, nil, nil)
+	e.observe(nil, true)
+	require.True(t, e.vacant())
+	store.onGrant = func() { e.observe([]durable.Item{leaderItem("other", 50)}, false) }
+	_, err := e.acquire(context.Background())
+	require.ErrorIs(t, err, errTaken)
+	require.Empty(t, store.commits)
+}
+
+// A process that was killed and started again replaces its own key at once.
+func TestOwnEarlierLifeIsReplaced(t *testing.T) {
+	store := &electionStore{onGrant: func() {}}
+	e := NewElection(store, Record{Node: "me", Address: "me:1"}, 1, nil, nil)
+	e.observe([]durable.Item{leaderItem("other", 40)}, true)
+	require.False(t, e.vacant())
+	e.observe([]durable.Item{leaderItem("me", 50)}, true)
+	tenure, err := e.acquire(context.Background())
+	require.NoError(t, err)
+	require.EqualValues(t, 100, tenure.Fence)
+	require.Equal(t, []durable.Condition{{Key: leaderKey, Revision: 50}}, store.commits[0].Conditions)
+}
