--- /dev/null
+++ b/internal/edge/docs_test.go
@@ -0,0 +1,30 @@
+package edge
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanwall/rattanwall/internal/scheduler"
+)
+
+// The operators' page names every event and every metric.
+func TestOperationsPageIsComplete(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	require.NoError(t, err)
+	for _, event := range scheduler.Events {
+		require.Contains(t, string(page), "| `"+event+"` |")
+	}
+	m := newMetrics()
+	m.request("job_submitted", 0, nil)
+	m.decision(scheduler.Decision{Event: scheduler.EventRunStarted})
+	families, err := m.registry.Gather()
+	require.NoError(t, err)
+	for _, f := range families {
+		if strings.HasPrefix(f.GetName(), "rattanwall_") {
+			require.Contains(t, string(page), "`"+f.GetName(), f.GetName())
+		}
+	}
+}
