--- a/Makefile
+++ b/Makefile
@@ -16,4 +16,5 @@
 # Needs protoc, protoc-gen-go and protoc-gen-twirp; their output is committed.
 generate:
 	protoc --go_out=. --go_opt=module=github.com/rattanwall/rattanwall \
-		--twirp_out=. --twirp_opt=module=github.com/rattanwall/rattanwall internal/peer/peer.proto
+		--twirp_out=. --twirp_opt=module=github.com/rattanwall/rattanwall \
+		internal/peer/peer.proto internal/scheduling/scheduling.proto
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -42,8 +42,18 @@
 	return &scheduling.QueueStateResponse{Waiting: int64(n)}, nil
 }
 
-func (p *peerServer) Load(context.Context, *scheduling.LoadRequest) (*scheduling.LoadResponse, error) {
-	return &scheduling.LoadResponse{}, nil
+func (p *peerServer) Announce(_ context.Context, r *scheduling.SubmitRequest) (*scheduling.SubmitResponse, error) {
+	if !p.leader.Announced(leader.JobKey(r.GetId()), r.GetRecord()) {
+		return nil, errNotLeading
+	}
+	return &scheduling.SubmitResponse{}, nil
+}
+
+func (p *peerServer) AnnounceCancel(_ context.Context, r *scheduling.CancelRequest) (*scheduling.CancelResponse, error) {
+	if !p.leader.Announced(leader.CancelKey(r.GetId()), nil) {
+		return nil, errNotLeading
+	}
+	return &scheduling.CancelResponse{Known: true}, nil
 }
 
 func (p *peerServer) Submit(ctx context.Context, r *scheduling.SubmitRequest) (*scheduling.SubmitResponse, error) {
@@ -150,6 +160,20 @@
 	return r.GetKnown(), storeOutcome(err)
 }
 
+// Announce implements entry.Peers.
+func (p *peers) Announce(ctx context.Context, id string, record []byte) error {
+	l, err := p.leader()
+	if err != nil {
+		return err
+	}
+	if record == nil {
+		_, err = l.AnnounceCancel(ctx, &scheduling.CancelRequest{Id: id})
+	} else {
+		_, err = l.Announce(ctx, &scheduling.SubmitRequest{Id: id, Record: record})
+	}
+	return err
+}
+
 // remoteLeader is the leader's way to the store; a leader has tried its own already.
 func (p *peers) remoteLeader() (scheduling.Scheduling, error) {
 	l, err := p.leader()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -39,6 +39,9 @@
 	// Submit has the leader store a job: durable.ErrRefused or ErrUnknown as
 	// from the store itself.
 	Submit(ctx context.Context, id string, record []byte) error
+	// Announce tells the leader of a job that is in the store, or, without a
+	// record, that it is cancelled.
+	Announce(ctx context.Context, id string, record []byte) error
 	// Cancel has the leader store a cancellation.
 	Cancel(ctx context.Context, id string) (known bool, err error)
 }
@@ -73,9 +76,25 @@
 	}
 	err = e.store(ctx, job.ID, record)
 	e.logAnswer("job_submitted", job.ID, queue.Name, began, err)
+	if err == nil {
+		e.announce(ctx, job.ID, record)
+	}
 	return err
 }
 
+// announce tells the leader at once what its watch tells it a few milliseconds
+// later, or seconds later while the store's watches hear nothing. The caller does
+// not wait for it, and nothing depends on it.
+func (e *Entry) announce(ctx context.Context, id string, record []byte) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaderTimeout)
+	go func() {
+		defer cancel()
+		if err := e.Peers.Announce(ctx, id, record); err != nil {
+			e.Log.Event("announce_failed", eventlog.Fields{"job": id, "error": err.Error()})
+		}
+	}()
+}
+
 func (e *Entry) logAnswer(event, id, queue string, began time.Time, err error) {
 	e.observe(event, began, err)
 	f := eventlog.Fields{"job": id, "queue": queue, "took_ms": time.Since(began).Milliseconds(), "outcome": "ok"}
@@ -234,6 +253,9 @@
 	began := time.Now()
 	err := e.cancel(ctx, id)
 	e.logAnswer("job_cancelled", id, queue.Name, began, err)
+	if err == nil {
+		e.announce(ctx, id, nil)
+	}
 	return err
 }
 
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -255,6 +255,18 @@
 	return true
 }
 
+// Announced takes a job, or a cancellation, over that is in the store already. It
+// returns false when this process does not lead for certain: then the leader's
+// watch tells it.
+func (l *Leader) Announced(key string, value []byte) bool {
+	t := l.current()
+	if t == nil || !t.tenure.Confirmed() {
+		return false
+	}
+	t.observeJobs([]durable.Item{{Key: key, Value: value}}, false)
+	return true
+}
+
 // observeJobs takes new jobs and cancels over.
 func (t *term) observeJobs(items []durable.Item, _ bool) {
 	if !t.awaitConfirmed() {
--- a/internal/scheduling/scheduling.twirp.go
+++ b/internal/scheduling/scheduling.twirp.go
@@ -39,8 +39,12 @@
 	// QueueState counts a queue's jobs of which nothing has started.
 	QueueState(context.Context, *QueueStateRequest) (*QueueStateResponse, error)
 
-	// Load tells how much work waits, for the admission of more.
-	Load(context.Context, *LoadRequest) (*LoadResponse, error)
+	// Announce tells the leader of a job that is in the store: its own watch may be
+	// silent for a while.
+	Announce(context.Context, *SubmitRequest) (*SubmitResponse, error)
+
+	// AnnounceCancel tells the leader of a cancellation that is in the store.
+	AnnounceCancel(context.Context, *CancelRequest) (*CancelResponse, error)
 
 	// Submit stores a job for a process that does not reach the store.
 	Submit(context.Context, *SubmitRequest) (*SubmitResponse, error)
@@ -55,7 +59,7 @@
 
 type schedulingProtobufClient struct {
 	client      HTTPClient
-	urls        [5]string
+	urls        [6]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -83,10 +87,11 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "rattanwall.scheduling", "Scheduling")
-	urls := [5]string{
+	urls := [6]string{
 		serviceURL + "JobState",
 		serviceURL + "QueueState",
-		serviceURL + "Load",
+		serviceURL + "Announce",
+		serviceURL + "AnnounceCancel",
 		serviceURL + "Submit",
 		serviceURL + "Cancel",
 	}
@@ -191,26 +196,26 @@
 	return out, nil
 }
 
-func (c *schedulingProtobufClient) Load(ctx context.Context, in *LoadRequest) (*LoadResponse, error) {
+func (c *schedulingProtobufClient) Announce(ctx context.Context, in *SubmitRequest) (*SubmitResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "rattanwall.scheduling")
 	ctx = ctxsetters.WithServiceName(ctx, "Scheduling")
-	ctx = ctxsetters.WithMethodName(ctx, "Load")
-	caller := c.callLoad
+	ctx = ctxsetters.WithMethodName(ctx, "Announce")
+	caller := c.callAnnounce
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *LoadRequest) (*LoadResponse, error) {
+		caller = func(ctx context.Context, req *SubmitRequest) (*SubmitResponse, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*LoadRequest)
+					typedReq, ok := req.(*SubmitRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*LoadRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*SubmitRequest) when calling interceptor")
 					}
-					return c.callLoad(ctx, typedReq)
+					return c.callAnnounce(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*LoadResponse)
+				typedResp, ok := resp.(*SubmitResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*LoadResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*SubmitResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -220,8 +225,8 @@
 	return caller(ctx, in)
 }
 
-func (c *schedulingProtobufClient) callLoad(ctx context.Context, in *LoadRequest) (*LoadResponse, error) {
-	out := new(LoadResponse)
+func (c *schedulingProtobufClient) callAnnounce(ctx context.Context, in *SubmitRequest) (*SubmitResponse, error) {
+	out := new(SubmitResponse)
 	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -237,6 +242,52 @@
 	return out, nil
 }
 
+func (c *schedulingProtobufClient) AnnounceCancel(ctx context.Context, in *CancelRequest) (*CancelResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "rattanwall.scheduling")
+	ctx = ctxsetters.WithServiceName(ctx, "Scheduling")
+	ctx = ctxsetters.WithMethodName(ctx, "AnnounceCancel")
+	caller := c.callAnnounceCancel
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *CancelRequest) (*CancelResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*CancelRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*CancelRequest) when calling interceptor")
+					}
+					return c.callAnnounceCancel(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*CancelResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*CancelResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *schedulingProtobufClient) callAnnounceCancel(ctx context.Context, in *CancelRequest) (*CancelResponse, error) {
+	out := new(CancelResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *schedulingProtobufClient) Submit(ctx context.Context, in *SubmitRequest) (*SubmitResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "rattanwall.scheduling")
 	ctx = ctxsetters.WithServiceName(ctx, "Scheduling")
@@ -268,7 +319,7 @@
 
 func (c *schedulingProtobufClient) callSubmit(ctx context.Context, in *SubmitRequest) (*SubmitResponse, error) {
 	out := new(SubmitResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -314,7 +365,7 @@
 
 func (c *schedulingProtobufClient) callCancel(ctx context.Context, in *CancelRequest) (*CancelResponse, error) {
 	out := new(CancelResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -335,7 +386,7 @@
 
 type schedulingJSONClient struct {
 	client      HTTPClient
-	urls        [5]string
+	urls        [6]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -363,10 +414,11 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "rattanwall.scheduling", "Scheduling")
-	urls := [5]string{
+	urls := [6]string{
 		serviceURL + "JobState",
 		serviceURL + "QueueState",
-		serviceURL + "Load",
+		serviceURL + "Announce",
+		serviceURL + "AnnounceCancel",
 		serviceURL + "Submit",
 		serviceURL + "Cancel",
 	}
@@ -471,26 +523,26 @@
 	return out, nil
 }
 
-func (c *schedulingJSONClient) Load(ctx context.Context, in *LoadRequest) (*LoadResponse, error) {
+func (c *schedulingJSONClient) Announce(ctx context.Context, in *SubmitRequest) (*SubmitResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "rattanwall.scheduling")
 	ctx = ctxsetters.WithServiceName(ctx, "Scheduling")
-	ctx = ctxsetters.WithMethodName(ctx, "Load")
-	caller := c.callLoad
+	ctx = ctxsetters.WithMethodName(ctx, "Announce")
+	caller := c.callAnnounce
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *LoadRequest) (*LoadResponse, error) {
+		caller = func(ctx context.Context, req *SubmitRequest) (*SubmitResponse, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*LoadRequest)
+					typedReq, ok := req.(*SubmitRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*LoadRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*SubmitRequest) when calling interceptor")
 					}
-					return c.callLoad(ctx, typedReq)
+					return c.callAnnounce(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*LoadResponse)
+				typedResp, ok := resp.(*SubmitResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*LoadResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*SubmitResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -500,8 +552,8 @@
 	return caller(ctx, in)
 }
 
-func (c *schedulingJSONClient) callLoad(ctx context.Context, in *LoadRequest) (*LoadResponse, error) {
-	out := new(LoadResponse)
+func (c *schedulingJSONClient) callAnnounce(ctx context.Context, in *SubmitRequest) (*SubmitResponse, error) {
+	out := new(SubmitResponse)
 	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -517,6 +569,52 @@
 	return out, nil
 }
 
+func (c *schedulingJSONClient) AnnounceCancel(ctx context.Context, in *CancelRequest) (*CancelResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "rattanwall.scheduling")
+	ctx = ctxsetters.WithServiceName(ctx, "Scheduling")
+	ctx = ctxsetters.WithMethodName(ctx, "AnnounceCancel")
+	caller := c.callAnnounceCancel
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *CancelRequest) (*CancelResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*CancelRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*CancelRequest) when calling interceptor")
+					}
+					return c.callAnnounceCancel(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*CancelResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*CancelResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *schedulingJSONClient) callAnnounceCancel(ctx context.Context, in *CancelRequest) (*CancelResponse, error) {
+	out := new(CancelResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *schedulingJSONClient) Submit(ctx context.Context, in *SubmitRequest) (*SubmitResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "rattanwall.scheduling")
 	ctx = ctxsetters.WithServiceName(ctx, "Scheduling")
@@ -548,7 +646,7 @@
 
 func (c *schedulingJSONClient) callSubmit(ctx context.Context, in *SubmitRequest) (*SubmitResponse, error) {
 	out := new(SubmitResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -594,7 +692,7 @@
 
 func (c *schedulingJSONClient) callCancel(ctx context.Context, in *CancelRequest) (*CancelResponse, error) {
 	out := new(CancelResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -712,8 +810,11 @@
 	case "QueueState":
 		s.serveQueueState(ctx, resp, req)
 		return
-	case "Load":
-		s.serveLoad(ctx, resp, req)
+	case "Announce":
+		s.serveAnnounce(ctx, resp, req)
+		return
+	case "AnnounceCancel":
+		s.serveAnnounceCancel(ctx, resp, req)
 		return
 	case "Submit":
 		s.serveSubmit(ctx, resp, req)
@@ -1088,7 +1189,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *schedulingServer) serveLoad(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *schedulingServer) serveAnnounce(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1096,9 +1197,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveLoadJSON(ctx, resp, req)
+		s.serveAnnounceJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveLoadProtobuf(ctx, resp, req)
+		s.serveAnnounceProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1106,9 +1207,9 @@
 	}
 }
 
-func (s *schedulingServer) serveLoadJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *schedulingServer) serveAnnounceJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Load")
+	ctx = ctxsetters.WithMethodName(ctx, "Announce")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1121,29 +1222,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(LoadRequest)
+	reqContent := new(SubmitRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Scheduling.Load
+	handler := s.Scheduling.Announce
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *LoadRequest) (*LoadResponse, error) {
+		handler = func(ctx context.Context, req *SubmitRequest) (*SubmitResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*LoadRequest)
+					typedReq, ok := req.(*SubmitRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*LoadRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*SubmitRequest) when calling interceptor")
 					}
-					return s.Scheduling.Load(ctx, typedReq)
+					return s.Scheduling.Announce(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*LoadResponse)
+				typedResp, ok := resp.(*SubmitResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*LoadResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*SubmitResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1152,7 +1253,7 @@
 	}
 
 	// Call service method
-	var respContent *LoadResponse
+	var respContent *SubmitResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1163,7 +1264,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *LoadResponse and nil error while calling Load. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SubmitResponse and nil error while calling Announce. nil responses are not supported"))
 		return
 	}
 
@@ -1189,9 +1290,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *schedulingServer) serveLoadProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *schedulingServer) serveAnnounceProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Load")
+	ctx = ctxsetters.WithMethodName(ctx, "Announce")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1203,28 +1304,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(LoadRequest)
+	reqContent := new(SubmitRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Scheduling.Load
+	handler := s.Scheduling.Announce
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *LoadRequest) (*LoadResponse, error) {
+		handler = func(ctx context.Context, req *SubmitRequest) (*SubmitResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*LoadRequest)
+					typedReq, ok := req.(*SubmitRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*LoadRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*SubmitRequest) when calling interceptor")
 					}
-					return s.Scheduling.Load(ctx, typedReq)
+					return s.Scheduling.Announce(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*LoadResponse)
+				typedResp, ok := resp.(*SubmitResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*LoadResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*SubmitResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1233,7 +1334,187 @@
 	}
 
 	// Call service method
-	var respContent *LoadResponse
+	var respContent *SubmitResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SubmitResponse and nil error while calling Announce. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *schedulingServer) serveAnnounceCancel(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveAnnounceCancelJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveAnnounceCancelProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *schedulingServer) serveAnnounceCancelJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "AnnounceCancel")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(CancelRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Scheduling.AnnounceCancel
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *CancelRequest) (*CancelResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*CancelRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*CancelRequest) when calling interceptor")
+					}
+					return s.Scheduling.AnnounceCancel(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*CancelResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*CancelResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *CancelResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *CancelResponse and nil error while calling AnnounceCancel. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *schedulingServer) serveAnnounceCancelProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "AnnounceCancel")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(CancelRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Scheduling.AnnounceCancel
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *CancelRequest) (*CancelResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*CancelRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*CancelRequest) when calling interceptor")
+					}
+					return s.Scheduling.AnnounceCancel(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*CancelResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*CancelResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *CancelResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1244,7 +1525,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *LoadResponse and nil error while calling Load. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *CancelResponse and nil error while calling AnnounceCancel. nil responses are not supported"))
 		return
 	}
 
@@ -2209,34 +2490,28 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 449 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x54, 0x51, 0x6f, 0xd3, 0x30,
-	0x10, 0x56, 0x9a, 0x2e, 0x6c, 0xb7, 0xad, 0x0c, 0x6b, 0x40, 0xd4, 0x17, 0x32, 0x33, 0x46, 0xf6,
-	0x92, 0x49, 0xe3, 0x01, 0x24, 0x24, 0x10, 0xf0, 0x82, 0x10, 0x08, 0x91, 0x8a, 0x17, 0x78, 0x40,
-	0x4e, 0x62, 0xa5, 0xd6, 0x52, 0xbb, 0x8d, 0x1d, 0xf5, 0x47, 0xf2, 0xa7, 0x50, 0x6c, 0xa7, 0x49,
-	0x50, 0xd3, 0xee, 0xed, 0xee, 0xf2, 0xdd, 0xf7, 0x5d, 0xee, 0x3b, 0x19, 0x2e, 0x19, 0x57, 0xb4,
-	0xe4, 0xa4, 0xb8, 0x91, 0xe9, 0x9c, 0x66, 0x55, 0xc1, 0x78, 0xde, 0x09, 0xa3, 0x65, 0x29, 0x94,
-	0x40, 0x8f, 0x4b, 0xa2, 0x14, 0xe1, 0x6b, 0x52, 0x14, 0x51, 0xfb, 0x11, 0x5f, 0xc0, 0xc3, 0x2f,
-	0x22, 0x99, 0x29, 0xa2, 0x68, 0x4c, 0x57, 0x15, 0x95, 0x0a, 0x4d, 0x60, 0xc4, 0x32, 0xdf, 0x09,
-	0x9c, 0xf0, 0x28, 0x1e, 0xb1, 0x0c, 0xbf, 0x83, 0xb3, 0x16, 0x22, 0x97, 0x82, 0x4b, 0x8a, 0xce,
-	0xe1, 0xe0, 0x8e, 0x8b, 0x35, 0xd7, 0xb0, 0xc3, 0xd8, 0x24, 0x75, 0x55, 0xd6, 0x30, 0x7f, 0xa4,
-	0x9b, 0x4d, 0x82, 0xaf, 0xe1, 0xd1, 0x8f, 0x8a, 0x56, 0xb4, 0x27, 0x72, 0x0e, 0x07, 0xab, 0xba,
-	0x68, 0x75, 0x4c, 0x82, 0x23, 0x40, 0x5d, 0xa8, 0x15, 0xf3, 0xe1, 0xc1, 0x9a, 0x30, 0xc5, 0x78,
-	0xae, 0xd1, 0x6e, 0xdc, 0xa4, 0xf8, 0x02, 0x8e, 0xbf, 0x0a, 0x92, 0x35, 0xa4, 0x08, 0xc6, 0x5c,
-	0x64, 0x0d, 0xa7, 0x8e, 0xf1, 0x67, 0x38, 0x31, 0x10, 0x4b, 0xf6, 0x06, 0x3c, 0xad, 0x25, 0x7d,
-	0x27, 0x70, 0xc3, 0xe3, 0xdb, 0x20, 0xda, 0xba, 0x98, 0x48, 0xcf, 0xa1, 0x3b, 0x2d, 0x1e, 0xcf,
-	0xe1, 0x68, 0x53, 0xdc, 0x3e, 0x3f, 0x7a, 0x6a, 0x26, 0xfd, 0xb3, 0x90, 0x7a, 0x05, 0x6e, 0xec,
-	0xd5, 0xe9, 0x37, 0x59, 0xff, 0x42, 0x42, 0xd2, 0xbb, 0x42, 0xe4, 0xbe, 0x1b, 0x38, 0xa1, 0x13,
-	0x37, 0x69, 0x3d, 0x73, 0x59, 0xaf, 0x6c, 0xac, 0xcb, 0x3a, 0xc6, 0xaf, 0xe1, 0x74, 0x56, 0x25,
-	0x0b, 0xa6, 0x06, 0x2c, 0x41, 0x4f, 0xc0, 0x2b, 0x69, 0x2a, 0xca, 0x4c, 0xcb, 0x9c, 0xc4, 0x36,
-	0xc3, 0x67, 0x30, 0x69, 0x1a, 0xcd, 0xef, 0xe2, 0x67, 0x70, 0xfa, 0x89, 0xf0, 0x94, 0x16, 0x43,
-	0xee, 0x5e, 0xc1, 0xa4, 0x01, 0xec, 0xf2, 0xf6, 0xf6, 0xaf, 0x0b, 0x30, 0xdb, 0xac, 0x07, 0xfd,
-	0x86, 0xc3, 0xe6, 0x28, 0xd0, 0xd5, 0xc0, 0x0a, 0xff, 0x3b, 0xac, 0xe9, 0xcb, 0xbd, 0x38, 0x3b,
-	0x01, 0x01, 0x68, 0xcf, 0x00, 0x85, 0xbb, 0x1c, 0xea, 0x09, 0x5c, 0xdf, 0x03, 0x69, 0x25, 0xbe,
-	0xc3, 0x58, 0xfb, 0x88, 0x07, 0x5a, 0x3a, 0x67, 0x35, 0x7d, 0xbe, 0x13, 0x63, 0x09, 0x7f, 0x82,
-	0x67, 0x56, 0x8f, 0x2e, 0x07, 0xe0, 0x3d, 0x4b, 0xa7, 0x2f, 0xf6, 0xa0, 0x5a, 0x5a, 0x63, 0xcf,
-	0x20, 0x6d, 0xcf, 0xde, 0x41, 0xda, 0xbe, 0xc7, 0x1f, 0x3f, 0xfc, 0x7a, 0x9f, 0x33, 0x35, 0xaf,
-	0x92, 0x28, 0x15, 0x8b, 0x9b, 0xb6, 0xa5, 0x1b, 0x6e, 0x79, 0x56, 0xde, 0xb6, 0x61, 0xe2, 0xe9,
-	0x77, 0xe5, 0xd5, 0xbf, 0x00, 0x00, 0x00, 0xff, 0xff, 0xb4, 0x07, 0xd5, 0xe0, 0x7f, 0x04, 0x00,
-	0x00,
+	// 362 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xb4, 0x53, 0x4f, 0x4f, 0xfa, 0x40,
+	0x14, 0x0c, 0xfc, 0x7e, 0x54, 0x7c, 0x91, 0x8a, 0x1b, 0x34, 0x84, 0x8b, 0xba, 0x41, 0x84, 0x4b,
+	0x49, 0xf4, 0xe0, 0xc1, 0x44, 0x83, 0xde, 0xbc, 0x59, 0x42, 0x4c, 0x34, 0x1e, 0xb6, 0xed, 0x06,
+	0x36, 0x96, 0xb7, 0xd0, 0xee, 0x86, 0xef, 0xe5, 0x27, 0x34, 0xf4, 0x8f, 0xa5, 0x48, 0xc5, 0x83,
+	0xde, 0xde, 0x6b, 0x67, 0xde, 0x4c, 0x66, 0xb2, 0xd0, 0x16, 0xa8, 0x78, 0x80, 0xcc, 0xef, 0x87,
+	0xee, 0x84, 0x7b, 0xda, 0x17, 0x38, 0x5e, 0x19, 0xad, 0x59, 0x20, 0x95, 0x24, 0x87, 0x01, 0x53,
+	0x8a, 0xe1, 0x82, 0xf9, 0xbe, 0x95, 0xfd, 0xa4, 0xa7, 0xb0, 0xff, 0x20, 0x9d, 0xa1, 0x62, 0x8a,
+	0xdb, 0x7c, 0xae, 0x79, 0xa8, 0x88, 0x09, 0x65, 0xe1, 0x35, 0x4b, 0x27, 0xa5, 0xee, 0xae, 0x5d,
+	0x16, 0x1e, 0xbd, 0x81, 0x7a, 0x06, 0x09, 0x67, 0x12, 0x43, 0x4e, 0x1a, 0x50, 0x79, 0x43, 0xb9,
+	0xc0, 0x08, 0x56, 0xb5, 0xe3, 0x65, 0xf9, 0x35, 0x5c, 0xc2, 0x9a, 0xe5, 0x88, 0x1c, 0x2f, 0xb4,
+	0x07, 0x07, 0x8f, 0x9a, 0x6b, 0x9e, 0x13, 0x69, 0x40, 0x65, 0xbe, 0xfc, 0x98, 0xe8, 0xc4, 0x0b,
+	0xb5, 0x80, 0xac, 0x42, 0x13, 0xb1, 0x26, 0xec, 0x2c, 0x98, 0x50, 0x02, 0xc7, 0x11, 0xfa, 0x9f,
+	0x9d, 0xae, 0xf4, 0x0a, 0x6a, 0x43, 0xed, 0x4c, 0x85, 0x2a, 0xf0, 0x4e, 0x8e, 0xc0, 0x08, 0xb8,
+	0x2b, 0x03, 0x2f, 0xb2, 0xb4, 0x67, 0x27, 0x1b, 0xad, 0x83, 0x99, 0x12, 0x63, 0x11, 0x7a, 0x0c,
+	0xb5, 0x7b, 0x86, 0x2e, 0xf7, 0x8b, 0x62, 0xe8, 0x80, 0x99, 0x02, 0xbe, 0x0b, 0xe1, 0xe2, 0xfd,
+	0x3f, 0xc0, 0xf0, 0x33, 0x60, 0xf2, 0x02, 0xd5, 0x34, 0x3d, 0xd2, 0xb1, 0x36, 0x96, 0x60, 0xad,
+	0x35, 0xd0, 0x3a, 0xdf, 0x8a, 0x4b, 0x1c, 0x30, 0x80, 0x2c, 0x2f, 0xd2, 0x2d, 0xa0, 0x7d, 0x49,
+	0xbf, 0xd5, 0xfb, 0x01, 0x32, 0x91, 0x78, 0x82, 0xea, 0x00, 0x51, 0x6a, 0x74, 0x39, 0x69, 0x17,
+	0xd0, 0x72, 0x1d, 0xb4, 0xce, 0xb6, 0xa0, 0x92, 0xc3, 0xaf, 0x60, 0xa6, 0x87, 0xe3, 0x5c, 0x0b,
+	0xcf, 0xe7, 0x7a, 0x29, 0x3c, 0xbf, 0x56, 0xce, 0x08, 0x8c, 0x58, 0xf0, 0x77, 0x5d, 0x8f, 0xc0,
+	0xf8, 0x03, 0xb7, 0x77, 0x83, 0xe7, 0xdb, 0xb1, 0x50, 0x13, 0xed, 0x58, 0xae, 0x9c, 0xf6, 0x33,
+	0xca, 0xea, 0xb8, 0xe1, 0x99, 0x5f, 0x67, 0xa3, 0x63, 0x44, 0xef, 0xfc, 0xf2, 0x23, 0x00, 0x00,
+	0xff, 0xff, 0x22, 0x2a, 0x53, 0xf8, 0x0f, 0x04, 0x00, 0x00,
 }
