--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -28,6 +28,9 @@
 	// effectPenalty keeps fillers off VMs where they press on what serves, for
 	// each unit of the logarithm of a tail.
 	effectPenalty = 3.0
+	// harmless is the effect, as a logarithm, that is within the slopes' noise for
+	// a tenth of a VM's processors.
+	harmless = 0.05
 	// negligible is the effect, as a logarithm, of a filler that may start beside
 	// any serving task.
 	negligible = 0.02
@@ -216,7 +219,7 @@
 		if worst > aimAt && effect > negligible {
 			return 0, false
 		}
-		score -= effectPenalty * effect
+		score -= effectPenalty * max(0, effect-harmless)
 	case spec.Serves():
 		score = purityWeight*v.purity(spec.Image) - free
 	}
