--- a/internal/leader/rebuild.go
+++ b/internal/leader/rebuild.go
@@ -70,7 +70,11 @@
 	}
 	now := steady.Now()
 	t.sched.SetInstances(now, list)
-	t.sched.Expect(now, survivors(earlier, list), now+t.longestLease())
+	used := survivors(earlier, list)
+	t.sched.Expect(now, used, now+t.longestLease())
+	for _, id := range used {
+		t.sched.AddUnlisted(now, batch.Instance{ID: id, Address: earlier[id]})
+	}
 	count := t.takeJobs(now, jobs, progress)
 	return rebuilt{count: count, revision: revision}, nil
 }
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -121,3 +121,35 @@
 	state, _ = f.s.State("j")
 	require.Equal(t, batch.Completed, state)
 }
+
+// Symptom: lasting tasks are not at work for 13 s after a change of leader.
+// Sequence: VMs leave while the store is away, so that the record of instances
+// still names them; a new leader waits for them as long as for those that are cut off.
+func TestUnlistedVMsAreNotWaitedForLong(t *testing.T) {
+	f := newFixture(t, 1)
+	f.s.Expect(f.now, []string{"vm00", "left"}, f.now+12*time.Second)
+	f.s.AddUnlisted(f.now, batch.Instance{ID: "left", Address: "10.9.9.9:1"})
+	f.s.Submit(f.now, Submission{Job: &batch.Job{ID: "old", Steps: []batch.Step{tasks(1, 100)}}, Queue: testQueue, Pool: "pool", Existed: true})
+	f.advance(unlistedGone - 100*time.Millisecond)
+	f.hear("vm00", batch.Report{})
+	f.s.Expire(f.now)
+	f.plan()
+	require.Empty(t, f.started)
+	f.advance(200 * time.Millisecond)
+	f.hear("vm00", batch.Report{})
+	f.s.Expire(f.now)
+	f.plan()
+	require.Len(t, f.started, 1)
+}
+
+// One that only lost the store is heard, and what it runs is taken over.
+func TestUnlistedVMThatAnswersIsHeard(t *testing.T) {
+	f := newFixture(t, 1)
+	f.s.Expect(f.now, []string{"vm00", "cut"}, f.now+12*time.Second)
+	f.s.AddUnlisted(f.now, batch.Instance{ID: "cut", Address: "10.9.9.9:1"})
+	f.s.Submit(f.now, Submission{Job: &batch.Job{ID: "old", Steps: []batch.Step{tasks(1, 100)}}, Queue: testQueue, Pool: "pool", Existed: true})
+	f.hear("cut", batch.Report{Running: []batch.RunStatus{{Task: batch.TaskID{Job: "old"}, Run: 3}}})
+	f.hear("vm00", batch.Report{})
+	f.plan()
+	require.Empty(t, f.started)
+}
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -80,6 +80,16 @@
 	v.inst = inst
 }
 
+// AddUnlisted names an instance that earlier leaders used and that is off the
+// list: it is held like the others, since it may only have lost the store.
+func (s *Scheduler) AddUnlisted(now Time, inst batch.Instance) {
+	if s.vms[inst.ID] != nil {
+		return
+	}
+	s.vms[inst.ID] = &vm{inst: inst, runs: map[batch.TaskID]*run{}, heardAt: now, unlistedAt: now}
+	s.sortVMs()
+}
+
 // sortVMs keeps the VMs in a fixed order, so that equal inputs give equal plans.
 func (s *Scheduler) sortVMs() {
 	s.order = s.order[:0]
@@ -278,6 +288,10 @@
 		s.logf(Decision{Event: EventInterference, Reason: s.images.describe()})
 	}
 	for id, until := range s.silent {
+		if v := s.vms[id]; v != nil && !v.listed && now-v.unlistedAt > unlistedGone {
+			s.Gone(now, id, "off the list and unheard")
+			continue
+		}
 		if now > until {
 			delete(s.silent, id)
 			s.changed = true
@@ -302,6 +316,12 @@
 	}
 }
 
+// unlistedGone is how long an instance that this leader never heard may be off the
+// list before it is taken as gone. An entry goes 4.5 s after the last heartbeat at
+// the earliest, so that by then the leases of before are over too; entries that
+// lapsed with the store are back 2 s after its return.
+const unlistedGone = 4 * time.Second
+
 // leftAfter is how long a draining VM that is off the list may be unheard before
 // it is taken to have left.
 const leftAfter = 1200 * time.Millisecond
