A process that is cut off from the store answers at once and is not ready

Now two tries of half a second, then 504; a process whose watch has been silent for 2.4 s asks the leader only, and refuses at once if that does not answer either.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -24,6 +24,7 @@
 	"github.com/rattanwall/rattanwall/internal/leader"
 	"github.com/rattanwall/rattanwall/internal/scheduler"
 	"github.com/rattanwall/rattanwall/internal/scheduling"
+	"github.com/rattanwall/rattanwall/internal/steady"
 )
 
 // Settings of the process.
@@ -70,6 +71,13 @@
 	// whose connection went silent is given up 0.6 s later, so that a change
 	// is in force within 2 s all the same.
 	configWatch = time.Second
+	// storeSilent is how long the store may leave the watch of the configuration
+	// without an answer before this process counts it as away: one watch of 1 s
+	// that fails 0.6 s late, and a second try.
+	storeSilent = 2400 * time.Millisecond
+	// leaderSilent is how old the leader's last answer may be for it to count as
+	// a way to the store.
+	leaderSilent = 3 * time.Second
 	// noticeTime is how long the balancer takes to see that a process is not
 	// ready: two probes, one a second, and their way.
 	noticeTime = 2500 * time.Millisecond
@@ -103,6 +111,8 @@
 	aborted  chan struct{}
 	servers  []*http.Server
 	metrics  *metrics
+	operator *follow.Follower
+	peers    *peers
 }
 
 // New puts the process together.
@@ -117,10 +127,15 @@
 	e.leader.Observe = e.metrics.decision
 	e.election = leader.NewElection(p.Store, leader.Record{Node: s.Node, Address: s.Peers}, s.Processor, log, e.leader.Lead)
 	local := &peerServer{leader: e.leader, store: p.Store}
+	e.operator = &follow.Follower{
+		Store: p.Store, Prefix: p.OperatorPrefix, Wait: configWatch, Handle: e.observeOperator,
+		Failed: func(err error) { log.Warn("config_watch_failed", err, nil) },
+	}
+	e.peers = &peers{self: s.Peers, election: e.election, local: local, client: p.PeerClient}
 	e.entry = &entry.Entry{
 		Store: p.Store, InForce: e.config.Load, Accepting: e.ready, WallMS: wallMS, Log: log,
-		Observe: e.metrics.request,
-		Peers:   &peers{self: s.Peers, election: e.election, local: local, client: p.PeerClient},
+		Observe: e.metrics.request, StoreAnswers: e.storeAnswers,
+		Peers: e.peers,
 	}
 	callers, ready := p.Callers(e.entry)
 	e.serve(s.Callers, callers)
@@ -159,10 +174,7 @@
 		EventHook:                func(ev suture.Event) { e.log.Event("supervisor", ev.Map()) },
 		DontPropagateTermination: true,
 	})
-	tree.Add(&follow.Follower{
-		Store: e.platform.Store, Prefix: e.platform.OperatorPrefix, Wait: configWatch, Handle: e.observeOperator,
-		Failed: func(err error) { e.log.Warn("config_watch_failed", err, nil) },
-	})
+	tree.Add(e.operator)
 	tree.Add(e.election.Follower())
 	tree.Add(e.election)
 	for _, s := range e.servers {
@@ -186,8 +198,14 @@
 	return nil
 }
 
-// ready reports whether callers should come here.
-func (e *Edge) ready() bool { return e.config.Load() != nil && !e.draining.Load() }
+// ready reports whether callers should come here: the process has a configuration
+// and a way to the store, its own or the leader's.
+func (e *Edge) ready() bool {
+	return e.config.Load() != nil && !e.draining.Load() && (e.storeAnswers() || e.peers.answered(leaderSilent))
+}
+
+// storeAnswers reports whether the store has answered this process of late.
+func (e *Edge) storeAnswers() bool { return steady.Now()-e.operator.HeardAt() < storeSilent }
 
 // observeOperator takes over what the operator wrote.
 func (e *Edge) observeOperator(items []durable.Item, _ bool) {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/twitchtv/twirp"
@@ -13,6 +15,7 @@
 	"github.com/rattanwall/rattanwall/internal/entry"
 	"github.com/rattanwall/rattanwall/internal/leader"
 	"github.com/rattanwall/rattanwall/internal/scheduling"
+	"github.com/rattanwall/rattanwall/internal/steady"
 )
 
 // peerServer answers the other processes of the deployment. Only a leader knows
@@ -87,6 +90,9 @@
 	local    *peerServer
 	client   *http.Client
 
+	// answeredAt is when the leader last answered, on the steady clock; 0 for never.
+	answeredAt atomic.Int64
+
 	mu      sync.Mutex
 	address string
 	remote  scheduling.Scheduling
@@ -114,6 +120,19 @@
 	return p.remote, nil
 }
 
+// answered reports whether the leader has answered within the last d.
+func (p *peers) answered(d time.Duration) bool {
+	at := time.Duration(p.answeredAt.Load())
+	return at > 0 && steady.Now()-at < d
+}
+
+// note notes an answer of the leader.
+func (p *peers) note(err error) {
+	if err == nil {
+		p.answeredAt.Store(int64(steady.Now()))
+	}
+}
+
 // State implements entry.Peers.
 func (p *peers) State(ctx context.Context, id string) (batch.State, bool, error) {
 	l, err := p.leader()
@@ -121,6 +140,7 @@
 		return "", false, err
 	}
 	r, err := l.JobState(ctx, &scheduling.JobStateRequest{Id: id})
+	p.note(err)
 	if err != nil {
 		return "", false, err
 	}
@@ -147,6 +167,7 @@
 		return err
 	}
 	_, err = l.Submit(ctx, &scheduling.SubmitRequest{Id: id, Record: record})
+	p.note(err)
 	return storeOutcome(err)
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,11 +19,18 @@
 const (
 	// commitTimeout bounds one try of a write. The store answers within
 	// milliseconds; slow spells of it last for seconds.
-	commitTimeout = 800 * time.Millisecond
+	// A store that is sixty times slower than usual still answers in time.
+	commitTimeout = 500 * time.Millisecond
+	// storeTries is how often a write is tried whose outcome is unknown. The
+	// second try finds what the first has done; a process that gets no answer to
+	// either is cut off, and the caller is better served elsewhere.
+	storeTries = 2
 	// leaderTimeout bounds a question to the leader, after which the store is asked.
 	leaderTimeout = 500 * time.Millisecond
 	// readTimeout bounds one reading of a job's records.
 	readTimeout = 800 * time.Millisecond
+	// cancelTimeout bounds the tries of a cancellation.
+	cancelTimeout = 2 * time.Second
 	// answerMargin is kept of a caller's deadline for the answer's way back.
 	answerMargin = 100 * time.Millisecond
 	// retryPause is the wait between tries of a write whose outcome is unknown.
@@ -54,6 +61,8 @@
 	InForce func() *batch.Config
 	// Accepting reports whether the balancer should send callers here.
 	Accepting func() bool
+	// StoreAnswers reports whether the store has answered this process of late.
+	StoreAnswers func() bool
 	// WallMS is the time of day in milliseconds since 1970.
 	WallMS func() int64
 	Log    *eventlog.Log
@@ -113,10 +122,11 @@
 
 // store creates the job's key. A refusal is only told when no try can have
 // written it; after a lost answer the same write is repeated, and finds what the
-// first has done.
+// first has done. A process that is cut off says so within a second or so: the
+// caller's next try reaches another one.
 func (e *Entry) store(ctx context.Context, id string, record []byte) error {
 	unknown := false
-	for {
+	for try := 1; ; try++ {
 		err := e.storeOnce(ctx, id, record)
 		switch {
 		case err == nil:
@@ -126,7 +136,7 @@
 		case !unknown:
 			return errkind.New(errkind.StoreUnavailable, "not accepted", err)
 		}
-		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < answerMargin+retryPause {
+		if deadline, ok := ctx.Deadline(); try >= storeTries || (ok && time.Until(deadline) < answerMargin+retryPause) {
 			return errkind.New(errkind.StoreUnknown, "it is not known whether the job was accepted", err)
 		}
 		if !sleep(ctx, retryPause) {
@@ -135,15 +145,24 @@
 	}
 }
 
-// storeOnce tries the store, and then the leader's way to it.
+// errStoreSilent: the store has not answered this process for a while; it was not asked.
+var errStoreSilent = errors.Mark(errors.New("the store does not answer this process"), durable.ErrRefused)
+
+// storeOnce tries the store, unless it is known not to answer, and then the
+// leader's way to it.
 func (e *Entry) storeOnce(ctx context.Context, id string, record []byte) error {
-	tryCtx, cancel := e.bounded(ctx, commitTimeout)
-	defer cancel()
-	err := Create(tryCtx, e.Store, leader.JobKey(id), record)
+	err := errStoreSilent
+	if e.StoreAnswers() {
+		tryCtx, cancel := e.bounded(ctx, commitTimeout)
+		err = Create(tryCtx, e.Store, leader.JobKey(id), record)
+		cancel()
+	}
 	if err == nil {
 		return nil
 	}
-	byLeader := e.Peers.Submit(ctx, id, record)
+	askCtx, cancel := e.bounded(ctx, leaderTimeout)
+	defer cancel()
+	byLeader := e.Peers.Submit(askCtx, id, record)
 	if byLeader == nil {
 		return nil
 	}
@@ -191,6 +210,9 @@
 	if err == nil && known {
 		return state, nil
 	}
+	if !e.StoreAnswers() {
+		return "", errkind.New(errkind.StoreUnavailable, "the job's state is not known here", errStoreSilent)
+	}
 	readCtx, cancel := e.bounded(ctx, readTimeout)
 	defer cancel()
 	return e.storedState(readCtx, id)
@@ -261,6 +283,8 @@
 
 func (e *Entry) cancel(ctx context.Context, id string) error {
 	unknown := false
+	ctx, stop := e.bounded(ctx, cancelTimeout)
+	defer stop()
 	for {
 		err := e.cancelOnce(ctx, id)
 		switch {
