--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -14,8 +14,9 @@
 
 const (
 	// holdWait is how long a hold waits for an end; it is also how often the
-	// leases are renewed.
-	holdWait = time.Second
+	// leases are renewed and the figures of serving tasks told, which cover half a
+	// second.
+	holdWait = 600 * time.Millisecond
 	// holdGrace is how much later a hold may answer before its connection
 	// counts as silent.
 	holdGrace = 700 * time.Millisecond
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -9,10 +9,10 @@
 const (
 	// pressedAt is the share of its target at which a serving task's tail counts
 	// as pressed: fillers beside it are slowed before it is over.
-	pressedAt = 0.92
+	pressedAt = 0.88
 	// aimAt is the share that slowing and placing aim for. The rest is for the
 	// task's own load, which moves by a few percent a second.
-	aimAt = 0.84
+	aimAt = 0.8
 	// paceEvery is the least time between two changes on a VM: a change takes
 	// effect after 0.1 s, and the figure then covers half a second more.
 	paceEvery = 700 * time.Millisecond
