rattanwall dev platform: a whole deployment on the stand-in, with mishaps and a verdict

Three processes, six VMs, jobs of two steps; leaders killed and stopped, keys taken away, answers lost, late writes and starts, history dropped, VMs crashed.

--- a/internal/batch/job_test.go
+++ b/internal/batch/job_test.go
@@ -9,8 +9,10 @@
 
 func TestChainFollowsDependencies(t *testing.T) {
 	j := Job{Steps: []Step{
-		{Tasks: 1, Estimate: 2 * time.Second}, {Tasks: 1, Estimate: time.Second},
-		{Tasks: 3, Estimate: 3 * time.Second, After: []int{1}}, {Tasks: 1, Estimate: time.Second, After: []int{0, 2}},
+		{Tasks: 1, Estimate: 2 * time.Second},
+		{Tasks: 1, Estimate: time.Second},
+		{Tasks: 3, Estimate: 3 * time.Second, After: []int{1}},
+		{Tasks: 1, Estimate: time.Second, After: []int{0, 2}},
 	}}
 	require.NoError(t, j.Validate())
 	require.Equal(t, 5*time.Second, j.Chain())
--- a/internal/command/dev.go
+++ b/internal/command/dev.go
@@ -53,6 +53,7 @@
 	cmd.Flags().StringVar(&name, "deployment", "cofnod-criw", "shape: "+strings.Join(deploymentNames(), " or "))
 	cmd.Flags().DurationVar(&duration, "for", 30*time.Second, "how long the load lasts")
 	cmd.Flags().BoolVar(&asJSON, "json", false, "print the report as JSON")
+	cmd.AddCommand(newDevPlatform())
 	cmd.Flags().StringVar(&level, "log", "error", "log level of the nodes: debug, info, warning, error")
 	return cmd
 }
