--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -134,7 +134,7 @@
 	e.peers = &peers{self: s.Peers, election: e.election, local: local, client: p.PeerClient}
 	e.entry = &entry.Entry{
 		Store: p.Store, InForce: e.config.Load, Accepting: e.ready, WallMS: wallMS, Log: log,
-		Observe: e.metrics.request, StoreAnswers: e.storeAnswers,
+		Observe: e.metrics.request, StoreAnswers: e.storeAnswers, LeaderAnswers: e.leaderAnswers,
 		Peers: e.peers,
 	}
 	callers, ready := p.Callers(e.entry)
@@ -201,9 +201,12 @@
 // ready reports whether callers should come here: the process has a configuration
 // and a way to the store, its own or the leader's.
 func (e *Edge) ready() bool {
-	return e.config.Load() != nil && !e.draining.Load() && (e.storeAnswers() || e.peers.answered(leaderSilent))
+	return e.config.Load() != nil && !e.draining.Load() && (e.storeAnswers() || e.leaderAnswers())
 }
 
+// leaderAnswers reports whether another process that leads has answered of late.
+func (e *Edge) leaderAnswers() bool { return e.peers.answered(leaderSilent) }
+
 // storeAnswers reports whether the store has answered this process of late.
 func (e *Edge) storeAnswers() bool { return steady.Now()-e.operator.HeardAt() < storeSilent }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -63,6 +63,8 @@
 	Accepting func() bool
 	// StoreAnswers reports whether the store has answered this process of late.
 	StoreAnswers func() bool
+	// LeaderAnswers reports whether the leader has answered this process of late.
+	LeaderAnswers func() bool
 	// WallMS is the time of day in milliseconds since 1970.
 	WallMS func() int64
 	Log    *eventlog.Log
@@ -160,6 +162,11 @@
 	if err == nil {
 		return nil
 	}
+	if errors.Is(err, errStoreSilent) && !e.LeaderAnswers() {
+		// Cut off from both: to send it all the same would leave the outcome open,
+		// where now it is certain that the job does not run.
+		return err
+	}
 	askCtx, cancel := e.bounded(ctx, leaderTimeout)
 	defer cancel()
 	byLeader := e.Peers.Submit(askCtx, id, record)
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -29,10 +29,10 @@
 	// figure is rough.
 	overAt = 0.97
 	// moveBelow is the pace at which a filler is better off elsewhere.
-	moveBelow = 50
+	moveBelow = 20
 	// moveProgress: a run that cannot resume is moved only below this progress,
 	// in percent: what it has done is lost.
-	moveProgress = 40
+	moveProgress = 15
 	// moveAfter is how long a run is left where it is at first.
 	moveAfter = time.Second
 )
