The reserve for short tasks is kept on one VM in five

Cause (grown sites): a twentieth of each VM is narrower than a short task of four to eight processors.

--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -4,15 +4,17 @@
 	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/rattanwall/rattanwall/internal/batch"
 )
 
 // Lasting tasks hold their processors for minutes. Where more of them come than
 // there is room for, they fill every gap as it opens, and short tasks that may
 // not share processors find none: they wait while they could have run a hundred
-// times. A part of each VM is therefore kept from lasting tasks, sized by what
-// short tasks use. It is kept on every VM rather than as whole VMs: a lasting
-// task that fits somewhere twice over is started there all the same.
+// times. A part of the processors is therefore kept from lasting tasks, sized by
+// what short tasks use. It is kept on one VM in five: a fifth of the room on each
+// would be too narrow for a short task of four processors.
 
 const (
 	// reserveStart is the share kept before anything is known.
@@ -51,7 +53,10 @@
 	r.at = now
 }
 
-// share is the part of each VM's processors that lasting tasks leave free.
+// reserveOn: one VM in so many keeps the reserve of all of them.
+const reserveOn = 5
+
+// share is the part of all processors that lasting tasks leave free.
 func (r *reserve) share() float64 { return min(reservePeak*r.use, reserveMost) }
 
 // followShort measures what short tasks use and wait for.
@@ -78,11 +83,15 @@
 // work again within nine seconds, and its lease takes eight of them.
 const reservePatience = 4 * time.Second
 
-// keeps reports whether a lasting task leaves the VM's reserve free, fits there
-// twice over, or need not because it ran before or has waited for long.
+// reserves reports whether the VM is one that keeps a reserve.
+func (v *vm) reserves() bool { return xxhash.Sum64String(v.inst.ID)%reserveOn == 0 }
+
+// keeps reports whether a lasting task leaves the VM's reserve free, or need not
+// because it ran before or has waited for long.
 func (s *Scheduler) keeps(now Time, v *vm, t *task, free batch.Resources) bool {
-	need := t.step.spec.Need
-	left := float64(free.MilliCPU - need.MilliCPU)
-	return left >= s.reserve.share()*float64(v.inst.Capacity.MilliCPU) || need.Add(need).FitsIn(free) ||
-		t.lastRunEnd > 0 || now-t.step.runnableAt > reservePatience
+	if t.lastRunEnd > 0 || now-t.step.runnableAt > reservePatience || !v.reserves() {
+		return true
+	}
+	left := float64(free.MilliCPU - t.step.spec.Need.MilliCPU)
+	return left >= reserveOn*s.reserve.share()*float64(v.inst.Capacity.MilliCPU)
 }
