--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -15,18 +15,11 @@
 
 // modelLoop stores the learned model.
 func (t *term) modelLoop(ctx context.Context) {
-	ticker := time.NewTicker(modelEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	every(ctx, modelEvery, func() {
 		if err := t.storeModel(ctx); err != nil && ctx.Err() == nil {
 			t.log.Warn("model_not_stored", err, nil)
 		}
-	}
+	})
 }
 
 func (t *term) storeModel(ctx context.Context) error {
--- /dev/null
+++ b/internal/leader/progress.go
@@ -0,0 +1,149 @@
+package leader
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rattanwall/rattanwall/internal/durable"
+	"github.com/rattanwall/rattanwall/internal/eventlog"
+	"github.com/rattanwall/rattanwall/internal/scheduler"
+	"github.com/rattanwall/rattanwall/internal/steady"
+)
+
+const (
+	// flushEvery is how often progress is written. Ends wait for it at their
+	// VMs, jobs that are done until their callers are told.
+	flushEvery   = 40 * time.Millisecond
+	flushTimeout = time.Second
+	// recordsPerTxn: each record takes a condition and a write, and the leader's
+	// key one more condition.
+	recordsPerTxn = (durable.MaxTxnEntries - 1) / 2
+	// keepEnded is how long ended jobs are remembered: longer than callers may
+	// ask, and than a repeated submission may come late.
+	keepEnded   = 10 * time.Minute
+	forgetEvery = time.Second
+	// forgetMost bounds the jobs forgotten at once: three keys each.
+	forgetMost = 10
+)
+
+// flushLoop writes progress.
+func (t *term) flushLoop(ctx context.Context) {
+	every(ctx, flushEvery, func() { t.flushPending(ctx) })
+}
+
+func (t *term) flushPending(ctx context.Context) {
+	t.mu.Lock()
+	f := t.sched.Pending()
+	t.mu.Unlock()
+	if f == nil {
+		return
+	}
+	if err := t.flush(ctx, f); err != nil {
+		if ctx.Err() == nil {
+			t.log.Warn("progress_not_written", err, eventlog.Fields{"records": len(f.Records)})
+		}
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sched.Flushed(f)
+	close(t.flushed)
+	t.flushed = make(chan struct{})
+}
+
+// errDeposed: the leader's key is no longer the one of this tenure.
+var errDeposed = errors.New("another leads")
+
+func (t *term) flush(ctx context.Context, f *scheduler.Flush) error {
+	for start := 0; start < len(f.Records); start += recordsPerTxn {
+		end := min(start+recordsPerTxn, len(f.Records))
+		if err := t.write(ctx, f.Records[start:end]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// write commits some records on condition that this tenure goes on.
+func (t *term) write(ctx context.Context, records []scheduler.Record) error {
+	txn := durable.Txn{Conditions: []durable.Condition{t.leads()}}
+	for i := range records {
+		value, err := json.Marshal(records[i].Progress)
+		if err != nil {
+			return err
+		}
+		key := ProgressKey(records[i].Job)
+		txn.Conditions = append(txn.Conditions, durable.Condition{Key: key, Revision: records[i].Revision})
+		txn.Writes = append(txn.Writes, durable.Write{Key: key, Value: value})
+	}
+	revision, err := t.commit(ctx, txn)
+	var conflict *durable.ConflictError
+	if errors.As(err, &conflict) {
+		// A write whose answer was lost: the next one goes by what is there.
+		t.mu.Lock()
+		for i := range records {
+			found := int64(0)
+			if item := conflict.Item(ProgressKey(records[i].Job)); item != nil {
+				found = item.Revision
+			}
+			t.sched.RecordFound(records[i].Job, found)
+		}
+		t.mu.Unlock()
+	}
+	if err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range records {
+		t.sched.RecordWritten(records[i], revision)
+	}
+	return nil
+}
+
+// leads is the condition that this tenure goes on.
+func (t *term) leads() durable.Condition {
+	return durable.Condition{Key: leaderKey, Revision: t.tenure.Fence}
+}
+
+// commit writes on condition of the leader's key and ends the tenure when that
+// has changed.
+func (t *term) commit(ctx context.Context, txn durable.Txn) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	revision, err := t.Store.Commit(ctx, txn)
+	var conflict *durable.ConflictError
+	if errors.As(err, &conflict) {
+		if item := conflict.Item(leaderKey); item == nil || item.Revision != t.tenure.Fence {
+			t.log.Event("leader_deposed", eventlog.Fields{"fence": t.tenure.Fence})
+			t.tenure.End()
+			return 0, errDeposed
+		}
+	}
+	return revision, err
+}
+
+// forgetLoop removes jobs that ended long ago.
+func (t *term) forgetLoop(ctx context.Context) {
+	every(ctx, forgetEvery, func() { t.forget(ctx) })
+}
+
+func (t *term) forget(ctx context.Context) {
+	t.mu.Lock()
+	gone := t.sched.Forget(steady.Now(), keepEnded, forgetMost)
+	t.mu.Unlock()
+	if len(gone) == 0 {
+		return
+	}
+	txn := durable.Txn{Conditions: []durable.Condition{t.leads()}}
+	for _, id := range gone {
+		txn.Deletes = append(txn.Deletes, JobKey(id), CancelKey(id), ProgressKey(id))
+	}
+	if _, err := t.commit(ctx, txn); err != nil {
+		// They are read again, and forgotten again, by the next leader.
+		t.log.Warn("jobs_not_removed", err, eventlog.Fields{"jobs": len(gone)})
+	}
+}
--- a/internal/leader/rebuild.go
+++ b/internal/leader/rebuild.go
@@ -222,20 +222,13 @@
 
 // listLoop follows the list of instances and holds each of them.
 func (t *term) listLoop(ctx context.Context) {
-	ticker := time.NewTicker(listEvery)
-	defer ticker.Stop()
 	t.holdAll(ctx)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	every(ctx, listEvery, func() {
 		if err := t.refreshInstances(ctx); err != nil && ctx.Err() == nil {
 			t.log.Warn("instances_not_read", err, nil)
 		}
 		t.holdAll(ctx)
-	}
+	})
 }
 
 func (t *term) refreshInstances(ctx context.Context) error {
--- a/internal/leader/waves.go
+++ b/internal/leader/waves.go
@@ -38,19 +38,12 @@
 // wavesLoop follows the waves that the operator asks for.
 func (t *term) wavesLoop(ctx context.Context) {
 	pause(ctx, holderPause)
-	ticker := time.NewTicker(wavesEvery)
-	defer ticker.Stop()
 	written := map[int64]scheduler.WaveStatus{}
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	every(ctx, wavesEvery, func() {
 		if waves := t.Waves(); len(waves) > 0 {
 			t.followWaves(ctx, waves, written)
 		}
-	}
+	})
 }
 
 func (t *term) followWaves(ctx context.Context, waves []batch.Wave, written map[int64]scheduler.WaveStatus) {
