--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/rattanwall/rattanwall/internal/errkind"
 	"github.com/rattanwall/rattanwall/internal/eventlog"
 	"github.com/rattanwall/rattanwall/internal/leader"
+	"github.com/rattanwall/rattanwall/internal/pause"
 )
 
 const (
@@ -141,7 +142,7 @@
 		if deadline, ok := ctx.Deadline(); try >= storeTries || (ok && time.Until(deadline) < answerMargin+retryPause) {
 			return errkind.New(errkind.StoreUnknown, "it is not known whether the job was accepted", err)
 		}
-		if !sleep(ctx, retryPause) {
+		if pause.For(ctx, retryPause); ctx.Err() != nil {
 			return errkind.New(errkind.CallerGone, "", ctx.Err())
 		}
 	}
@@ -308,7 +309,7 @@
 			}
 			return errkind.New(errkind.StoreUnavailable, "not cancelled", err)
 		}
-		if !sleep(ctx, retryPause) {
+		if pause.For(ctx, retryPause); ctx.Err() != nil {
 			return errkind.New(errkind.CallerGone, "", ctx.Err())
 		}
 	}
@@ -341,14 +342,3 @@
 	}
 	return true, Create(ctx, store, leader.CancelKey(id), []byte("{}"))
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rattanwall/rattanwall/internal/durable"
+	"github.com/rattanwall/rattanwall/internal/pause"
 	"github.com/rattanwall/rattanwall/internal/steady"
 )
 
@@ -82,7 +83,7 @@
 // Serve implements suture.Service.
 func (f *Follower) Serve(ctx context.Context) error {
 	p := position{after: f.After}
-	pause := pauseMin
+	wait := pauseMin
 	for ctx.Err() == nil {
 		var err error
 		if p.after == 0 || f.reread.Swap(false) {
@@ -92,7 +93,7 @@
 		}
 		switch {
 		case err == nil:
-			pause = pauseMin
+			wait = pauseMin
 			f.heardAt.Store(int64(steady.Now()))
 			continue
 		case errors.Is(err, durable.ErrCompacted):
@@ -102,8 +103,8 @@
 		if f.Failed != nil && ctx.Err() == nil {
 			f.Failed(err)
 		}
-		sleep(ctx, pause)
-		pause = min(2*pause, pauseMax)
+		pause.For(ctx, wait)
+		wait = min(2*wait, pauseMax)
 	}
 	return ctx.Err()
 }
@@ -130,12 +131,3 @@
 	p.moved(steady.Now(), revision, len(events) > 0)
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -9,6 +9,7 @@
 	"github.com/rattanwall/rattanwall/internal/durable"
 	"github.com/rattanwall/rattanwall/internal/eventlog"
 	"github.com/rattanwall/rattanwall/internal/follow"
+	"github.com/rattanwall/rattanwall/internal/pause"
 	"github.com/rattanwall/rattanwall/internal/scheduler"
 	"github.com/rattanwall/rattanwall/internal/steady"
 )
@@ -205,7 +206,7 @@
 		}
 		began := steady.Now()
 		t.plan(ctx)
-		pause(ctx, min(planRest*(steady.Now()-began), planTick))
+		pause.For(ctx, min(planRest*(steady.Now()-began), planTick))
 	}
 }
 
--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -8,6 +8,7 @@
 
 	"github.com/rattanwall/rattanwall/internal/batch"
 	"github.com/rattanwall/rattanwall/internal/eventlog"
+	"github.com/rattanwall/rattanwall/internal/pause"
 	"github.com/rattanwall/rattanwall/internal/scheduler"
 	"github.com/rattanwall/rattanwall/internal/steady"
 )
@@ -71,7 +72,7 @@
 				t.log.Warn("vm_unanswered", err, eventlog.Fields{"vm": inst.ID})
 			}
 			wait = 0
-			pause(ctx, holdPause)
+			pause.For(ctx, holdPause)
 			continue
 		}
 		failures = 0
@@ -235,7 +236,7 @@
 			t.mu.Unlock()
 			return
 		}
-		pause(ctx, stopPause)
+		pause.For(ctx, stopPause)
 	}
 }
 
@@ -271,12 +272,3 @@
 	t.mu.Unlock()
 	t.awake()
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/leader/waves.go
+++ b/internal/leader/waves.go
@@ -10,6 +10,7 @@
 	"github.com/rattanwall/rattanwall/internal/batch"
 	"github.com/rattanwall/rattanwall/internal/durable"
 	"github.com/rattanwall/rattanwall/internal/eventlog"
+	"github.com/rattanwall/rattanwall/internal/pause"
 	"github.com/rattanwall/rattanwall/internal/scheduler"
 	"github.com/rattanwall/rattanwall/internal/steady"
 )
@@ -37,7 +38,7 @@
 
 // wavesLoop follows the waves that the operator asks for.
 func (t *term) wavesLoop(ctx context.Context) {
-	pause(ctx, holderPause)
+	pause.For(ctx, holderPause)
 	written := map[int64]scheduler.WaveStatus{}
 	every(ctx, wavesEvery, func() {
 		if waves := t.Waves(); len(waves) > 0 {
