--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -4,6 +4,8 @@
 const (
 	// EventAdviceNone: the adviser allowed none of the VMs it was asked about.
 	EventAdviceNone = "advice_none"
+	// EventEndWithheld: an end is never acknowledged, since its task was started again.
+	EventEndWithheld = "end_withheld"
 	// EventInterference: what was learned of interference, now and then.
 	EventInterference = "interference"
 	// EventJobEnded: a job got its final state.
@@ -59,6 +61,7 @@
 // Events lists all of them.
 var Events = []string{
 	EventAdviceNone,
+	EventEndWithheld,
 	EventInterference,
 	EventJobEnded,
 	EventJobTaken,
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -137,7 +137,7 @@
 		return obstaclePool
 	case !v.heard || !v.listed || now-v.heardAt > silentAfter:
 		return obstacleUnheard
-	case v.inst.Draining || v.closed:
+	case v.inst.Draining || v.closed || v.ackLimit > 0:
 		return obstacleDraining
 	case !v.health.usable(now, spec):
 		return obstacleSuspected
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -204,6 +204,8 @@
 	// whose effects are written, to be acknowledged.
 	seen    int64
 	durable int64
+	// ackLimit, where set, is the first end that is never acknowledged; see withhold.
+	ackLimit int64
 	// trouble rates failures of late; see health.go.
 	health health
 	// leaseUntil is the end of the lease on the instance's clock.
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -153,3 +153,52 @@
 	f.plan()
 	require.Empty(t, f.started)
 }
+
+// Symptom: a task counts as run twice: it ended well, was started again, and then
+// its first end was acknowledged.
+// Sequence: a VM is unheard for longer than its lease, while its one run ends; the
+// task is started elsewhere; the VM comes back and tells the end.
+func TestSupersededEndIsNeverAcknowledged(t *testing.T) {
+	f := newFixture(t, 2)
+	f.hearAll(nil)
+	f.submit("j", tasks(1, 100))
+	f.plan()
+	first := f.last("j.0.0.0")
+	f.confirm(first)
+	other := f.list[0].ID
+	if other == first.Instance.ID {
+		other = f.list[1].ID
+	}
+	_, _ = f.s.Hold(f.now, first.Instance.ID, 0)
+	f.advance(9 * time.Second)
+	f.hear(other, batch.Report{})
+	f.s.Expire(f.now)
+	f.plan()
+	second := f.last("j.0.0.0")
+	require.Equal(t, other, second.Instance.ID)
+	f.s.Heard(f.now, f.now, first.Instance.ID, batch.Report{Clock: f.now + time.Hour, Ended: []batch.RunEnd{ended(1, first, batch.EndDone)}})
+	if flush := f.s.Pending(); flush != nil {
+		f.s.Flushed(flush)
+	}
+	hold, _ := f.s.Hold(f.now, first.Instance.ID, 0)
+	require.Zero(t, hold.Acked)
+	f.hear(other, batch.Report{Ended: []batch.RunEnd{ended(1, second, batch.EndDone)}})
+	require.Equal(t, batch.Completed, f.s.Pending().Records[0].Progress.State)
+}
+
+// Where the VM says that its lease lapsed after that end, it may be acknowledged.
+func TestEndBeforeLapseIsAcknowledged(t *testing.T) {
+	f := newFixture(t, 1)
+	f.hearAll(nil)
+	f.submit("j", tasks(2, 100))
+	f.plan()
+	a, b := f.last("j.0.0.0"), f.last("j.0.0.1")
+	f.hear("vm00", batch.Report{Ended: []batch.RunEnd{ended(1, a, batch.EndDone), ended(2, b, batch.EndLapsed)}})
+	flush := f.s.Pending()
+	for _, r := range flush.Records {
+		f.s.RecordWritten(r, 1)
+	}
+	f.s.Flushed(flush)
+	hold, _ := f.s.Hold(f.now, "vm00", 0)
+	require.EqualValues(t, 2, hold.Acked)
+}
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -147,7 +147,7 @@
 	if v == nil {
 		return batch.HoldOrder{}, false
 	}
-	o := batch.HoldOrder{Fence: s.fence, Acked: v.durable, Wait: wait}
+	o := batch.HoldOrder{Fence: s.fence, Acked: v.acked(), Wait: wait}
 	if v.clock.known && !v.unanswered {
 		o.LeaseUntil = v.renew(now, s.settings.Lease())
 	}
@@ -167,7 +167,7 @@
 // acknowledged yet, since their effect is not durable.
 func (s *Scheduler) Unacked(id string) bool {
 	v := s.vms[id]
-	return v != nil && v.seen > v.durable
+	return v != nil && v.seen > v.acked()
 }
 
 // Heard takes an instance's report over; the hold was sent at sentAt.
@@ -188,12 +188,7 @@
 	v.heardAt = now
 	v.unanswered = false
 	delete(s.silent, id)
-	for i := range rep.Ended {
-		if e := &rep.Ended[i]; e.Seq > v.seen {
-			v.seen = e.Seq
-			s.ended(now, v, e)
-		}
-	}
+	s.takeEnds(now, v, rep.Ended)
 	listed := make(map[*run]bool, len(rep.Running))
 	for i := range rep.Running {
 		if r := s.observe(now, v, &rep.Running[i]); r != nil {
@@ -212,6 +207,63 @@
 	s.rescue(now, v)
 }
 
+// takeEnds takes those ends over that are new.
+func (s *Scheduler) takeEnds(now Time, v *vm, ends []batch.RunEnd) {
+	known := v.seen
+	lapsed := int64(0)
+	for i := range ends {
+		if ends[i].Kind == batch.EndLapsed {
+			lapsed = max(lapsed, ends[i].Seq)
+		}
+	}
+	for i := range ends {
+		e := &ends[i]
+		if e.Seq <= known {
+			continue
+		}
+		v.seen = max(v.seen, e.Seq)
+		if e.Kind == batch.EndDone && e.Seq > lapsed && s.superseded(e) {
+			s.withhold(v, e)
+			continue
+		}
+		s.ended(now, v, e)
+	}
+}
+
+// superseded reports whether a later run of the task was started although this
+// end says that it was done.
+func (s *Scheduler) superseded(e *batch.RunEnd) bool {
+	t := s.task(e.Task)
+	if t == nil || t.done {
+		return false
+	}
+	for _, r := range t.runs {
+		if r.number > e.Run && !t.step.spec.Speculative {
+			return true
+		}
+	}
+	return false
+}
+
+// withhold leaves an end unacknowledged for good: its VM was unheard for longer
+// than its lease, and the task was started again. The later run counts; to take
+// note of the first one's end now would make two of it. What comes after it can't
+// be acknowledged either, so that the VM gets nothing new.
+func (s *Scheduler) withhold(v *vm, e *batch.RunEnd) {
+	if v.ackLimit == 0 {
+		v.ackLimit = e.Seq
+	}
+	s.logf(Decision{Event: EventEndWithheld, Task: e.Task, VM: v.inst.ID, Run: e.Run})
+}
+
+// acked is the highest end that may be acknowledged.
+func (v *vm) acked() int64 {
+	if v.ackLimit > 0 {
+		return min(v.durable, v.ackLimit-1)
+	}
+	return v.durable
+}
+
 func (v *vm) setClock(sentAt, gotAt Time, value time.Duration) {
 	if value > 0 {
 		v.clock = clock{known: true, sentAt: sentAt, gotAt: gotAt, value: value}
