--- a/internal/scheduler/explore_test.go
+++ b/internal/scheduler/explore_test.go
@@ -128,7 +128,7 @@
 	}
 	w.fence++
 	l := &modelLeader{
-		s: New(Settings{MaxLease: 10 * time.Second, FarFactor: 2}, w.fence, nil), fence: w.fence,
+		s: New(Settings{MaxLease: 10 * time.Second}, w.fence, nil), fence: w.fence,
 		actsUntil: 1 << 62, takesUntil: 1 << 62, holding: map[string]bool{}, cut: map[string]Time{},
 	}
 	l.s.SetConfig(&batch.Config{Queues: []batch.Queue{{Name: "q", Pool: "pool", Attempts: 1 << 20, Stretch: 2}}})
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -28,7 +28,7 @@
 
 func newFixture(t *testing.T, vms int) *fixture {
 	f := &fixture{t: t, fence: 1, now: time.Second, started: map[string][]Order{}}
-	f.s = New(Settings{MaxLease: 10 * time.Second, FarFactor: 2}, f.fence, func(d Decision) { f.log = append(f.log, d) })
+	f.s = New(Settings{MaxLease: 10 * time.Second}, f.fence, func(d Decision) { f.log = append(f.log, d) })
 	f.s.SetConfig(&batch.Config{Version: 1, Queues: []batch.Queue{
 		{Name: testQueue, Pool: "pool", Attempts: 3, Stretch: 2, Slack: time.Second},
 	}})
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -16,17 +16,11 @@
 type Settings struct {
 	// MaxLease is the longest lease that a VM grants.
 	MaxLease time.Duration
-	// FarFactor slows tasks down away from their data.
-	FarFactor float64
 	// StopWithin is how long a stop may take at a VM.
 	StopWithin time.Duration
 	// UnavailableFor is how long a lasting task counts as unavailable after a
 	// notice; it limits how fast lasting tasks may be moved.
 	UnavailableFor time.Duration
-	// PaceEffect is how long a change of pace takes to show.
-	PaceEffect time.Duration
-	// HarmAfter is how long a serving task may stay over its target because of fillers.
-	HarmAfter time.Duration
 }
 
 // longestLease is the lease taken where the VMs grant a longer one. It outlives a
