--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -18,6 +18,8 @@
 	MaxOccurrences = 100_000
 	// maxAmount bounds each declared amount, so that sums cannot overflow.
 	maxAmount = 1 << 40
+	// maxTime bounds each declared time, for the same reason.
+	maxTime = 30 * 24 * time.Hour
 )
 
 // Job is what a caller submits: steps of equal tasks, executed in the order that
@@ -158,7 +160,10 @@
 	if s.Tasks < 1 || s.Tasks > MaxTasks {
 		return fmt.Errorf("steps[%d]: give 1 to %d tasks", index, MaxTasks)
 	}
-	for _, amount := range []int64{s.Need.MilliCPU, s.Need.MemoryMB, s.Need.Accelerators, int64(s.Estimate), int64(s.MaxPerVM), int64(s.MaxUnavailable), int64(s.TailTarget)} {
+	if s.Estimate < 0 || s.Estimate > maxTime || s.TailTarget < 0 || s.TailTarget > maxTime {
+		return fmt.Errorf("steps[%d]: times go from 0 to %s", index, maxTime)
+	}
+	for _, amount := range []int64{s.Need.MilliCPU, s.Need.MemoryMB, s.Need.Accelerators, int64(s.MaxPerVM), int64(s.MaxUnavailable)} {
 		if amount < 0 || amount > maxAmount {
 			return fmt.Errorf("steps[%d]: amounts go from 0 to %d", index, int64(maxAmount))
 		}
--- /dev/null
+++ b/internal/batch/job_test.go
@@ -0,0 +1,37 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestChainFollowsDependencies(t *testing.T) {
+	j := Job{Steps: []Step{
+		{Tasks: 1, Estimate: 2 * time.Second}, {Tasks: 1, Estimate: time.Second},
+		{Tasks: 3, Estimate: 3 * time.Second, After: []int{1}}, {Tasks: 1, Estimate: time.Second, After: []int{0, 2}},
+	}}
+	require.NoError(t, j.Validate())
+	require.Equal(t, 5*time.Second, j.Chain())
+}
+
+// Symptom: a job of a longer task is refused as wrong.
+// Cause: its duration was held against the bound on amounts, as nanoseconds.
+func TestLongTasksAreAccepted(t *testing.T) {
+	j := Job{Steps: []Step{{Tasks: 1, Estimate: 6 * time.Hour}}}
+	require.NoError(t, j.Validate())
+	j.Steps[0].Estimate = 60 * 24 * time.Hour
+	require.ErrorContains(t, j.Validate(), "steps[0]: times go from 0 to")
+}
+
+func TestLongestPrefixSelectsQueue(t *testing.T) {
+	c := Config{Queues: []Queue{{Name: "all", Host: "h", Prefix: "/"}, {Name: "work", Host: "h", Prefix: "/work/"}}}
+	q, rest := c.Match("h", "/work/x")
+	require.Equal(t, "work", q.Name)
+	require.Equal(t, "x", rest)
+	q, _ = c.Match("h", "/other")
+	require.Equal(t, "all", q.Name)
+	q, _ = c.Match("other", "/work/x")
+	require.Nil(t, q)
+}
