Fleet's load as an event: declared, asked for and used processors

The leader now logs each 2 s what lasting and short tasks declare, what fillers ask for and use, and how many serving runs are over their target.

--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -6,6 +6,8 @@
 	EventAdviceNone = "advice_none"
 	// EventEndWithheld: an end is never acknowledged, since its task was started again.
 	EventEndWithheld = "end_withheld"
+	// EventFleetLoad: what the VMs have and what is asked of them, now and then.
+	EventFleetLoad = "fleet_load"
 	// EventInterference: what was learned of interference, now and then.
 	EventInterference = "interference"
 	// EventJobEnded: a job got its final state.
@@ -62,6 +64,7 @@
 var Events = []string{
 	EventAdviceNone,
 	EventEndWithheld,
+	EventFleetLoad,
 	EventInterference,
 	EventJobEnded,
 	EventJobTaken,
--- /dev/null
+++ b/internal/scheduler/load.go
@@ -0,0 +1,95 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+)
+
+// loadEvery is how often the fleet's load is logged.
+const loadEvery = 2 * time.Second
+
+// load is what the heard VMs have and what is asked of them, in thousandths of a
+// processor.
+type load struct {
+	capacity int64
+	// lasting and short are the declared processors of the tasks that hold some.
+	lasting, short int64
+	// fillersAsk is what the running fillers would use at their pace, fillersUse
+	// what they were last seen to use.
+	fillersAsk, fillersUse float64
+	// saturated counts the VMs whose fillers get less than they ask for, filled
+	// those that have any.
+	saturated, filled int
+	// over counts the serving runs over their targets, serving all of them.
+	over, serving int
+}
+
+// saturatedAt is the share of what they ask for below which fillers count as
+// short of processors.
+const saturatedAt = 0.9
+
+// measureLoad sums the VMs' last reports up.
+func (s *Scheduler) measureLoad() load {
+	var l load
+	for _, v := range s.order {
+		if v.heard {
+			l.add(v)
+		}
+	}
+	return l
+}
+
+func (l *load) add(v *vm) {
+	l.capacity += v.inst.Capacity.MilliCPU
+	l.short += v.shortCPU
+	l.lasting += v.used.MilliCPU - v.shortCPU
+	ask, use := v.fillerUse()
+	l.fillersAsk += ask
+	l.fillersUse += use
+	if ask > 0 {
+		l.filled++
+		if use < saturatedAt*ask {
+			l.saturated++
+		}
+	}
+	for _, r := range v.runs {
+		if !r.task.step.spec.Serves() || !r.hasUsage {
+			continue
+		}
+		l.serving++
+		if r.ratio() > 1 {
+			l.over++
+		}
+	}
+}
+
+// fillerUse sums what the VM's fillers would use at their pace and what they were
+// seen to use, over those that have told a figure.
+func (v *vm) fillerUse() (ask, use float64) {
+	for _, r := range v.runs {
+		spec := r.task.step.spec
+		if !spec.Filler || !r.hasUsage || r.state != running {
+			continue
+		}
+		ask += float64(spec.Need.MilliCPU) * float64(r.paced) / 100
+		use += r.usage
+	}
+	return ask, use
+}
+
+// logLoad logs the fleet's load now and then.
+func (s *Scheduler) logLoad(now Time) {
+	if now-s.loadLoggedAt < loadEvery {
+		return
+	}
+	s.loadLoggedAt = now
+	l := s.measureLoad()
+	waiting := 0
+	for _, st := range s.ready {
+		waiting += st.waiting
+	}
+	total := float64(max(l.capacity, 1))
+	s.logf(Decision{Event: EventFleetLoad, Value: float64(waiting), Reason: fmt.Sprintf(
+		"lasting=%.2f short=%.2f fillers_ask=%.2f fillers_use=%.2f saturated=%d/%d over_target=%d/%d",
+		float64(l.lasting)/total, float64(l.short)/total, l.fillersAsk/total, l.fillersUse/total, l.saturated, l.filled, l.over, l.serving)})
+}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -266,6 +266,8 @@
 	plannedAt   Time
 	explainedAt Time
 	describedAt Time
+	// loadLoggedAt is when the fleet's load was last logged.
+	loadLoggedAt Time
 }
 
 // runBits is how many runs one leader may number: 2^24.
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -335,6 +335,7 @@
 
 // Expire counts what silent instances held as ended once its lease is over.
 func (s *Scheduler) Expire(now Time) {
+	s.logLoad(now)
 	if now-s.describedAt > describeEvery && len(s.images.pairs) > 0 {
 		s.describedAt = now
 		s.logf(Decision{Event: EventInterference, Reason: s.images.describe()})
