Interference told apart from load and from lack of processors

Ruled out: fillers that get less than they ask for (a third of the tasks uses two thirds of what it declares), total use below 0.9. Change: the load of a step is the median of its siblings' figures with trend, peak and trough; slopes are learned from the difference to siblings; fillers that just ended count in the figure's half second; room of a VM from its serving tasks' loads; paces solved by the model, a blind stop as before.

--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -158,6 +158,7 @@
 	delete(v.runs, t.id())
 	v.tailsStale = true
 	if spec.Filler {
+		s.noteEndedFiller(now, r)
 		v.fillerCPU -= spec.Need.MilliCPU
 		v.used.MemoryMB -= spec.Need.MemoryMB
 		v.used.Accelerators -= spec.Need.Accelerators
--- a/internal/scheduler/interference_test.go
+++ b/internal/scheduler/interference_test.go
@@ -14,7 +14,7 @@
 func learnPairs(m *images, truth map[string][]float64, fillers []string, samples int, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 1))
 	for n := range samples {
-		var dx [maxImages]float64
+		var dx uses
 		for i := range fillers {
 			if random.Float64() < 0.3 {
 				dx[m.number(fillers[i])] = (random.Float64() - 0.5) * 0.3
@@ -65,7 +65,7 @@
 func TestManyImagesShareTheLastPlace(t *testing.T) {
 	m := newImages()
 	for i := range 3 * maxImages {
-		require.Less(t, m.number(string(rune('A'+i))), maxImages)
+		require.Less(t, m.number(string(rune('A'+i))), terms)
 	}
 	require.False(t, math.IsNaN(m.slope("s", maxImages-1)))
 }
--- a/internal/scheduler/model.go
+++ b/internal/scheduler/model.go
@@ -4,7 +4,8 @@
 // it every change of leader would begin with some ten seconds of fillers placed
 // beside tasks that mind them.
 type Model struct {
-	// Images are the filler images, in the order of the vectors below.
+	// Images are the filler images, in the order of the vectors below, where the
+	// constant term comes before them.
 	Images []string `json:"images"`
 	// Pairs holds the evidence on each serving image.
 	Pairs map[string]Evidence `json:"pairs"`
@@ -19,10 +20,10 @@
 
 // Model returns what was learned so far.
 func (s *Scheduler) Model() Model {
-	n := min(len(s.images.index), maxImages)
-	m := Model{Images: make([]string, n), Pairs: map[string]Evidence{}}
+	n := s.images.places()
+	m := Model{Images: make([]string, n-1), Pairs: map[string]Evidence{}}
 	for image, i := range s.images.index {
-		m.Images[i] = image
+		m.Images[i-1] = image
 	}
 	for serving, p := range s.images.pairs {
 		e := Evidence{A: make([][]float32, n), B: make([]float32, n)}
@@ -40,10 +41,10 @@
 
 // SetModel takes over what an earlier leader learned.
 func (s *Scheduler) SetModel(m Model) {
-	n := min(len(m.Images), maxImages)
+	n := min(len(m.Images)+1, terms)
 	s.images = newImages()
-	for i := range n {
-		s.images.index[m.Images[i]] = i
+	for i := range n - 1 {
+		s.images.index[m.Images[i]] = i + 1
 	}
 	for serving, e := range m.Pairs {
 		p := s.images.pair(serving)
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -1,26 +1,30 @@
 package scheduler
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
 )
 
 const (
-	// pressedAt is the share of its target at which a serving task's tail counts
-	// as pressed: fillers beside it are slowed before it is over.
+	// pressedAt is the share of its target at which a serving task's predicted
+	// tail counts as pressed: fillers beside it are slowed before it is over.
 	pressedAt = 0.88
-	// aimAt is the share that slowing and placing aim for. The rest is for the
-	// task's own load, which moves by a few percent a second.
+	// aimAt is the share that slowing aims for. The rest is for what the
+	// prediction misses: a tenth, as a standard deviation.
 	aimAt = 0.8
-	// paceEvery is the least time between two changes on a VM: a change takes
+	// paceEvery is the least time between two rises on a VM: a change takes
 	// effect after 0.1 s, and the figure then covers half a second more.
 	paceEvery = 700 * time.Millisecond
-	// paceUp is how much a filler gets back at a time, in percent.
+	// paceUp is how much a filler gets back at a time after a blind stop, in percent.
 	paceUp = 25
-	// least is the effect, as a logarithm, below which a filler is left alone:
+	// leastRise is the least rise of a pace that is worth an order, in percent,
+	// unless it is to full pace.
+	leastRise = 10
+	// leastEffect is the effect, as a logarithm, below which a filler is left alone:
 	// to slow it would not show.
-	leastEffect = 0.03
+	leastEffect = 0.02
 	// blindAfter is how long a tail may stay over its target with nobody to
 	// blame before all fillers beside it stand still: the harm counts after
 	// about 4 s.
@@ -35,24 +39,28 @@
 	moveProgress = 15
 	// moveAfter is how long a run is left where it is at first.
 	moveAfter = time.Second
+	// fullPace is the pace at which a run starts, in percent.
+	fullPace = 100
 )
 
 // pace slows the fillers on a VM that press on what serves there, and gives back
 // what the tails allow.
 func (s *Scheduler) pace(now Time, v *vm) {
+	fillers := s.pacedFillers(v)
 	if v.serving == 0 {
 		v.overSince = 0
-		s.giveBack(now, v)
+		v.blindCap = fullPace
+	} else {
+		v.noteOver(now, v.worst())
+		v.capBlindly(now)
+	}
+	if len(fillers) == 0 {
 		return
 	}
-	worst := v.worst()
-	v.noteOver(now, worst)
-	switch {
-	case now-v.pacedAt < paceEvery && !v.blind(now):
-	case worst != nil && worst.ratio() > pressedAt:
-		s.slow(now, v, worst)
-	default:
-		s.giveBack(now, v)
+	s.solvePaces(now, v, fillers)
+	mayRise := now-v.pacedAt >= paceEvery
+	for i := range fillers {
+		s.applyPace(now, &fillers[i], v.blindCap, mayRise)
 	}
 }
 
@@ -60,6 +68,17 @@
 // in particular can be blamed.
 func (v *vm) blind(now Time) bool { return v.overSince > 0 && now-v.overSince > blindAfter }
 
+// capBlindly stops all fillers while the VM is blind, and gives them back step by
+// step afterwards.
+func (v *vm) capBlindly(now Time) {
+	switch {
+	case v.blind(now):
+		v.blindCap, v.blindCapAt = 0, now
+	case v.blindCap < fullPace && now-v.blindCapAt >= paceEvery:
+		v.blindCap, v.blindCapAt = min(v.blindCap+paceUp, fullPace), now
+	}
+}
+
 // worst is the serving run nearest to its target, or nil.
 func (v *vm) worst() *run {
 	var worst *run
@@ -80,73 +99,123 @@
 	}
 }
 
-// fillers are the VM's running fillers, those with the largest effect on the
-// serving image first.
-func (s *Scheduler) fillers(v *vm, serving string) ([]*run, []float64) {
-	capacity := float64(max(v.inst.Capacity.MilliCPU, 1))
-	var runs []*run
+// pacedFiller is a running filler with the paces, in shares, that are worked out
+// for it: below trigger it need not be slowed, aim is what slowing gives it.
+type pacedFiller struct {
+	run          *run
+	image        int
+	use          float64
+	trigger, aim float64
+	effect       float64
+}
+
+// pacedFillers are the VM's running fillers, in a fixed order.
+func (s *Scheduler) pacedFillers(v *vm) []pacedFiller {
+	var list []pacedFiller
 	for _, r := range v.runs {
-		if r.task.step.spec.Filler && r.state == running {
-			runs = append(runs, r)
+		spec := r.task.step.spec
+		if spec.Filler && r.state == running {
+			// What it would use at full pace: the figure lags behind the pace.
+			use := r.fullUse() / v.processors()
+			list = append(list, pacedFiller{run: r, image: s.images.number(spec.Image), use: use, trigger: 1, aim: 1})
 		}
 	}
-	effect := func(r *run) float64 {
-		// What it would use at full pace: the figure lags behind the pace.
-		use := float64(r.task.step.spec.Need.MilliCPU)
-		return s.images.slope(serving, s.images.number(r.task.step.spec.Image)) * use / capacity
-	}
-	slices.SortFunc(runs, func(a, b *run) int {
-		switch ea, eb := effect(a), effect(b); {
-		case ea > eb:
-			return -1
-		case ea < eb:
-			return 1
+	slices.SortFunc(list, func(a, b pacedFiller) int { return cmp.Compare(a.run.number, b.run.number) })
+	return list
+}
+
+// solvePaces works out paces that keep every predicted tail on the VM within its
+// target, taking from those first that press most.
+func (s *Scheduler) solvePaces(now Time, v *vm, fillers []pacedFiller) {
+	for i := range s.tailsOf(now, v) {
+		t := &v.tails[i]
+		for k := range fillers {
+			fillers[k].effect = t.pair.effect(fillers[k].image, fillers[k].use)
 		}
-		return int(a.number - b.number)
-	})
-	effects := make([]float64, len(runs))
-	for i, r := range runs {
-		effects[i] = effect(r)
+		slices.SortStableFunc(fillers, func(a, b pacedFiller) int { return cmp.Compare(b.effect, a.effect) })
+		limit(fillers, t.soon, math.Log(pressedAt), triggerOf)
+		limit(fillers, t.soon, math.Log(aimAt), aimOf)
+	}
+	if v.serving > 0 {
+		room := v.roomFor(now, paceLead) / v.processors()
+		limitRoom(fillers, room+roomSlack, triggerOf)
+		limitRoom(fillers, room, aimOf)
 	}
-	return runs, effects
 }
 
-// slow takes as much of the fillers' pace as brings the worst tail to aimAt,
-// from those that press most.
-func (s *Scheduler) slow(now Time, v *vm, worst *run) {
-	excess := math.Log(worst.ratio() / aimAt)
-	runs, effects := s.fillers(v, worst.task.step.spec.Image)
-	blind := v.blind(now)
-	for i, r := range runs {
-		switch {
-		case blind:
-			s.setPace(now, r, 0)
-			continue
-		case excess <= 0 || effects[i] < leastEffect:
-			continue
-		}
-		take := min(float64(r.paced)/100*effects[i], excess)
-		excess -= take
-		s.setPace(now, r, max(0, r.paced-int(math.Ceil(100*take/effects[i]))))
-		s.moveAway(now, r)
+// roomSlack is the share of the VM by which fillers may use more than there is
+// room for before they are slowed.
+const roomSlack = 0.04
+
+func triggerOf(f *pacedFiller) *float64 { return &f.trigger }
+func aimOf(f *pacedFiller) *float64     { return &f.aim }
+
+// fullUse is what a filler uses at full pace, in thousandths of a processor: as
+// seen, else as declared.
+func (r *run) fullUse() float64 {
+	if r.full > 0 {
+		return r.full
 	}
+	return float64(r.task.step.spec.Need.MilliCPU)
 }
 
-// giveBack raises the pace of slowed fillers, as far as the tails allow.
-func (s *Scheduler) giveBack(now Time, v *vm) {
-	for _, r := range v.runs {
-		if !r.task.step.spec.Filler || r.state != running || r.paced >= 100 {
-			continue
-		}
-		more := min(paceUp, 100-r.paced)
-		use := r.task.step.spec.Need.MilliCPU * int64(more) / 100
-		if worst, effect := s.pressure(now, v, r.task.step.spec.Image, use); worst > aimAt && effect > leastEffect {
-			s.moveAway(now, r)
-			continue
+// noteFullUse takes a report in that shows what the run uses at full pace.
+func (r *run) noteFullUse(now Time) {
+	if r.paced == fullPace && r.hasUsage && r.usage > 0 && now-max(r.orderedAt, r.pacedAt) > paceEvery {
+		r.full = r.usage
+	}
+}
+
+// limitRoom lowers all paces by the same factor until the fillers use no more than
+// the VM has left.
+func limitRoom(fillers []pacedFiller, room float64, pace func(*pacedFiller) *float64) {
+	sum := 0.0
+	for i := range fillers {
+		sum += fillers[i].use * *pace(&fillers[i])
+	}
+	if sum <= room {
+		return
+	}
+	for i := range fillers {
+		*pace(&fillers[i]) *= max(room, 0) / sum
+	}
+}
+
+// limit lowers paces until a tail that is full with all of them at full pace is
+// within bound.
+func limit(fillers []pacedFiller, full, bound float64, pace func(*pacedFiller) *float64) {
+	excess := full - bound
+	for i := range fillers {
+		excess -= fillers[i].effect * (1 - *pace(&fillers[i]))
+	}
+	for i := range fillers {
+		f := &fillers[i]
+		if excess <= 0 || f.effect < leastEffect {
+			return
 		}
-		s.setPace(now, r, r.paced+more)
-		v.tailsStale = true
+		p := pace(f)
+		take := min(*p, excess/f.effect)
+		*p -= take
+		excess -= take * f.effect
+	}
+}
+
+// applyPace orders the pace that was worked out, where it differs enough: down at
+// once, up when the last change shows in the figures.
+func (s *Scheduler) applyPace(now Time, f *pacedFiller, most int, mayRise bool) {
+	r := f.run
+	aim := min(int(fullPace*f.aim), most)
+	if aim == unknownPace {
+		aim--
+	}
+	trigger := min(int(math.Ceil(fullPace*f.trigger)), most)
+	switch {
+	case r.paced > trigger || r.paced == unknownPace:
+		s.setPace(now, r, aim)
+	case aim > r.paced && mayRise && (aim >= r.paced+leastRise || aim == fullPace):
+		s.setPace(now, r, aim)
 	}
+	s.moveAway(now, r)
 }
 
 func (s *Scheduler) setPace(now Time, r *run, percent int) {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"time"
 
@@ -9,12 +10,9 @@
 )
 
 const (
-	// servingShare is the part of their declared processors that serving tasks
-	// are taken to use on average; the rest is left to fillers.
-	servingShare = 0.5
-	// fillerOvercommit is how much more than the predicted rest fillers may ask
-	// for on one VM.
-	fillerOvercommit = 1.2
+	// fillerOvercommit is how much more than the predicted rest fillers may
+	// declare on one VM: they use a tenth less.
+	fillerOvercommit = 1.1
 	// farPenalty is what a place away from the data costs in the score, where 1
 	// is a whole VM's processors.
 	farPenalty = 2.0
@@ -36,6 +34,12 @@
 	negligible = 0.02
 )
 
+// peakLimit is the logarithm of the share of its target up to which a serving
+// task's tail may be predicted at the peak of its load for a filler to start
+// beside it: one that starts while the load is low has to stand still when it
+// rises.
+var peakLimit = math.Log(0.92)
+
 // choose returns the best VM for a task, or nil.
 func (s *Scheduler) choose(now Time, t *task) *vm {
 	var best *vm
@@ -85,8 +89,8 @@
 		if o := s.fits(now, v, t); o != obstacleNone && o != obstacleLeftover {
 			continue
 		}
-		worst, _ := s.pressure(now, v, t.step.spec.Image, t.step.spec.Need.MilliCPU)
-		pressed := worst + float64(v.fillerCPU)/float64(max(v.inst.Capacity.MilliCPU, 1))
+		p := s.pressure(now, v, t.step.spec.Image, t.step.spec.Need.MilliCPU)
+		pressed := math.Exp(p.worst) + float64(v.fillerCPU)/v.processors()
 		if best == nil || pressed < least {
 			best, least = v, pressed
 		}
@@ -152,7 +156,7 @@
 		return obstacleProcessor
 	case spec.Lasting && !spec.Filler && !s.keeps(now, v, t, free):
 		return obstacleReserve
-	case spec.Filler && float64(v.fillerCPU+spec.Need.MilliCPU) > fillerOvercommit*v.rest():
+	case spec.Filler && float64(v.fillerCPU+spec.Need.MilliCPU) > fillerOvercommit*s.rest(now, v):
 		return obstacleLeftover
 	}
 	if s.needsAdvice(t.step) {
@@ -184,8 +188,12 @@
 }
 
 // rest is what fillers may be expected to get of the VM, in thousandths of a processor.
-func (v *vm) rest() float64 {
-	return float64(v.inst.Capacity.MilliCPU-v.used.MilliCPU) + (1-servingShare)*float64(v.servingCPU)
+func (s *Scheduler) rest(now Time, v *vm) float64 {
+	if v.serving == 0 {
+		return float64(v.inst.Capacity.MilliCPU - v.used.MilliCPU)
+	}
+	s.tailsOf(now, v)
+	return v.room
 }
 
 // purity is the share of the image among what serves on the VM. Few pairs of
@@ -209,17 +217,17 @@
 // score rates a VM that fits; higher is better. ok is false when the task would
 // press too hard on what serves there.
 func (s *Scheduler) score(now Time, v *vm, spec *batch.Step) (score float64, ok bool) {
-	capacity := float64(max(v.inst.Capacity.MilliCPU, 1))
+	capacity := v.processors()
 	free := float64(v.inst.Capacity.MilliCPU-v.used.MilliCPU) / capacity
 	score = free
 	switch {
 	case spec.Filler:
-		score = (v.rest() - float64(v.fillerCPU)) / capacity
-		worst, effect := s.pressure(now, v, spec.Image, spec.Need.MilliCPU)
-		if worst > aimAt && effect > negligible {
+		score = (s.rest(now, v) - float64(v.fillerCPU)) / capacity
+		p := s.pressure(now, v, spec.Image, spec.Need.MilliCPU)
+		if p.peak > peakLimit || p.soon > peakLimit {
 			return 0, false
 		}
-		score -= effectPenalty * max(0, effect-harmless)
+		score -= effectPenalty * max(0, p.effect-harmless)
 	case spec.Serves():
 		score = purityWeight*v.purity(spec.Image) - free
 	}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -60,6 +60,8 @@
 	progress int
 	usage    float64
 	hasUsage bool
+	// full is what a filler was seen to use at full pace, 0 before.
+	full float64
 	// paced is the pace last ordered, in percent, at pacedAt.
 	paced   int
 	pacedAt Time
@@ -119,6 +121,10 @@
 	doneRuns  int
 	// rank is the step's place in the queue at the last plan.
 	rank rank
+	// base is what the step's load alone does to its tails, where it serves.
+	base baseline
+	// figures are the tails that its tasks have told of late, where it serves.
+	figures figureLog
 	// perVM counts the runs on each VM, where the step bounds them.
 	perVM map[*vm]int
 }
@@ -214,10 +220,21 @@
 	// a serving task was first seen over its target, 0 when none is.
 	pacedAt   Time
 	overSince Time
+	// blindCap bounds the pace of all fillers, in percent, after a tail was over
+	// its target for long with nobody to blame; changed at blindCapAt.
+	blindCap   int
+	blindCapAt Time
 	// sample is the report that the next one is compared with.
 	sample sample
+	// ended are the fillers that ended so recently that the figures show them.
+	ended []endedFiller
+	// excess is how much longer the tails here are than predicted, as a logarithm.
+	excess float64
 	// tails is worked out from runs; see tailsOf.
-	tails      []tail
+	tails []tail
+	// room is what fillers may use, in thousandths of a processor; worked out with
+	// the tails.
+	room       float64
 	tailsAt    Time
 	tailsStale bool
 }
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -16,8 +16,8 @@
 	stallPace = 50
 	// rateAfter is how long a run has to be watched before its rate counts.
 	rateAfter = 900 * time.Millisecond
-	// leastSiblings is how many other runs make a comparison.
-	leastSiblings = 2
+	// leastPeers is how many other runs make a comparison of rates.
+	leastPeers = 2
 	// leastCrawling is how many runs have to crawl, and be the larger part of
 	// those on the VM, before the VM is blamed.
 	leastCrawling = 2
@@ -121,7 +121,7 @@
 	}
 	rate := r.rate(now)
 	mean, n := r.task.step.siblings(now, r)
-	if rate <= 0 || n < leastSiblings || rate*crawlFactor > mean {
+	if rate <= 0 || n < leastPeers || rate*crawlFactor > mean {
 		return false
 	}
 	return float64(100-r.progress)/rate > moveGain*100/mean
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -64,7 +64,7 @@
 func (s *Scheduler) setInstance(now Time, inst batch.Instance) {
 	v := s.vms[inst.ID]
 	if v == nil {
-		v = &vm{inst: inst, runs: map[batch.TaskID]*run{}, heardAt: now}
+		v = &vm{inst: inst, runs: map[batch.TaskID]*run{}, blindCap: fullPace, heardAt: now}
 		s.vms[inst.ID] = v
 		s.sortVMs()
 		s.logf(Decision{Event: EventVMListed, VM: inst.ID, Reason: inst.Zone, Value: float64(inst.Capacity.MilliCPU)})
@@ -86,7 +86,7 @@
 	if s.vms[inst.ID] != nil {
 		return
 	}
-	s.vms[inst.ID] = &vm{inst: inst, runs: map[batch.TaskID]*run{}, heardAt: now, unlistedAt: now}
+	s.vms[inst.ID] = &vm{inst: inst, runs: map[batch.TaskID]*run{}, blindCap: fullPace, heardAt: now, unlistedAt: now}
 	s.sortVMs()
 }
 
@@ -286,6 +286,7 @@
 	}
 	r.follow(now, st.Progress)
 	r.usage, r.hasUsage = st.Usage, st.HasUsage
+	r.noteFullUse(now)
 	if st.Checkpoint != "" {
 		r.checkpoint = st.Checkpoint
 		r.task.checkpoint = st.Checkpoint
