A call that went unanswered refuses the next ones at once; a call that was never made is refused, not unknown

(1) A process whose store or leader had just left a call without an answer went on asking, each time for a second, until its watch missed it after 2.4 s; (2) a connection to a dead leader that was never made counted as an answer lost. Ruled out: the store's own 503, which was told apart from lost answers already. Change: entry.Reach notes answers and calls of 300 ms and more without one; the first such call closes the path until something answers again. A caller that leaves is no evidence, one lost answer neither: the same request's second try goes to the store all the same.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -24,7 +24,6 @@
 	"github.com/rattanwall/rattanwall/internal/leader"
 	"github.com/rattanwall/rattanwall/internal/scheduler"
 	"github.com/rattanwall/rattanwall/internal/scheduling"
-	"github.com/rattanwall/rattanwall/internal/steady"
 )
 
 // Settings of the process.
@@ -71,10 +70,6 @@
 	// whose connection went silent is given up 0.6 s later, so that a change
 	// is in force within 2 s all the same.
 	configWatch = time.Second
-	// storeSilent is how long the store may leave the watch of the configuration
-	// without an answer before this process counts it as away: one watch of 1 s
-	// that fails 0.6 s late, and a second try.
-	storeSilent = 2400 * time.Millisecond
 	// leaderSilent is how old the leader's last answer may be for it to count as
 	// a way to the store.
 	leaderSilent = 3 * time.Second
@@ -134,7 +129,7 @@
 	e.peers = &peers{self: s.Peers, election: e.election, local: local, client: p.PeerClient}
 	e.entry = &entry.Entry{
 		Store: p.Store, InForce: e.config.Load, Accepting: e.ready, WallMS: wallMS, Log: log,
-		Observe: e.metrics.request, StoreAnswers: e.storeAnswers, LeaderAnswers: e.leaderAnswers,
+		Observe: e.metrics.request, StoreHeardAt: e.operator.HeardAt, LeaderAnswers: e.leaderAnswers,
 		Peers: e.peers,
 	}
 	callers, ready := p.Callers(e.entry)
@@ -201,14 +196,11 @@
 // ready reports whether callers should come here: the process has a configuration
 // and a way to the store, its own or the leader's.
 func (e *Edge) ready() bool {
-	return e.config.Load() != nil && !e.draining.Load() && (e.storeAnswers() || e.leaderAnswers())
+	return e.config.Load() != nil && !e.draining.Load() && (e.entry.StoreAnswers() || e.leaderAnswers())
 }
 
 // leaderAnswers reports whether another process that leads has answered of late.
-func (e *Edge) leaderAnswers() bool { return e.peers.answered(leaderSilent) }
-
-// storeAnswers reports whether the store has answered this process of late.
-func (e *Edge) storeAnswers() bool { return steady.Now()-e.operator.HeardAt() < storeSilent }
+func (e *Edge) leaderAnswers() bool { return e.peers.reach.Within(leaderSilent, 0) }
 
 // observeOperator takes over what the operator wrote.
 func (e *Edge) observeOperator(items []durable.Item, _ bool) {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/twitchtv/twirp"
@@ -86,12 +86,12 @@
 // peers asks the leader, wherever it is.
 type peers struct {
 	self     string
-	election *leader.Election
+	election interface{ Leader() (leader.Record, bool) }
 	local    *peerServer
 	client   *http.Client
 
-	// answeredAt is when the leader last answered, on the steady clock; 0 for never.
-	answeredAt atomic.Int64
+	// reach is that of the leader.
+	reach entry.Reach
 
 	mu      sync.Mutex
 	address string
@@ -120,16 +120,41 @@
 	return p.remote, nil
 }
 
-// answered reports whether the leader has answered within the last d.
-func (p *peers) answered(d time.Duration) bool {
-	at := time.Duration(p.answeredAt.Load())
-	return at > 0 && steady.Now()-at < d
+// ask makes one call to the leader and notes whether it answered. An error that
+// wraps durable.ErrRefused is certain not to have reached it.
+func (p *peers) ask(ctx context.Context, do func(ctx context.Context) error) error {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	sentAt := steady.Now()
+	err := do(httptrace.WithClientTrace(ctx, trace))
+	switch {
+	case leaderSaid(err):
+		p.reach.Answered()
+		return err
+	case connected.Load():
+		p.reach.Unanswered(sentAt)
+		return err
+	default:
+		p.reach.Unanswered(sentAt)
+		return errors.Mark(err, durable.ErrRefused)
+	}
 }
 
-// note notes an answer of the leader.
-func (p *peers) note(err error) {
+// leaderSaid reports whether err came from the leader, as any answer does that has
+// one of the codes below.
+func leaderSaid(err error) bool {
 	if err == nil {
-		p.answeredAt.Store(int64(steady.Now()))
+		return true
+	}
+	var te twirp.Error
+	if !errors.As(err, &te) {
+		return false
+	}
+	switch te.Code() {
+	case twirp.FailedPrecondition, twirp.Unavailable, twirp.Unknown:
+		return true
+	default:
+		return false
 	}
 }
 
@@ -139,8 +164,11 @@
 	if err != nil {
 		return "", false, err
 	}
-	r, err := l.JobState(ctx, &scheduling.JobStateRequest{Id: id})
-	p.note(err)
+	var r *scheduling.JobStateResponse
+	err = p.ask(ctx, func(ctx context.Context) (err error) {
+		r, err = l.JobState(ctx, &scheduling.JobStateRequest{Id: id})
+		return err
+	})
 	if err != nil {
 		return "", false, err
 	}
@@ -166,9 +194,10 @@
 	if err != nil {
 		return err
 	}
-	_, err = l.Submit(ctx, &scheduling.SubmitRequest{Id: id, Record: record})
-	p.note(err)
-	return storeOutcome(err)
+	return storeOutcome(p.ask(ctx, func(ctx context.Context) error {
+		_, err := l.Submit(ctx, &scheduling.SubmitRequest{Id: id, Record: record})
+		return err
+	}))
 }
 
 // Cancel implements entry.Peers.
@@ -177,7 +206,11 @@
 	if err != nil {
 		return false, err
 	}
-	r, err := l.Cancel(ctx, &scheduling.CancelRequest{Id: id})
+	var r *scheduling.CancelResponse
+	err = p.ask(ctx, func(ctx context.Context) (err error) {
+		r, err = l.Cancel(ctx, &scheduling.CancelRequest{Id: id})
+		return err
+	})
 	return r.GetKnown(), storeOutcome(err)
 }
 
@@ -210,6 +243,9 @@
 	if err == nil {
 		return nil
 	}
+	if errors.Is(err, durable.ErrRefused) {
+		return err
+	}
 	if errors.As(err, &te) && te.Code() == twirp.Unavailable {
 		return errors.Mark(err, durable.ErrRefused)
 	}
--- /dev/null
+++ b/internal/edge/peers_test.go
@@ -0,0 +1,57 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanwall/rattanwall/internal/durable"
+	"github.com/rattanwall/rattanwall/internal/leader"
+)
+
+// led is an election that was won by the process at an address.
+type led string
+
+func (l led) Leader() (leader.Record, bool) {
+	return leader.Record{Node: "leader", Address: string(l)}, true
+}
+
+func peersOf(address string) *peers {
+	return &peers{self: "self", election: led(address), client: &http.Client{}}
+}
+
+// Symptom: a job that nobody was given is told to be of unknown outcome.
+// Sequence: the leader dies; a process without the store asks it to store a job.
+// Cause: a connection that was never made was taken for a lost answer.
+func TestSubmitToADeadLeaderIsRefused(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := ln.Addr().String()
+	require.NoError(t, ln.Close())
+	err = peersOf(address).Submit(t.Context(), "id", nil)
+	require.True(t, errors.Is(err, durable.ErrRefused))
+	require.False(t, errors.Is(err, durable.ErrUnknown))
+}
+
+// A leader that takes a call and does not answer may have stored the job; it is not
+// asked again until it has answered something.
+func TestSubmitToASilentLeaderIsUnknown(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	p := peersOf(ln.Addr().String())
+	p.reach.Answered()
+	require.True(t, p.reach.Within(leaderSilent, 0))
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	err = p.Submit(ctx, "id", nil)
+	require.True(t, errors.Is(err, durable.ErrUnknown))
+	require.False(t, p.reach.Within(leaderSilent, 0))
+	p.reach.Answered()
+	require.True(t, p.reach.Within(leaderSilent, 0))
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/rattanwall/rattanwall/internal/eventlog"
 	"github.com/rattanwall/rattanwall/internal/leader"
 	"github.com/rattanwall/rattanwall/internal/pause"
+	"github.com/rattanwall/rattanwall/internal/steady"
 )
 
 const (
@@ -62,8 +63,9 @@
 	InForce func() *batch.Config
 	// Accepting reports whether the balancer should send callers here.
 	Accepting func() bool
-	// StoreAnswers reports whether the store has answered this process of late.
-	StoreAnswers func() bool
+	// StoreHeardAt is when the store last answered this process's watches, on the
+	// steady clock; 0 for never.
+	StoreHeardAt func() time.Duration
 	// LeaderAnswers reports whether the leader has answered this process of late.
 	LeaderAnswers func() bool
 	// WallMS is the time of day in milliseconds since 1970.
@@ -71,6 +73,30 @@
 	Log    *eventlog.Log
 	// Observe is told of each answer, for the metrics; may be nil.
 	Observe func(operation string, took time.Duration, err error)
+
+	// reach is that of the store.
+	reach Reach
+}
+
+// storeSilent is how long the store may leave this process without an answer
+// before it counts as away: one watch of the configuration, of 1 s, that fails
+// 0.6 s late, and a second try.
+const storeSilent = 2400 * time.Millisecond
+
+// StoreAnswers reports whether the store has answered this process of late.
+func (e *Entry) StoreAnswers() bool { return e.reach.Within(storeSilent, e.StoreHeardAt()) }
+
+// create creates a key in the store and notes whether it is of use: a store that
+// refuses whatever it is asked soon is as good as away.
+func (e *Entry) create(ctx context.Context, key string, value []byte) error {
+	sentAt := steady.Now()
+	err := Create(ctx, e.Store, key, value)
+	if err == nil {
+		e.reach.Answered()
+	} else {
+		e.reach.Unanswered(sentAt)
+	}
+	return err
 }
 
 // Config returns the configuration in force, or nil.
@@ -130,7 +156,7 @@
 func (e *Entry) store(ctx context.Context, id string, record []byte) error {
 	unknown := false
 	for try := 1; ; try++ {
-		err := e.storeOnce(ctx, id, record)
+		err := e.storeOnce(ctx, id, record, unknown)
 		switch {
 		case err == nil:
 			return nil
@@ -152,12 +178,13 @@
 var errStoreSilent = errors.Mark(errors.New("the store does not answer this process"), durable.ErrRefused)
 
 // storeOnce tries the store, unless it is known not to answer, and then the
-// leader's way to it.
-func (e *Entry) storeOnce(ctx context.Context, id string, record []byte) error {
+// leader's way to it. After a try of unknown outcome the store is asked whatever is
+// known of it: nothing is lost by it, and it may tell what the first try has done.
+func (e *Entry) storeOnce(ctx context.Context, id string, record []byte, again bool) error {
 	err := errStoreSilent
-	if e.StoreAnswers() {
+	if again || e.StoreAnswers() {
 		tryCtx, cancel := e.bounded(ctx, commitTimeout)
-		err = Create(tryCtx, e.Store, leader.JobKey(id), record)
+		err = e.create(tryCtx, leader.JobKey(id), record)
 		cancel()
 	}
 	if err == nil {
--- /dev/null
+++ b/internal/entry/reach.go
@@ -0,0 +1,43 @@
+package entry
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/steady"
+)
+
+// Reach tells whether the other side of a path answers, from the calls that this
+// process makes. A path that was cut goes on taking calls, and each of them is
+// then of unknown outcome: a caller whose job may or may not have been accepted
+// can't come back with it elsewhere, while one that is refused at once can.
+// The zero value is a path that was never used.
+type Reach struct {
+	answeredAt, unansweredAt atomic.Int64
+}
+
+// leastSilence is how long a call has to be without an answer to tell anything: a
+// caller may leave, or have little time, and an idle connection may be reset while
+// new ones work. Calls are answered within some 20 ms, and given up after 500.
+const leastSilence = 300 * time.Millisecond
+
+// Answered notes an answer, whatever it says.
+func (r *Reach) Answered() { r.answeredAt.Store(int64(steady.Now())) }
+
+// Unanswered notes a call that was sent at sentAt, on the steady clock, and got no
+// answer. An answer to a later call counts more.
+func (r *Reach) Unanswered(sentAt time.Duration) {
+	if now := steady.Now(); now-sentAt >= leastSilence && r.AnsweredAt() <= sentAt {
+		r.unansweredAt.Store(int64(now))
+	}
+}
+
+// AnsweredAt is when the last answer came, on the steady clock; 0 for never.
+func (r *Reach) AnsweredAt() time.Duration { return time.Duration(r.answeredAt.Load()) }
+
+// Within reports whether an answer came within d, the last one at alsoAt or here,
+// and no call has gone unanswered since.
+func (r *Reach) Within(d, alsoAt time.Duration) bool {
+	at := max(r.AnsweredAt(), alsoAt)
+	return at > 0 && steady.Now()-at < d && at > time.Duration(r.unansweredAt.Load())
+}
