Short tasks on time go before new standing work; standing work that ran before comes back first

Change: groups of the queue: standing work that was at work before, short tasks on time, new standing work, the rest as before. Ruled out: the reserve alone, which lasting tasks may take after 4 s. Tests: queue_test.go, the first and second fail without the change.

--- a/internal/scheduler/dump.go
+++ b/internal/scheduler/dump.go
@@ -129,7 +129,7 @@
 	if waits == nil {
 		return
 	}
-	w := WaitDump{Occurrence: st.occ.number, Step: st.index, Tasks: st.waiting, StepsBefore: st.blockers, SlackS: s.rank(now, st.occ).slack.Seconds()}
+	w := WaitDump{Occurrence: st.occ.number, Step: st.index, Tasks: st.waiting, StepsBefore: st.blockers, SlackS: s.rank(now, st).slack.Seconds()}
 	if st.blockers == 0 {
 		w.Obstacles = s.obstaclesOf(now, waits)
 	}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -19,9 +19,7 @@
 
 // rank orders waiting steps.
 type rank struct {
-	// group: 0 lasting work, 1 jobs that can meet their objective, 2 those that
-	// are late but count, 3 the others.
-	group    int
+	group    rankGroup
 	priority int
 	// effort is the work that is still to come for what the job is worth. Where
 	// more comes than there is room for, going by it serves more jobs, more work,
@@ -33,21 +31,41 @@
 	slack time.Duration
 }
 
+// rankGroup is the first thing that a place in the queue goes by.
+type rankGroup int
+
 const (
-	groupLasting = iota
+	// groupRestart: lasting work that was at work before.
+	groupRestart rankGroup = iota
+	// groupShort: tasks that hold processors for a second or two, of jobs that can
+	// meet their objective. Lasting tasks hold what they get for minutes, and wait
+	// that much longer anyway where more of them come than there is room for.
+	groupShort
+	// groupLasting: lasting work that is new.
+	groupLasting
+	// groupOnTime: the other jobs that can meet their objective, then those that
+	// are late but count, and the rest.
 	groupOnTime
 	groupLate
 	groupHopeless
 )
 
-func (s *Scheduler) rank(now Time, o *occurrence) rank {
+func (s *Scheduler) rank(now Time, st *step) rank {
+	o := st.occ
 	j := o.job
 	if j.spec.Lasts() {
-		return rank{group: groupLasting, priority: j.priority, slack: o.dueAt - now}
+		group := groupLasting
+		if j.started {
+			group = groupRestart
+		}
+		return rank{group: group, priority: j.priority, slack: o.dueAt - now}
 	}
 	remaining := o.remaining()
 	slack := o.dueAt + j.objective - now - remaining
 	r := rank{group: groupOnTime, priority: j.priority, effort: s.effort(o), slack: slack}
+	if short(st.spec) {
+		r.group = groupShort
+	}
 	if slack < 0 {
 		r.group = groupLate
 		r.slack = o.dueAt + lateFactor*j.objective - now - remaining
@@ -141,7 +159,7 @@
 		return drop
 	})
 	for _, st := range s.ready {
-		st.rank = s.rank(now, st.occ)
+		st.rank = s.rank(now, st)
 	}
 	slices.SortStableFunc(s.ready, func(a, b *step) int { return compareRanks(a.rank, b.rank) })
 	s.followShort(now)
--- /dev/null
+++ b/internal/scheduler/queue_test.go
@@ -0,0 +1,74 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+// full occupies the only VM with one task of a job and returns its order.
+func full(t *testing.T) (f *fixture, holds Order) {
+	f = newFixture(t, 1)
+	f.hearAll(nil)
+	f.submit("first", tasks(1, 9000))
+	f.plan()
+	holds = f.last("first.0.0.0")
+	f.confirm(holds)
+	return f, holds
+}
+
+func lasting(milliCPU int64) batch.Step {
+	s := tasks(1, milliCPU)
+	s.Lasting = true
+	return s
+}
+
+// Symptom: a check of a second waits for seconds while standing work takes each
+// processor that comes free.
+// Load: more standing work than there is room for.
+func TestShortTasksGoBeforeNewLastingOnes(t *testing.T) {
+	f, holds := full(t)
+	f.submit("watch", lasting(8000))
+	f.submit("check", tasks(1, 8000))
+	f.plan()
+	f.advance(500 * time.Millisecond)
+	f.hear("vm00", batch.Report{Ended: []batch.RunEnd{ended(1, holds, batch.EndDone)}})
+	f.plan()
+	require.Contains(t, f.started, "check.0.0.0")
+	require.NotContains(t, f.started, "watch.0.0.0")
+}
+
+// Standing work that was at work before, and lost its VM or failed, comes back
+// before anything else: its users notice at once.
+func TestLastingTasksComeBackFirst(t *testing.T) {
+	f := newFixture(t, 1)
+	f.hearAll(nil)
+	f.submit("watch", lasting(8000))
+	f.plan()
+	first := f.last("watch.0.0.0")
+	f.confirm(first)
+	f.submit("check", tasks(1, 8000))
+	f.advance(time.Second)
+	f.hear("vm00", batch.Report{Ended: []batch.RunEnd{ended(1, first, batch.EndLapsed)}})
+	f.plan()
+	require.Len(t, f.started["watch.0.0.0"], 2)
+	require.NotContains(t, f.started, "check.0.0.0")
+}
+
+// A check that is late already does not keep standing work waiting.
+func TestLateShortTasksGoBehindLastingOnes(t *testing.T) {
+	f, holds := full(t)
+	f.submit("check", tasks(1, 8000))
+	f.advance(10 * time.Second)
+	f.hear("vm00", runs(holds))
+	f.submit("watch", lasting(8000))
+	f.plan()
+	f.advance(500 * time.Millisecond)
+	f.hear("vm00", batch.Report{Ended: []batch.RunEnd{ended(1, holds, batch.EndDone)}})
+	f.plan()
+	require.Contains(t, f.started, "watch.0.0.0")
+	require.NotContains(t, f.started, "check.0.0.0")
+}
