--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -108,7 +108,7 @@
 // Submit stores the job, or returns why it is not accepted.
 func (e *Entry) Submit(ctx context.Context, queue *batch.Queue, job *batch.Job) error {
 	began := time.Now()
-	record, err := json.Marshal(leader.JobRecord{Queue: queue.Name, Pool: queue.Pool, SubmittedMS: e.WallMS(), Job: job})
+	record, err := json.Marshal(leader.NewJobRecord(queue, job, e.WallMS()))
 	if err != nil {
 		return errkind.New(errkind.Internal, "", err)
 	}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -295,7 +295,7 @@
 		t.log.Warn("job_unreadable", err, eventlog.Fields{"job": id})
 		return
 	}
-	t.sched.Submit(now, scheduler.Submission{Job: r.Job, Queue: r.Queue, Pool: r.Pool, Age: t.age(r)})
+	t.sched.Submit(now, r.submission(t.age(r)))
 }
 
 // maxAge bounds the age of a submission: it comes from two clocks of the time of
--- a/internal/leader/rebuild.go
+++ b/internal/leader/rebuild.go
@@ -12,7 +12,6 @@
 	"github.com/rattanwall/rattanwall/internal/batch"
 	"github.com/rattanwall/rattanwall/internal/durable"
 	"github.com/rattanwall/rattanwall/internal/eventlog"
-	"github.com/rattanwall/rattanwall/internal/scheduler"
 	"github.com/rattanwall/rattanwall/internal/steady"
 )
 
@@ -123,7 +122,8 @@
 			t.log.Warn("job_unreadable", err, eventlog.Fields{"job": id})
 			continue
 		}
-		sub := scheduler.Submission{Job: r.Job, Queue: r.Queue, Pool: r.Pool, Age: t.age(r), Existed: true, Cancelled: cancelled[id]}
+		sub := r.submission(t.age(r))
+		sub.Existed, sub.Cancelled = true, cancelled[id]
 		if item, ok := progress[id]; ok {
 			sub.Record = item.Revision
 			if sub.Progress, err = decodeProgress(id, item.Value); err != nil {
--- a/internal/leader/records.go
+++ b/internal/leader/records.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -46,6 +47,20 @@
 	// knows of, in milliseconds since 1970.
 	SubmittedMS int64      `json:"submitted_ms"`
 	Job         *batch.Job `json:"job"`
+	// Terms is the queue as it was at the acceptance. A leader that has no
+	// configuration yet, or one without the queue, goes by it: without it the first
+	// failure of a task would end its job.
+	Terms *batch.Queue `json:"terms,omitempty"`
+}
+
+// NewJobRecord returns the record of a job that a queue accepts.
+func NewJobRecord(queue *batch.Queue, job *batch.Job, submittedMS int64) JobRecord {
+	return JobRecord{Queue: queue.Name, Pool: queue.Pool, SubmittedMS: submittedMS, Job: job, Terms: queue}
+}
+
+// submission is the record as the scheduler takes it.
+func (r *JobRecord) submission(age time.Duration) scheduler.Submission {
+	return scheduler.Submission{Job: r.Job, Queue: r.Queue, Pool: r.Pool, Terms: r.Terms, Age: age}
 }
 
 // jobKey splits a key under jobsPrefix.
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -12,6 +12,9 @@
 	// Queue and Pool are those that the job was submitted to.
 	Queue string
 	Pool  string
+	// Terms is the queue as it was when the job was accepted; it counts where the
+	// configuration does not have the queue, or is not known yet. May be nil.
+	Terms *batch.Queue
 	// Age is how long ago the caller asked.
 	Age time.Duration
 	// Existed is set when the submission is older than this leader.
@@ -35,6 +38,9 @@
 		chain: sub.Job.Chain(), work: sub.Job.Work(), attempts: 1,
 	}
 	j.objective = j.chain
+	if sub.Terms != nil {
+		j.applyTerms(sub.Terms)
+	}
 	s.jobs[sub.Job.ID] = j
 	s.noteWork(j)
 	s.applyConfig(j)
@@ -53,7 +59,7 @@
 }
 
 // applyConfig takes the queue's figures over. A queue that is gone leaves those
-// of the last configuration that had it.
+// of the last configuration that had it, or of the job's acceptance.
 func (s *Scheduler) applyConfig(j *job) {
 	if s.config == nil {
 		return
@@ -63,6 +69,11 @@
 		return
 	}
 	j.pool = q.Pool
+	j.applyTerms(q)
+}
+
+// applyTerms takes a queue's figures over.
+func (j *job) applyTerms(q *batch.Queue) {
 	j.attempts = max(q.Attempts, 1)
 	j.priority = q.Priority
 	j.advice = q.Advice
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -202,3 +202,29 @@
 	hold, _ := f.s.Hold(f.now, "vm00", 0)
 	require.EqualValues(t, 2, hold.Acked)
 }
+
+// Symptom: a job is said to have failed though its tasks failed less often than
+// its queue allows.
+// Sequence: a leader takes over before it has a configuration, or with one that
+// does not have the job's queue any more; a task fails once.
+// Cause: a queue that is not known allowed one attempt.
+func TestAttemptsOfAQueueThatIsNotConfigured(t *testing.T) {
+	f := newFixture(t, 1)
+	f.s = New(Settings{MaxLease: 10 * time.Second}, 2, nil)
+	f.s.SetInstances(f.now, f.list)
+	f.hearAll(nil)
+	step := tasks(1, 1000)
+	terms := &batch.Queue{Name: "gone", Pool: "pool", Attempts: 3, Stretch: 2}
+	f.s.Submit(f.now, Submission{Job: &batch.Job{ID: "j", Steps: []batch.Step{step}}, Queue: "gone", Pool: "pool", Terms: terms, Existed: true})
+	f.plan()
+	first := f.last("j.0.0.0")
+	f.confirm(first)
+	f.advance(time.Second)
+	f.hear("vm00", batch.Report{Ended: []batch.RunEnd{ended(1, first, batch.EndFailed)}})
+	state, _ := f.s.State("j")
+	require.Equal(t, batch.Running, state)
+	f.advance(time.Second)
+	f.hear("vm00", batch.Report{})
+	f.plan()
+	require.Len(t, f.started["j.0.0.0"], 2)
+}
