A request's outcome is the worst over its tries

Brought about in virtual time: 'not-run' where the target's record has a run. Change: an error that leaves the outcome open goes before a later certain refusal. Test: TestNoRoomForTheSecondTryIsNotNotRun, which failed before.

--- a/internal/route/failures_test.go
+++ b/internal/route/failures_test.go
@@ -159,6 +159,28 @@
 	}
 }
 
+// Symptom: a caller is told that its request did not run, and it ran.
+// Sequence: the target runs an idempotent request and resets the connection; when
+// it is offered to another place, all slots have been taken.
+// Cause: the outcome of the last place was told for that of all of them.
+func TestNoRoomForTheSecondTryIsNotNotRun(t *testing.T) {
+	inBed(t, func(t *testing.T, b *bed) {
+		var crowd sync.WaitGroup
+		defer crowd.Wait()
+		time.AfterFunc(50*time.Millisecond, func() {
+			for i := range 90 {
+				crowd.Go(func() {
+					_ = b.caller.Send(context.Background(), http.MethodGet, service+"/work?size=100&ms=8000", fmt.Sprintf("crowd-%d", i), nil, nil)
+				})
+			}
+		})
+		a, id := b.send(http.MethodGet, "ms=200&fault="+worker.FaultResetAfter, nil)
+		require.NoError(t, a.Err)
+		require.Positive(t, b.Runs(id))
+		require.Equal(t, string(errkind.Unknown), a.Outcome, a.Kind)
+	})
+}
+
 // Symptom: a caller takes half an answer for the whole. Sequence: the target
 // resets the connection in the middle of its answer. Cause: the node ends its
 // own answer cleanly.
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -224,22 +224,32 @@
 func (rt *Router) serve(ctx context.Context, w http.ResponseWriter, req *request) errkind.Kind {
 	rt.budget.earn()
 	body := req.body(w)
-	var last error
+	// failed is what is told when no place serves the request.
+	var failed error
 	tried := map[string]bool{}
 	for try := 0; try < maxTries; try++ {
-		if try > 0 && !rt.mayRetry(last, req, body) {
+		if try > 0 && !rt.mayRetry(failed, req, body) {
 			break
 		}
 		got, err := rt.offer(ctx, req, body, tried, try == maxTries-1)
 		if err == nil {
 			return rt.relay(w, got)
 		}
-		last = err
+		failed = worst(failed, err)
 		if ctx.Err() != nil || !tryElsewhere(err) {
 			break
 		}
 	}
-	return rt.fail(ctx, w, req, last, body)
+	return rt.fail(ctx, w, req, failed, body)
+}
+
+// worst is what is known of a request after one more try: where an earlier try may
+// have run it, a later one that certainly did not says nothing of the request.
+func worst(before, err error) error {
+	if before != nil && errkind.From(err).Answer().Outcome == errkind.NotRun && errkind.From(before).Answer().Outcome != errkind.NotRun {
+		return before
+	}
+	return err
 }
 
 // mayRetry decides whether another place may be tried after err. A place that
