--- a/internal/command/client.go
+++ b/internal/command/client.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -33,13 +34,16 @@
 
 // flags adds what each verb that calls the API has in common.
 func (c *client) flags(cmd *cobra.Command) {
-	cmd.PersistentFlags().StringVar(&c.address, "admin", os.Getenv(envAdmin), "ip:port of any node's administration API; default $"+envAdmin)
-	cmd.PersistentFlags().StringVar(&c.token, "token", os.Getenv(envToken), "credential of a team or operator; better given as $"+envToken)
+	cmd.PersistentFlags().StringVar(&c.address, "admin", "", "ip:port of any node's administration API; default $"+envAdmin)
+	// The variable is no default of the flag: --help prints defaults.
+	cmd.PersistentFlags().StringVar(&c.token, "token", "", "credential of a team or operator; better given as $"+envToken)
 	cmd.PersistentFlags().BoolVar(&c.asJSON, "json", false, "print JSON for programs")
 	c.timeout = clientTimeout
 }
 
 func (c *client) base() *sling.Sling {
+	c.address = cmp.Or(c.address, os.Getenv(envAdmin))
+	c.token = cmp.Or(c.token, os.Getenv(envToken))
 	return sling.New().Client(&http.Client{}).Base("http://"+c.address).Set("Authorization", "Bearer "+c.token)
 }
 
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"strings"
 	"testing"
 
@@ -49,3 +50,32 @@
 	root.SetArgs([]string{"status"})
 	require.ErrorContains(t, root.Execute(), "--admin or $"+envAdmin)
 }
+
+// Symptom: the help of a verb shows the credential that the environment holds.
+// Cause: it was the default of a flag.
+func TestHelpShowsNoCredential(t *testing.T) {
+	const secret = "credential-of-the-test"
+	t.Setenv(envToken, secret)
+	var walk func(c *cobra.Command)
+	walk = func(c *cobra.Command) {
+		require.NotContains(t, c.UsageString(), secret, c.CommandPath())
+		for _, sub := range c.Commands() {
+			walk(sub)
+		}
+	}
+	walk(newRoot())
+}
+
+// Symptom: a script with a misspelt verb goes on as if it had worked.
+func TestUnknownVerbsAreRefused(t *testing.T) {
+	for _, args := range [][]string{{"job", "crate"}, {"config", "x"}, {"nonsense"}, {"vm", "x", "y"}} {
+		root := newRoot()
+		root.SetOut(io.Discard)
+		root.SetArgs(args)
+		require.ErrorContains(t, root.Execute(), "unknown", args)
+	}
+	root := newRoot()
+	root.SetOut(io.Discard)
+	root.SetArgs([]string{"job"})
+	require.NoError(t, root.Execute())
+}
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 
 	"github.com/sirupsen/logrus"
@@ -65,9 +66,27 @@
 	root.SetErr(os.Stderr)
 	root.AddCommand(newNode(), newEdge(), newDev(), newStandin(), newSettings(), newCapacity())
 	root.AddCommand(newConfig(), newService(), newWatch(), newJob(), newTeam(), newVM(), newStatus(), newDump())
+	refuseUnknownVerbs(root)
 	return root
 }
 
+// refuseUnknownVerbs makes commands that only have verbs of their own refuse words
+// that are none: cobra prints their help and succeeds, and a script goes on.
+func refuseUnknownVerbs(cmd *cobra.Command) {
+	for _, sub := range cmd.Commands() {
+		refuseUnknownVerbs(sub)
+	}
+	if cmd.Runnable() || !cmd.HasSubCommands() {
+		return
+	}
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		if len(args) == 0 {
+			return cmd.Help()
+		}
+		return fmt.Errorf("unknown verb %q; see '%s --help'", args[0], cmd.CommandPath())
+	}
+}
+
 // newLogger returns a logger that writes to standard error.
 func newLogger(level, format string) (*logrus.Logger, error) {
 	log := logrus.New()
