One way to repeat something, one figure for a silent VM, one path from store to leader

Expire did four things: it is Tend now, with one function for each. pause.Every replaces three loops. storeOnce and cancelOnce share orByLeader.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -187,17 +187,23 @@
 		err = e.create(tryCtx, leader.JobKey(id), record)
 		cancel()
 	}
+	return e.orByLeader(ctx, err, func(ctx context.Context) error { return e.Peers.Submit(ctx, id, record) })
+}
+
+// orByLeader has the leader make a write that failed here with err. The outcome is
+// unknown if either try's is.
+func (e *Entry) orByLeader(ctx context.Context, err error, ask func(ctx context.Context) error) error {
 	if err == nil {
 		return nil
 	}
 	if errors.Is(err, errStoreSilent) && !e.LeaderAnswers() {
 		// Cut off from both: to send it all the same would leave the outcome open,
-		// where now it is certain that the job does not run.
+		// where now it is certain that nothing was written.
 		return err
 	}
-	askCtx, cancel := e.bounded(ctx, leaderTimeout)
+	ctx, cancel := e.bounded(ctx, leaderTimeout)
 	defer cancel()
-	byLeader := e.Peers.Submit(askCtx, id, record)
+	byLeader := ask(ctx)
 	if byLeader == nil {
 		return nil
 	}
@@ -321,7 +327,7 @@
 	ctx, stop := e.bounded(ctx, cancelTimeout)
 	defer stop()
 	for {
-		err := e.cancelOnce(ctx, id)
+		err := e.cancelOnce(ctx, id, unknown)
 		switch {
 		case err == nil:
 			return nil
@@ -329,6 +335,8 @@
 			return err
 		case errors.Is(err, durable.ErrUnknown):
 			unknown = true
+		case errors.Is(err, errStoreSilent) && !unknown:
+			return errkind.New(errkind.StoreUnavailable, "not cancelled", err)
 		}
 		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < answerMargin+retryPause {
 			if unknown {
@@ -342,18 +350,19 @@
 	}
 }
 
-func (e *Entry) cancelOnce(ctx context.Context, id string) error {
-	tryCtx, cancel := e.bounded(ctx, commitTimeout)
-	defer cancel()
-	known, err := StoreCancel(tryCtx, e.Store, id)
+func (e *Entry) cancelOnce(ctx context.Context, id string, again bool) error {
+	known, err := false, errStoreSilent
+	if again || e.StoreAnswers() {
+		tryCtx, cancel := e.bounded(ctx, commitTimeout)
+		known, err = StoreCancel(tryCtx, e.Store, id)
+		cancel()
+	}
+	err = e.orByLeader(ctx, err, func(ctx context.Context) (err error) {
+		known, err = e.Peers.Cancel(ctx, id)
+		return err
+	})
 	if err != nil {
-		askCtx, cancel := e.bounded(ctx, leaderTimeout)
-		defer cancel()
-		var byLeader error
-		known, byLeader = e.Peers.Cancel(askCtx, id)
-		if byLeader != nil {
-			return err
-		}
+		return err
 	}
 	if !known {
 		return errkind.Newf(errkind.NotFound, "no such job")
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -98,6 +98,16 @@
 	require.NoError(t, f.submit(t.Context()))
 }
 
+// A cancellation is refused at once, too, where it can't be stored.
+func TestCancellationIsRefusedAtOnceWithoutStoreAndLeader(t *testing.T) {
+	f := newEntryFixture()
+	f.heardAt = 0
+	began := time.Now()
+	err := f.Cancel(t.Context(), &batch.Queue{Name: "q"}, "0000000000000001")
+	require.True(t, errkind.Is(err, errkind.StoreUnavailable))
+	require.Less(t, time.Since(began), 100*time.Millisecond)
+}
+
 // One lost answer is no reason to refuse: the second try finds what the first did.
 func TestOneLostAnswerRefusesNobody(t *testing.T) {
 	f := newEntryFixture()
--- a/internal/jobs/planner.go
+++ b/internal/jobs/planner.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rattanwall/rattanwall/internal/model"
+	"github.com/rattanwall/rattanwall/internal/pause"
 	"github.com/rattanwall/rattanwall/internal/vms"
 	"github.com/rattanwall/rattanwall/internal/worker"
 )
@@ -308,16 +309,10 @@
 // auditLoop asks for the attempts that were not heard of. It finds those whose
 // start was lost, whose VM's owner died, or whose VM is gone.
 func (p *planner) auditLoop(ctx context.Context) {
-	ticker := time.NewTicker(auditEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	pause.Every(ctx, auditEvery, func() {
 		var unheard []vms.Attempt
 		if p.leader.Read(ctx, func(s *State) { unheard = p.unheard(s, time.Now()) }) != nil {
+			// The shard's leadership ended, and with it ctx.
 			return
 		}
 		byNode, gone := p.byOwner(unheard, time.Now())
@@ -325,7 +320,7 @@
 		for node, list := range byNode {
 			p.audit(ctx, node, list)
 		}
-	}
+	})
 }
 
 func (p *planner) audit(ctx context.Context, node string, list []vms.Attempt) {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -225,7 +225,7 @@
 		t.config = c
 		t.sched.SetConfig(c)
 	}
-	t.sched.Expire(now)
+	t.sched.Tend(now)
 	t.sched.OpenDue(now, t.WallMS())
 	orders := t.sched.Plan(now)
 	t.mu.Unlock()
@@ -336,17 +336,3 @@
 	}
 	t.log.Event(d.Event, f)
 }
-
-// every calls do at each interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, do func()) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		do()
-	}
-}
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rattanwall/rattanwall/internal/durable"
+	"github.com/rattanwall/rattanwall/internal/pause"
 	"github.com/rattanwall/rattanwall/internal/scheduler"
 )
 
@@ -15,7 +16,7 @@
 
 // modelLoop stores the learned model.
 func (t *term) modelLoop(ctx context.Context) {
-	every(ctx, modelEvery, func() {
+	pause.Every(ctx, modelEvery, func() {
 		if err := t.storeModel(ctx); err != nil && ctx.Err() == nil {
 			t.log.Warn("model_not_stored", err, nil)
 		}
--- a/internal/leader/progress.go
+++ b/internal/leader/progress.go
@@ -9,6 +9,7 @@
 
 	"github.com/rattanwall/rattanwall/internal/durable"
 	"github.com/rattanwall/rattanwall/internal/eventlog"
+	"github.com/rattanwall/rattanwall/internal/pause"
 	"github.com/rattanwall/rattanwall/internal/scheduler"
 	"github.com/rattanwall/rattanwall/internal/steady"
 )
@@ -31,7 +32,7 @@
 
 // flushLoop writes progress.
 func (t *term) flushLoop(ctx context.Context) {
-	every(ctx, flushEvery, func() { t.flushPending(ctx) })
+	pause.Every(ctx, flushEvery, func() { t.flushPending(ctx) })
 }
 
 func (t *term) flushPending(ctx context.Context) {
@@ -128,7 +129,7 @@
 
 // forgetLoop removes jobs that ended long ago.
 func (t *term) forgetLoop(ctx context.Context) {
-	every(ctx, forgetEvery, func() { t.forget(ctx) })
+	pause.Every(ctx, forgetEvery, func() { t.forget(ctx) })
 }
 
 func (t *term) forget(ctx context.Context) {
--- a/internal/leader/rebuild.go
+++ b/internal/leader/rebuild.go
@@ -12,6 +12,7 @@
 	"github.com/rattanwall/rattanwall/internal/batch"
 	"github.com/rattanwall/rattanwall/internal/durable"
 	"github.com/rattanwall/rattanwall/internal/eventlog"
+	"github.com/rattanwall/rattanwall/internal/pause"
 	"github.com/rattanwall/rattanwall/internal/steady"
 )
 
@@ -70,7 +71,8 @@
 	now := steady.Now()
 	t.sched.SetInstances(now, list)
 	used := survivors(earlier, list)
-	t.sched.Expect(now, used, now+t.longestLease())
+	// The earlier leader may have renewed leases until it stopped acting.
+	t.sched.Expect(now, used, now+t.Settings.SilentFor(actWithoutStore-leaseTTL))
 	for _, id := range used {
 		t.sched.AddUnlisted(now, batch.Instance{ID: id, Address: earlier[id]})
 	}
@@ -78,20 +80,6 @@
 	return rebuilt{count: count, revision: revision}, nil
 }
 
-// longestLease is how long an instance that is not heard may go on running what
-// an earlier leader started there: that leader may have renewed the lease until
-// it stopped acting, and the instance's clock may be slow.
-func (t *term) longestLease() time.Duration {
-	lease := time.Duration(float64(t.Settings.Lease()) / slowestClock)
-	return actWithoutStore - leaseTTL + lease + longestLeaseMargin
-}
-
-const (
-	// slowestClock is the least rate of an instance's clock.
-	slowestClock       = 0.98
-	longestLeaseMargin = 300 * time.Millisecond
-)
-
 func (t *term) readProgress(ctx context.Context) (map[string]durable.Item, error) {
 	items, _, err := t.Store.Range(ctx, progressPrefix)
 	if err != nil {
@@ -223,7 +211,7 @@
 // listLoop follows the list of instances and holds each of them.
 func (t *term) listLoop(ctx context.Context) {
 	t.holdAll(ctx)
-	every(ctx, listEvery, func() {
+	pause.Every(ctx, listEvery, func() {
 		if err := t.refreshInstances(ctx); err != nil && ctx.Err() == nil {
 			t.log.Warn("instances_not_read", err, nil)
 		}
--- a/internal/leader/waves.go
+++ b/internal/leader/waves.go
@@ -40,7 +40,7 @@
 func (t *term) wavesLoop(ctx context.Context) {
 	pause.For(ctx, holderPause)
 	written := map[int64]scheduler.WaveStatus{}
-	every(ctx, wavesEvery, func() {
+	pause.Every(ctx, wavesEvery, func() {
 		if waves := t.Waves(); len(waves) > 0 {
 			t.followWaves(ctx, waves, written)
 		}
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -1,4 +1,4 @@
-// Package pause waits.
+// Package pause waits, once or again and again.
 package pause
 
 import (
@@ -15,3 +15,17 @@
 	case <-timer.C:
 	}
 }
+
+// Every calls do at each interval until ctx ends; the first time after one interval.
+func Every(ctx context.Context, interval time.Duration, do func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		do()
+	}
+}
--- a/internal/scheduler/contracts_test.go
+++ b/internal/scheduler/contracts_test.go
@@ -340,7 +340,7 @@
 		f.list[i].Draining = f.list[i].ID == o.Instance.ID
 	}
 	f.s.SetInstances(f.now, f.list)
-	f.s.Expire(f.now)
+	f.s.Tend(f.now)
 	f.plan()
 	require.Len(t, f.stops, 1)
 	f.hear(o.Instance.ID, batch.Report{Ended: []batch.RunEnd{ended(1, o, batch.EndStopped)}})
@@ -366,7 +366,7 @@
 	f.s.SetInstances(f.now, rest)
 	f.advance(leftAfter + time.Millisecond)
 	f.hear(rest[0].ID, batch.Report{})
-	f.s.Expire(f.now)
+	f.s.Tend(f.now)
 	f.plan()
 	require.Len(t, f.started["j.0.0.0"], 2)
 }
--- a/internal/scheduler/explore_test.go
+++ b/internal/scheduler/explore_test.go
@@ -371,7 +371,7 @@
 			w.hold(l, v)
 		}
 	}
-	l.s.Expire(w.now)
+	l.s.Tend(w.now)
 	for _, o := range l.s.Plan(w.now) {
 		w.carryOut(l, o)
 	}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -206,7 +206,7 @@
 	durable int64
 	// ackLimit, where set, is the first end that is never acknowledged; see withhold.
 	ackLimit int64
-	// trouble rates failures of late; see health.go.
+	// health rates failures of late; see health.go.
 	health health
 	// leaseUntil is the end of the lease on the instance's clock.
 	leaseUntil time.Duration
--- a/internal/scheduler/straggler_test.go
+++ b/internal/scheduler/straggler_test.go
@@ -72,7 +72,7 @@
 	}
 	f.advance(copyAfter + time.Millisecond)
 	f.hear(other, batch.Report{})
-	f.s.Expire(f.now)
+	f.s.Tend(f.now)
 	f.plan()
 	require.Len(t, f.started["j.0.0.0"], 2)
 	second := f.last("j.0.0.0")
@@ -104,7 +104,7 @@
 		}
 		// Retries of the hold must not prolong the lease.
 		_, _ = f.s.Hold(f.now, silent, 0)
-		f.s.Expire(f.now)
+		f.s.Tend(f.now)
 		f.plan()
 	}
 	require.Len(t, f.started["j.0.0.0"], 1, "started while the VM may run it")
@@ -114,7 +114,7 @@
 			f.hear(inst.ID, batch.Report{})
 		}
 	}
-	f.s.Expire(f.now)
+	f.s.Tend(f.now)
 	f.plan()
 	require.Len(t, f.started["j.0.0.0"], 2)
 }
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -14,7 +14,20 @@
 
 // leaseMargin covers rounding and scheduling of the process when a lease is
 // taken to be over.
-const leaseMargin = 200 * time.Millisecond
+const leaseMargin = 300 * time.Millisecond
+
+// leaseOver is how long after its start a lease of the given length is certainly
+// over: a VM's clock may be slow.
+func leaseOver(length time.Duration) time.Duration {
+	return time.Duration(float64(length)/slowClock) + leaseMargin
+}
+
+// SilentFor is how long an instance that is not heard may go on running what an
+// earlier leader started there, where that one may have renewed leases for so long
+// without anybody seeing it lead.
+func (s Settings) SilentFor(renewedUnseen time.Duration) time.Duration {
+	return renewedUnseen + leaseOver(s.Lease())
+}
 
 // deposedWithin is how long a leader whose key is gone may go on taking new jobs
 // up: it renews its lease each 0.35 s, and a renewal that reaches the store tells
@@ -158,7 +171,7 @@
 // renew takes a lease from now on and returns its end on the instance's clock.
 func (v *vm) renew(now Time, length time.Duration) time.Duration {
 	v.leaseUntil = v.clock.value + (now - v.clock.sentAt) + length
-	over := v.clock.gotAt + time.Duration(float64(v.leaseUntil-v.clock.value)/slowClock) + leaseMargin
+	over := v.clock.gotAt + leaseOver(v.leaseUntil-v.clock.value)
 	v.leaseOver = max(v.leaseOver, over)
 	return v.leaseUntil
 }
@@ -334,13 +347,27 @@
 	s.release(now, r)
 }
 
-// Expire counts what silent instances held as ended once its lease is over.
-func (s *Scheduler) Expire(now Time) {
+// Tend does what is due by time alone; call it before each plan.
+func (s *Scheduler) Tend(now Time) {
 	s.logLoad(now)
+	s.logInterference(now)
+	s.waitOutSilent(now)
+	for id, v := range s.vms {
+		s.tendVM(now, id, v)
+	}
+}
+
+// logInterference logs what was learned, now and then.
+func (s *Scheduler) logInterference(now Time) {
 	if now-s.describedAt > describeEvery && len(s.images.pairs) > 0 {
 		s.describedAt = now
 		s.logf(Decision{Event: EventInterference, Reason: s.images.describe()})
 	}
+}
+
+// waitOutSilent stops waiting for the instances of earlier leaders that have
+// certainly ended what they ran.
+func (s *Scheduler) waitOutSilent(now Time) {
 	for id, until := range s.silent {
 		if v := s.vms[id]; v != nil && !v.listed && now-v.unlistedAt > unlistedGone {
 			s.Gone(now, id, "off the list and unheard")
@@ -352,21 +379,25 @@
 			s.logf(Decision{Event: EventVMWaitedOut, VM: id})
 		}
 	}
-	for id, v := range s.vms {
-		s.copyUnheard(now, v)
-		if v.heard && len(v.runs) > 0 && v.leaseOver > 0 && now > v.leaseOver {
-			s.dropRuns(now, v, "lease over")
-		}
-		if v.left(now) {
-			s.Gone(now, id, "drained and left")
-			continue
-		}
-		if v.inst.Draining && v.listed {
-			s.emptyDraining(now, v)
-		}
-		if !v.listed && len(v.runs) == 0 && now-v.unlistedAt > forgetAfter && now > v.leaseOver {
-			s.Gone(now, id, "unlisted")
-		}
+}
+
+// tendVM counts what an unheard instance held as ended once its lease is over,
+// starts copies of it where that is allowed, empties one that leaves, and takes
+// out one whose life has ended.
+func (s *Scheduler) tendVM(now Time, id string, v *vm) {
+	s.copyUnheard(now, v)
+	if v.heard && len(v.runs) > 0 && v.leaseOver > 0 && now > v.leaseOver {
+		s.dropRuns(now, v, "lease over")
+	}
+	if v.left(now) {
+		s.Gone(now, id, "drained and left")
+		return
+	}
+	if v.inst.Draining && v.listed {
+		s.emptyDraining(now, v)
+	}
+	if !v.listed && len(v.runs) == 0 && now-v.unlistedAt > forgetAfter && now > v.leaseOver {
+		s.Gone(now, id, "unlisted")
 	}
 }
 
--- a/internal/vms/manager.go
+++ b/internal/vms/manager.go
@@ -17,6 +17,7 @@
 	"github.com/rattanwall/rattanwall/internal/ledger"
 	"github.com/rattanwall/rattanwall/internal/model"
 	"github.com/rattanwall/rattanwall/internal/ownership"
+	"github.com/rattanwall/rattanwall/internal/pause"
 	"github.com/rattanwall/rattanwall/internal/target"
 	"github.com/rattanwall/rattanwall/internal/worker"
 )
@@ -152,16 +153,7 @@
 const reportEvery = 30 * time.Second
 
 func (m *Manager) reportLoop(ctx context.Context) {
-	ticker := time.NewTicker(reportEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			m.reportRunning(ctx)
-		}
-	}
+	pause.Every(ctx, reportEvery, func() { m.reportRunning(ctx) })
 }
 
 // tickEvery is how often reservations and waiters are looked at.
