--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -189,6 +189,12 @@
 // after a try that got no answer says nothing of that try, which may be carried
 // out later: the outcome is unknown.
 func (t *term) start(ctx context.Context, o scheduler.Order) {
+	t.mu.Lock()
+	wanted := t.sched.Begin(steady.Now(), o)
+	t.mu.Unlock()
+	if !wanted {
+		return
+	}
 	unanswered := false
 	var refusal batch.Refusal
 	var clock time.Duration
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -28,6 +28,7 @@
 		t.checkpoint = e.Checkpoint
 	}
 	if r != nil {
+		r.task.step.occ.job.started = true
 		s.learn(now, r, e.Kind)
 	}
 	if t == nil || t.step.occ.job.state.Final() {
@@ -207,6 +208,28 @@
 	s.orders = append(s.orders, Order{Kind: OrderStop, Instance: v.inst, Task: id, Run: number})
 }
 
+// Begin reports whether a start that was ordered a while ago is still to be given.
+// Orders wait for their turn where there are many of them; meanwhile a copy may
+// have ended, or the job been cancelled, and a start that is carried out after
+// that runs what is done already. A run that is not begun has certainly never
+// started.
+func (s *Scheduler) Begin(now Time, o Order) bool {
+	v := s.vms[o.Instance.ID]
+	if v == nil {
+		return false
+	}
+	r := v.runs[o.Task]
+	if r == nil || r.number != o.Run {
+		return false
+	}
+	if r.state != stopping {
+		return true
+	}
+	s.logf(Decision{Event: EventRunNotBegun, Task: o.Task, VM: v.inst.ID, Run: o.Run, Age: now - r.orderedAt})
+	s.release(now, r)
+	return false
+}
+
 // Started takes the outcome of a start order over. err is nil when the VM has
 // the run, a refusal when it certainly has not and never will, and anything else
 // when that is not known: then the run is stopped, since only a confirmed stop
@@ -237,11 +260,18 @@
 		r.task.notBefore = now + retryPause
 		s.release(now, r)
 	case r.state == starting:
-		r.state = running
-		r.confirmedAt = now
+		r.confirm(now)
 	}
 }
 
+// confirm notes that the VM has the run. Only then has its job begun: an order may
+// wait for its turn.
+func (r *run) confirm(now Time) {
+	r.state = running
+	r.confirmedAt = now
+	r.task.step.occ.job.started = true
+}
+
 // Stopped notes that a VM confirmed a stop: the run has ended or never starts.
 func (s *Scheduler) Stopped(now Time, o Order) {
 	v := s.vms[o.Instance.ID]
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -26,6 +26,8 @@
 	EventRunEnded = "run_ended"
 	// EventRunLost: a run ended without its VM telling how.
 	EventRunLost = "run_lost"
+	// EventRunNotBegun: a start was not given any more, since it was overtaken by a stop.
+	EventRunNotBegun = "run_not_begun"
 	// EventRunPaced: a filler's pace was changed.
 	EventRunPaced = "run_paced"
 	// EventRunStarted: a start was ordered.
@@ -74,6 +76,7 @@
 	EventRunCopied,
 	EventRunEnded,
 	EventRunLost,
+	EventRunNotBegun,
 	EventRunPaced,
 	EventRunStarted,
 	EventRunStopped,
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -294,7 +294,6 @@
 func (s *Scheduler) orderStart(now Time, r *run) {
 	t, v := r.task, r.vm
 	j := t.step.occ.job
-	j.started = true
 	if v.leaseUntil == 0 {
 		// The first report has told the clock; no hold has taken a lease yet.
 		v.renew(now, s.settings.Lease())
--- a/internal/scheduler/queue_test.go
+++ b/internal/scheduler/queue_test.go
@@ -72,3 +72,16 @@
 	require.Contains(t, f.started, "watch.0.0.0")
 	require.NotContains(t, f.started, "check.0.0.0")
 }
+
+// Symptom: a queue is said to have no waiting jobs while sixteen have waited for
+// five seconds. Sequence: a leader takes over with thousands of VMs; its orders wait
+// for their turn. Cause: a job counted as begun when its first start was decided.
+func TestJobWaitsUntilItsFirstStartIsConfirmed(t *testing.T) {
+	f := newFixture(t, 1)
+	f.hearAll(nil)
+	f.submit("j", tasks(1, 1000))
+	f.plan()
+	require.Equal(t, 1, f.s.Waiting(testQueue))
+	f.confirm(f.last("j.0.0.0"))
+	require.Zero(t, f.s.Waiting(testQueue))
+}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -210,6 +210,8 @@
 	health health
 	// leaseUntil is the end of the lease on the instance's clock.
 	leaseUntil time.Duration
+	// wait is how long the last hold waits for an end.
+	wait time.Duration
 	// closed VMs are being emptied for maintenance and take no new tasks.
 	closed bool
 	// unanswered is set while a hold has no answer.
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -28,9 +28,9 @@
 	// The tasks of a step differ by a factor of up to two in their work, and
 	// fillers by what the VMs leave them; slow VMs are four times slower or more.
 	crawlFactor = 3.0
-	// copyAfter is how long a VM may be unheard before copies of what it runs
-	// start elsewhere, where the step allows copies. Reports come each second.
-	copyAfter = 1300 * time.Millisecond
+	// copySlack is how much longer than a hold waits a VM may be unheard before
+	// copies of what it runs start elsewhere, where the step allows copies.
+	copySlack = 700 * time.Millisecond
 )
 
 // follow takes a report of the run's progress in.
@@ -160,7 +160,7 @@
 
 // copyUnheard starts copies of what a VM runs that has not been heard of late.
 func (s *Scheduler) copyUnheard(now Time, v *vm) {
-	if now-v.heardAt <= copyAfter {
+	if now-v.heardAt <= v.wait+copySlack {
 		return
 	}
 	for _, r := range v.runs {
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -7,10 +7,13 @@
 	"github.com/rattanwall/rattanwall/internal/batch"
 )
 
-// silentAfter is how long an instance may leave a call without an answer before
-// it gets no new work and no longer leases: a call travels a few milliseconds,
-// and one lost packet is sent again within 0.3 s.
-const silentAfter = 1500 * time.Millisecond
+// silentSlack is how much longer than a hold waits an instance may be unheard
+// before it gets no new work and no longer leases: a call travels a few
+// milliseconds, and one lost packet is sent again within 0.3 s.
+const silentSlack = 900 * time.Millisecond
+
+// silent reports whether the instance has been unheard for too long to be given work.
+func (v *vm) silent(now Time) bool { return now-v.heardAt > v.wait+silentSlack }
 
 // leaseMargin covers rounding and scheduling of the process when a lease is
 // taken to be over.
@@ -160,6 +163,7 @@
 	if v == nil {
 		return batch.HoldOrder{}, false
 	}
+	v.wait = wait
 	o := batch.HoldOrder{Fence: s.fence, Acked: v.acked(), Wait: wait}
 	if v.clock.known && !v.unanswered {
 		o.LeaseUntil = v.renew(now, s.settings.Lease())
@@ -195,7 +199,7 @@
 		s.changed = true
 		s.logf(Decision{Event: EventVMHeard, VM: id, Value: float64(len(rep.Running))})
 	}
-	if now-v.heardAt > silentAfter+2*time.Second {
+	if now-v.heardAt > heardAgain {
 		s.changed = true
 	}
 	v.heardAt = now
@@ -220,6 +224,10 @@
 	s.rescue(now, v)
 }
 
+// heardAgain is how long an instance has to have been unheard for its return to be
+// worth a plan of its own.
+const heardAgain = 3500 * time.Millisecond
+
 // takeEnds takes those ends over that are new.
 func (s *Scheduler) takeEnds(now Time, v *vm, ends []batch.RunEnd) {
 	known := v.seen
@@ -288,8 +296,7 @@
 	r := v.runs[st.Task]
 	if r != nil && r.number == st.Run {
 		if r.state == starting {
-			r.state = running
-			r.confirmedAt = now
+			r.confirm(now)
 		}
 	} else {
 		r = s.adopt(now, v, st)
