Ends of occurrences that are not open yet count

Shown by rattanwall trace: leader_ready at 35.111 s, run_ended done at 35.13 s, started again at 39.6 s. Cause: a new leader opens a timed job's occurrences with its first plan; a VM's report that came before told of a task that was not open, which was acknowledged and forgotten. A clock behind the earlier leader's has the same effect. Change: what a VM tells of opens its occurrence; finished ones are not opened again. Test: TestEndOfAnOccurrenceThatIsNotOpenYet, failed before.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test faults bench generate
+.PHONY: build test faults soak bench generate
 
 build:
 	go build -o bin/rattanwall ./cmd/rattanwall
@@ -10,6 +10,13 @@
 faults:
 	go test -tags faults -count=1 -timeout 40m -v ./internal/faults
 
+# The fault soak of separate processes on the users' platform's stand-in, on fresh
+# seeds: make soak FIRST=1000 SEEDS=50.
+FIRST ?= 1000
+SEEDS ?= 50
+soak:
+	go test ./platform/soak -count=1 -timeout 60m -v -soak.first $(FIRST) -soak.seeds $(SEEDS)
+
 bench:
 	go test -run NONE -bench . ./internal/route
 
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -23,6 +23,7 @@
 		lasted = now - r.orderedAt
 	}
 	s.logf(Decision{Event: EventRunEnded, Task: e.Task, VM: v.inst.ID, Run: e.Run, Reason: string(e.Kind), Age: lasted})
+	s.openTold(now, e.Task)
 	t := s.task(e.Task)
 	if t != nil && e.Checkpoint != "" && !t.done {
 		t.checkpoint = e.Checkpoint
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -103,7 +103,7 @@
 func (s *Scheduler) OpenDue(now Time, wallMS int64) {
 	for id, j := range s.timed {
 		for j.nextOcc < j.spec.Occurrences() && j.spec.DueMS(j.nextOcc) <= wallMS {
-			if !j.doneOccs[j.nextOcc] {
+			if j.unopened(j.nextOcc) {
 				s.openOccurrence(now, j, j.nextOcc)
 			}
 			j.nextOcc++
@@ -114,6 +114,22 @@
 	}
 }
 
+// openTold opens the occurrence of a task that a VM tells of. An earlier leader
+// found it due; this one may not have looked at the time of day yet, or by a clock
+// that is behind. What is told of a task that is not open would be forgotten, and
+// the task started again.
+func (s *Scheduler) openTold(now Time, id batch.TaskID) {
+	j := s.timed[id.Job]
+	if j != nil && id.Occurrence < j.spec.Occurrences() && j.unopened(id.Occurrence) {
+		s.openOccurrence(now, j, id.Occurrence)
+	}
+}
+
+// unopened reports whether an occurrence is neither open nor finished.
+func (j *job) unopened(number int) bool {
+	return number >= j.doneLow && !j.doneOccs[number] && j.occs[number] == nil
+}
+
 func (s *Scheduler) openOccurrence(now Time, j *job, number int) {
 	o := &occurrence{job: j, number: number, steps: make([]step, len(j.spec.Steps)), left: len(j.spec.Steps), dueAt: now}
 	if j.spec.Schedule == nil {
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -228,3 +228,27 @@
 	f.plan()
 	require.Len(t, f.started["j.0.0.0"], 2)
 }
+
+// Symptom: a task of a timed job runs twice after a change of leader.
+// Sequence: a new leader takes the job up; a VM tells that a task of an occurrence
+// is done, or that it runs, before the leader has looked at the time of day, or by
+// a clock that is behind the earlier leader's.
+// Cause: the end of a task that is not open was acknowledged and forgotten.
+func TestEndOfAnOccurrenceThatIsNotOpenYet(t *testing.T) {
+	f := newFixture(t, 2)
+	job := &batch.Job{ID: "j", Steps: []batch.Step{tasks(1, 1000)}, Schedule: &batch.Schedule{FirstMS: 1000, IntervalMS: 1000, Count: 3}}
+	f.s.Submit(f.now, Submission{Job: job, Queue: testQueue, Pool: "pool", Existed: true})
+	earlier := func(occurrence int) Order {
+		return Order{Task: batch.TaskID{Job: "j", Occurrence: occurrence}, Run: 7}
+	}
+	f.hear("vm00", batch.Report{Ended: []batch.RunEnd{ended(1, earlier(0), batch.EndDone)}})
+	f.hear("vm01", runs(earlier(1)))
+	f.s.OpenDue(f.now, 2500)
+	f.plan()
+	require.NotContains(t, f.started, "j.0.0.0", "is done")
+	require.NotContains(t, f.started, "j.1.0.0", "runs")
+	require.Empty(t, f.stops)
+	f.s.OpenDue(f.now, 3500)
+	f.plan()
+	require.Contains(t, f.started, "j.2.0.0")
+}
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -316,6 +316,7 @@
 
 // adopt takes on a run that this leader did not start, or stops it.
 func (s *Scheduler) adopt(now Time, v *vm, st *batch.RunStatus) *run {
+	s.openTold(now, st.Task)
 	t := s.task(st.Task)
 	if t == nil || t.done || t.step.occ.job.state.Final() || (len(t.runs) > 0 && !t.step.spec.Speculative) || v.runs[st.Task] != nil {
 		s.logf(Decision{Event: EventRunUnwanted, Task: st.Task, VM: v.inst.ID, Run: st.Run})
