Comments: the figure of the queue's replay, where the events are listed

Read as a newcomer: the comment gave the first trial's load (1.5 times) beside the test's (twice), and Decision named the wrong page. No code is changed.

--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -17,15 +17,15 @@
 	// fillersAsk is what the running fillers would use at their pace, fillersUse
 	// what they were last seen to use.
 	fillersAsk, fillersUse float64
-	// saturated counts the VMs whose fillers get less than they ask for, filled
-	// those that have any.
+	// saturated counts the VMs whose fillers use less than they ask for, filled
+	// those that have any. Some declare more than they ever use.
 	saturated, filled int
 	// over counts the serving runs over their targets, serving all of them.
 	over, serving int
 }
 
 // saturatedAt is the share of what they ask for below which fillers count as
-// short of processors.
+// getting less.
 const saturatedAt = 0.9
 
 // measureLoad sums the VMs' last reports up.
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -24,8 +24,8 @@
 	// effort is the work that is still to come for what the job is worth. Where
 	// more comes than there is room for, going by it serves more jobs, more work,
 	// and more of the largest tenth than going by slack, which begins them all and
-	// ends them late: of the work of an overload of 1.5 for twelve seconds 0.64
-	// instead of 0.55 is on time.
+	// ends them late: 0.63 instead of 0.54 of the work on time, where twelve
+	// seconds bring twice the work (TestOverloadOfFillerChains).
 	effort float64
 	// slack is the time that may be lost without missing the objective.
 	slack time.Duration
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -306,7 +306,7 @@
 	}
 }
 
-// Decision is a line for the log: an event of the closed list in docs/OPERATORS.md
+// Decision is a line for the log: an event of the closed list in docs/OPERATIONS.md
 // with what it is about and what decided it.
 type Decision struct {
 	Event string
