A planned stop shuts its servers down twice

Likely cause: a connection that was just accepted is not known to the server yet, so that the shutdown finds nothing under way and the process ends. Ruled out by the log: a second signal, a kill, the end of the grace. Change: the shutdown is repeated after 0.1 s.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -22,6 +22,7 @@
 	"github.com/rattanwall/rattanwall/internal/eventlog"
 	"github.com/rattanwall/rattanwall/internal/follow"
 	"github.com/rattanwall/rattanwall/internal/leader"
+	"github.com/rattanwall/rattanwall/internal/pause"
 	"github.com/rattanwall/rattanwall/internal/scheduler"
 	"github.com/rattanwall/rattanwall/internal/scheduling"
 )
@@ -257,6 +258,19 @@
 	limit := began.Add(e.settings.Grace - leaveMargin)
 	ctx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
+	e.shutdown(ctx)
+	// A connection that was taken just as its listener closed is not known to the
+	// first pass yet; its request would end with the process.
+	pause.For(ctx, lateConnections)
+	e.shutdown(ctx)
+}
+
+// lateConnections is how long a connection may take from being accepted until its
+// server counts it: a few scheduling rounds on a busy machine.
+const lateConnections = 100 * time.Millisecond
+
+// shutdown waits until every server has answered what it has read.
+func (e *Edge) shutdown(ctx context.Context) {
 	for _, s := range e.servers {
 		if err := s.Shutdown(ctx); err != nil {
 			e.log.Warn("requests_cut_off", err, eventlog.Fields{"listener": s.Addr})
