One count of the waiting tasks

No change of behaviour. Checked: formatter, vet, linters and the tests of internal/scheduler, internal/leader and internal/edge pass.

--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -88,14 +88,11 @@
 			continue
 		}
 		failures = 0
-		wait = t.holdWait()
+		wait = time.Duration(t.wait.Load())
 		t.awaitFlush(ctx, inst.ID)
 	}
 }
 
-// holdWait is how long the next hold waits.
-func (t *term) holdWait() time.Duration { return time.Duration(t.wait.Load()) }
-
 // holdOnce makes one hold. ok is false when the instance need not be held any more.
 func (t *term) holdOnce(ctx context.Context, inst *batch.Instance, wait time.Duration) (ok bool, err error) {
 	sentAt := steady.Now()
--- a/internal/scheduler/dump.go
+++ b/internal/scheduler/dump.go
@@ -44,9 +44,7 @@
 			d.OpenJobs++
 		}
 	}
-	for _, st := range s.ready {
-		d.WaitingTasks += st.waiting
-	}
+	d.WaitingTasks = s.waitingTasks()
 	for _, v := range s.order {
 		x := VMDump{
 			ID: v.inst.ID, Zone: v.inst.Zone, Listed: v.listed, Draining: v.inst.Draining, Closed: v.closed,
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -84,12 +84,8 @@
 	}
 	s.loadLoggedAt = now
 	l := s.measureLoad()
-	waiting := 0
-	for _, st := range s.ready {
-		waiting += st.waiting
-	}
 	total := float64(max(l.capacity, 1))
-	s.logf(Decision{Event: EventFleetLoad, Value: float64(waiting), Reason: fmt.Sprintf(
+	s.logf(Decision{Event: EventFleetLoad, Value: float64(s.waitingTasks()), Reason: fmt.Sprintf(
 		"lasting=%.2f short=%.2f fillers_ask=%.2f fillers_use=%.2f saturated=%d/%d over_target=%d/%d",
 		float64(l.lasting)/total, float64(l.short)/total, l.fillersAsk/total, l.fillersUse/total, l.saturated, l.filled, l.over, l.serving)})
 }
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -319,11 +319,16 @@
 		return
 	}
 	s.explainedAt = now
-	waiting := 0
-	for _, st := range s.ready {
-		waiting += st.waiting
-	}
 	s.logf(Decision{
-		Event: EventTaskWaits, Task: t.id(), Reason: s.obstaclesOf(now, t), Age: now - t.step.occ.dueAt, Value: float64(waiting),
+		Event: EventTaskWaits, Task: t.id(), Reason: s.obstaclesOf(now, t), Age: now - t.step.occ.dueAt, Value: float64(s.waitingTasks()),
 	})
 }
+
+// waitingTasks counts the tasks that could run and have no place.
+func (s *Scheduler) waitingTasks() int {
+	n := 0
+	for _, st := range s.ready {
+		n += st.waiting
+	}
+	return n
+}
