Log what a leader believes of a VM's lease when it concludes its end, and ends that do not count

vm_unlisted, vm_gone and run_lost now say how long the VM was unheard and what may be left of the lease that this leader took; end_superseded says that a run ended as done where another one counts, and which; end_untracked that an end was dropped, and whether its job is unknown or its occurrence not open. No decision changed.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -338,5 +338,11 @@
 	if d.Value != 0 {
 		f["value"] = d.Value
 	}
+	if d.Unheard != 0 {
+		f["unheard_ms"] = d.Unheard.Milliseconds()
+	}
+	if d.LeaseLeft != 0 {
+		f["lease_left_ms"] = d.LeaseLeft.Milliseconds()
+	}
 	t.log.Event(d.Event, f)
 }
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/rattanwall/rattanwall/internal/batch"
@@ -32,6 +33,7 @@
 		r.task.step.occ.job.started = true
 		s.learn(now, r, e.Kind)
 	}
+	s.logUncounted(v, e, t)
 	if t == nil || t.step.occ.job.state.Final() {
 		if r != nil {
 			s.release(now, r)
@@ -44,7 +46,7 @@
 			r.noteDone(now)
 			s.release(now, r)
 		}
-		s.taskDone(now, t)
+		s.taskDone(now, t, e.Run)
 		return
 	case batch.EndFailed:
 		s.taskFailed(now, t, v, e.Run)
@@ -56,17 +58,32 @@
 	}
 }
 
-func (s *Scheduler) taskDone(now Time, t *task) {
+// logUncounted logs an end that does not count: without the line nobody could tell
+// afterwards that a task had ended well twice, and which run was taken.
+func (s *Scheduler) logUncounted(v *vm, e *batch.RunEnd, t *task) {
+	switch {
+	case t == nil:
+		reason := "occurrence ended or not open"
+		if s.jobs[e.Task.Job] == nil {
+			reason = "unknown job"
+		}
+		s.logf(Decision{Event: EventEndUntracked, Task: e.Task, VM: v.inst.ID, Run: e.Run, Reason: reason})
+	case t.done && e.Kind == batch.EndDone && e.Run != t.doneRun:
+		s.logf(Decision{Event: EventEndSuperseded, Task: e.Task, VM: v.inst.ID, Run: e.Run, Reason: "run " + strconv.FormatInt(t.doneRun, 10) + " counts"})
+	}
+}
+
+func (s *Scheduler) taskDone(now Time, t *task, number int64) {
 	if t.step.spec.Lasting || t.done {
 		return
 	}
 	if t.step.spec.Gang {
 		// One end stands for the whole gang.
 		for k := range t.step.tasks {
-			s.markDone(now, &t.step.tasks[k])
+			s.markDone(now, &t.step.tasks[k], number)
 		}
 	} else {
-		s.markDone(now, t)
+		s.markDone(now, t, number)
 	}
 	s.touch(t.step.occ.job)
 	if t.step.left == 0 {
@@ -75,11 +92,12 @@
 	s.changed = true
 }
 
-func (s *Scheduler) markDone(now Time, t *task) {
+func (s *Scheduler) markDone(now Time, t *task, number int64) {
 	if t.done {
 		return
 	}
 	t.done = true
+	t.doneRun = number
 	t.step.left--
 	if len(t.runs) == 0 {
 		t.step.waiting--
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -4,6 +4,11 @@
 const (
 	// EventAdviceNone: the adviser allowed none of the VMs it was asked about.
 	EventAdviceNone = "advice_none"
+	// EventEndSuperseded: a run ended as done, and another run of the task counts.
+	EventEndSuperseded = "end_superseded"
+	// EventEndUntracked: an end of a task that is not kept: of an unknown job, or of
+	// an occurrence that has ended or is not open.
+	EventEndUntracked = "end_untracked"
 	// EventEndWithheld: an end is never acknowledged, since its task was started again.
 	EventEndWithheld = "end_withheld"
 	// EventFleetLoad: what the VMs have and what is asked of them, now and then.
@@ -65,6 +70,8 @@
 // Events lists all of them.
 var Events = []string{
 	EventAdviceNone,
+	EventEndSuperseded,
+	EventEndUntracked,
 	EventEndWithheld,
 	EventFleetLoad,
 	EventInterference,
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -78,6 +78,8 @@
 	step  *step
 	index int
 	done  bool
+	// doneRun is the number of the run that ended as done, 0 when it is not known.
+	doneRun int64
 	// failedRuns are the numbers of the runs that failed.
 	failedRuns []int64
 	// runs are the runs that have not ended; more than one only of a speculative step.
@@ -320,6 +322,10 @@
 	Age time.Duration
 	// Value is a figure that goes with the reason.
 	Value float64
+	// Unheard is how long the VM has not been heard, LeaseLeft how long a lease that
+	// this leader took may still last there; negative when it is over. Both are told
+	// where the end of a VM, or of what it runs, is concluded.
+	Unheard, LeaseLeft time.Duration
 }
 
 // OrderKind is what an order asks of an instance.
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -68,7 +68,7 @@
 		if v.listed {
 			v.listed = false
 			v.unlistedAt = now
-			s.logf(Decision{Event: EventVMUnlisted, VM: id})
+			s.logf(v.lifeDecision(now, EventVMUnlisted, ""))
 		}
 		// A new life at the same address: the old one has ended with all it ran.
 		if other, taken := byAddress[v.inst.Address]; taken && other != id {
@@ -133,6 +133,16 @@
 	return out
 }
 
+// lifeDecision is a log line on a VM's life, with what is known of its lease. Value
+// is how many runs it had.
+func (v *vm) lifeDecision(now Time, event, reason string) Decision {
+	d := Decision{Event: event, VM: v.inst.ID, Reason: reason, Value: float64(len(v.runs)), Unheard: now - v.heardAt}
+	if v.leaseOver > 0 {
+		d.LeaseLeft = v.leaseOver - now
+	}
+	return d
+}
+
 // Gone takes an instance out whose life has certainly ended.
 func (s *Scheduler) Gone(now Time, id, reason string) {
 	delete(s.silent, id)
@@ -140,7 +150,7 @@
 	if v == nil {
 		return
 	}
-	s.logf(Decision{Event: EventVMGone, VM: id, Reason: reason, Value: float64(len(v.runs))})
+	s.logf(v.lifeDecision(now, EventVMGone, reason))
 	s.dropRuns(now, v, reason)
 	delete(s.vms, id)
 	s.sortVMs()
@@ -150,7 +160,7 @@
 // dropRuns counts everything on v as ended, without blame for the tasks.
 func (s *Scheduler) dropRuns(now Time, v *vm, reason string) {
 	for _, r := range v.runs {
-		s.logf(Decision{Event: EventRunLost, Task: r.task.id(), VM: v.inst.ID, Run: r.number, Reason: reason, Age: now - r.orderedAt})
+		s.logf(Decision{Event: EventRunLost, Task: r.task.id(), VM: v.inst.ID, Run: r.number, Reason: reason, Age: now - r.orderedAt, Unheard: now - v.heardAt, LeaseLeft: v.leaseOver - now})
 		s.release(now, r)
 	}
 }
