A VM is given up only once every lease there is over

A new leader counted a VM as gone that it had not heard and that was off the store's list for 4 s, and any leader one that drained, off the list and unheard for 1.2 s. A VM that is cut off together with the old leader looks just so, while that leader renews its leases for 6 s after it last renewed its own. The same held for a VM that was forgotten after 10 s off the list while it was still waited for, and the wait itself began with the key's usual life of 1.3 s, which is not over when a key is taken away at once.

Absence is no evidence any more: only another life that answers or stands at the address, or time, ends a VM. The wait for VMs of earlier leaders counts from the election. A VM that says that it leaves gets leases of 3 s, so that its tasks are back as soon as before (2.7 s after it left) without a guess. What is known of a lapsed lease is kept for a VM that comes back.

TestUnlistedVMsAreNotWaitedForLong and TestDrainedVMThatLeftIsGone asserted the guess; what replaces them asserts both ends of the wait.

--- a/internal/leader/rebuild.go
+++ b/internal/leader/rebuild.go
@@ -71,8 +71,10 @@
 	now := steady.Now()
 	t.sched.SetInstances(now, list)
 	used := survivors(earlier, list)
-	// The earlier leader may have renewed leases until it stopped acting.
-	t.sched.Expect(now, used, now+t.Settings.SilentFor(actWithoutStore-leaseTTL))
+	// The earlier leader may have renewed its own lease just before this one was
+	// elected, since a key can be taken away before its lease is over, and leases of
+	// VMs for as long as it may act without the store.
+	t.sched.Expect(now, used, now+t.Settings.SilentFor(actWithoutStore))
 	for _, id := range used {
 		t.sched.AddUnlisted(now, batch.Instance{ID: id, Address: earlier[id]})
 	}
--- a/internal/scheduler/contracts_test.go
+++ b/internal/scheduler/contracts_test.go
@@ -348,7 +348,12 @@
 	require.NotEqual(t, o.Instance.ID, f.last("j.0.0.0").Instance.ID)
 }
 
-func TestDrainedVMThatLeftIsGone(t *testing.T) {
+// Symptom: what ran on a VM that left is away for the whole of a usual lease.
+// Sequence: a VM says that it leaves, is held for a while, and is gone with what it
+// ran; its lease would have lasted eight seconds more.
+// A VM that leaves gets short leases: its tasks start again as soon as the last of
+// them is over, and not before, since one that is cut off looks the same.
+func TestDrainedVMThatLeftHasAShortLease(t *testing.T) {
 	f := newFixture(t, 2)
 	f.hearAll(nil)
 	f.submit("j", tasks(1, 1000))
@@ -363,10 +368,15 @@
 		}
 	}
 	f.s.SetInstances(f.now, f.list)
+	for range 12 {
+		f.hear(o.Instance.ID, runs(o))
+		f.hear(rest[0].ID, batch.Report{})
+		f.advance(500 * time.Millisecond)
+	}
+	last := f.now - 500*time.Millisecond
 	f.s.SetInstances(f.now, rest)
-	f.advance(leftAfter + time.Millisecond)
-	f.hear(rest[0].ID, batch.Report{})
-	f.s.Tend(f.now)
-	f.plan()
+	f.pass(10*time.Second, rest[0].ID, batch.Report{}, o.Task, 2)
 	require.Len(t, f.started["j.0.0.0"], 2)
+	require.Greater(t, f.now, last+drainingLease)
+	require.Less(t, f.now, last+leaseOver(drainingLease)+200*time.Millisecond)
 }
--- /dev/null
+++ b/internal/scheduler/leases.go
@@ -0,0 +1,110 @@
+package scheduler
+
+import "time"
+
+// The end of what runs on a VM is concluded from its lease alone, or from another
+// life of the VM that answers or stands at its address. Its absence is no evidence:
+// a VM that is cut off together with a leader is off the store's list and unheard
+// like one that has died, and goes on running what that leader renews.
+
+// leaseMargin covers rounding and scheduling of the process when a lease is
+// taken to be over.
+const leaseMargin = 300 * time.Millisecond
+
+// leaseOver is how long after its start a lease of the given length is certainly
+// over: a VM's clock may be slow.
+func leaseOver(length time.Duration) time.Duration {
+	return time.Duration(float64(length)/slowClock) + leaseMargin
+}
+
+// SilentFor is how long after its election a leader has to wait for an instance that
+// it does not hear, where an earlier one may have renewed leases for so long since.
+func (s Settings) SilentFor(renewedSince time.Duration) time.Duration {
+	return renewedSince + leaseOver(s.Lease())
+}
+
+// drainingLease is the lease of an instance that leaves: what it held can be started
+// again so soon after it has left, instead of longestLease. Three holds fit in.
+const drainingLease = 3 * time.Second
+
+// leaseFor is how long a lease is taken for on v. The first one is a whole one: it
+// outlasts what an earlier leader may have taken.
+func (s Settings) leaseFor(v *vm) time.Duration {
+	if v.inst.Draining && v.leaseUntil > 0 {
+		return min(drainingLease, s.Lease())
+	}
+	return s.Lease()
+}
+
+// renew takes a lease from now on and returns its end on the instance's clock. A
+// lease never gets shorter there.
+func (v *vm) renew(now Time, length time.Duration) time.Duration {
+	v.leaseUntil = max(v.leaseUntil, v.clock.value+(now-v.clock.sentAt)+length)
+	over := v.clock.gotAt + leaseOver(v.leaseUntil-v.clock.value)
+	v.leaseOver = max(v.leaseOver, over)
+	return v.leaseUntil
+}
+
+// deposedWithin is how long a leader whose key is gone may go on taking new jobs
+// up: it renews its lease each 0.35 s, and a renewal that reaches the store tells
+// it within 0.4 s. Both leaders would start a job that comes in this time.
+const deposedWithin = 1500 * time.Millisecond
+
+// Expect names the instances that earlier leaders may have given work to. Until
+// each is heard, or its moment has passed, a task of a job that is older than
+// this leader is not started anywhere: it may run there. Newer jobs wait for
+// deposedWithin at most: until an earlier leader that still follows new jobs has
+// certainly learned that it is one.
+func (s *Scheduler) Expect(now Time, ids []string, until Time) {
+	s.freshAt = now + deposedWithin
+	for _, id := range ids {
+		if v := s.vms[id]; v == nil || !v.heard {
+			s.silent[id] = until
+		}
+	}
+	s.changed = true
+}
+
+// waitOutSilent stops waiting for the instances of earlier leaders that have
+// certainly ended what they ran.
+func (s *Scheduler) waitOutSilent(now Time) {
+	for id, until := range s.silent {
+		if now <= until {
+			continue
+		}
+		delete(s.silent, id)
+		s.changed = true
+		v := s.vms[id]
+		if v == nil {
+			s.logf(Decision{Event: EventVMWaitedOut, VM: id})
+			continue
+		}
+		v.lapsedRun = s.nextRun
+		s.logf(v.lifeDecision(now, EventVMWaitedOut, ""))
+	}
+}
+
+// awaited reports whether an instance may still run what an earlier leader started.
+func (s *Scheduler) awaited(id string) bool {
+	_, ok := s.silent[id]
+	return ok
+}
+
+// lapse counts what runs on v as ended: every lease there is over.
+func (s *Scheduler) lapse(now Time, v *vm) {
+	v.lapsedRun = s.nextRun
+	s.dropRuns(now, v, "lease over")
+}
+
+// forgetAfter is how long an unlisted instance without runs is kept: entries
+// that lapsed with the store are back about 2 s after its return.
+const forgetAfter = 10 * time.Second
+
+// forget takes out an instance that is off the list and runs nothing. It may come
+// back: what is known of its lease is kept.
+func (s *Scheduler) forget(now Time, v *vm) {
+	if v.lapsedRun > 0 {
+		s.lapsed[v.inst.ID] = v.lapsedRun
+	}
+	s.removeVM(now, v, "unlisted")
+}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -220,6 +220,10 @@
 	unanswered bool
 	// leaseOver is when everything there has certainly ended, unless the lease is renewed.
 	leaseOver Time
+	// lapsedRun: every run here up to this number began before a moment at which all
+	// leases here were over. An end of it that is told later is that of a run that
+	// was given up rightly.
+	lapsedRun int64
 	// pacedAt is when the pace of a filler here was last changed; overSince when
 	// a serving task was first seen over its target, 0 when none is.
 	pacedAt   Time
@@ -276,6 +280,8 @@
 	// silent are instances that an earlier leader may have given work to and
 	// that have not been heard, with the moment when they need not be waited for.
 	silent map[string]Time
+	// lapsed is the lapsedRun of instances that were forgotten and may come back.
+	lapsed map[string]int64
 	// freshAt is when jobs newer than this leader need not wait for silent instances.
 	freshAt Time
 	orders  []Order
@@ -304,7 +310,7 @@
 	}
 	return &Scheduler{
 		settings: settings, fence: fence, nextRun: fence << runBits, vms: map[string]*vm{}, jobs: map[string]*job{},
-		timed: map[string]*job{}, dirty: map[string]*job{}, waves: map[int64]*wave{}, silent: map[string]Time{}, images: newImages(), meanWork: map[string]float64{}, logf: log,
+		timed: map[string]*job{}, dirty: map[string]*job{}, waves: map[int64]*wave{}, silent: map[string]Time{}, lapsed: map[string]int64{}, images: newImages(), meanWork: map[string]float64{}, logf: log,
 	}
 }
 
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -122,15 +122,15 @@
 	require.Equal(t, batch.Completed, state)
 }
 
-// Symptom: lasting tasks are not at work for 13 s after a change of leader.
-// Sequence: VMs leave while the store is away, so that the record of instances
-// still names them; a new leader waits for them as long as for those that are cut off.
-func TestUnlistedVMsAreNotWaitedForLong(t *testing.T) {
+// A VM of an earlier leader that is off the list and unheard is waited for until
+// every lease that that leader may have taken is over, and no longer: it may be cut
+// off together with it.
+func TestUnlistedVMsAreWaitedForUntilTheirLeasesAreOver(t *testing.T) {
 	f := newFixture(t, 1)
 	f.s.Expect(f.now, []string{"vm00", "left"}, f.now+12*time.Second)
 	f.s.AddUnlisted(f.now, batch.Instance{ID: "left", Address: "10.9.9.9:1"})
 	f.s.Submit(f.now, Submission{Job: &batch.Job{ID: "old", Steps: []batch.Step{tasks(1, 100)}}, Queue: testQueue, Pool: "pool", Existed: true})
-	f.advance(unlistedGone - 100*time.Millisecond)
+	f.advance(12*time.Second - 100*time.Millisecond)
 	f.hear("vm00", batch.Report{})
 	f.s.Tend(f.now)
 	f.plan()
--- a/internal/scheduler/twice_test.go
+++ b/internal/scheduler/twice_test.go
@@ -155,6 +155,27 @@
 	require.Greater(t, f.now+time.Hour, lease, "started again at %v, while its lease on the draining VM runs until %v", f.now, lease-time.Hour)
 }
 
+// What happened: tasks ran twice at once, the moment a cut ended.
+// Sequence: a leader hears a VM for the first time, which tells what an earlier
+// leader runs there; before the next hold takes a lease, the leader looks which
+// leases are over.
+// Cause: a lease of which nothing was known counted as over.
+func TestLeaseOutlivesFirstReport(t *testing.T) {
+	f := cutOff(t)
+	f.advance(5 * time.Second)
+	f.relist()
+	f.s.Heard(f.now, f.now, "cut", batch.Report{Clock: f.now + time.Hour, Running: []batch.RunStatus{{Task: oldTask, Run: 3}}})
+	for range 8 {
+		f.advance(time.Second)
+		f.hear("vm00", batch.Report{})
+		f.s.Tend(f.now)
+		f.plan()
+		require.Empty(t, f.started, "started again at %v", f.now)
+	}
+	f.pass(2*time.Second, "vm00", batch.Report{}, oldTask, 1)
+	require.Len(t, f.started, 1, "not started again though every lease there is over")
+}
+
 // startedTwice brings about: a run of oldTask was confirmed on a VM, which then did
 // not list it, though its lease never ran out; the task was started again elsewhere.
 // The end of the first run is kept on its VM, and told later.
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -15,43 +15,6 @@
 // silent reports whether the instance has been unheard for too long to be given work.
 func (v *vm) silent(now Time) bool { return now-v.heardAt > v.wait+silentSlack }
 
-// leaseMargin covers rounding and scheduling of the process when a lease is
-// taken to be over.
-const leaseMargin = 300 * time.Millisecond
-
-// leaseOver is how long after its start a lease of the given length is certainly
-// over: a VM's clock may be slow.
-func leaseOver(length time.Duration) time.Duration {
-	return time.Duration(float64(length)/slowClock) + leaseMargin
-}
-
-// SilentFor is how long an instance that is not heard may go on running what an
-// earlier leader started there, where that one may have renewed leases for so long
-// without anybody seeing it lead.
-func (s Settings) SilentFor(renewedUnseen time.Duration) time.Duration {
-	return renewedUnseen + leaseOver(s.Lease())
-}
-
-// deposedWithin is how long a leader whose key is gone may go on taking new jobs
-// up: it renews its lease each 0.35 s, and a renewal that reaches the store tells
-// it within 0.4 s. Both leaders would start a job that comes in this time.
-const deposedWithin = 1500 * time.Millisecond
-
-// Expect names the instances that earlier leaders may have given work to. Until
-// each is heard, or its moment has passed, a task of a job that is older than
-// this leader is not started anywhere: it may run there. Newer jobs wait for
-// deposedWithin at most: until an earlier leader that still follows new jobs has
-// certainly learned that it is one.
-func (s *Scheduler) Expect(now Time, ids []string, until Time) {
-	s.freshAt = now + deposedWithin
-	for _, id := range ids {
-		if v := s.vms[id]; v == nil || !v.heard {
-			s.silent[id] = until
-		}
-	}
-	s.changed = true
-}
-
 // SetInstances takes the store's list over.
 func (s *Scheduler) SetInstances(now Time, list []batch.Instance) {
 	listed := make(map[string]bool, len(list))
@@ -80,9 +43,7 @@
 func (s *Scheduler) setInstance(now Time, inst batch.Instance) {
 	v := s.vms[inst.ID]
 	if v == nil {
-		v = &vm{inst: inst, runs: map[batch.TaskID]*run{}, blindCap: fullPace, heardAt: now}
-		s.vms[inst.ID] = v
-		s.sortVMs()
+		v = s.addVM(now, inst)
 		s.logf(Decision{Event: EventVMListed, VM: inst.ID, Reason: inst.Zone, Value: float64(inst.Capacity.MilliCPU)})
 		s.changed = true
 	}
@@ -102,8 +63,14 @@
 	if s.vms[inst.ID] != nil {
 		return
 	}
-	s.vms[inst.ID] = &vm{inst: inst, runs: map[batch.TaskID]*run{}, blindCap: fullPace, heardAt: now, unlistedAt: now}
+	s.addVM(now, inst).unlistedAt = now
+}
+
+func (s *Scheduler) addVM(now Time, inst batch.Instance) *vm {
+	v := &vm{inst: inst, runs: map[batch.TaskID]*run{}, blindCap: fullPace, heardAt: now, lapsedRun: s.lapsed[inst.ID]}
+	s.vms[inst.ID] = v
 	s.sortVMs()
+	return v
 }
 
 // sortVMs keeps the VMs in a fixed order, so that equal inputs give equal plans.
@@ -146,13 +113,16 @@
 // Gone takes an instance out whose life has certainly ended.
 func (s *Scheduler) Gone(now Time, id, reason string) {
 	delete(s.silent, id)
-	v := s.vms[id]
-	if v == nil {
-		return
+	delete(s.lapsed, id)
+	if v := s.vms[id]; v != nil {
+		s.removeVM(now, v, reason)
 	}
+}
+
+func (s *Scheduler) removeVM(now Time, v *vm, reason string) {
 	s.logf(v.lifeDecision(now, EventVMGone, reason))
 	s.dropRuns(now, v, reason)
-	delete(s.vms, id)
+	delete(s.vms, v.inst.ID)
 	s.sortVMs()
 	s.changed = true
 }
@@ -176,20 +146,12 @@
 	v.wait = wait
 	o := batch.HoldOrder{Fence: s.fence, Acked: v.acked(), Wait: wait}
 	if v.clock.known && !v.unanswered {
-		o.LeaseUntil = v.renew(now, s.settings.Lease())
+		o.LeaseUntil = v.renew(now, s.settings.leaseFor(v))
 	}
 	v.unanswered = true
 	return o, true
 }
 
-// renew takes a lease from now on and returns its end on the instance's clock.
-func (v *vm) renew(now Time, length time.Duration) time.Duration {
-	v.leaseUntil = v.clock.value + (now - v.clock.sentAt) + length
-	over := v.clock.gotAt + leaseOver(v.leaseUntil-v.clock.value)
-	v.leaseOver = max(v.leaseOver, over)
-	return v.leaseUntil
-}
-
 // Unacked reports whether an instance has told ends that may not be
 // acknowledged yet, since their effect is not durable.
 func (s *Scheduler) Unacked(id string) bool {
@@ -206,6 +168,8 @@
 	v.setClock(sentAt, now, rep.Clock)
 	if !v.heard {
 		v.heard = true
+		// An earlier leader may have renewed the leases there until now.
+		v.leaseOver = max(v.leaseOver, now+leaseOver(s.settings.Lease()))
 		s.changed = true
 		s.logf(Decision{Event: EventVMHeard, VM: id, Value: float64(len(rep.Running))})
 	}
@@ -383,58 +347,22 @@
 	}
 }
 
-// waitOutSilent stops waiting for the instances of earlier leaders that have
-// certainly ended what they ran.
-func (s *Scheduler) waitOutSilent(now Time) {
-	for id, until := range s.silent {
-		if v := s.vms[id]; v != nil && !v.listed && now-v.unlistedAt > unlistedGone {
-			s.Gone(now, id, "off the list and unheard")
-			continue
-		}
-		if now > until {
-			delete(s.silent, id)
-			s.changed = true
-			s.logf(Decision{Event: EventVMWaitedOut, VM: id})
-		}
-	}
-}
-
 // tendVM counts what an unheard instance held as ended once its lease is over,
 // starts copies of it where that is allowed, empties one that leaves, and takes
 // out one whose life has ended.
 func (s *Scheduler) tendVM(now Time, id string, v *vm) {
 	s.copyUnheard(now, v)
-	if v.heard && len(v.runs) > 0 && v.leaseOver > 0 && now > v.leaseOver {
-		s.dropRuns(now, v, "lease over")
-	}
-	if v.left(now) {
-		s.Gone(now, id, "drained and left")
-		return
+	if v.heard && now > v.leaseOver {
+		s.lapse(now, v)
 	}
 	if v.inst.Draining && v.listed {
 		s.emptyDraining(now, v)
 	}
-	if !v.listed && len(v.runs) == 0 && now-v.unlistedAt > forgetAfter && now > v.leaseOver {
-		s.Gone(now, id, "unlisted")
+	if !v.listed && len(v.runs) == 0 && now-v.unlistedAt > forgetAfter && now > v.leaseOver && !s.awaited(id) {
+		s.forget(now, v)
 	}
 }
 
-// unlistedGone is how long an instance that this leader never heard may be off the
-// list before it is taken as gone. An entry goes 4.5 s after the last heartbeat at
-// the earliest, so that by then the leases of before are over too; entries that
-// lapsed with the store are back 2 s after its return.
-const unlistedGone = 4 * time.Second
-
-// leftAfter is how long a draining VM that is off the list may be unheard before
-// it is taken to have left.
-const leftAfter = 1200 * time.Millisecond
-
-// left reports whether the VM has ended as it announced. Its lease need not run
-// out: an entry goes when the VM has left, and nobody answers at its address.
-func (v *vm) left(now Time) bool {
-	return v.inst.Draining && !v.listed && now-v.unlistedAt > leftAfter && now-v.heardAt > leftAfter
-}
-
 // emptyDraining moves what lasts off a VM that leaves, one task of a step at a
 // time: each is away for its stop and its startup only, not until the VM is known
 // to have left.
@@ -448,7 +376,3 @@
 
 // describeEvery is how often the learned interference is logged.
 const describeEvery = 5 * time.Second
-
-// forgetAfter is how long an unlisted instance without runs is kept: entries
-// that lapsed with the store are back about 2 s after its return.
-const forgetAfter = 10 * time.Second
