An end is acknowledged once it is accounted for; the run that counts is recorded

- Which run of a task counts as done was known only while a later run was live.
It is kept with the task, in the job's record (varints of differences: 45 bytes for 40 runs in a row) and for ended occurrences; the end of any other run is withheld unless the VM tells that its lease lapsed after it.
- The end of a job that the leader has not learned yet was acknowledged and forgotten, and its run stopped.
- The record of a timed job left out occurrences that were not open yet.
- A record that could not be read counted as none, and the job was started from nothing.
Such a job is held, and its record left as it is; cancelling it works.
- A checkpoint told by a run that no longer counts replaced a newer run's.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -191,7 +191,7 @@
 func (t *term) run(ctx context.Context, revision int64) {
 	jobs := &follow.Follower{Store: t.Store, Prefix: jobsPrefix, Wait: jobsWatch, Handle: t.observeJobs, After: revision}
 	for _, loop := range []func(context.Context){
-		func(ctx context.Context) { _ = jobs.Serve(ctx) }, t.listLoop, t.flushLoop, t.forgetLoop, t.modelLoop, t.wavesLoop,
+		func(ctx context.Context) { _ = jobs.Serve(ctx) }, t.listLoop, t.flushLoop, t.untoldLoop, t.forgetLoop, t.modelLoop, t.wavesLoop,
 	} {
 		t.work.Go(func() { loop(ctx) })
 	}
--- a/internal/leader/rebuild.go
+++ b/internal/leader/rebuild.go
@@ -13,6 +13,7 @@
 	"github.com/rattanwall/rattanwall/internal/durable"
 	"github.com/rattanwall/rattanwall/internal/eventlog"
 	"github.com/rattanwall/rattanwall/internal/pause"
+	"github.com/rattanwall/rattanwall/internal/scheduler"
 	"github.com/rattanwall/rattanwall/internal/steady"
 )
 
@@ -113,19 +114,28 @@
 			continue
 		}
 		sub := r.submission(t.age(r))
-		sub.Existed, sub.Cancelled = true, cancelled[id]
+		sub.Cancelled = cancelled[id]
 		if item, ok := progress[id]; ok {
-			sub.Record = item.Revision
-			if sub.Progress, err = decodeProgress(id, item.Value); err != nil {
-				t.log.Warn("progress_unreadable", err, eventlog.Fields{"job": id})
-			}
+			t.addProgress(&sub, &item)
 		}
+		sub.Existed = true
 		t.sched.Submit(now, sub)
 		count++
 	}
 	return count
 }
 
+// addProgress adds what earlier leaders recorded of a job. A record that can't be
+// read is not the same as none.
+func (t *term) addProgress(sub *scheduler.Submission, item *durable.Item) {
+	var err error
+	sub.Record = item.Revision
+	if sub.Progress, err = decodeProgress(sub.Job.ID, item.Value); err != nil {
+		sub.Unreadable = true
+		t.log.Warn("progress_unreadable", err, eventlog.Fields{"job": sub.Job.ID})
+	}
+}
+
 // instances are the addresses of instances by ID.
 type instances map[string]string
 
--- /dev/null
+++ b/internal/scheduler/accounts.go
@@ -0,0 +1,219 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+// An end may be acknowledged once it is accounted for: its effect is in a durable
+// record, or it has none for certain. What is acknowledged is forgotten at its VM:
+// the end of a job that this leader has yet to learn would be lost, and the task
+// started again; and an end of a run that does not count would make two of one task.
+
+// takeEnds takes those ends over that are new.
+func (s *Scheduler) takeEnds(now Time, v *vm, ends []batch.RunEnd) {
+	known := v.seen
+	for i := range ends {
+		if ends[i].Kind == batch.EndLapsed {
+			v.lapsedSeq = max(v.lapsedSeq, ends[i].Seq)
+		}
+	}
+	for i := range ends {
+		e := &ends[i]
+		if e.Seq <= known {
+			continue
+		}
+		v.seen = max(v.seen, e.Seq)
+		if s.untold(e.Task.Job) {
+			s.deferEnd(now, v, e)
+			continue
+		}
+		s.account(now, v, e)
+	}
+}
+
+// account takes one end of a known job over. An end before one that says that the
+// lease lapsed is that of a run that was given up rightly: it binds nobody.
+func (s *Scheduler) account(now Time, v *vm, e *batch.RunEnd) {
+	if e.Kind == batch.EndDone && e.Seq > v.lapsedSeq && s.superseded(e) {
+		s.withhold(v, e)
+		return
+	}
+	s.ended(now, v, e)
+}
+
+// superseded reports whether another run of the task counts, or a later one was
+// started, although this end says that it was done.
+func (s *Scheduler) superseded(e *batch.RunEnd) bool {
+	j := s.jobs[e.Task.Job]
+	if j == nil || e.Task.Step >= len(j.spec.Steps) {
+		return false
+	}
+	if spec := &j.spec.Steps[e.Task.Step]; spec.Speculative || spec.Lasting {
+		return false
+	}
+	t := s.task(e.Task)
+	switch {
+	case t == nil:
+		counted := j.countedRun(e.Task)
+		return counted != 0 && counted != e.Run
+	case t.done:
+		return t.doneRun != 0 && t.doneRun != e.Run
+	}
+	return t.latest() > e.Run
+}
+
+// latest is the highest number of a run of the task that may have been started.
+func (t *task) latest() int64 {
+	latest := t.latestRun
+	for _, r := range t.runs {
+		latest = max(latest, r.number)
+	}
+	return latest
+}
+
+// withhold leaves an end unacknowledged for good: the task was started again, and
+// the VM does not tell that its lease lapsed in between. The later run counts; to take
+// note of the first one's end now would make two of it. What comes after it can't be
+// acknowledged either, so that the VM gets nothing new.
+func (s *Scheduler) withhold(v *vm, e *batch.RunEnd) {
+	if v.ackLimit == 0 {
+		v.ackLimit = e.Seq
+	}
+	s.logf(Decision{Event: EventEndWithheld, Task: e.Task, VM: v.inst.ID, Run: e.Run})
+}
+
+// accounted is the highest end up to which all are accounted for, once what is
+// pending is written.
+func (v *vm) accounted() int64 {
+	mark := v.seen
+	for seq := range v.deferred {
+		mark = min(mark, seq-1)
+	}
+	return mark
+}
+
+// acked is the highest end that may be acknowledged.
+func (v *vm) acked() int64 {
+	if v.ackLimit > 0 {
+		return min(v.durable, v.ackLimit-1)
+	}
+	return v.durable
+}
+
+// untold reports whether a VM may know more of a job than this leader: its watch is
+// late or silent, and an earlier leader took the job on.
+func (s *Scheduler) untold(job string) bool {
+	if s.jobs[job] != nil {
+		return false
+	}
+	_, absent := s.absent[job]
+	return !absent
+}
+
+func (s *Scheduler) noteUntold(now Time, job string) {
+	if _, noted := s.untoldSince[job]; !noted {
+		s.untoldSince[job] = now
+	}
+}
+
+// deferEnd keeps an end until its job is known, or known not to exist.
+func (s *Scheduler) deferEnd(now Time, v *vm, e *batch.RunEnd) {
+	if v.deferred == nil {
+		v.deferred = map[int64]batch.RunEnd{}
+	}
+	v.deferred[e.Seq] = *e
+	s.noteUntold(now, e.Task.Job)
+	s.logf(Decision{Event: EventEndDeferred, Task: e.Task, VM: v.inst.ID, Run: e.Run, Reason: string(e.Kind)})
+}
+
+// noteStranger notes a run of a job that is not known, or held: the VM gets nothing
+// new while nobody knows what the run needs.
+func (v *vm) noteStranger(st *batch.RunStatus) {
+	if v.strangers == nil {
+		v.strangers = map[batch.TaskID]int64{}
+	}
+	v.strangers[st.Task] = st.Run
+}
+
+// Untold returns the jobs that VMs have told of for so long and that this leader does
+// not know. The store has to be asked: each is then to be given to Submit or Absent.
+func (s *Scheduler) Untold(now Time, since time.Duration) []string {
+	var ids []string
+	for id, told := range s.untoldSince {
+		if now-told >= since {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// absentFor is how long it is remembered that a job does not exist, in which its
+// VMs' next reports come in. After that the store is asked anew.
+const absentFor = time.Minute
+
+// Absent notes that the store has no such job: its record was removed long after its
+// end. What VMs tell of it has no effect.
+func (s *Scheduler) Absent(now Time, id string) {
+	if s.jobs[id] != nil {
+		return
+	}
+	s.absent[id] = now
+	s.settle(now, id)
+}
+
+// forgetAbsent drops what is old of the jobs that do not exist.
+func (s *Scheduler) forgetAbsent(now Time) {
+	for id, at := range s.absent {
+		if now-at > absentFor {
+			delete(s.absent, id)
+		}
+	}
+}
+
+// settle takes over what VMs have told of a job before it was known: ends first, in
+// their order.
+func (s *Scheduler) settle(now Time, id string) {
+	if _, told := s.untoldSince[id]; !told {
+		return
+	}
+	delete(s.untoldSince, id)
+	for _, v := range s.order {
+		for _, e := range v.takeDeferred(id) {
+			s.account(now, v, &e)
+		}
+		for _, st := range v.takeStrangers(id) {
+			s.adopt(now, v, &st)
+		}
+	}
+	s.changed = true
+}
+
+// takeStrangers removes the runs of a job that was not known and returns them.
+func (v *vm) takeStrangers(job string) []batch.RunStatus {
+	var found []batch.RunStatus
+	for task, number := range v.strangers {
+		if task.Job == job {
+			found = append(found, batch.RunStatus{Task: task, Run: number})
+			delete(v.strangers, task)
+		}
+	}
+	slices.SortFunc(found, func(a, b batch.RunStatus) int { return cmp.Compare(a.Task.String(), b.Task.String()) })
+	return found
+}
+
+// takeDeferred removes the deferred ends of a job and returns them by their number.
+func (v *vm) takeDeferred(job string) []batch.RunEnd {
+	var ends []batch.RunEnd
+	for seq, e := range v.deferred {
+		if e.Task.Job == job {
+			ends = append(ends, e)
+			delete(v.deferred, seq)
+		}
+	}
+	slices.SortFunc(ends, func(a, b batch.RunEnd) int { return cmp.Compare(a.Seq, b.Seq) })
+	return ends
+}
--- a/internal/scheduler/contracts_test.go
+++ b/internal/scheduler/contracts_test.go
@@ -375,7 +375,7 @@
 	}
 	last := f.now - 500*time.Millisecond
 	f.s.SetInstances(f.now, rest)
-	f.pass(10*time.Second, rest[0].ID, batch.Report{}, o.Task, 2)
+	f.pass(10*time.Second, rest[0].ID, o.Task, 2)
 	require.Len(t, f.started["j.0.0.0"], 2)
 	require.Greater(t, f.now, last+drainingLease)
 	require.Less(t, f.now, last+leaseOver(drainingLease)+200*time.Millisecond)
--- /dev/null
+++ b/internal/scheduler/counted_test.go
@@ -0,0 +1,46 @@
+package scheduler
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+func TestPackRuns(t *testing.T) {
+	for name, numbers := range map[string][]int64{
+		"none": nil, "one": {4246<<runBits + 140}, "falling": {1 << 50, 7, 1 << 40, 0, 3},
+	} {
+		t.Run(name, func(t *testing.T) { require.Equal(t, numbers, unpackRuns(packRuns(numbers))) })
+	}
+}
+
+// A record grows by a byte for each task where the runs are numbered in a row.
+func TestPackedRunsAreSmall(t *testing.T) {
+	var numbers []int64
+	for i := range int64(40) {
+		numbers = append(numbers, 4246<<runBits+i)
+	}
+	require.LessOrEqual(t, len(packRuns(numbers)), 46)
+}
+
+// A record cut short tells of as many runs as can be read.
+func TestUnpackWhatIsCutShort(t *testing.T) {
+	packed := packRuns([]int64{5, 9, 1 << 40})
+	require.Equal(t, []int64{5, 9}, unpackRuns(packed[:len(packed)-1]))
+}
+
+// A job with many occurrences keeps the latest ones only.
+func TestEndedOccurrencesAreBounded(t *testing.T) {
+	j := &job{}
+	for n := range 3 * keptOccurrences {
+		o := &occurrence{job: j, number: n, steps: make([]step, 1)}
+		o.steps[0].tasks = []task{{done: true, doneRun: int64(100 + n)}}
+		j.noteCounted(o)
+	}
+	require.Len(t, j.ended, keptOccurrences)
+	last := 3*keptOccurrences - 1
+	require.EqualValues(t, 100+last, j.countedRun(batch.TaskID{Occurrence: last}))
+	require.Zero(t, j.countedRun(batch.TaskID{Occurrence: 0}))
+}
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -26,7 +26,8 @@
 	s.logf(Decision{Event: EventRunEnded, Task: e.Task, VM: v.inst.ID, Run: e.Run, Reason: string(e.Kind), Age: lasted})
 	s.openTold(now, e.Task)
 	t := s.task(e.Task)
-	if t != nil && e.Checkpoint != "" && !t.done {
+	if t != nil && e.Checkpoint != "" && !t.done && e.Run >= t.latest() {
+		// An older run's is behind that of the one that was started after it.
 		t.checkpoint = e.Checkpoint
 	}
 	if r != nil {
@@ -63,16 +64,28 @@
 func (s *Scheduler) logUncounted(v *vm, e *batch.RunEnd, t *task) {
 	switch {
 	case t == nil:
-		reason := "occurrence ended or not open"
-		if s.jobs[e.Task.Job] == nil {
-			reason = "unknown job"
-		}
-		s.logf(Decision{Event: EventEndUntracked, Task: e.Task, VM: v.inst.ID, Run: e.Run, Reason: reason})
+		s.logf(Decision{Event: EventEndUntracked, Task: e.Task, VM: v.inst.ID, Run: e.Run, Reason: s.untracked(e.Task)})
 	case t.done && e.Kind == batch.EndDone && e.Run != t.doneRun:
 		s.logf(Decision{Event: EventEndSuperseded, Task: e.Task, VM: v.inst.ID, Run: e.Run, Reason: "run " + strconv.FormatInt(t.doneRun, 10) + " counts"})
 	}
 }
 
+// untracked says why a task is not kept.
+func (s *Scheduler) untracked(id batch.TaskID) string {
+	j := s.jobs[id.Job]
+	switch {
+	case j == nil:
+		return "no such job"
+	case j.held:
+		return "job held"
+	case j.state.Final():
+		return "job " + string(j.state)
+	case id.Occurrence < j.doneLow || j.doneOccs[id.Occurrence]:
+		return "occurrence ended"
+	}
+	return "no such task"
+}
+
 func (s *Scheduler) taskDone(now Time, t *task, number int64) {
 	if t.step.spec.Lasting || t.done {
 		return
@@ -169,6 +182,12 @@
 
 // release takes a run that has ended off its VM and its task.
 func (s *Scheduler) release(now Time, r *run) {
+	r.task.latestRun = max(r.task.latestRun, r.number)
+	s.withdraw(now, r)
+}
+
+// withdraw takes a run off its VM and its task that has never been started.
+func (s *Scheduler) withdraw(now Time, r *run) {
 	if r.dead {
 		return
 	}
@@ -245,7 +264,7 @@
 		return true
 	}
 	s.logf(Decision{Event: EventRunNotBegun, Task: o.Task, VM: v.inst.ID, Run: o.Run, Age: now - r.orderedAt})
-	s.release(now, r)
+	s.withdraw(now, r)
 	return false
 }
 
@@ -277,7 +296,7 @@
 			r.task.step.dropTicket(v.inst.ID)
 		}
 		r.task.notBefore = now + retryPause
-		s.release(now, r)
+		s.withdraw(now, r)
 	case r.state == starting:
 		r.confirm(now)
 	}
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -4,10 +4,12 @@
 const (
 	// EventAdviceNone: the adviser allowed none of the VMs it was asked about.
 	EventAdviceNone = "advice_none"
+	// EventEndDeferred: an end is kept unacknowledged, since its job is not known yet.
+	EventEndDeferred = "end_deferred"
 	// EventEndSuperseded: a run ended as done, and another run of the task counts.
 	EventEndSuperseded = "end_superseded"
-	// EventEndUntracked: an end of a task that is not kept: of an unknown job, or of
-	// an occurrence that has ended or is not open.
+	// EventEndUntracked: an end of a task that is not kept: of a job or an
+	// occurrence that has ended, or that does not exist.
 	EventEndUntracked = "end_untracked"
 	// EventEndWithheld: an end is never acknowledged, since its task was started again.
 	EventEndWithheld = "end_withheld"
@@ -17,6 +19,8 @@
 	EventInterference = "interference"
 	// EventJobEnded: a job got its final state.
 	EventJobEnded = "job_ended"
+	// EventJobHeld: nothing of a job is started, since its progress can't be read.
+	EventJobHeld = "job_held"
 	// EventJobTaken: the leader took a job up.
 	EventJobTaken = "job_taken"
 	// EventMachineClosed: a machine is being emptied for maintenance.
@@ -70,12 +74,14 @@
 // Events lists all of them.
 var Events = []string{
 	EventAdviceNone,
+	EventEndDeferred,
 	EventEndSuperseded,
 	EventEndUntracked,
 	EventEndWithheld,
 	EventFleetLoad,
 	EventInterference,
 	EventJobEnded,
+	EventJobHeld,
 	EventJobTaken,
 	EventMachineClosed,
 	EventMachineMaintained,
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -23,6 +23,8 @@
 	Cancelled bool
 	// Progress is what an earlier leader recorded; nil for none.
 	Progress *Progress
+	// Unreadable is set when there is such a record that can't be read.
+	Unreadable bool
 	// Record is the store revision of Progress.
 	Record int64
 }
@@ -51,10 +53,16 @@
 	if sub.Cancelled {
 		s.cancel(now, j)
 	}
-	if j.state.Final() {
-		return
+	switch {
+	case j.state.Final():
+	case sub.Unreadable:
+		// Started from nothing, all that was done would be done again.
+		j.held, j.started = true, true
+		s.logf(Decision{Event: EventJobHeld, Job: sub.Job.ID, Reason: "progress unreadable"})
+	default:
+		s.open(now, j)
 	}
-	s.open(now, j)
+	s.settle(now, sub.Job.ID)
 	s.changed = true
 }
 
@@ -188,6 +196,7 @@
 
 func (s *Scheduler) occurrenceDone(now Time, o *occurrence) {
 	j := o.job
+	j.noteCounted(o)
 	delete(j.occs, o.number)
 	j.doneOccs[o.number] = true
 	for j.doneOccs[j.doneLow] {
--- a/internal/scheduler/leases.go
+++ b/internal/scheduler/leases.go
@@ -74,13 +74,11 @@
 		}
 		delete(s.silent, id)
 		s.changed = true
-		v := s.vms[id]
-		if v == nil {
-			s.logf(Decision{Event: EventVMWaitedOut, VM: id})
-			continue
+		d := Decision{Event: EventVMWaitedOut, VM: id}
+		if v := s.vms[id]; v != nil {
+			d = v.lifeDecision(now, EventVMWaitedOut, "")
 		}
-		v.lapsedRun = s.nextRun
-		s.logf(v.lifeDecision(now, EventVMWaitedOut, ""))
+		s.logf(d)
 	}
 }
 
@@ -90,21 +88,6 @@
 	return ok
 }
 
-// lapse counts what runs on v as ended: every lease there is over.
-func (s *Scheduler) lapse(now Time, v *vm) {
-	v.lapsedRun = s.nextRun
-	s.dropRuns(now, v, "lease over")
-}
-
 // forgetAfter is how long an unlisted instance without runs is kept: entries
 // that lapsed with the store are back about 2 s after its return.
 const forgetAfter = 10 * time.Second
-
-// forget takes out an instance that is off the list and runs nothing. It may come
-// back: what is known of its lease is kept.
-func (s *Scheduler) forget(now Time, v *vm) {
-	if v.lapsedRun > 0 {
-		s.lapsed[v.inst.ID] = v.lapsedRun
-	}
-	s.removeVM(now, v, "unlisted")
-}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -142,7 +142,7 @@
 	switch {
 	case v.inst.Pool != t.step.occ.job.pool || !v.inst.HasLabel(spec.Label):
 		return obstaclePool
-	case !v.heard || !v.listed || v.silent(now):
+	case !v.heard || !v.listed || v.silent(now) || len(v.strangers) > 0:
 		return obstacleUnheard
 	case v.inst.Draining || v.closed || v.ackLimit > 0:
 		return obstacleDraining
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -260,7 +260,7 @@
 		v := s.choose(r.now, &st.tasks[k])
 		if v == nil {
 			for _, h := range held {
-				s.release(r.now, h)
+				s.withdraw(r.now, h)
 			}
 			return
 		}
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -16,6 +16,8 @@
 	Done []int `json:"done,omitempty"`
 	// Open holds the occurrences with some progress.
 	Open []OccurrenceProgress `json:"open,omitempty"`
+	// Ended holds the occurrences that ended of late, with the runs that count only.
+	Ended []OccurrenceProgress `json:"ended,omitempty"`
 }
 
 // OccurrenceProgress is the progress of one occurrence.
@@ -28,6 +30,9 @@
 type StepProgress struct {
 	// Done is a bitmap of the tasks that are done.
 	Done []byte `json:"d,omitempty"`
+	// Runs are the numbers of the runs that ended as done, one for each task that is
+	// done: another run's end may be told later, and must not count beside it.
+	Runs []byte `json:"r,omitempty"`
 	// Failures lists failed runs, as pairs of task index and run number: an end
 	// that is told again must not count twice.
 	Failures [][2]int64 `json:"f,omitempty"`
@@ -35,7 +40,7 @@
 
 // progress builds the record of a job.
 func (j *job) progress() *Progress {
-	p := &Progress{DoneLow: j.doneLow}
+	p := &Progress{DoneLow: j.doneLow, Ended: j.ended}
 	if j.state.Final() {
 		p.State = j.state
 		return p
@@ -46,9 +51,25 @@
 	for _, o := range j.occs {
 		p.Open = append(p.Open, o.progress())
 	}
+	p.Open = append(p.Open, j.unopenedProgress()...)
 	return p
 }
 
+// unopenedProgress is what the record told of occurrences that are not open yet: a
+// record that leaves it out forgets ends that were acknowledged.
+func (j *job) unopenedProgress() []OccurrenceProgress {
+	if j.pending == nil {
+		return nil
+	}
+	var open []OccurrenceProgress
+	for i := range j.pending.Open {
+		if j.unopened(j.pending.Open[i].Number) {
+			open = append(open, j.pending.Open[i])
+		}
+	}
+	return open
+}
+
 func (o *occurrence) progress() OccurrenceProgress {
 	p := OccurrenceProgress{Number: o.number, Steps: make([]StepProgress, len(o.steps))}
 	for i := range o.steps {
@@ -56,6 +77,7 @@
 		sp := &p.Steps[i]
 		if st.left < len(st.tasks) {
 			sp.Done = make([]byte, (len(st.tasks)+7)/8)
+			sp.Runs = packRuns(st.countedRuns())
 		}
 		for k := range st.tasks {
 			t := &st.tasks[k]
@@ -88,6 +110,7 @@
 		j.started = true
 	}
 	j.pending = p
+	j.ended = p.Ended
 }
 
 // apply marks what the record says of an occurrence.
@@ -103,12 +126,18 @@
 }
 
 func (p *StepProgress) apply(st *step) {
+	counted := unpackRuns(p.Runs)
 	for k := range st.tasks {
-		if k/8 < len(p.Done) && p.Done[k/8]&(1<<(k%8)) != 0 {
-			st.tasks[k].done = true
-			st.left--
-			st.waiting--
+		if k/8 >= len(p.Done) || p.Done[k/8]&(1<<(k%8)) == 0 {
+			continue
+		}
+		t := &st.tasks[k]
+		t.done = true
+		if len(counted) > 0 {
+			t.doneRun, counted = counted[0], counted[1:]
 		}
+		st.left--
+		st.waiting--
 	}
 	for _, f := range p.Failures {
 		if f[0] >= 0 && f[0] < int64(len(st.tasks)) {
@@ -141,8 +170,8 @@
 		f.Records = append(f.Records, Record{Job: id, Progress: j.progress(), Revision: j.record, version: j.version})
 	}
 	for id, v := range s.vms {
-		if v.seen > v.durable {
-			f.ends[id] = v.seen
+		if mark := v.accounted(); mark > v.durable {
+			f.ends[id] = mark
 		}
 	}
 	if len(f.Records) == 0 && len(f.ends) == 0 {
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -80,6 +80,8 @@
 	done  bool
 	// doneRun is the number of the run that ended as done, 0 when it is not known.
 	doneRun int64
+	// latestRun is the highest number of a run that may have been started and has ended.
+	latestRun int64
 	// failedRuns are the numbers of the runs that failed.
 	failedRuns []int64
 	// runs are the runs that have not ended; more than one only of a speculative step.
@@ -178,6 +180,11 @@
 	endedAt Time
 	// pending is the record that occurrences opened later start from.
 	pending *Progress
+	// ended are the occurrences that ended of late, with the runs that count.
+	ended []OccurrenceProgress
+	// held is set when the record of the job's progress can't be read: what is done
+	// is not known, so that nothing of it may be started.
+	held bool
 }
 
 // vm is one instance that the leader knows.
@@ -206,6 +213,12 @@
 	// whose effects are written, to be acknowledged.
 	seen    int64
 	durable int64
+	// deferred are ends of jobs that are not known, by their number; strangers the
+	// runs of such jobs.
+	deferred  map[int64]batch.RunEnd
+	strangers map[batch.TaskID]int64
+	// lapsedSeq is the highest end that says that a lease lapsed.
+	lapsedSeq int64
 	// ackLimit, where set, is the first end that is never acknowledged; see withhold.
 	ackLimit int64
 	// health rates failures of late; see health.go.
@@ -220,10 +233,6 @@
 	unanswered bool
 	// leaseOver is when everything there has certainly ended, unless the lease is renewed.
 	leaseOver Time
-	// lapsedRun: every run here up to this number began before a moment at which all
-	// leases here were over. An end of it that is told later is that of a run that
-	// was given up rightly.
-	lapsedRun int64
 	// pacedAt is when the pace of a filler here was last changed; overSince when
 	// a serving task was first seen over its target, 0 when none is.
 	pacedAt   Time
@@ -280,8 +289,10 @@
 	// silent are instances that an earlier leader may have given work to and
 	// that have not been heard, with the moment when they need not be waited for.
 	silent map[string]Time
-	// lapsed is the lapsedRun of instances that were forgotten and may come back.
-	lapsed map[string]int64
+	// untoldSince are the jobs that VMs tell of and that are not known, with the moment
+	// when they were first told of; absent those that the store does not have.
+	untoldSince map[string]Time
+	absent      map[string]Time
 	// freshAt is when jobs newer than this leader need not wait for silent instances.
 	freshAt Time
 	orders  []Order
@@ -310,7 +321,7 @@
 	}
 	return &Scheduler{
 		settings: settings, fence: fence, nextRun: fence << runBits, vms: map[string]*vm{}, jobs: map[string]*job{},
-		timed: map[string]*job{}, dirty: map[string]*job{}, waves: map[int64]*wave{}, silent: map[string]Time{}, lapsed: map[string]int64{}, images: newImages(), meanWork: map[string]float64{}, logf: log,
+		timed: map[string]*job{}, dirty: map[string]*job{}, waves: map[int64]*wave{}, silent: map[string]Time{}, untoldSince: map[string]Time{}, absent: map[string]Time{}, images: newImages(), meanWork: map[string]float64{}, logf: log,
 	}
 }
 
--- a/internal/scheduler/twice_test.go
+++ b/internal/scheduler/twice_test.go
@@ -65,11 +65,11 @@
 
 // pass lets time go by while one VM is heard and the leader plans, until the task
 // was started so many times.
-func (f *fixture) pass(d time.Duration, heard string, rep batch.Report, task batch.TaskID, starts int) {
+func (f *fixture) pass(d time.Duration, heard string, task batch.TaskID, starts int) {
 	const tick = 100 * time.Millisecond
 	for range d / tick {
 		f.advance(tick)
-		f.hear(heard, rep)
+		f.hear(heard, batch.Report{})
 		f.s.Tend(f.now)
 		f.plan()
 		if len(f.started[task.String()]) >= starts {
@@ -106,7 +106,7 @@
 // every lease that an earlier leader may have taken is over.
 func TestLeaseOutlivesListEntry(t *testing.T) {
 	f := cutOff(t)
-	f.pass(forgetAfter-200*time.Millisecond, "vm00", batch.Report{}, oldTask, 1)
+	f.pass(forgetAfter-200*time.Millisecond, "vm00", oldTask, 1)
 	require.Empty(t, f.started, "started again at %v, while it may run on the VM that is cut off until %v", f.now, time.Second+expectFor)
 }
 
@@ -117,7 +117,7 @@
 // either, though nobody had heard what it runs.
 func TestLeaseOutlivesForgetting(t *testing.T) {
 	f := cutOff(t)
-	f.pass(expectFor-200*time.Millisecond, "vm00", batch.Report{}, oldTask, 1)
+	f.pass(expectFor-200*time.Millisecond, "vm00", oldTask, 1)
 	require.Empty(t, f.started, "started again at %v, while it may run on the VM that is cut off until %v", f.now, time.Second+expectFor)
 }
 
@@ -150,7 +150,7 @@
 	f.s.Heard(f.now, f.now, o.Instance.ID, batch.Report{Clock: f.now + time.Hour, Running: runs(o).Running})
 	f.advance(100 * time.Millisecond)
 	f.s.SetInstances(f.now, rest)
-	f.pass(20*time.Second, rest[0].ID, batch.Report{}, o.Task, 2)
+	f.pass(20*time.Second, rest[0].ID, o.Task, 2)
 	require.Len(t, f.started["j.0.0.0"], 2, "never started again")
 	require.Greater(t, f.now+time.Hour, lease, "started again at %v, while its lease on the draining VM runs until %v", f.now, lease-time.Hour)
 }
@@ -172,7 +172,7 @@
 		f.plan()
 		require.Empty(t, f.started, "started again at %v", f.now)
 	}
-	f.pass(2*time.Second, "vm00", batch.Report{}, oldTask, 1)
+	f.pass(2*time.Second, "vm00", oldTask, 1)
 	require.Len(t, f.started, 1, "not started again though every lease there is over")
 }
 
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -67,7 +67,7 @@
 }
 
 func (s *Scheduler) addVM(now Time, inst batch.Instance) *vm {
-	v := &vm{inst: inst, runs: map[batch.TaskID]*run{}, blindCap: fullPace, heardAt: now, lapsedRun: s.lapsed[inst.ID]}
+	v := &vm{inst: inst, runs: map[batch.TaskID]*run{}, blindCap: fullPace, heardAt: now}
 	s.vms[inst.ID] = v
 	s.sortVMs()
 	return v
@@ -110,19 +110,16 @@
 	return d
 }
 
-// Gone takes an instance out whose life has certainly ended.
+// Gone takes an instance out whose life has certainly ended, or that runs nothing.
 func (s *Scheduler) Gone(now Time, id, reason string) {
 	delete(s.silent, id)
-	delete(s.lapsed, id)
-	if v := s.vms[id]; v != nil {
-		s.removeVM(now, v, reason)
+	v := s.vms[id]
+	if v == nil {
+		return
 	}
-}
-
-func (s *Scheduler) removeVM(now Time, v *vm, reason string) {
 	s.logf(v.lifeDecision(now, EventVMGone, reason))
 	s.dropRuns(now, v, reason)
-	delete(s.vms, v.inst.ID)
+	delete(s.vms, id)
 	s.sortVMs()
 	s.changed = true
 }
@@ -180,6 +177,7 @@
 	v.unanswered = false
 	delete(s.silent, id)
 	s.takeEnds(now, v, rep.Ended)
+	clear(v.strangers)
 	listed := make(map[*run]bool, len(rep.Running))
 	for i := range rep.Running {
 		if r := s.observe(now, v, &rep.Running[i]); r != nil {
@@ -202,63 +200,6 @@
 // worth a plan of its own.
 const heardAgain = 3500 * time.Millisecond
 
-// takeEnds takes those ends over that are new.
-func (s *Scheduler) takeEnds(now Time, v *vm, ends []batch.RunEnd) {
-	known := v.seen
-	lapsed := int64(0)
-	for i := range ends {
-		if ends[i].Kind == batch.EndLapsed {
-			lapsed = max(lapsed, ends[i].Seq)
-		}
-	}
-	for i := range ends {
-		e := &ends[i]
-		if e.Seq <= known {
-			continue
-		}
-		v.seen = max(v.seen, e.Seq)
-		if e.Kind == batch.EndDone && e.Seq > lapsed && s.superseded(e) {
-			s.withhold(v, e)
-			continue
-		}
-		s.ended(now, v, e)
-	}
-}
-
-// superseded reports whether a later run of the task was started although this
-// end says that it was done.
-func (s *Scheduler) superseded(e *batch.RunEnd) bool {
-	t := s.task(e.Task)
-	if t == nil || t.done {
-		return false
-	}
-	for _, r := range t.runs {
-		if r.number > e.Run && !t.step.spec.Speculative {
-			return true
-		}
-	}
-	return false
-}
-
-// withhold leaves an end unacknowledged for good: its VM was unheard for longer
-// than its lease, and the task was started again. The later run counts; to take
-// note of the first one's end now would make two of it. What comes after it can't
-// be acknowledged either, so that the VM gets nothing new.
-func (s *Scheduler) withhold(v *vm, e *batch.RunEnd) {
-	if v.ackLimit == 0 {
-		v.ackLimit = e.Seq
-	}
-	s.logf(Decision{Event: EventEndWithheld, Task: e.Task, VM: v.inst.ID, Run: e.Run})
-}
-
-// acked is the highest end that may be acknowledged.
-func (v *vm) acked() int64 {
-	if v.ackLimit > 0 {
-		return min(v.durable, v.ackLimit-1)
-	}
-	return v.durable
-}
-
 func (v *vm) setClock(sentAt, gotAt Time, value time.Duration) {
 	if value > 0 {
 		v.clock = clock{known: true, sentAt: sentAt, gotAt: gotAt, value: value}
@@ -290,6 +231,15 @@
 
 // adopt takes on a run that this leader did not start, or stops it.
 func (s *Scheduler) adopt(now Time, v *vm, st *batch.RunStatus) *run {
+	switch j := s.jobs[st.Task.Job]; {
+	case s.untold(st.Task.Job):
+		v.noteStranger(st)
+		s.noteUntold(now, st.Task.Job)
+		return nil
+	case j != nil && j.held && !j.state.Final():
+		v.noteStranger(st)
+		return nil
+	}
 	s.openTold(now, st.Task)
 	t := s.task(st.Task)
 	if t == nil || t.done || t.step.occ.job.state.Final() || (len(t.runs) > 0 && !t.step.spec.Speculative) || v.runs[st.Task] != nil {
@@ -334,6 +284,7 @@
 	s.logLoad(now)
 	s.logInterference(now)
 	s.waitOutSilent(now)
+	s.forgetAbsent(now)
 	for id, v := range s.vms {
 		s.tendVM(now, id, v)
 	}
@@ -353,13 +304,13 @@
 func (s *Scheduler) tendVM(now Time, id string, v *vm) {
 	s.copyUnheard(now, v)
 	if v.heard && now > v.leaseOver {
-		s.lapse(now, v)
+		s.dropRuns(now, v, "lease over")
 	}
 	if v.inst.Draining && v.listed {
 		s.emptyDraining(now, v)
 	}
 	if !v.listed && len(v.runs) == 0 && now-v.unlistedAt > forgetAfter && now > v.leaseOver && !s.awaited(id) {
-		s.forget(now, v)
+		s.Gone(now, id, "unlisted")
 	}
 }
 
