A new leader asks its predecessors how long their leases may last

Since VMs are no longer given up by their absence, a new leader waited 14.5 s for each one of earlier leaders that it did not hear, and held all older jobs' tasks back meanwhile. Who took the leases knows when they are over: the leaders of which leases may last are recorded (one write a tenure, before its first order), and after 0.3 s they are asked for the VMs that are still silent. Asking ends a tenure that goes on. One that remembers speaks for those before it; a process that was started again answers that its earlier life ended before; who does not answer, or another process at that address, is waited out in full.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -117,12 +117,12 @@
 	e.leader = &leader.Leader{
 		Store: p.Store, Agents: p.Agents, Adviser: p.Adviser, Instances: p.Instances, Config: e.config.Load,
 		Settings: s.Bounds, Log: log, WallMS: wallMS,
-		Machines: p.Machines, Node: s.Node, Waves: e.listWaves, ReportWave: p.ReportWave,
+		Machines: p.Machines, Node: s.Node, Address: s.Peers, Predecessors: &predecessors{client: p.PeerClient}, Waves: e.listWaves, ReportWave: p.ReportWave,
 	}
 	e.metrics = newMetrics()
 	e.leader.Observe = e.metrics.decision
 	e.election = leader.NewElection(p.Store, leader.Record{Node: s.Node, Address: s.Peers}, s.Processor, log, e.leader.Lead)
-	local := &peerServer{leader: e.leader, store: p.Store}
+	local := &peerServer{node: s.Node, leader: e.leader, election: e.election, store: p.Store}
 	e.operator = &follow.Follower{
 		Store: p.Store, Prefix: p.OperatorPrefix, Wait: configWatch, Handle: e.observeOperator,
 		Failed: func(err error) { log.Warn("config_watch_failed", err, nil) },
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -6,6 +6,7 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/twitchtv/twirp"
@@ -21,8 +22,10 @@
 // peerServer answers the other processes of the deployment. Only a leader knows
 // of jobs.
 type peerServer struct {
-	leader *leader.Leader
-	store  durable.Store
+	node     string
+	leader   *leader.Leader
+	election *leader.Election
+	store    durable.Store
 }
 
 var _ scheduling.Scheduling = (*peerServer)(nil)
@@ -74,6 +77,41 @@
 	return &scheduling.CancelResponse{Known: known}, nil
 }
 
+// LeasesLeft implements scheduling.Scheduling. Another process at the address of the
+// one that led knows nothing of its leases.
+func (p *peerServer) LeasesLeft(_ context.Context, r *scheduling.LeasesLeftRequest) (*scheduling.LeasesLeftResponse, error) {
+	if r.GetNode() != p.node {
+		return nil, twirp.NotFoundError("this process is " + p.node)
+	}
+	p.election.Succeeded(r.GetSuccessor())
+	said := p.leader.LeasesLeft(r.GetFence(), r.GetVms())
+	resp := &scheduling.LeasesLeftResponse{LeftMs: make([]int64, len(said.Left)), Remembered: said.Remembered}
+	for i, d := range said.Left {
+		// Rounded up: what is told may be too long, never too short.
+		resp.LeftMs[i] = int64((d + time.Millisecond - 1) / time.Millisecond)
+	}
+	return resp, nil
+}
+
+// predecessors asks processes that led.
+type predecessors struct{ client *http.Client }
+
+var _ leader.Predecessors = (*predecessors)(nil)
+
+// LeasesLeft implements leader.Predecessors.
+func (p *predecessors) LeasesLeft(ctx context.Context, past leader.Past, successor int64, vms []string) (leader.Leases, error) {
+	remote := scheduling.NewSchedulingProtobufClient("http://"+past.Address, p.client)
+	r, err := remote.LeasesLeft(ctx, &scheduling.LeasesLeftRequest{Node: past.Node, Fence: past.Fence, Successor: successor, Vms: vms})
+	if err != nil {
+		return leader.Leases{}, err
+	}
+	said := leader.Leases{Left: make([]time.Duration, len(r.GetLeftMs())), Remembered: r.GetRemembered()}
+	for i, ms := range r.GetLeftMs() {
+		said.Left[i] = time.Duration(ms) * time.Millisecond
+	}
+	return said, nil
+}
+
 // outcome tells the asker whether anything may have been written: "unavailable"
 // says that nothing was.
 func outcome(err error) error {
--- a/internal/leader/election.go
+++ b/internal/leader/election.go
@@ -52,14 +52,17 @@
 	log       *eventlog.Log
 	lead      func(ctx context.Context, term *Tenure)
 
-	mu       sync.Mutex
-	leader   Record
-	fence    int64
-	seen     bool
-	tenure   *Tenure
-	resigned bool
-	wake     chan struct{}
-	follower *follow.Follower
+	mu     sync.Mutex
+	leader Record
+	fence  int64
+	seen   bool
+	tenure *Tenure
+	// successor is the highest fencing token of a leader that this process was told of
+	// by that leader itself: no tenure with a lower one begins or goes on.
+	successor int64
+	resigned  bool
+	wake      chan struct{}
+	follower  *follow.Follower
 }
 
 // Tenure is one time of being the leader.
@@ -181,6 +184,18 @@
 	}
 }
 
+// Succeeded ends the tenure of this process, and keeps one from beginning, that has a
+// lower fencing token than the leader that says so.
+func (e *Election) Succeeded(successor int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.successor = max(e.successor, successor)
+	if t := e.tenure; t != nil && t.Fence < successor {
+		e.log.Event("leader_deposed", eventlog.Fields{"fence": t.Fence, "successor": successor})
+		t.End()
+	}
+}
+
 // vacant reports whether nobody leads: there is no leader's key, or it is that of
 // this process's own earlier life, which has certainly ended. Without the latter
 // all processes of a deployment that died together would wait the lease out.
@@ -283,6 +298,10 @@
 	defer cancel()
 	t.cancel = cancel
 	e.mu.Lock()
+	if t.Fence < e.successor {
+		e.mu.Unlock()
+		return
+	}
 	e.tenure = t
 	e.leader, e.fence = e.self, t.Fence
 	e.mu.Unlock()
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -67,6 +67,9 @@
 	Machines  Machines
 	// Node is this process's name, told to the machine service.
 	Node string
+	// Address is where its peers reach it, told to successors.
+	Address      string
+	Predecessors Predecessors
 	// Waves returns the waves that the operator asked for.
 	Waves      func() []batch.Wave
 	ReportWave WaveReport
@@ -81,6 +84,8 @@
 
 	mu   sync.Mutex
 	term *term
+	// ended are the tenures of this process that ended, while leases of theirs last.
+	ended []leases
 }
 
 // term is the state of one tenure.
@@ -97,6 +102,12 @@
 	instancesRevision int64
 	holds             map[string]context.CancelFunc
 	config            *batch.Config
+	// closed is set once the leases of the tenure were told to a successor, or kept
+	// for it: no further ones may be taken.
+	closed bool
+	// past are the tenures before this one, pastComplete whether these are all.
+	past         []Past
+	pastComplete bool
 	// wait is how long a hold waits, in nanoseconds.
 	wait atomic.Int64
 	// flushed is closed and replaced after each flush.
@@ -121,7 +132,7 @@
 		return
 	}
 	l.setTerm(t)
-	defer l.setTerm(nil)
+	defer l.leave(t)
 	t.log.Event("leader_ready", eventlog.Fields{"fence": tenure.Fence, "jobs": jobs.count})
 	t.run(ctx, jobs.revision)
 	t.work.Wait()
@@ -191,7 +202,7 @@
 func (t *term) run(ctx context.Context, revision int64) {
 	jobs := &follow.Follower{Store: t.Store, Prefix: jobsPrefix, Wait: jobsWatch, Handle: t.observeJobs, After: revision}
 	for _, loop := range []func(context.Context){
-		func(ctx context.Context) { _ = jobs.Serve(ctx) }, t.listLoop, t.flushLoop, t.untoldLoop, t.forgetLoop, t.modelLoop, t.wavesLoop,
+		func(ctx context.Context) { _ = jobs.Serve(ctx) }, t.listLoop, t.flushLoop, t.untoldLoop, t.predecessorsLoop, t.forgetLoop, t.modelLoop, t.wavesLoop,
 	} {
 		t.work.Go(func() { loop(ctx) })
 	}
@@ -225,6 +236,10 @@
 func (t *term) plan(ctx context.Context) {
 	now := steady.Now()
 	t.mu.Lock()
+	if t.closed {
+		t.mu.Unlock()
+		return
+	}
 	if c := t.Config(); c != nil && c != t.config {
 		t.config = c
 		t.sched.SetConfig(c)
--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -98,8 +98,9 @@
 	sentAt := steady.Now()
 	t.mu.Lock()
 	order, known := t.sched.Hold(sentAt, inst.ID, wait)
+	closed := t.closed
 	t.mu.Unlock()
-	if !known {
+	if !known || closed {
 		return false, nil
 	}
 	callCtx, cancel := context.WithTimeout(ctx, order.Wait+holdGrace)
--- /dev/null
+++ b/internal/leader/predecessors.go
@@ -0,0 +1,225 @@
+package leader
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rattanwall/rattanwall/internal/durable"
+	"github.com/rattanwall/rattanwall/internal/eventlog"
+	"github.com/rattanwall/rattanwall/internal/pause"
+	"github.com/rattanwall/rattanwall/internal/steady"
+)
+
+// A VM that a new leader does not hear may run what an earlier one started, until the
+// last lease there is over. Who took it knows when that is: a new leader asks its
+// predecessors, and waits out in full only those that do not answer.
+
+const (
+	// predecessorsAfter is how long a new leader tries to hear the VMs itself, most of
+	// which answer within a few milliseconds, before it asks anybody.
+	predecessorsAfter = 300 * time.Millisecond
+	// predecessorsEvery is the pause between questions: a process that died is back
+	// after some seconds and knows that its earlier life has ended.
+	predecessorsEvery = 400 * time.Millisecond
+	predecessorsCall  = 500 * time.Millisecond
+)
+
+// Past names a tenure of which leases may last.
+type Past struct {
+	Fence   int64  `json:"fence"`
+	Node    string `json:"node"`
+	Address string `json:"address"`
+}
+
+// Leases is what a process says of a tenure of its.
+type Leases struct {
+	// Left is how long leases may last, in the order of the VMs asked about.
+	Left []time.Duration
+	// Remembered is set when the process that led says so, and not one that was started
+	// again since: Left then holds for the leaders before it, too.
+	Remembered bool
+}
+
+// Predecessors asks the process of an earlier tenure how long leases on the VMs may
+// last, and ends that tenure.
+type Predecessors interface {
+	LeasesLeft(ctx context.Context, past Past, successor int64, vms []string) (Leases, error)
+}
+
+// readPast returns the tenures before this one that were not waited out. complete is
+// false when an earlier leader did not record itself.
+func (t *term) readPast(ctx context.Context) (past []Past, complete bool, err error) {
+	item, err := t.Store.Get(ctx, tenuresKey)
+	if err != nil || item == nil {
+		return nil, false, err
+	}
+	if err := json.Unmarshal(item.Value, &past); err != nil {
+		t.log.Warn("tenures_unreadable", err, nil)
+		return nil, false, nil
+	}
+	return past, true, nil
+}
+
+// recordPast writes the tenures that a successor has to ask, this one among them. It
+// is written before the first order of a tenure is given.
+func (t *term) recordPast(ctx context.Context, past []Past) error {
+	self := Past{Fence: t.tenure.Fence, Node: t.Node, Address: t.Address}
+	value, err := json.Marshal(append([]Past{self}, past...))
+	if err != nil {
+		return err
+	}
+	_, err = t.commit(ctx, durable.Txn{
+		Conditions: []durable.Condition{t.leads()},
+		Writes:     []durable.Write{{Key: tenuresKey, Value: value}},
+	})
+	return err
+}
+
+// predecessorsLoop shortens the wait for silent VMs by what predecessors say. Once no
+// lease of theirs may last that this leader does not know of, it takes them off the
+// record.
+func (t *term) predecessorsLoop(ctx context.Context) {
+	pause.For(ctx, predecessorsAfter)
+	open := t.past
+	said := map[string]time.Duration{}
+	for ctx.Err() == nil && t.awaits() {
+		if open = t.askAll(ctx, open, said); len(open) == 0 && t.pastComplete {
+			t.mu.Lock()
+			t.sched.ExpectUntil(said)
+			t.mu.Unlock()
+			t.awake()
+			break
+		}
+		pause.For(ctx, predecessorsEvery)
+	}
+	if ctx.Err() != nil || len(t.past) == 0 && t.pastComplete {
+		return
+	}
+	if err := t.recordPast(ctx, nil); err != nil && ctx.Err() == nil {
+		// A successor asks more processes than it has to.
+		t.log.Warn("tenures_not_written", err, nil)
+	}
+}
+
+// awaits reports whether VMs of earlier leaders are still waited for.
+func (t *term) awaits() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.sched.Silent()) > 0
+}
+
+// askAll asks the tenures and returns those for which nobody answered. said gets, for each
+// silent VM, the latest moment at which a lease of those that answered is over.
+func (t *term) askAll(ctx context.Context, past []Past, said map[string]time.Duration) []Past {
+	t.mu.Lock()
+	vms := t.sched.Silent()
+	t.mu.Unlock()
+	var mu sync.Mutex
+	var left []Past
+	remembered := int64(0)
+	var asked sync.WaitGroup
+	for _, p := range past {
+		asked.Go(func() {
+			callCtx, cancel := context.WithTimeout(ctx, predecessorsCall)
+			defer cancel()
+			leases, err := t.Predecessors.LeasesLeft(callCtx, p, t.tenure.Fence, vms)
+			now := steady.Now()
+			if err == nil && len(leases.Left) != len(vms) {
+				err = errors.Newf("%d leases told of %d VMs", len(leases.Left), len(vms))
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				left = append(left, p)
+				return
+			}
+			longest := time.Duration(0)
+			for i, id := range vms {
+				said[id] = max(said[id], now+leases.Left[i])
+				longest = max(longest, leases.Left[i])
+			}
+			if leases.Remembered {
+				remembered = max(remembered, p.Fence)
+			}
+			t.log.Event("predecessor_answered", eventlog.Fields{
+				"node": p.Node, "fence": p.Fence, "remembered": leases.Remembered, "vms": len(vms), "lease_left_ms": longest.Milliseconds(),
+			})
+		})
+	}
+	asked.Wait()
+	return slices.DeleteFunc(left, func(p Past) bool { return p.Fence < remembered })
+}
+
+// leases are when the leases of a tenure that ended are certainly over.
+type leases struct {
+	fence int64
+	over  map[string]time.Duration
+	// last is when all of them are.
+	last time.Duration
+}
+
+// close returns the leases of the term and keeps it from taking further ones.
+func (t *term) close() leases {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closed = true
+	l := leases{fence: t.tenure.Fence, over: t.sched.LeasesOver()}
+	for _, over := range l.over {
+		l.last = max(l.last, over)
+	}
+	return l
+}
+
+// leave notes the end of a term, whose leases may last.
+func (l *Leader) leave(t *term) {
+	ended := t.close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.term = nil
+	kept := l.ended[:0]
+	for _, e := range l.ended {
+		if e.last > steady.Now() {
+			kept = append(kept, e)
+		}
+	}
+	l.ended = append(kept, ended)
+}
+
+// LeasesLeft says how long leases that were taken in the tenure of the given fence, or
+// before it, may last on the VMs. That tenure is over already. One that is not known
+// was that of the process's earlier life, which ended before this one began, or all
+// its leases are over.
+func (l *Leader) LeasesLeft(fence int64, vms []string) Leases {
+	now := steady.Now()
+	known := l.leasesOf(fence)
+	said := Leases{Left: make([]time.Duration, len(vms)), Remembered: known != nil}
+	for i, id := range vms {
+		over := l.Settings.SilentFor(0)
+		if known != nil {
+			over = known[id]
+		}
+		said.Left[i] = max(0, over-now)
+	}
+	return said
+}
+
+func (l *Leader) leasesOf(fence int64) map[string]time.Duration {
+	l.mu.Lock()
+	t := l.term
+	for _, e := range l.ended {
+		if e.fence == fence {
+			l.mu.Unlock()
+			return e.over
+		}
+	}
+	l.mu.Unlock()
+	if t == nil || t.tenure.Fence != fence {
+		return nil
+	}
+	return t.close().over
+}
--- /dev/null
+++ b/internal/leader/predecessors_test.go
@@ -0,0 +1,130 @@
+package leader
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+	"github.com/rattanwall/rattanwall/internal/scheduler"
+	"github.com/rattanwall/rattanwall/internal/steady"
+)
+
+// lease is what the tests' tenures take on VMs.
+const lease = 8 * time.Second
+
+// led returns a leader whose tenure of fence 9 has just renewed the lease of "vm".
+func led() (*Leader, *term) {
+	te := hearing(nil)
+	te.Settings = scheduler.Settings{MaxLease: lease}
+	te.sched = scheduler.New(te.Settings, 9, nil)
+	now := steady.Now()
+	te.sched.SetInstances(now, []batch.Instance{{ID: "vm", Pool: "p", Address: "a"}})
+	te.sched.Heard(now, now, "vm", batch.Report{Clock: time.Hour})
+	te.sched.Hold(now, "vm", 0)
+	te.tenure = &Tenure{Fence: 9, cancel: func() {}, renewedAt: now}
+	te.setTerm(te)
+	return te.Leader, te
+}
+
+// A leader that goes on says when its leases are over, and takes no further ones.
+func TestLeasesLeftOfALeaderThatGoesOn(t *testing.T) {
+	l, te := led()
+	said := l.LeasesLeft(9, []string{"vm", "never held"})
+	require.True(t, said.Remembered)
+	left := said.Left
+	require.Greater(t, left[0], lease)
+	require.Less(t, left[0], lease+time.Second)
+	require.Zero(t, left[1])
+	_, err := te.holdOnce(t.Context(), &batch.Instance{ID: "vm"}, 0)
+	require.NoError(t, err, "a hold was sent after the leases were told")
+}
+
+// After its end the process still knows.
+func TestLeasesLeftOfATenureThatEnded(t *testing.T) {
+	l, te := led()
+	l.leave(te)
+	require.Nil(t, l.current())
+	said := l.LeasesLeft(9, []string{"vm"})
+	require.True(t, said.Remembered)
+	require.Greater(t, said.Left[0], lease)
+}
+
+// A tenure that the process does not know was that of its earlier life: whatever it
+// took was taken before this life began.
+func TestLeasesLeftOfAnEarlierLife(t *testing.T) {
+	l, _ := led()
+	said := l.LeasesLeft(4, []string{"vm"})
+	require.False(t, said.Remembered)
+	require.LessOrEqual(t, said.Left[0], l.Settings.SilentFor(0)-steady.Now()+time.Second)
+}
+
+// A leader tells of the VMs that it waits for itself, too: they may run what the one
+// before it started.
+func TestLeasesLeftCoverThoseOfEarlierLeaders(t *testing.T) {
+	l, te := led()
+	te.sched.Expect(steady.Now(), []string{"silent"}, steady.Now()+14*time.Second)
+	require.Greater(t, l.LeasesLeft(9, []string{"silent"}).Left[0], 13*time.Second)
+}
+
+// told answers for the nodes that it names; the others are out of reach.
+type told map[string]Leases
+
+func (a told) LeasesLeft(_ context.Context, p Past, _ int64, _ []string) (Leases, error) {
+	said, ok := a[p.Node]
+	if !ok {
+		return Leases{}, errors.New("unreachable")
+	}
+	return said, nil
+}
+
+func left(d time.Duration, remembered bool) Leases {
+	return Leases{Left: []time.Duration{d}, Remembered: remembered}
+}
+
+// A silent VM is waited for until the longest lease that any predecessor tells of is
+// over; while one does not answer, nothing is shortened.
+func TestAskAllWaitsForEveryPredecessor(t *testing.T) {
+	_, te := led()
+	now := steady.Now()
+	te.sched.Expect(now, []string{"silent"}, now+time.Minute)
+	te.Predecessors = told{"a": left(time.Second, false), "b": left(3*time.Second, false)}
+	said := map[string]time.Duration{}
+	open := te.askAll(t.Context(), []Past{{Node: "a", Fence: 7}, {Node: "b", Fence: 6}, {Node: "dead", Fence: 5}}, said)
+	require.Equal(t, []Past{{Node: "dead", Fence: 5}}, open)
+	te.Predecessors = told{"dead": left(2*time.Second, false)}
+	require.Empty(t, te.askAll(t.Context(), open, said))
+	te.sched.ExpectUntil(said)
+	te.sched.Tend(now + 2900*time.Millisecond)
+	require.Equal(t, []string{"silent"}, te.sched.Silent())
+	te.sched.Tend(steady.Now() + 3100*time.Millisecond)
+	require.Empty(t, te.sched.Silent())
+}
+
+// Who remembers its tenure speaks for the leaders before it, and for none after it.
+func TestAskAllTakesTheWordOfWhoRemembers(t *testing.T) {
+	_, te := led()
+	te.sched.Expect(steady.Now(), []string{"silent"}, steady.Now()+time.Minute)
+	te.Predecessors = told{"b": left(3*time.Second, true)}
+	open := te.askAll(t.Context(), []Past{{Node: "a", Fence: 7}, {Node: "b", Fence: 6}, {Node: "dead", Fence: 5}}, map[string]time.Duration{})
+	require.Equal(t, []Past{{Node: "a", Fence: 7}}, open)
+}
+
+// A process that is told of a successor neither goes on nor begins a tenure with a
+// lower fencing token: the answer to its own claim may be on its way.
+func TestSucceededEndsAndBarsOlderTenures(t *testing.T) {
+	began := make(chan int64, 2)
+	e := NewElection(nil, Record{}, 1, hearing(nil).log, func(_ context.Context, t *Tenure) { began <- t.Fence })
+	e.Succeeded(7)
+	e.serveTenure(t.Context(), &Tenure{Fence: 6})
+	require.Empty(t, began)
+	going := &Tenure{Fence: 8, cancel: func() {}, renewedAt: steady.Now()}
+	e.tenure = going
+	e.Succeeded(8)
+	require.True(t, going.MayAct())
+	e.Succeeded(9)
+	require.False(t, going.MayAct())
+}
--- a/internal/leader/rebuild.go
+++ b/internal/leader/rebuild.go
@@ -60,6 +60,14 @@
 		return rebuilt{}, err
 	}
 	t.loadModel(ctx)
+	past, complete, err := t.readPast(ctx)
+	if err != nil {
+		return rebuilt{}, err
+	}
+	t.past, t.pastComplete = past, complete || earlier == nil
+	if err := t.recordPast(ctx, past); err != nil {
+		return rebuilt{}, err
+	}
 	if err := t.recordInstances(ctx, list, earlier); err != nil {
 		return rebuilt{}, err
 	}
--- a/internal/leader/records.go
+++ b/internal/leader/records.go
@@ -19,6 +19,8 @@
 	leaderKey = "lead/leader"
 	// instancesKey lists the instances that leaders may have given work to.
 	instancesKey = "lead/instances"
+	// tenuresKey lists the tenures of which leases may last, the current one first.
+	tenuresKey = "lead/tenures"
 	// modelKey holds what leaders have learned of interference.
 	modelKey = "lead/model"
 	// jobsPrefix holds accepted jobs, and a second key for each cancelled one.
--- a/internal/leader/untold_test.go
+++ b/internal/leader/untold_test.go
@@ -44,7 +44,7 @@
 const jobValue = `{"queue":"q","pool":"p","job":{"steps":[{"tasks":2,"need":{}}]}}`
 
 // hearing returns a tenure that has just heard a VM with ends of one job.
-func hearing(t *testing.T, values map[string]string, ends ...batch.RunEnd) *term {
+func hearing(values map[string]string, ends ...batch.RunEnd) *term {
 	te := &term{
 		Leader: &Leader{WallMS: func() int64 { return 0 }, Store: items{values: values}}, tenure: &Tenure{Fence: 9},
 		kick: make(chan struct{}, 1), log: eventlog.New(io.Discard, logrus.ErrorLevel), sched: scheduler.New(scheduler.Settings{}, 9, nil),
@@ -74,7 +74,7 @@
 // A VM tells the end of a job that this leader's watch has not told it of. The store
 // is asked for the job, and the end acknowledged once it is in the job's record.
 func TestUntoldJobIsRead(t *testing.T) {
-	te := hearing(t, map[string]string{JobKey("j"): jobValue, JobKey("jj"): jobValue}, done(1, 0, 3))
+	te := hearing(map[string]string{JobKey("j"): jobValue, JobKey("jj"): jobValue}, done(1, 0, 3))
 	require.Zero(t, te.acked())
 	require.NoError(t, te.readUntold(t.Context(), "j"))
 	_, known := te.sched.State("j")
@@ -87,7 +87,7 @@
 // Where the store has no such job its record was removed long after its end: the end
 // has no effect, and must not keep later ones from being acknowledged.
 func TestAbsentJobIsSettled(t *testing.T) {
-	te := hearing(t, map[string]string{JobKey("jj"): jobValue}, done(1, 0, 3))
+	te := hearing(map[string]string{JobKey("jj"): jobValue}, done(1, 0, 3))
 	require.Zero(t, te.acked())
 	require.NoError(t, te.readUntold(t.Context(), "j"))
 	require.EqualValues(t, 1, te.acked())
@@ -98,7 +98,7 @@
 // Sequence: a leader finds the record of a job's progress and can't read it.
 // Cause: a record that can't be read was taken for none, and written over.
 func TestJobWithAnUnreadableRecordIsHeld(t *testing.T) {
-	te := hearing(t, nil)
+	te := hearing(nil)
 	jobs := []durable.Item{{Key: JobKey("j"), Value: []byte(jobValue)}}
 	te.takeJobs(steady.Now(), jobs, map[string]durable.Item{"j": {Key: ProgressKey("j"), Value: []byte(`{"open":[{"n"`), Revision: 4}})
 	te.sched.SetConfig(&batch.Config{Queues: []batch.Queue{{Name: "q", Pool: "p", Attempts: 3}}})
--- a/internal/scheduler/leases.go
+++ b/internal/scheduler/leases.go
@@ -65,6 +65,28 @@
 	s.changed = true
 }
 
+// ExpectUntil shortens the wait for silent instances: all earlier leaders have told
+// until when leases of theirs may last. What they do not name has none.
+func (s *Scheduler) ExpectUntil(until map[string]Time) {
+	for id, latest := range s.silent {
+		s.silent[id] = min(latest, until[id])
+	}
+	s.changed = true
+}
+
+// LeasesOver returns when the leases on each instance are certainly over, be they this
+// leader's or those of earlier ones that are waited for.
+func (s *Scheduler) LeasesOver() map[string]Time {
+	over := make(map[string]Time, len(s.vms))
+	for id, v := range s.vms {
+		over[id] = v.leaseOver
+	}
+	for id, until := range s.silent {
+		over[id] = max(over[id], until)
+	}
+	return over
+}
+
 // waitOutSilent stops waiting for the instances of earlier leaders that have
 // certainly ended what they ran.
 func (s *Scheduler) waitOutSilent(now Time) {
--- a/internal/scheduling/scheduling.twirp.go
+++ b/internal/scheduling/scheduling.twirp.go
@@ -51,6 +51,10 @@
 
 	// Cancel cancels a job for a process that does not reach the store.
 	Cancel(context.Context, *CancelRequest) (*CancelResponse, error)
+
+	// LeasesLeft tells a successor how long the leases may last that a tenure of this
+	// process took, and ends the tenure if it goes on.
+	LeasesLeft(context.Context, *LeasesLeftRequest) (*LeasesLeftResponse, error)
 }
 
 // ==========================
@@ -59,7 +63,7 @@
 
 type schedulingProtobufClient struct {
 	client      HTTPClient
-	urls        [6]string
+	urls        [7]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -87,13 +91,14 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "rattanwall.scheduling", "Scheduling")
-	urls := [6]string{
+	urls := [7]string{
 		serviceURL + "JobState",
 		serviceURL + "QueueState",
 		serviceURL + "Announce",
 		serviceURL + "AnnounceCancel",
 		serviceURL + "Submit",
 		serviceURL + "Cancel",
+		serviceURL + "LeasesLeft",
 	}
 
 	return &schedulingProtobufClient{
@@ -380,13 +385,59 @@
 	return out, nil
 }
 
+func (c *schedulingProtobufClient) LeasesLeft(ctx context.Context, in *LeasesLeftRequest) (*LeasesLeftResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "rattanwall.scheduling")
+	ctx = ctxsetters.WithServiceName(ctx, "Scheduling")
+	ctx = ctxsetters.WithMethodName(ctx, "LeasesLeft")
+	caller := c.callLeasesLeft
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *LeasesLeftRequest) (*LeasesLeftResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LeasesLeftRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LeasesLeftRequest) when calling interceptor")
+					}
+					return c.callLeasesLeft(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LeasesLeftResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LeasesLeftResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *schedulingProtobufClient) callLeasesLeft(ctx context.Context, in *LeasesLeftRequest) (*LeasesLeftResponse, error) {
+	out := new(LeasesLeftResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ======================
 // Scheduling JSON Client
 // ======================
 
 type schedulingJSONClient struct {
 	client      HTTPClient
-	urls        [6]string
+	urls        [7]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -414,13 +465,14 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "rattanwall.scheduling", "Scheduling")
-	urls := [6]string{
+	urls := [7]string{
 		serviceURL + "JobState",
 		serviceURL + "QueueState",
 		serviceURL + "Announce",
 		serviceURL + "AnnounceCancel",
 		serviceURL + "Submit",
 		serviceURL + "Cancel",
+		serviceURL + "LeasesLeft",
 	}
 
 	return &schedulingJSONClient{
@@ -707,6 +759,52 @@
 	return out, nil
 }
 
+func (c *schedulingJSONClient) LeasesLeft(ctx context.Context, in *LeasesLeftRequest) (*LeasesLeftResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "rattanwall.scheduling")
+	ctx = ctxsetters.WithServiceName(ctx, "Scheduling")
+	ctx = ctxsetters.WithMethodName(ctx, "LeasesLeft")
+	caller := c.callLeasesLeft
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *LeasesLeftRequest) (*LeasesLeftResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LeasesLeftRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LeasesLeftRequest) when calling interceptor")
+					}
+					return c.callLeasesLeft(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LeasesLeftResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LeasesLeftResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *schedulingJSONClient) callLeasesLeft(ctx context.Context, in *LeasesLeftRequest) (*LeasesLeftResponse, error) {
+	out := new(LeasesLeftResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // =========================
 // Scheduling Server Handler
 // =========================
@@ -822,6 +920,9 @@
 	case "Cancel":
 		s.serveCancel(ctx, resp, req)
 		return
+	case "LeasesLeft":
+		s.serveLeasesLeft(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -1909,6 +2010,186 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *schedulingServer) serveLeasesLeft(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveLeasesLeftJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveLeasesLeftProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *schedulingServer) serveLeasesLeftJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "LeasesLeft")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(LeasesLeftRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Scheduling.LeasesLeft
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *LeasesLeftRequest) (*LeasesLeftResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LeasesLeftRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LeasesLeftRequest) when calling interceptor")
+					}
+					return s.Scheduling.LeasesLeft(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LeasesLeftResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LeasesLeftResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *LeasesLeftResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *LeasesLeftResponse and nil error while calling LeasesLeft. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *schedulingServer) serveLeasesLeftProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "LeasesLeft")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(LeasesLeftRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Scheduling.LeasesLeft
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *LeasesLeftRequest) (*LeasesLeftResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LeasesLeftRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LeasesLeftRequest) when calling interceptor")
+					}
+					return s.Scheduling.LeasesLeft(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LeasesLeftResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LeasesLeftResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *LeasesLeftResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *LeasesLeftResponse and nil error while calling LeasesLeft. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *schedulingServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor0, 0
 }
@@ -2490,28 +2771,35 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 362 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xb4, 0x53, 0x4f, 0x4f, 0xfa, 0x40,
-	0x14, 0x0c, 0xfc, 0x7e, 0x54, 0x7c, 0x91, 0x8a, 0x1b, 0x34, 0x84, 0x8b, 0xba, 0x41, 0x84, 0x4b,
-	0x49, 0xf4, 0xe0, 0xc1, 0x44, 0x83, 0xde, 0xbc, 0x59, 0x42, 0x4c, 0x34, 0x1e, 0xb6, 0xed, 0x06,
-	0x36, 0x96, 0xb7, 0xd0, 0xee, 0x86, 0xef, 0xe5, 0x27, 0x34, 0xf4, 0x8f, 0xa5, 0x48, 0xc5, 0x83,
-	0xde, 0xde, 0x6b, 0x67, 0xde, 0x4c, 0x66, 0xb2, 0xd0, 0x16, 0xa8, 0x78, 0x80, 0xcc, 0xef, 0x87,
-	0xee, 0x84, 0x7b, 0xda, 0x17, 0x38, 0x5e, 0x19, 0xad, 0x59, 0x20, 0x95, 0x24, 0x87, 0x01, 0x53,
-	0x8a, 0xe1, 0x82, 0xf9, 0xbe, 0x95, 0xfd, 0xa4, 0xa7, 0xb0, 0xff, 0x20, 0x9d, 0xa1, 0x62, 0x8a,
-	0xdb, 0x7c, 0xae, 0x79, 0xa8, 0x88, 0x09, 0x65, 0xe1, 0x35, 0x4b, 0x27, 0xa5, 0xee, 0xae, 0x5d,
-	0x16, 0x1e, 0xbd, 0x81, 0x7a, 0x06, 0x09, 0x67, 0x12, 0x43, 0x4e, 0x1a, 0x50, 0x79, 0x43, 0xb9,
-	0xc0, 0x08, 0x56, 0xb5, 0xe3, 0x65, 0xf9, 0x35, 0x5c, 0xc2, 0x9a, 0xe5, 0x88, 0x1c, 0x2f, 0xb4,
-	0x07, 0x07, 0x8f, 0x9a, 0x6b, 0x9e, 0x13, 0x69, 0x40, 0x65, 0xbe, 0xfc, 0x98, 0xe8, 0xc4, 0x0b,
-	0xb5, 0x80, 0xac, 0x42, 0x13, 0xb1, 0x26, 0xec, 0x2c, 0x98, 0x50, 0x02, 0xc7, 0x11, 0xfa, 0x9f,
-	0x9d, 0xae, 0xf4, 0x0a, 0x6a, 0x43, 0xed, 0x4c, 0x85, 0x2a, 0xf0, 0x4e, 0x8e, 0xc0, 0x08, 0xb8,
-	0x2b, 0x03, 0x2f, 0xb2, 0xb4, 0x67, 0x27, 0x1b, 0xad, 0x83, 0x99, 0x12, 0x63, 0x11, 0x7a, 0x0c,
-	0xb5, 0x7b, 0x86, 0x2e, 0xf7, 0x8b, 0x62, 0xe8, 0x80, 0x99, 0x02, 0xbe, 0x0b, 0xe1, 0xe2, 0xfd,
-	0x3f, 0xc0, 0xf0, 0x33, 0x60, 0xf2, 0x02, 0xd5, 0x34, 0x3d, 0xd2, 0xb1, 0x36, 0x96, 0x60, 0xad,
-	0x35, 0xd0, 0x3a, 0xdf, 0x8a, 0x4b, 0x1c, 0x30, 0x80, 0x2c, 0x2f, 0xd2, 0x2d, 0xa0, 0x7d, 0x49,
-	0xbf, 0xd5, 0xfb, 0x01, 0x32, 0x91, 0x78, 0x82, 0xea, 0x00, 0x51, 0x6a, 0x74, 0x39, 0x69, 0x17,
-	0xd0, 0x72, 0x1d, 0xb4, 0xce, 0xb6, 0xa0, 0x92, 0xc3, 0xaf, 0x60, 0xa6, 0x87, 0xe3, 0x5c, 0x0b,
-	0xcf, 0xe7, 0x7a, 0x29, 0x3c, 0xbf, 0x56, 0xce, 0x08, 0x8c, 0x58, 0xf0, 0x77, 0x5d, 0x8f, 0xc0,
-	0xf8, 0x03, 0xb7, 0x77, 0x83, 0xe7, 0xdb, 0xb1, 0x50, 0x13, 0xed, 0x58, 0xae, 0x9c, 0xf6, 0x33,
-	0xca, 0xea, 0xb8, 0xe1, 0x99, 0x5f, 0x67, 0xa3, 0x63, 0x44, 0xef, 0xfc, 0xf2, 0x23, 0x00, 0x00,
-	0xff, 0xff, 0x22, 0x2a, 0x53, 0xf8, 0x0f, 0x04, 0x00, 0x00,
+	// 479 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xb4, 0x54, 0xc1, 0x6e, 0xd3, 0x40,
+	0x10, 0x55, 0xe2, 0xc6, 0x4d, 0x46, 0x34, 0xa4, 0xab, 0x02, 0x56, 0x84, 0x20, 0xac, 0x4a, 0x71,
+	0x2f, 0xae, 0x04, 0x07, 0x0e, 0x48, 0xa0, 0xc2, 0x0d, 0xb5, 0x07, 0x36, 0xaa, 0x90, 0x40, 0x08,
+	0xad, 0xed, 0x49, 0x6a, 0x61, 0xef, 0xb6, 0xde, 0x35, 0xf9, 0x12, 0xfe, 0x17, 0xd9, 0x6b, 0xd7,
+	0x4e, 0xd3, 0x25, 0x1c, 0xe0, 0x36, 0x33, 0x7e, 0x33, 0xef, 0x65, 0xe6, 0x65, 0xe1, 0x30, 0x11,
+	0x1a, 0x73, 0xc1, 0xd3, 0x13, 0x15, 0x5d, 0x62, 0x5c, 0xa4, 0x89, 0x58, 0x76, 0xc2, 0xe0, 0x2a,
+	0x97, 0x5a, 0x92, 0x07, 0x39, 0xd7, 0x9a, 0x8b, 0x15, 0x4f, 0xd3, 0xa0, 0xfd, 0x48, 0x9f, 0xc1,
+	0xfd, 0x8f, 0x32, 0x9c, 0x6b, 0xae, 0x91, 0xe1, 0x75, 0x81, 0x4a, 0x93, 0x31, 0xf4, 0x93, 0xd8,
+	0xeb, 0xcd, 0x7a, 0xfe, 0x88, 0xf5, 0x93, 0x98, 0xbe, 0x85, 0x49, 0x0b, 0x51, 0x57, 0x52, 0x28,
+	0x24, 0x07, 0x30, 0xf8, 0x21, 0xe4, 0x4a, 0x54, 0xb0, 0x21, 0x33, 0x49, 0x59, 0x55, 0x25, 0xcc,
+	0xeb, 0x57, 0xcd, 0x26, 0xa1, 0xc7, 0xb0, 0xff, 0xa9, 0xc0, 0x02, 0xd7, 0x48, 0x0e, 0x60, 0x70,
+	0x5d, 0x16, 0x6b, 0x1e, 0x93, 0xd0, 0x00, 0x48, 0x17, 0x5a, 0x93, 0x79, 0xb0, 0xbb, 0xe2, 0x89,
+	0x4e, 0xc4, 0xb2, 0x42, 0x3b, 0xac, 0x49, 0xe9, 0x6b, 0xd8, 0x9b, 0x17, 0x61, 0x96, 0x68, 0x8b,
+	0x76, 0xf2, 0x10, 0xdc, 0x1c, 0x23, 0x99, 0xc7, 0x95, 0xa4, 0x7b, 0xac, 0xce, 0xe8, 0x04, 0xc6,
+	0x4d, 0xa3, 0x21, 0xa1, 0x4f, 0x61, 0xef, 0x03, 0x17, 0x11, 0xa6, 0xb6, 0x35, 0x1c, 0xc1, 0xb8,
+	0x01, 0xfc, 0x69, 0x09, 0x34, 0x83, 0xfd, 0x33, 0xe4, 0x0a, 0xd5, 0x19, 0x2e, 0x6e, 0x74, 0x11,
+	0xd8, 0x11, 0x32, 0x6e, 0x7e, 0x6d, 0x15, 0x97, 0xed, 0x0b, 0x14, 0x91, 0xd9, 0x96, 0xc3, 0x4c,
+	0x42, 0x1e, 0xc3, 0x48, 0x15, 0x51, 0x84, 0x4a, 0xc9, 0xdc, 0x73, 0xaa, 0x2f, 0x6d, 0x81, 0x4c,
+	0xc0, 0xf9, 0x99, 0x29, 0x6f, 0x67, 0xe6, 0xf8, 0x23, 0x56, 0x86, 0xf4, 0x1c, 0x48, 0x97, 0xae,
+	0x96, 0xf6, 0x08, 0x76, 0x53, 0x5c, 0xe8, 0xef, 0x99, 0xf2, 0x7a, 0x33, 0xc7, 0x77, 0x98, 0x5b,
+	0xa6, 0xe7, 0x8a, 0x3c, 0x01, 0xc8, 0x31, 0xc3, 0x2c, 0xc4, 0x1c, 0xcd, 0x52, 0x86, 0xac, 0x53,
+	0x79, 0xf9, 0x6b, 0x00, 0x30, 0xbf, 0xb1, 0x07, 0xf9, 0x0a, 0xc3, 0xe6, 0xf6, 0xe4, 0x28, 0xb8,
+	0xd3, 0x42, 0xc1, 0x2d, 0xff, 0x4c, 0x5f, 0x6c, 0xc5, 0xd5, 0x22, 0x39, 0x40, 0x7b, 0x6d, 0xe2,
+	0x5b, 0xda, 0x36, 0xbc, 0x33, 0x3d, 0xfe, 0x0b, 0x64, 0x4d, 0xf1, 0x19, 0x86, 0xa7, 0x42, 0xc8,
+	0xa2, 0xdc, 0xec, 0xa1, 0xa5, 0x6d, 0xcd, 0x41, 0xd3, 0xe7, 0x5b, 0x50, 0xf5, 0xe0, 0x6f, 0x30,
+	0x6e, 0x06, 0x1b, 0x57, 0x58, 0xc7, 0xaf, 0xb9, 0xca, 0x3a, 0xfe, 0x96, 0xb5, 0x2e, 0xc0, 0x35,
+	0x84, 0xff, 0x56, 0xf5, 0x05, 0xb8, 0xff, 0x43, 0x2d, 0x07, 0x68, 0x3d, 0x68, 0x3d, 0xe4, 0xc6,
+	0xbf, 0xc2, 0x7a, 0xc8, 0x4d, 0x43, 0xbf, 0x3f, 0xfd, 0xf2, 0x6e, 0x99, 0xe8, 0xcb, 0x22, 0x0c,
+	0x22, 0x99, 0x9d, 0xb4, 0x6d, 0xdd, 0xf0, 0x8e, 0x77, 0xf0, 0x4d, 0x1b, 0x86, 0x6e, 0xf5, 0x10,
+	0xbe, 0xfa, 0x1d, 0x00, 0x00, 0xff, 0xff, 0x88, 0x10, 0xb5, 0x5b, 0x30, 0x05, 0x00, 0x00,
 }
