Metrics on a port that scrapers know

An incident is examined without the processes' own counters: the deploy file names no place for them. It asks for one port and path for all VMs, while /metrics is served on the second port of the range that the settings give, which differs from deployment to deployment; the place takes no placeholder.

--metrics-port makes the process serve /metrics on one more, fixed port. It does without when another process has it (one line, metrics_not_served) or when the settings want it for something else, so that nothing depends on it. Idle, it costs a listening socket.

--- a/internal/command/edge.go
+++ b/internal/command/edge.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 
 	"github.com/sirupsen/logrus"
@@ -16,6 +18,7 @@
 
 func newEdge() *cobra.Command {
 	var path string
+	var metricsPort int
 	cmd := &cobra.Command{
 		Use:     "edge",
 		Short:   "Run the process of an entry VM on the users' platform",
@@ -27,6 +30,7 @@
 			if err != nil {
 				return err
 			}
+			s.Metrics = besides(s.Operations, metricsPort)
 			log := eventlog.New(os.Stdout, logrus.InfoLevel)
 			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
@@ -35,9 +39,19 @@
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", platform.SettingsPath(), "the platform's settings file")
+	cmd.Flags().IntVar(&metricsPort, "metrics-port", 0, "one more port of the VM that serves /metrics, where it can be had; 0 for none")
 	return cmd
 }
 
+// besides is another port at the host of address; "" for port 0.
+func besides(address string, port int) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil || port <= 0 {
+		return ""
+	}
+	return net.JoinHostPort(host, strconv.Itoa(port))
+}
+
 // catchHangUps receives SIGHUP for the life of the process. Its default would end
 // the process, also in the middle of a planned stop, and cut off what it answers.
 func catchHangUps() <-chan os.Signal {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -37,6 +37,10 @@
 	Readiness  string
 	Peers      string
 	Operations string
+	// Metrics is one more ip:port for the metrics alone, "" for none: a place that
+	// scrapers know beforehand, where the other ports change. The process does
+	// without where it can't be had.
+	Metrics string
 	// Processor is the share of a core that the VM has.
 	Processor float64
 	// MemoryMB is the memory limit of the process.
@@ -176,6 +180,9 @@
 	for _, s := range e.servers {
 		tree.Add(httpService{s})
 	}
+	if e.metricsApart() {
+		tree.Add(e.metricsService())
+	}
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	ended := tree.ServeBackground(runCtx)
--- /dev/null
+++ b/internal/edge/metrics_test.go
@@ -0,0 +1,104 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/rattanwall/rattanwall/internal/eventlog"
+)
+
+// lines collects a log.
+type lines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lines) count(event string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.text.String(), event)
+}
+
+func metricsEdge(t *testing.T, address string) (*Edge, *lines) {
+	t.Helper()
+	out := &lines{}
+	e := &Edge{settings: Settings{Metrics: address}, metrics: newMetrics(), log: eventlog.New(out, logrus.InfoLevel)}
+	return e, out
+}
+
+// The metrics are served on their port, and nothing else is.
+func TestMetricsAreServedOnTheirPort(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := ln.Addr().String()
+	require.NoError(t, ln.Close())
+	e, _ := metricsEdge(t, address)
+	require.True(t, e.metricsApart())
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- e.metricsService().Serve(ctx) }()
+	var body string
+	require.Eventually(t, func() bool {
+		resp, err := http.Get("http://" + address + "/metrics")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = resp.Body.Close() }()
+		raw, err := io.ReadAll(resp.Body)
+		body = string(raw)
+		return err == nil && resp.StatusCode == http.StatusOK
+	}, 5*time.Second, 10*time.Millisecond)
+	require.Contains(t, body, "go_goroutines")
+	resp, err := http.Get("http://" + address + "/dump")
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, http.StatusNotFound, resp.StatusCode)
+	cancel()
+	require.ErrorIs(t, <-ended, context.Canceled)
+}
+
+// The fixed port may be anybody's on a given day. If another process has it, one
+// line tells and the service is not tried again, so that the process lives on; if
+// the process itself needs it for callers, metrics don't compete for it.
+func TestMetricsGiveWayWhereTheirPortIsTaken(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = taken.Close() }()
+	e, log := metricsEdge(t, taken.Addr().String())
+	require.ErrorIs(t, e.metricsService().Serve(t.Context()), suture.ErrDoNotRestart)
+	require.Eventually(t, func() bool { return log.count("metrics_not_served") == 1 }, 5*time.Second, 10*time.Millisecond)
+
+	e.servers = []*http.Server{{Addr: taken.Addr().String()}}
+	require.False(t, e.metricsApart())
+	e.settings.Metrics = ""
+	require.False(t, e.metricsApart())
+}
+
+// The port that the deploy file tells scrapers is the one that the process is given.
+func TestDeployFileTellsThePortOfTheMetrics(t *testing.T) {
+	raw, err := os.ReadFile("../../deploy/system.toml")
+	require.NoError(t, err)
+	given := regexp.MustCompile(`(?m)^run = ".* --metrics-port ([0-9]+)"$`).FindSubmatch(raw)
+	told := regexp.MustCompile(`(?m)^metrics = "([0-9]+)/metrics"$`).FindSubmatch(raw)
+	require.NotNil(t, given)
+	require.NotNil(t, told)
+	require.Equal(t, string(given[1]), string(told[1]))
+}
--- a/internal/edge/operations.go
+++ b/internal/edge/operations.go
@@ -1,13 +1,16 @@
 package edge
 
 import (
+	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/thejerf/suture/v4"
 
 	"github.com/rattanwall/rattanwall/internal/errkind"
 	"github.com/rattanwall/rattanwall/internal/eventlog"
@@ -49,6 +52,11 @@
 	return m
 }
 
+// handler serves them as text.
+func (m *metrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
 // request counts a caller's request.
 func (m *metrics) request(operation string, took time.Duration, err error) {
 	outcome := "ok"
@@ -94,7 +102,7 @@
 // operations serves metrics and the state dump.
 func (e *Edge) operations() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", promhttp.HandlerFor(e.metrics.registry, promhttp.HandlerOpts{}))
+	mux.Handle("GET /metrics", e.metrics.handler())
 	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		if err := json.NewEncoder(w).Encode(e.Dump()); err != nil {
@@ -114,3 +122,46 @@
 	})
 	return mux
 }
+
+// metricsApart reports whether the metrics have a port of their own. One that the
+// process needs for something else stays with that.
+func (e *Edge) metricsApart() bool {
+	_, port, err := net.SplitHostPort(e.settings.Metrics)
+	if err != nil {
+		return false
+	}
+	for _, s := range e.servers {
+		if _, other, _ := net.SplitHostPort(s.Addr); other == port {
+			return false
+		}
+	}
+	return true
+}
+
+func (e *Edge) metricsService() optionalService {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", e.metrics.handler())
+	return optionalService{
+		httpService: httpService{&http.Server{
+			Addr: e.settings.Metrics, Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		}},
+		log: e.log,
+	}
+}
+
+// optionalService is a server that the process does without where its port can't
+// be had: one line tells, and nothing else is touched.
+type optionalService struct {
+	httpService
+	log *eventlog.Log
+}
+
+// Serve implements suture.Service.
+func (s optionalService) Serve(ctx context.Context) error {
+	err := s.httpService.Serve(ctx)
+	if err == nil || ctx.Err() != nil {
+		return err
+	}
+	s.log.Warn("metrics_not_served", err, eventlog.Fields{"listener": s.server.Addr})
+	return suture.ErrDoNotRestart
+}
