Figures of what a leader believes

A task that ran twice was given up by a leader that believed something of its VM, and nothing told what: the dump lists every VM, but only of the moment, and only where asked.

The scheduler offers three pure looks: Figures counts what is unlisted, unheard, silent and leased; Standing tells of one VM how long it is unlisted and unheard and what is left of its lease; EndStanding tells an end of an open task from one whose task was done, whose job isn't known, or whose occurrence isn't open. Nothing decides by them.

--- /dev/null
+++ b/internal/scheduler/figures.go
@@ -0,0 +1,131 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+// FenceOf is the fencing token of the leader that started a run: run numbers carry
+// it in their upper bits.
+func FenceOf(run int64) int64 { return run >> runBits }
+
+// Figures are the state in counts that stay small however many VMs there are:
+// what tells two leaders that believe different things apart.
+type Figures struct {
+	Fence int64
+	// VMs are those that are known; Unlisted are off the store's list.
+	VMs, Unlisted int
+	// Unheard VMs have told this leader nothing yet; Silent ones have been unheard
+	// for too long to be given work.
+	Unheard, Silent int
+	// LeasedSilent are Silent, and a lease may live there: what this leader
+	// started may go on and end there without its hearing of it.
+	LeasedSilent int
+	// Leased VMs are those where a lease may live, LongestLease is for how long.
+	Leased       int
+	LongestLease time.Duration
+	// Waited counts the VMs of earlier leaders that old jobs' tasks wait for.
+	Waited int
+	// Runs are those that count.
+	Runs int
+}
+
+// Figures returns the state in counts.
+func (s *Scheduler) Figures(now Time) Figures {
+	f := Figures{Fence: s.fence, VMs: len(s.vms), Waited: len(s.silent)}
+	for _, v := range s.order {
+		x := v.standing(now)
+		f.LongestLease = max(f.LongestLease, x.LeaseLeft)
+		f.Runs += x.Runs
+		if x.LeaseLeft > 0 {
+			f.Leased++
+		}
+		if !x.Listed {
+			f.Unlisted++
+		}
+		if !x.Heard {
+			f.Unheard++
+		}
+		if v.silent(now) {
+			f.Silent++
+			if x.LeaseLeft > 0 {
+				f.LeasedSilent++
+			}
+		}
+	}
+	return f
+}
+
+// Standing is what a leader believes of a VM, with the ages of what it goes by.
+type Standing struct {
+	Listed bool
+	// UnlistedFor is since when it is off the list; 0 where it is listed.
+	UnlistedFor time.Duration
+	// Heard is set once it has told this leader what it runs; UnheardFor is since
+	// when it has told nothing, from when it became known on.
+	Heard      bool
+	UnheardFor time.Duration
+	// LeaseLeft is how long a lease that this leader took may live; 0 is over, or none.
+	LeaseLeft time.Duration
+	Runs      int
+}
+
+// Standing returns what is believed of a VM; ok is false where it is not known.
+func (s *Scheduler) Standing(now Time, id string) (x Standing, ok bool) {
+	v := s.vms[id]
+	if v == nil {
+		return x, false
+	}
+	return v.standing(now), true
+}
+
+func (v *vm) standing(now Time) Standing {
+	x := Standing{
+		Listed: v.listed, Heard: v.heard, UnheardFor: now - v.heardAt,
+		LeaseLeft: max(0, v.leaseOver-now), Runs: len(v.runs),
+	}
+	if !v.listed {
+		x.UnlistedFor = now - v.unlistedAt
+	}
+	return x
+}
+
+// EndStanding is how an end that is told stands to what this leader knows.
+type EndStanding string
+
+// The standings of an end.
+const (
+	// EndOpen: its task is open.
+	EndOpen EndStanding = "open"
+	// EndAgain: this leader has taken it over before.
+	EndAgain EndStanding = "again"
+	// EndAfterDone: its task was done, or its job ended, before.
+	EndAfterDone EndStanding = "task_done"
+	// EndUnknownJob: this leader doesn't know its job.
+	EndUnknownJob EndStanding = "unknown_job"
+	// EndNotOpen: its occurrence is not open yet, or its job has no such task.
+	EndNotOpen EndStanding = "not_open"
+)
+
+// EndStanding tells how an end stands; ask before the report is taken over.
+func (s *Scheduler) EndStanding(vm string, e *batch.RunEnd) EndStanding {
+	if v := s.vms[vm]; v != nil && e.Seq <= v.seen {
+		return EndAgain
+	}
+	j := s.jobs[e.Task.Job]
+	if j == nil {
+		return EndUnknownJob
+	}
+	if j.state.Final() || e.Task.Occurrence < j.doneLow || j.doneOccs[e.Task.Occurrence] {
+		return EndAfterDone
+	}
+	t := s.task(e.Task)
+	switch {
+	case t == nil:
+		return EndNotOpen
+	case t.done:
+		return EndAfterDone
+	}
+	return EndOpen
+}
