Lines that tell how old a belief on a VM is

After a task ran twice the leaders' logs couldn't tell whether a lease may have lived where its VM was given up: vm_unanswered came once, without an age, and its error was "refused: unreached" whatever had failed; a leader that went on without the store said nothing; nor did a stop or a start whose outcome stayed unknown.

vm_unanswered now tells how long the VM is unheard and unlisted, what is left of its lease and what failed, and comes again at doubling times: 7 lines in a minute of silence instead of 1. vm_answers is its end. vm_replaced, ends_unacknowledged (once for each oldest end that is told for 3 s), start_unanswered, start_abandoned and stop_unconfirmed are new, and leader_unconfirmed, leader_confirmed and leader_ended say when a leader acts without being confirmed, and where its leases outlive it. A refusal carries its cause. Decisions are the same.

--- a/internal/batch/vm.go
+++ b/internal/batch/vm.go
@@ -147,7 +147,19 @@
 )
 
 // RefusalError says that an order was certainly not carried out.
-type RefusalError struct{ Reason Refusal }
+type RefusalError struct {
+	Reason Refusal
+	// Cause is why nothing was reached; nil where the other side refused.
+	Cause error
+}
 
 // Error implements error.
-func (e *RefusalError) Error() string { return fmt.Sprintf("refused: %s", e.Reason) }
+func (e *RefusalError) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("refused: %s: %v", e.Reason, e.Cause)
+	}
+	return fmt.Sprintf("refused: %s", e.Reason)
+}
+
+// Unwrap returns the cause.
+func (e *RefusalError) Unwrap() error { return e.Cause }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -78,6 +78,8 @@
 	WallMS func() int64
 	// Observe is told of each decision, for the metrics; may be nil.
 	Observe func(scheduler.Decision)
+	// ObserveEnd is told of each end that a VM tells for the first time; may be nil.
+	ObserveEnd func(scheduler.EndStanding)
 
 	mu   sync.Mutex
 	term *term
@@ -96,7 +98,9 @@
 	// instancesRevision is that of the record of instances.
 	instancesRevision int64
 	holds             map[string]context.CancelFunc
-	config            *batch.Config
+	// told are the ends that each VM goes on telling.
+	told   map[string]toldEnds
+	config *batch.Config
 	// wait is how long a hold waits, in nanoseconds.
 	wait atomic.Int64
 	// flushed is closed and replaced after each flush.
@@ -113,7 +117,7 @@
 func (l *Leader) Lead(ctx context.Context, tenure *Tenure) {
 	t := &term{
 		Leader: l, tenure: tenure, log: l.Log, recorded: instances{}, holds: map[string]context.CancelFunc{},
-		flushed: make(chan struct{}), kick: make(chan struct{}, 1), carrying: make(chan struct{}, ordersAtOnce),
+		told: map[string]toldEnds{}, flushed: make(chan struct{}), kick: make(chan struct{}, 1), carrying: make(chan struct{}, ordersAtOnce),
 	}
 	t.sched = scheduler.New(l.Settings, tenure.Fence, t.logDecision)
 	jobs, err := t.rebuild(ctx)
@@ -125,6 +129,17 @@
 	t.log.Event("leader_ready", eventlog.Fields{"fence": tenure.Fence, "jobs": jobs.count})
 	t.run(ctx, jobs.revision)
 	t.work.Wait()
+	t.logEnd()
+}
+
+// logEnd tells what goes on without this leader: where leases that it took may
+// live, and for how long, and which ends its successor will hear.
+func (t *term) logEnd() {
+	f := t.figures()
+	t.log.Event("leader_ended", eventlog.Fields{
+		"fence": f.Fence, "vms": f.VMs, "runs": f.Runs, "leased_vms": f.Leased, "longest_lease_ms": f.LongestLease.Milliseconds(),
+		"unacknowledged_ends": f.UnackedEnds, "confirmed_ago_ms": t.tenure.sinceRenewed().Milliseconds(),
+	})
 }
 
 func (l *Leader) setTerm(t *term) {
@@ -175,6 +190,39 @@
 	return &d
 }
 
+// Figures are the state of a leader in counts.
+type Figures struct {
+	scheduler.Figures
+	// Confirmed is set while the lease can't have run out: nobody else leads.
+	Confirmed bool
+	// UnackedEnds counts the ends that VMs go on telling; OldestUnacked is since
+	// when the oldest is told.
+	UnackedEnds   int
+	OldestUnacked time.Duration
+}
+
+// Figures returns the state in counts; leading is false when this process does
+// not lead, or may not give orders any more.
+func (l *Leader) Figures() (f Figures, leading bool) {
+	t := l.current()
+	if t == nil || !t.tenure.MayAct() {
+		return f, false
+	}
+	return t.figures(), true
+}
+
+func (t *term) figures() Figures {
+	now := steady.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f := Figures{Figures: t.sched.Figures(now), Confirmed: t.tenure.Confirmed()}
+	for _, told := range t.told {
+		f.UnackedEnds += told.count
+		f.OldestUnacked = max(f.OldestUnacked, now-told.since)
+	}
+	return f
+}
+
 // Explain says where a job stands; ok is false when this process does not lead or
 // does not know it.
 func (l *Leader) Explain(id string) (x scheduler.Explanation, ok bool) {
@@ -197,6 +245,7 @@
 	}
 	ticker := time.NewTicker(planTick)
 	defer ticker.Stop()
+	confirmed := true
 	for {
 		select {
 		case <-ctx.Done():
@@ -204,6 +253,7 @@
 		case <-t.kick:
 		case <-ticker.C:
 		}
+		confirmed = t.logConfirmed(confirmed)
 		if !t.tenure.MayAct() {
 			t.tenure.End()
 			return
@@ -214,6 +264,29 @@
 	}
 }
 
+// logConfirmed tells when this leader begins to act without being confirmed, and
+// when that ends: meanwhile another may lead, while leases are renewed here.
+func (t *term) logConfirmed(before bool) bool {
+	now := t.tenure.Confirmed()
+	if now == before {
+		return now
+	}
+	f := eventlog.Fields{"fence": t.tenure.Fence, "confirmed_ago_ms": t.tenure.sinceRenewed().Milliseconds()}
+	if now {
+		t.log.Event("leader_confirmed", f)
+	} else {
+		t.log.Event("leader_unconfirmed", f)
+	}
+	return now
+}
+
+// sinceRenewed is how old the last renewal is that the store answered.
+func (t *Tenure) sinceRenewed() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return steady.Now() - t.renewedAt
+}
+
 // awake makes the plan be looked at soon.
 func (t *term) awake() {
 	select {
--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -57,6 +57,7 @@
 		if _, ok := instances[id]; !ok {
 			cancel()
 			delete(t.holds, id)
+			delete(t.told, id)
 		}
 	}
 	for id, inst := range instances {
@@ -69,32 +70,59 @@
 	}
 }
 
+// silence is the time that a VM has left holds without an answer.
+type silence struct {
+	failures int
+	// tellAt is when it is worth a line again.
+	tellAt time.Duration
+}
+
+// firstTold is how long after the first line on a VM's silence the second comes;
+// the time between lines doubles, so that a dead VM costs a few of them.
+const firstTold = time.Second
+
+// failed counts a failure and reports whether it is worth a line.
+func (s *silence) failed(now, unheard time.Duration) bool {
+	s.failures++
+	if s.failures > 1 && now < s.tellAt {
+		return false
+	}
+	s.tellAt = now + max(firstTold, unheard)
+	return true
+}
+
+// standingFields are what is believed of a VM, for a line.
+func standingFields(vm string, x scheduler.Standing) eventlog.Fields {
+	f := eventlog.Fields{
+		"vm": vm, "unheard_ms": x.UnheardFor.Milliseconds(), "lease_left_ms": x.LeaseLeft.Milliseconds(), "runs": x.Runs,
+	}
+	if !x.Listed {
+		f["unlisted_ms"] = x.UnlistedFor.Milliseconds()
+	}
+	return f
+}
+
 // holdLoop renews the leases of an instance and takes its reports over.
 func (t *term) holdLoop(ctx context.Context, inst batch.Instance) {
 	wait := time.Duration(0)
-	failures := 0
+	var silent silence
 	for ctx.Err() == nil && t.tenure.MayAct() {
-		ok, err := t.holdOnce(ctx, &inst, wait)
+		ok, err := t.holdOnce(ctx, &inst, wait, &silent)
 		if !ok {
 			return
 		}
 		if err != nil {
-			failures++
-			if failures == 1 {
-				t.log.Warn("vm_unanswered", err, eventlog.Fields{"vm": inst.ID})
-			}
 			wait = 0
 			pause.For(ctx, holdPause)
 			continue
 		}
-		failures = 0
 		wait = time.Duration(t.wait.Load())
 		t.awaitFlush(ctx, inst.ID)
 	}
 }
 
 // holdOnce makes one hold. ok is false when the instance need not be held any more.
-func (t *term) holdOnce(ctx context.Context, inst *batch.Instance, wait time.Duration) (ok bool, err error) {
+func (t *term) holdOnce(ctx context.Context, inst *batch.Instance, wait time.Duration, silent *silence) (ok bool, err error) {
 	sentAt := steady.Now()
 	t.mu.Lock()
 	order, known := t.sched.Hold(sentAt, inst.ID, wait)
@@ -111,25 +139,92 @@
 	now := steady.Now()
 	switch refusalOf(err) {
 	case batch.RefusedGone:
-		t.mu.Lock()
-		t.sched.Gone(now, inst.ID, "another instance answers")
-		t.mu.Unlock()
-		t.awake()
+		t.replaced(now, inst.ID)
 		return false, nil
 	case batch.RefusedFence:
 		t.fenced(inst.ID)
 		return false, nil
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before, known := t.sched.Standing(now, inst.ID)
+	if !known {
+		return false, nil
+	}
 	if err != nil {
+		if silent.failed(now, before.UnheardFor) {
+			t.log.Warn("vm_unanswered", err, standingFields(inst.ID, before))
+		}
 		return true, err
 	}
-	t.mu.Lock()
+	if silent.failures > 0 {
+		f := standingFields(inst.ID, before)
+		f["failures"], f["running"], f["ended"] = silent.failures, len(report.Running), len(report.Ended)
+		t.log.Event("vm_answers", f)
+		*silent = silence{}
+	}
+	t.noteEnds(now, inst.ID, report.Ended)
 	t.sched.Heard(now, sentAt, inst.ID, report)
-	t.mu.Unlock()
 	t.awake()
 	return true, nil
 }
 
+// replaced takes a VM out whose address another life answers at.
+func (t *term) replaced(now time.Duration, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if x, ok := t.sched.Standing(now, id); ok {
+		t.log.Event("vm_replaced", standingFields(id, x))
+	}
+	t.sched.Gone(now, id, "another instance answers")
+	t.awake()
+}
+
+// toldEnds are the ends that a VM goes on telling since they are not acknowledged.
+type toldEnds struct {
+	count int
+	// oldest is the sequence of the first, told since.
+	oldest int64
+	since  time.Duration
+	// late is set once a line has told that it takes long.
+	late bool
+}
+
+// endsLate is how long an end may be told before it is worth a line: some flushes,
+// each of which may wait for the store for a second.
+const endsLate = 3 * time.Second
+
+// noteEnds counts the ends of a report before it is taken over, and tells of those
+// that stay unacknowledged. The caller holds the lock.
+func (t *term) noteEnds(now time.Duration, id string, ends []batch.RunEnd) {
+	if len(ends) == 0 {
+		delete(t.told, id)
+		return
+	}
+	first := &ends[0]
+	for i := range ends {
+		if ends[i].Seq < first.Seq {
+			first = &ends[i]
+		}
+		if standing := t.sched.EndStanding(id, &ends[i]); standing != scheduler.EndAgain && t.ObserveEnd != nil {
+			t.ObserveEnd(standing)
+		}
+	}
+	told := t.told[id]
+	if told.oldest != first.Seq {
+		told = toldEnds{oldest: first.Seq, since: now}
+	}
+	told.count = len(ends)
+	if age := now - told.since; age > endsLate && !told.late {
+		told.late = true
+		t.log.Event("ends_unacknowledged", eventlog.Fields{
+			"vm": id, "ends": told.count, "age_ms": age.Milliseconds(),
+			"job": first.Task.Job, "task": first.Task.String(), "run": first.Run, "kind": string(first.Kind),
+		})
+	}
+	t.told[id] = told
+}
+
 // awaitFlush waits until the ends that the instance has told may be acknowledged.
 func (t *term) awaitFlush(ctx context.Context, id string) {
 	limit := time.NewTimer(ackPause)
@@ -198,6 +293,9 @@
 	var sentAt time.Duration
 	for try := 0; ; try++ {
 		if ctx.Err() != nil || !t.tenure.MayAct() {
+			if unanswered {
+				t.log.Event("start_abandoned", orderFields(&o, "tries", try))
+			}
 			return
 		}
 		sentAt = steady.Now()
@@ -219,26 +317,38 @@
 		}
 		unanswered = true
 		if try+1 >= startTries {
+			t.log.Warn("start_unanswered", err, orderFields(&o, "tries", startTries))
 			break
 		}
 	}
-	t.mu.Lock()
 	now := steady.Now()
 	if refusal == batch.RefusedGone {
-		t.sched.Gone(now, o.Instance.ID, "another instance answers")
-	} else {
-		t.sched.Started(now, sentAt, o, clock, refusal, unanswered)
+		t.replaced(now, o.Instance.ID)
+		return
 	}
+	t.mu.Lock()
+	t.sched.Started(now, sentAt, o, clock, refusal, unanswered)
 	t.mu.Unlock()
 	t.awake()
 }
 
+// orderFields are an order's for a line, with one figure.
+func orderFields(o *scheduler.Order, figure string, value any) eventlog.Fields {
+	return eventlog.Fields{"vm": o.Instance.ID, "job": o.Task.Job, "task": o.Task.String(), "run": o.Run, figure: value}
+}
+
 // stop repeats a stop until it is confirmed.
-func (t *term) stop(ctx context.Context, o scheduler.Order) {
-	began := steady.Now()
-	for ctx.Err() == nil && t.tenure.MayAct() && steady.Now()-began < stopFor {
+func (t *term) stop(ctx context.Context, o scheduler.Order) { t.stopSince(ctx, o, steady.Now()) }
+
+func (t *term) stopSince(ctx context.Context, o scheduler.Order, began time.Duration) {
+	var err error
+	for ctx.Err() == nil && t.tenure.MayAct() {
+		if age := steady.Now() - began; age >= stopFor {
+			t.log.Warn("stop_unconfirmed", err, orderFields(&o, "age_ms", age.Milliseconds()))
+			return
+		}
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-		err := t.Agents.Stop(callCtx, &o.Instance, o.Task, o.Run, t.tenure.Fence)
+		err = t.Agents.Stop(callCtx, &o.Instance, o.Task, o.Run, t.tenure.Fence)
 		cancel()
 		switch refusalOf(err) {
 		case batch.RefusedGone:
