Metrics of what a leader believes

The counters of decisions tell what a leader did, not what it believed: with two of them at once nobody could see that one went on without the store, nor that VMs were given up where a lease may live.

Gauges, worked out at a scrape and otherwise free: who leads, whether it is confirmed, by which token; VMs unlisted, unheard, silent, leased, waited for; the longest lease; ends that VMs go on telling, and since when. Counters: VMs and runs given up by reason (a closed set, anything new is "other"), ends by how they stood when first told. That a task was done by *another* run can't be told yet, since no leader notes which run counted.

--- a/internal/edge/docs_test.go
+++ b/internal/edge/docs_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rattanwall/rattanwall/internal/leader"
 	"github.com/rattanwall/rattanwall/internal/scheduler"
 )
 
@@ -17,9 +18,11 @@
 	for _, event := range scheduler.Events {
 		require.Contains(t, string(page), "| `"+event+"` |")
 	}
-	m := newMetrics()
+	m := newMetrics(func() (leader.Figures, bool) { return leader.Figures{}, true })
 	m.request("job_submitted", 0, nil)
 	m.decision(scheduler.Decision{Event: scheduler.EventRunStarted})
+	m.decision(scheduler.Decision{Event: scheduler.EventRunLost})
+	m.end(scheduler.EndOpen)
 	families, err := m.registry.Gather()
 	require.NoError(t, err)
 	for _, f := range families {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -123,8 +123,8 @@
 		Settings: s.Bounds, Log: log, WallMS: wallMS,
 		Machines: p.Machines, Node: s.Node, Waves: e.listWaves, ReportWave: p.ReportWave,
 	}
-	e.metrics = newMetrics()
-	e.leader.Observe = e.metrics.decision
+	e.metrics = newMetrics(e.leader.Figures)
+	e.leader.Observe, e.leader.ObserveEnd = e.metrics.decision, e.metrics.end
 	e.election = leader.NewElection(p.Store, leader.Record{Node: s.Node, Address: s.Peers}, s.Processor, log, e.leader.Lead)
 	local := &peerServer{leader: e.leader, store: p.Store}
 	e.operator = &follow.Follower{
--- /dev/null
+++ b/internal/edge/figures.go
@@ -0,0 +1,110 @@
+package edge
+
+import (
+	"strings"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/rattanwall/rattanwall/internal/leader"
+)
+
+// figures are the leader's state as metrics. They are worked out when they are
+// asked for; a process that does not lead tells only that.
+type figures struct {
+	read func() (f leader.Figures, leading bool)
+
+	leads, confirmed, fence, vms, lease, runs, ends, endAge *prometheus.Desc
+}
+
+func newFigures(read func() (leader.Figures, bool)) *figures {
+	desc := func(name, help string, labels ...string) *prometheus.Desc {
+		return prometheus.NewDesc("rattanwall_leader_"+name, help, labels, nil)
+	}
+	return &figures{
+		read:      read,
+		leads:     desc("leads", "1 while this process leads and may give orders, else 0."),
+		confirmed: desc("confirmed", "1 while nobody else can lead, 0 while it acts without the store's answer."),
+		fence:     desc("fence", "Fencing token: that of its run numbers is run >> 24."),
+		vms:       desc("vms", "VMs by what is believed of them; one VM may count in several.", "state"),
+		lease:     desc("longest_lease_seconds", "For how long a lease that it took may live on any VM."),
+		runs:      desc("runs", "Runs that count."),
+		ends:      desc("unacknowledged_ends", "Ends that VMs go on telling."),
+		endAge:    desc("unacknowledged_end_age_seconds", "Since when the oldest of them is told."),
+	}
+}
+
+// Describe implements prometheus.Collector.
+func (c *figures) Describe(out chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{c.leads, c.confirmed, c.fence, c.vms, c.lease, c.runs, c.ends, c.endAge} {
+		out <- d
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c *figures) Collect(out chan<- prometheus.Metric) {
+	gauge := func(d *prometheus.Desc, value float64, labels ...string) {
+		out <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, value, labels...)
+	}
+	f, leading := c.read()
+	gauge(c.leads, oneIf(leading))
+	if !leading {
+		return
+	}
+	gauge(c.confirmed, oneIf(f.Confirmed))
+	gauge(c.fence, float64(f.Fence))
+	gauge(c.lease, f.LongestLease.Seconds())
+	gauge(c.runs, float64(f.Runs))
+	gauge(c.ends, float64(f.UnackedEnds))
+	gauge(c.endAge, f.OldestUnacked.Seconds())
+	for _, v := range []struct {
+		state string
+		count int
+	}{
+		{"known", f.VMs},
+		{"unlisted", f.Unlisted},
+		{"unheard", f.Unheard},
+		{"silent", f.Silent},
+		{"leased", f.Leased},
+		{"leased_silent", f.LeasedSilent},
+		{"waited_for", f.Waited},
+	} {
+		gauge(c.vms, float64(v.count), v.state)
+	}
+}
+
+func oneIf(is bool) float64 {
+	if is {
+		return 1
+	}
+	return 0
+}
+
+// addressTaken begins a reason that goes on with a VM's ID.
+const addressTaken = "address taken"
+
+// givenUpReasons are the reasons for which a VM or a run is given up, as the
+// scheduler and the leader tell them. What is none of them counts as otherReason,
+// so that the label set stays closed.
+var givenUpReasons = map[string]bool{
+	"lease over":               true,
+	"not listed":               true,
+	"another instance answers": true,
+	addressTaken:               true,
+	"off the list and unheard": true,
+	"drained and left":         true,
+	"unlisted":                 true,
+	"maintenance":              true,
+}
+
+const otherReason = "other"
+
+// givenUpReason is the label of a reason.
+func givenUpReason(reason string) string {
+	switch {
+	case strings.HasPrefix(reason, addressTaken):
+		return addressTaken
+	case givenUpReasons[reason]:
+		return reason
+	}
+	return otherReason
+}
--- a/internal/edge/metrics_test.go
+++ b/internal/edge/metrics_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"regexp"
 	"strings"
@@ -17,6 +18,8 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/rattanwall/rattanwall/internal/eventlog"
+	"github.com/rattanwall/rattanwall/internal/leader"
+	"github.com/rattanwall/rattanwall/internal/scheduler"
 )
 
 // lines collects a log.
@@ -40,7 +43,7 @@
 func metricsEdge(t *testing.T, address string) (*Edge, *lines) {
 	t.Helper()
 	out := &lines{}
-	e := &Edge{settings: Settings{Metrics: address}, metrics: newMetrics(), log: eventlog.New(out, logrus.InfoLevel)}
+	e := &Edge{settings: Settings{Metrics: address}, metrics: newMetrics((&leader.Leader{}).Figures), log: eventlog.New(out, logrus.InfoLevel)}
 	return e, out
 }
 
@@ -102,3 +105,52 @@
 	require.NotNil(t, told)
 	require.Equal(t, string(given[1]), string(told[1]))
 }
+
+// scrape returns the lines of rattanwall_leader_.
+func scrape(t *testing.T, m *metrics) string {
+	t.Helper()
+	w := httptest.NewRecorder()
+	m.handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", http.NoBody))
+	require.Equal(t, http.StatusOK, w.Code)
+	var kept []string
+	for line := range strings.Lines(w.Body.String()) {
+		if strings.HasPrefix(line, "rattanwall_leader_") {
+			kept = append(kept, line)
+		}
+	}
+	return strings.Join(kept, "")
+}
+
+// A leader that is cut off believes something of VMs that another one believes
+// otherwise: the metrics tell what, and who leads by which token.
+func TestMetricsOfALeader(t *testing.T) {
+	leading := true
+	m := newMetrics(func() (leader.Figures, bool) {
+		return leader.Figures{
+			Figures: scheduler.Figures{
+				Fence: 706, VMs: 48, Unlisted: 16, Unheard: 1, Silent: 3, Leased: 47, LeasedSilent: 2, LongestLease: 7500 * time.Millisecond, Waited: 4, Runs: 243,
+			},
+			UnackedEnds: 9, OldestUnacked: 1500 * time.Millisecond,
+		}, leading
+	})
+	m.decision(scheduler.Decision{Event: scheduler.EventRunLost, Reason: "lease over"})
+	m.decision(scheduler.Decision{Event: scheduler.EventVMGone, Reason: "address taken by i-84ff6df95b"})
+	m.decision(scheduler.Decision{Event: scheduler.EventVMGone, Reason: "a reason of tomorrow"})
+	m.end(scheduler.EndAfterDone)
+	m.end(scheduler.EndUnknownJob)
+	text := scrape(t, m)
+	for _, line := range []string{
+		`leads 1`, `confirmed 0`, `fence 706`, `runs 243`, `longest_lease_seconds 7.5`, `unacknowledged_ends 9`, `unacknowledged_end_age_seconds 1.5`,
+		`vms{state="known"} 48`, `vms{state="unlisted"} 16`, `vms{state="unheard"} 1`, `vms{state="silent"} 3`, `vms{state="leased"} 47`,
+		`vms{state="leased_silent"} 2`, `vms{state="waited_for"} 4`, `given_up_total{reason="lease over",what="run"} 1`,
+		`given_up_total{reason="address taken",what="vm"} 1`, `given_up_total{reason="other",what="vm"} 1`,
+		`ends_total{standing="task_done"} 1`, `ends_total{standing="unknown_job"} 1`,
+	} {
+		require.Contains(t, text, "rattanwall_leader_"+line+"\n")
+	}
+	leading = false
+	text = scrape(t, m)
+	require.Contains(t, text, "rattanwall_leader_leads 0\n")
+	require.NotContains(t, text, "rattanwall_leader_fence")
+	require.NotContains(t, text, "rattanwall_leader_vms")
+}
--- a/internal/edge/operations.go
+++ b/internal/edge/operations.go
@@ -27,9 +27,14 @@
 	decisions *prometheus.CounterVec
 	startWait prometheus.Histogram
 	runTime   prometheus.Histogram
+	// givenUp counts VMs and runs that were given up, by reason; ends those that
+	// VMs told, by how they stood.
+	givenUp *prometheus.CounterVec
+	ends    *prometheus.CounterVec
 }
 
-func newMetrics() *metrics {
+// newMetrics returns the process's metrics; read tells the leader's state.
+func newMetrics(read func() (leader.Figures, bool)) *metrics {
 	m := &metrics{
 		registry: prometheus.NewRegistry(),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -47,8 +52,16 @@
 		runTime: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "rattanwall_leader_run_seconds", Help: "Time from a start order to the end of its run.", Buckets: prometheus.ExponentialBuckets(0.05, 2, 12),
 		}),
+		givenUp: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "rattanwall_leader_given_up_total", Help: "VMs, and runs without a told end, that were given up, by reason.",
+		}, []string{"what", "reason"}),
+		ends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "rattanwall_leader_ends_total", Help: "Ends of runs that VMs told this leader for the first time, by how they stood.",
+		}, []string{"standing"}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.decisions, m.startWait, m.runTime, collectors.NewGoCollector())
+	m.registry.MustRegister(
+		m.requests, m.latency, m.decisions, m.startWait, m.runTime, m.givenUp, m.ends, newFigures(read), collectors.NewGoCollector(),
+	)
 	return m
 }
 
@@ -75,9 +88,18 @@
 		m.startWait.Observe(d.Age.Seconds())
 	case scheduler.EventRunEnded:
 		m.runTime.Observe(d.Age.Seconds())
+	case scheduler.EventVMGone:
+		m.givenUp.WithLabelValues("vm", givenUpReason(d.Reason)).Inc()
+	case scheduler.EventRunLost:
+		m.givenUp.WithLabelValues("run", givenUpReason(d.Reason)).Inc()
 	}
 }
 
+// end counts an end that a VM told.
+func (m *metrics) end(standing scheduler.EndStanding) {
+	m.ends.WithLabelValues(string(standing)).Inc()
+}
+
 // Dump is the process's state, for people who look for a fault.
 type Dump struct {
 	Node          string          `json:"node"`
