Trace tells both runs of a task that ran twice

The story of such a task had both starts, but nothing that said who gave them: the leader's token is in the upper bits of the run number, and its election lay before the story's first line. Of what the second leader believed of the first VM, vm_listed and vm_heard were left out.

Lines of a run name the token of the leader that started it and where that one was elected; those leaders are told from their election to their end, also outside the story's span; the new lines on VMs and leaders belong to the story. After it stand, for tasks of which a run was done and a later one started, all runs with token, leader, VM, start and what each leader told of the end.

--- a/internal/command/trace.go
+++ b/internal/command/trace.go
@@ -5,7 +5,9 @@
 	"io"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -20,6 +22,8 @@
 		Long: `Tell the story of a job, task or VM from the logs of all processes, each a file
 named after its process, or from standard input: every line that names it, in order
 of time, and between them changes of the leader and what was believed of its VMs.
+A run's line names the leader that started it. If a task ran again although a run of
+it was done, its runs follow, with who started each, where, and what became of it.
 Exit code 1 if no line names it.`,
 		Example: "  rattanwall trace 06ad7a5cb3084c11 logs/*.log\n  rattanwall trace i-84ff6df95b --json < edge.log",
 		Args:    cobra.MinimumNArgs(1),
@@ -32,7 +36,10 @@
 			if len(story) == 0 {
 				return fmt.Errorf("%w: no line names %s", errFailed, args[0])
 			}
-			return c.show(cmd, story, func() { printStory(cmd.OutOrStdout(), story) })
+			return c.show(cmd, story, func() {
+				printStory(cmd.OutOrStdout(), story)
+				printTwice(cmd.OutOrStdout(), story)
+			})
 		},
 	}
 	cmd.Flags().BoolVar(&c.asJSON, "json", false, "print JSON for programs")
@@ -68,7 +75,37 @@
 		for _, key := range l.Keys() {
 			fields = append(fields, fmt.Sprintf("%s=%v", key, l.Fields[key]))
 		}
+		if l.Fence != 0 {
+			fields = append(fields, "run_fence="+strconv.FormatInt(l.Fence, 10))
+		}
+		if l.Leader != "" {
+			fields = append(fields, "run_leader="+l.Leader)
+		}
 		t.row(fmt.Sprintf("+%.3f s", l.Time.Sub(story[0].Time).Seconds()), l.Node, l.Event, strings.Join(fields, " "))
 	}
 	t.flush()
 }
+
+// printTwice prints the runs of the tasks that ran more than once.
+func printTwice(out io.Writer, story []trace.Line) {
+	runs := trace.TwiceRuns(story)
+	if len(runs) == 0 {
+		return
+	}
+	since := func(at time.Time) string { return fmt.Sprintf("+%.3f s", at.Sub(story[0].Time).Seconds()) }
+	_, _ = fmt.Fprintln(out, "\nRan more than once:")
+	t := newTable(out, "TASK", "RUN", "FENCE", "LEADER", "VM", "STARTED", "WHAT WAS TOLD")
+	for i := range runs {
+		r := &runs[i]
+		started := "?"
+		if !r.Started.IsZero() {
+			started = since(r.Started)
+		}
+		var told []string
+		for _, o := range r.Outcomes {
+			told = append(told, strings.TrimSpace(fmt.Sprintf("%s %s %s %s", since(o.Time), o.Node, o.Event, o.Reason)))
+		}
+		t.row(r.Task, strconv.FormatInt(r.Number, 10), strconv.FormatInt(r.Fence, 10), r.Leader, r.VM, started, strings.Join(told, "; "))
+	}
+	t.flush()
+}
--- /dev/null
+++ b/internal/trace/runs_test.go
@@ -0,0 +1,98 @@
+package trace
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A task ran twice, and the two leaders' logs tell how. The first leader (token 706)
+// starts the task on i-1. Their zone is cut off: the first leader goes on for a while
+// without the store, and i-1 goes off the list. Another (token 4246) leads, does not
+// hear i-1, takes it as gone while a lease lives there, and starts the task on i-2.
+const (
+	firstLeaderLog = `{"msg":"leader_elected","fence":706,"time":"2026-03-23T02:46:00.000Z"}
+{"msg":"leader_ready","fence":706,"jobs":4,"time":"2026-03-23T02:46:00.100Z"}
+{"msg":"vm_heard","vm":"i-1","time":"2026-03-23T02:46:00.200Z"}
+{"msg":"run_started","job":"522c","task":"522c.0.0.1","vm":"i-1","run":11844717423,"time":"2026-03-23T02:46:17.250Z"}
+{"msg":"run_started","job":"522c","task":"522c.0.0.2","vm":"i-1","run":11844717424,"time":"2026-03-23T02:46:17.251Z"}
+{"msg":"run_ended","job":"522c","task":"522c.0.0.2","vm":"i-1","run":11844717424,"reason":"failed","time":"2026-03-23T02:46:17.500Z"}
+{"msg":"run_started","job":"522c","task":"522c.0.0.2","vm":"i-1","run":11844717425,"time":"2026-03-23T02:46:17.700Z"}
+{"msg":"run_ended","job":"522c","task":"522c.0.0.2","vm":"i-1","run":11844717425,"reason":"done","time":"2026-03-23T02:46:17.900Z"}
+{"msg":"leader_unconfirmed","fence":706,"confirmed_ago_ms":1180,"time":"2026-03-23T02:46:18.900Z"}
+{"msg":"run_ended","job":"522c","task":"522c.0.0.1","vm":"i-1","run":11844717423,"reason":"done","time":"2026-03-23T02:46:19.273Z"}
+{"msg":"leader_ended","fence":706,"leased_vms":16,"longest_lease_ms":7900,"time":"2026-03-23T02:46:24.000Z"}
+`
+	secondLeaderLog = `{"msg":"leader_elected","fence":4246,"time":"2026-03-23T02:46:20.000Z"}
+{"msg":"leader_ready","fence":4246,"jobs":4,"time":"2026-03-23T02:46:20.100Z"}
+{"msg":"vm_unanswered","vm":"i-1","unheard_ms":700,"lease_left_ms":0,"error":"timed out","time":"2026-03-23T02:46:20.900Z"}
+{"msg":"vm_unlisted","vm":"i-1","time":"2026-03-23T02:46:21.300Z"}
+{"msg":"vm_unlisted","vm":"i-9","time":"2026-03-23T02:46:21.300Z"}
+{"msg":"vm_gone","vm":"i-1","reason":"off the list and unheard","time":"2026-03-23T02:46:25.300Z"}
+{"msg":"run_started","job":"522c","task":"522c.0.0.1","vm":"i-2","run":71236059276,"time":"2026-03-23T02:46:25.306Z"}
+{"msg":"run_ended","job":"522c","task":"522c.0.0.1","vm":"i-2","run":71236059276,"reason":"done","time":"2026-03-23T02:46:27.329Z"}
+`
+)
+
+func twiceLines(t *testing.T) []Line {
+	t.Helper()
+	lines, err := Read(strings.NewReader(firstLeaderLog), "edge-2")
+	require.NoError(t, err)
+	more, err := Read(strings.NewReader(secondLeaderLog), "edge-3")
+	require.NoError(t, err)
+	return append(lines, more...)
+}
+
+// The story of the task tells both runs with their leaders, from the election of the
+// first on, and between the runs what the second believed of the first one's VM.
+func TestStoryOfATaskThatRanTwice(t *testing.T) {
+	var told []string
+	for _, l := range Story(twiceLines(t), "522c.0.0.1") {
+		told = append(told, strings.TrimSpace(fmt.Sprintf("%s %s %s", l.Node, l.Event, l.Leader)))
+	}
+	require.Equal(t, []string{
+		"edge-2 leader_elected", "edge-2 leader_ready", "edge-2 run_started edge-2", "edge-2 leader_unconfirmed", "edge-2 run_ended edge-2",
+		"edge-3 leader_elected", "edge-3 leader_ready", "edge-3 vm_unanswered", "edge-3 vm_unlisted", "edge-2 leader_ended", "edge-3 vm_gone",
+		"edge-3 run_started edge-3", "edge-3 run_ended edge-3",
+	}, told)
+}
+
+// Of a job's tasks the one that ran again although it was done is named, with each
+// run's leader, token, VM and end; one that was done at its second try is not.
+func TestRunsOfATaskThatRanTwice(t *testing.T) {
+	runs := TwiceRuns(Story(twiceLines(t), "522c"))
+	at := func(text string) time.Time {
+		v, err := time.Parse(time.RFC3339Nano, "2026-03-23T02:46:"+text+"Z")
+		require.NoError(t, err)
+		return v
+	}
+	require.Equal(t, []Run{
+		{
+			Task: "522c.0.0.1", Number: 11844717423, VM: "i-1", Fence: 706, Leader: "edge-2", Started: at("17.250"),
+			Outcomes: []Outcome{{Time: at("19.273"), Node: "edge-2", Event: "run_ended", Reason: "done"}},
+		},
+		{
+			Task: "522c.0.0.1", Number: 71236059276, VM: "i-2", Fence: 4246, Leader: "edge-3", Started: at("25.306"),
+			Outcomes: []Outcome{{Time: at("27.329"), Node: "edge-3", Event: "run_ended", Reason: "done"}},
+		},
+	}, runs)
+	require.Empty(t, TwiceRuns(Story(twiceLines(t), "522c.0.0.2")))
+}
+
+// An end that was withheld was an end all the same; a log that is missing leaves
+// gaps, and the token still tells that there were two leaders.
+func TestRunsOfATaskWhoseFirstEndWasWithheld(t *testing.T) {
+	lines, err := Read(strings.NewReader(secondLeaderLog+
+		`{"msg":"end_withheld","job":"522c","task":"522c.0.0.1","vm":"i-1","run":11844717423,"time":"2026-03-23T02:46:26.000Z"}
+`), "edge-3")
+	require.NoError(t, err)
+	runs := TwiceRuns(Story(lines, "522c.0.0.1"))
+	require.Len(t, runs, 2)
+	require.True(t, runs[0].Started.IsZero())
+	require.Equal(t, int64(706), runs[0].Fence)
+	require.Empty(t, runs[0].Leader)
+	require.Equal(t, "edge-3", runs[1].Leader)
+}
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/rattanwall/rattanwall/internal/scheduler"
 )
 
 // maxLine bounds one line of a log, in bytes; a longer one is an error.
@@ -26,6 +28,11 @@
 	Event string `json:"event"`
 	// Fields are the line's other fields.
 	Fields map[string]any `json:"fields"`
+	// Fence is the fencing token of the leader that started the run that the line
+	// names, and Leader where that one was elected; zero where there is no run, or
+	// no such election in the logs.
+	Fence  int64  `json:"run_fence,omitempty"`
+	Leader string `json:"run_leader,omitempty"`
 }
 
 // Read returns the lines of one process's log. What comes before a line's first
@@ -68,6 +75,12 @@
 	return Line{Time: at, Node: node, Event: event, Fields: fields}, true
 }
 
+func (l *Line) number(field string) int64 {
+	n, _ := l.Fields[field].(json.Number)
+	i, _ := n.Int64()
+	return i
+}
+
 func (l *Line) text(field string) string {
 	s, _ := l.Fields[field].(string)
 	return s
@@ -83,53 +96,97 @@
 	return false
 }
 
+// ofLeader reports whether the line tells of a change of the leader, or of how one
+// stands to the store.
+func (l *Line) ofLeader() bool {
+	switch l.Event {
+	case "leader_elected", "leader_ready", "leader_deposed", "leader_stepped_down", "leader_fenced", "leader_lease_gone", "leader_lease_unrenewed",
+		"leader_unconfirmed", "leader_confirmed", "leader_ended":
+		return true
+	}
+	return false
+}
+
 // explains reports whether the line tells something of the VMs or of the leader
 // that bears on whatever happened at the time.
 func (l *Line) explains(vms map[string]bool) bool {
 	switch l.Event {
-	case "leader_elected", "leader_ready", "leader_deposed", "leader_stepped_down", "leader_fenced", "leader_lease_gone", "leader_lease_unrenewed":
-		return true
-	case "vm_suspected", "vm_gone", "vm_unanswered", "vm_unlisted", "vm_draining", "vm_waited_out":
+	case scheduler.EventVMListed, scheduler.EventVMHeard, scheduler.EventVMSuspected, scheduler.EventVMGone, scheduler.EventVMUnlisted,
+		scheduler.EventVMDraining, scheduler.EventVMWaitedOut, "vm_unanswered", "vm_answers", "vm_replaced", "ends_unacknowledged":
 		return vms[l.text("vm")]
 	}
-	return false
+	return l.ofLeader()
 }
 
-// Story returns, in order of time, the lines about id, and between the first and
-// the last of them those that explain what became of it: changes of the leader,
-// and what was believed of the VMs that ran it.
-func Story(lines []Line, id string) []Line {
-	vms := map[string]bool{}
-	var first, last time.Time
+// subject is what a story is about.
+type subject struct {
+	vms         map[string]bool
+	fences      map[int64]bool
+	first, last time.Time
+}
+
+// find goes through the lines about id.
+func find(lines []Line, id string) subject {
+	s := subject{vms: map[string]bool{}, fences: map[int64]bool{}}
 	for i := range lines {
 		l := &lines[i]
 		if !l.about(id) {
 			continue
 		}
 		if vm := l.text("vm"); vm != "" {
-			vms[vm] = true
+			s.vms[vm] = true
 		}
-		if first.IsZero() || l.Time.Before(first) {
-			first = l.Time
+		if run := l.number("run"); run != 0 {
+			s.fences[scheduler.FenceOf(run)] = true
 		}
-		if l.Time.After(last) {
-			last = l.Time
+		if s.first.IsZero() || l.Time.Before(s.first) {
+			s.first = l.Time
+		}
+		if l.Time.After(s.last) {
+			s.last = l.Time
 		}
 	}
-	if first.IsZero() {
+	return s
+}
+
+// Story returns, in order of time, the lines about id, and between the first and
+// the last of them those that explain what became of it: changes of the leader,
+// and what was believed of the VMs that ran it. The leaders that started its runs
+// are told from their election to their end.
+func Story(lines []Line, id string) []Line {
+	s := find(lines, id)
+	if s.first.IsZero() {
 		return nil
 	}
+	elected := elections(lines)
 	var story []Line
 	for i := range lines {
-		l := &lines[i]
-		within := !l.Time.Before(first) && !l.Time.After(last)
-		if l.about(id) || (within && l.explains(vms)) {
-			story = append(story, *l)
+		l := lines[i]
+		within := !l.Time.Before(s.first) && !l.Time.After(s.last)
+		starter := l.ofLeader() && s.fences[l.number("fence")]
+		if !l.about(id) && !starter && !(within && l.explains(s.vms)) {
+			continue
+		}
+		if run := l.number("run"); run != 0 {
+			l.Fence = scheduler.FenceOf(run)
+			l.Leader = elected[l.Fence]
 		}
+		story = append(story, l)
 	}
 	slices.SortStableFunc(story, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	return story
 }
 
+// elections are where the leaders were elected, by fencing token.
+func elections(lines []Line) map[int64]string {
+	elected := map[int64]string{}
+	for i := range lines {
+		if lines[i].Event == "leader_elected" {
+			elected[lines[i].number("fence")] = lines[i].Node
+		}
+	}
+	return elected
+}
+
 // Keys are the names of the line's fields, in order.
 func (l *Line) Keys() []string { return slices.Sorted(maps.Keys(l.Fields)) }
