--- a/internal/command/trace.go
+++ b/internal/command/trace.go
@@ -22,8 +22,9 @@
 		Long: `Tell the story of a job, task or VM from the logs of all processes, each a file
 named after its process, or from standard input: every line that names it, in order
 of time, and between them changes of the leader and what was believed of its VMs.
-A run's line names the leader that started it. If a task ran again although a run of
-it was done, its runs follow, with who started each, where, and what became of it.
+A run's line names the leader that started it. If a later run of a task was
+started although an earlier one was done, or was yet to be, its runs follow, with who
+started each, where, and what became of it.
 Exit code 1 if no line names it.`,
 		Example: "  rattanwall trace 06ad7a5cb3084c11 logs/*.log\n  rattanwall trace i-84ff6df95b --json < edge.log",
 		Args:    cobra.MinimumNArgs(1),
--- a/internal/trace/runs.go
+++ b/internal/trace/runs.go
@@ -40,10 +40,39 @@
 	})
 }
 
-// TwiceRuns returns the runs of those tasks in a story of which a run was done and
-// yet a later one was started: of each task the runs in the order of their numbers,
-// which is that of their starts. A task that failed and was done at its last try is
-// none of them; one that was copied (run_copied) may be.
+// outlived reports whether the run was seen at its VM, or told to have ended there,
+// after another was started. A lease that lapsed is told late as a matter of course.
+func (r *Run) outlived(start time.Time) bool {
+	return !start.IsZero() && slices.ContainsFunc(r.Outcomes, func(o Outcome) bool {
+		if !o.Time.After(start) {
+			return false
+		}
+		switch o.Event {
+		case scheduler.EventRunAdopted, scheduler.EventRunUnwanted:
+			return true
+		case scheduler.EventRunEnded:
+			return o.Reason != string(batch.EndLapsed)
+		}
+		return false
+	})
+}
+
+// twice reports whether runs, in the order of their numbers, are more than one
+// after the other: an earlier one was done, or outlived the start of a later one.
+func twice(runs []*Run) bool {
+	for i, r := range runs[:len(runs)-1] {
+		if r.done() || slices.ContainsFunc(runs[i+1:], func(later *Run) bool { return r.outlived(later.Started) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// TwiceRuns returns the runs of those tasks in a story of which a later run was
+// started although an earlier one was done, or was yet to be: of each task the runs
+// in the order of their numbers, which is that of their starts. A task that failed
+// and was done at its last try is none of them; one that was copied (run_copied)
+// may be.
 func TwiceRuns(story []Line) []Run {
 	byTask := map[string][]*Run{}
 	var order []string
@@ -65,18 +94,18 @@
 		}
 		runs[k].note(l)
 	}
-	var twice []Run
+	var found []Run
 	for _, task := range order {
 		runs := byTask[task]
 		slices.SortFunc(runs, func(a, b *Run) int { return cmp.Compare(a.Number, b.Number) })
-		if !slices.ContainsFunc(runs[:len(runs)-1], (*Run).done) {
+		if !twice(runs) {
 			continue
 		}
 		for _, r := range runs {
-			twice = append(twice, *r)
+			found = append(found, *r)
 		}
 	}
-	return twice
+	return found
 }
 
 // note adds what a line tells of the run.
--- a/internal/trace/runs_test.go
+++ b/internal/trace/runs_test.go
@@ -96,3 +96,19 @@
 	require.Empty(t, runs[0].Leader)
 	require.Equal(t, "edge-3", runs[1].Leader)
 }
+
+// The second run was started while the first went on, whose VM was cut off and had
+// not been heard; it was stopped when its VM was heard again. Nothing was done twice,
+// and yet two ran at once. A run whose lease lapsed before is none of that, though its
+// end is told late as well.
+func TestRunsOfATaskThatRanAtTwoPlaces(t *testing.T) {
+	for reason, runs := range map[string]int{"stopped": 2, "lapsed": 0} {
+		lines, err := Read(strings.NewReader(
+			`{"msg":"run_started","job":"j","task":"j.0.0.4","vm":"i-1","run":33554446,"time":"2026-03-23T02:46:04.796Z"}
+{"msg":"run_started","job":"j","task":"j.0.0.4","vm":"i-2","run":16039018965,"time":"2026-03-23T02:46:26.216Z"}
+{"msg":"run_ended","job":"j","task":"j.0.0.4","vm":"i-1","run":33554446,"reason":"`+reason+`","time":"2026-03-23T02:46:30.554Z"}
+`), "edge-1")
+		require.NoError(t, err)
+		require.Len(t, TwiceRuns(Story(lines, "j")), runs, reason)
+	}
+}
