--- a/internal/leader/sight_test.go
+++ b/internal/leader/sight_test.go
@@ -57,9 +57,8 @@
 	return l.text.Write(p)
 }
 
-// lines returns the lines of an event once there are so many; later ones would be
-// seen too, as the log keeps the order.
-func (l *logged) lines(t *testing.T, event string, count int) []map[string]any {
+// line returns the one line of an event once it is written.
+func (l *logged) line(t *testing.T, event string) map[string]any {
 	t.Helper()
 	var found []map[string]any
 	require.Eventually(t, func() bool {
@@ -72,10 +71,10 @@
 				found = append(found, fields)
 			}
 		}
-		return len(found) >= count
+		return len(found) > 0
 	}, 5*time.Second, 5*time.Millisecond, "no %s", event)
-	require.Len(t, found, count, event)
-	return found
+	require.Len(t, found, 1, event)
+	return found[0]
 }
 
 const sightVM = "vm1"
@@ -116,12 +115,12 @@
 	}
 	agent.err = nil
 	sightHold(t, x, &s, true)
-	silent := out.lines(t, "vm_unanswered", 1)[0]
+	silent := out.line(t, "vm_unanswered")
 	require.Equal(t, "refused: unreached: connection refused", silent["error"])
 	require.Contains(t, silent, "unheard_ms")
 	require.InDelta(t, 8000, silent["lease_left_ms"], 1000)
 	require.NotContains(t, silent, "unlisted_ms")
-	back := out.lines(t, "vm_answers", 1)[0]
+	back := out.line(t, "vm_answers")
 	require.InDelta(t, 3, back["failures"], 0)
 
 	x.sched.SetInstances(steady.Now(), nil)
@@ -129,7 +128,7 @@
 	ok, err := x.holdOnce(t.Context(), &batch.Instance{ID: sightVM}, 0, &s)
 	require.False(t, ok)
 	require.NoError(t, err)
-	require.Contains(t, out.lines(t, "vm_replaced", 1)[0], "unlisted_ms")
+	require.Contains(t, out.line(t, "vm_replaced"), "unlisted_ms")
 	f := x.figures()
 	require.Zero(t, f.VMs)
 }
@@ -165,7 +164,7 @@
 	}
 	require.Equal(t, map[scheduler.EndStanding]int{scheduler.EndUnknownJob: 2}, observed)
 	require.Equal(t, 2, x.figures().UnackedEnds)
-	line := out.lines(t, "ends_unacknowledged", 1)[0]
+	line := out.line(t, "ends_unacknowledged")
 	require.Equal(t, "j.0.0.1", line["task"])
 	require.InDelta(t, 4000, line["age_ms"], 0)
 	x.noteEnds(began, sightVM, nil)
@@ -182,10 +181,10 @@
 	require.False(t, x.logConfirmed(false))
 	x.tenure.renewed(steady.Now())
 	require.True(t, x.logConfirmed(false))
-	require.InDelta(t, 2*leaseTTL.Milliseconds(), out.lines(t, "leader_unconfirmed", 1)[0]["confirmed_ago_ms"], 500)
-	out.lines(t, "leader_confirmed", 1)
+	require.InDelta(t, 2*leaseTTL.Milliseconds(), out.line(t, "leader_unconfirmed")["confirmed_ago_ms"], 500)
+	out.line(t, "leader_confirmed")
 	x.logEnd()
-	end := out.lines(t, "leader_ended", 1)[0]
+	end := out.line(t, "leader_ended")
 	require.InDelta(t, 1, end["leased_vms"], 0)
 	require.InDelta(t, 8000, end["longest_lease_ms"], 1000)
 }
@@ -207,17 +206,17 @@
 
 	agent.err = errors.New("timed out")
 	x.start(t.Context(), orders[0])
-	unanswered := out.lines(t, "start_unanswered", 1)[0]
+	unanswered := out.line(t, "start_unanswered")
 	require.Equal(t, "timed out", unanswered["error"])
 	require.Equal(t, orders[0].Task.String(), unanswered["task"])
 
 	agent.failed = func() { x.tenure.End() }
 	x.start(t.Context(), orders[1])
-	require.Equal(t, orders[1].Task.String(), out.lines(t, "start_abandoned", 1)[0]["task"])
+	require.Equal(t, orders[1].Task.String(), out.line(t, "start_abandoned")["task"])
 
 	x.tenure.ended, agent.failed = false, nil
 	x.stopSince(t.Context(), orders[0], steady.Now()-stopFor+time.Millisecond)
-	require.Equal(t, "timed out", out.lines(t, "stop_unconfirmed", 1)[0]["error"])
+	require.Equal(t, "timed out", out.line(t, "stop_unconfirmed")["error"])
 }
 
 // A process that doesn't lead has no figures; one that leads has them.
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -164,7 +164,7 @@
 		l := lines[i]
 		within := !l.Time.Before(s.first) && !l.Time.After(s.last)
 		starter := l.ofLeader() && s.fences[l.number("fence")]
-		if !l.about(id) && !starter && !(within && l.explains(s.vms)) {
+		if told := l.about(id) || starter || (within && l.explains(s.vms)); !told {
 			continue
 		}
 		if run := l.number("run"); run != 0 {
