--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -37,6 +37,10 @@
 	Readiness  string
 	Peers      string
 	Operations string
+	// Metrics is one more ip:port for the metrics alone, "" for none: a place that
+	// scrapers know beforehand, where the other ports change. The process does
+	// without where it can't be had.
+	Metrics string
 	// Processor is the share of a core that the VM has.
 	Processor float64
 	// MemoryMB is the memory limit of the process.
@@ -119,8 +123,8 @@
 		Settings: s.Bounds, Log: log, WallMS: wallMS,
 		Machines: p.Machines, Node: s.Node, Address: s.Peers, Predecessors: &predecessors{client: p.PeerClient}, Waves: e.listWaves, ReportWave: p.ReportWave,
 	}
-	e.metrics = newMetrics()
-	e.leader.Observe = e.metrics.decision
+	e.metrics = newMetrics(e.leader.Figures)
+	e.leader.Observe, e.leader.ObserveEnd = e.metrics.decision, e.metrics.end
 	e.election = leader.NewElection(p.Store, leader.Record{Node: s.Node, Address: s.Peers}, s.Processor, log, e.leader.Lead)
 	local := &peerServer{node: s.Node, leader: e.leader, election: e.election, store: p.Store}
 	e.operator = &follow.Follower{
@@ -176,6 +180,9 @@
 	for _, s := range e.servers {
 		tree.Add(httpService{s})
 	}
+	if e.metricsApart() {
+		tree.Add(e.metricsService())
+	}
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	ended := tree.ServeBackground(runCtx)
--- a/internal/edge/operations.go
+++ b/internal/edge/operations.go
@@ -1,13 +1,16 @@
 package edge
 
 import (
+	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/thejerf/suture/v4"
 
 	"github.com/rattanwall/rattanwall/internal/errkind"
 	"github.com/rattanwall/rattanwall/internal/eventlog"
@@ -24,9 +27,14 @@
 	decisions *prometheus.CounterVec
 	startWait prometheus.Histogram
 	runTime   prometheus.Histogram
+	// givenUp counts VMs and runs that were given up, by reason; ends those that
+	// VMs told, by how they stood.
+	givenUp *prometheus.CounterVec
+	ends    *prometheus.CounterVec
 }
 
-func newMetrics() *metrics {
+// newMetrics returns the process's metrics; read tells the leader's state.
+func newMetrics(read func() (leader.Figures, bool)) *metrics {
 	m := &metrics{
 		registry: prometheus.NewRegistry(),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -44,11 +52,24 @@
 		runTime: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "rattanwall_leader_run_seconds", Help: "Time from a start order to the end of its run.", Buckets: prometheus.ExponentialBuckets(0.05, 2, 12),
 		}),
+		givenUp: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "rattanwall_leader_given_up_total", Help: "VMs, and runs without a told end, that were given up, by reason.",
+		}, []string{"what", "reason"}),
+		ends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "rattanwall_leader_ends_total", Help: "Ends of runs that VMs told this leader for the first time, by how they stood.",
+		}, []string{"standing"}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.decisions, m.startWait, m.runTime, collectors.NewGoCollector())
+	m.registry.MustRegister(
+		m.requests, m.latency, m.decisions, m.startWait, m.runTime, m.givenUp, m.ends, newFigures(read), collectors.NewGoCollector(),
+	)
 	return m
 }
 
+// handler serves them as text.
+func (m *metrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
 // request counts a caller's request.
 func (m *metrics) request(operation string, took time.Duration, err error) {
 	outcome := "ok"
@@ -67,9 +88,18 @@
 		m.startWait.Observe(d.Age.Seconds())
 	case scheduler.EventRunEnded:
 		m.runTime.Observe(d.Age.Seconds())
+	case scheduler.EventVMGone:
+		m.givenUp.WithLabelValues("vm", givenUpReason(d.Reason)).Inc()
+	case scheduler.EventRunLost:
+		m.givenUp.WithLabelValues("run", givenUpReason(d.Reason)).Inc()
 	}
 }
 
+// end counts an end that a VM told.
+func (m *metrics) end(standing scheduler.EndStanding) {
+	m.ends.WithLabelValues(string(standing)).Inc()
+}
+
 // Dump is the process's state, for people who look for a fault.
 type Dump struct {
 	Node          string          `json:"node"`
@@ -94,7 +124,7 @@
 // operations serves metrics and the state dump.
 func (e *Edge) operations() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", promhttp.HandlerFor(e.metrics.registry, promhttp.HandlerOpts{}))
+	mux.Handle("GET /metrics", e.metrics.handler())
 	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		if err := json.NewEncoder(w).Encode(e.Dump()); err != nil {
@@ -114,3 +144,46 @@
 	})
 	return mux
 }
+
+// metricsApart reports whether the metrics have a port of their own. One that the
+// process needs for something else stays with that.
+func (e *Edge) metricsApart() bool {
+	_, port, err := net.SplitHostPort(e.settings.Metrics)
+	if err != nil {
+		return false
+	}
+	for _, s := range e.servers {
+		if _, other, _ := net.SplitHostPort(s.Addr); other == port {
+			return false
+		}
+	}
+	return true
+}
+
+func (e *Edge) metricsService() optionalService {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", e.metrics.handler())
+	return optionalService{
+		httpService: httpService{&http.Server{
+			Addr: e.settings.Metrics, Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		}},
+		log: e.log,
+	}
+}
+
+// optionalService is a server that the process does without where its port can't
+// be had: one line tells, and nothing else is touched.
+type optionalService struct {
+	httpService
+	log *eventlog.Log
+}
+
+// Serve implements suture.Service.
+func (s optionalService) Serve(ctx context.Context) error {
+	err := s.httpService.Serve(ctx)
+	if err == nil || ctx.Err() != nil {
+		return err
+	}
+	s.log.Warn("metrics_not_served", err, eventlog.Fields{"listener": s.server.Addr})
+	return suture.ErrDoNotRestart
+}
--- a/internal/leader/predecessors_test.go
+++ b/internal/leader/predecessors_test.go
@@ -39,7 +39,7 @@
 	require.Greater(t, left[0], lease)
 	require.Less(t, left[0], lease+time.Second)
 	require.Zero(t, left[1])
-	_, err := te.holdOnce(t.Context(), &batch.Instance{ID: "vm"}, 0)
+	_, err := te.holdOnce(t.Context(), &batch.Instance{ID: "vm"}, 0, &silence{})
 	require.NoError(t, err, "a hold was sent after the leases were told")
 }
 
