--- /dev/null
+++ b/internal/leader/cutoff_test.go
@@ -0,0 +1,165 @@
+package leader
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+	"github.com/rattanwall/rattanwall/internal/durable"
+	"github.com/rattanwall/rattanwall/internal/eventlog"
+	"github.com/rattanwall/rattanwall/internal/scheduler"
+	"github.com/rattanwall/rattanwall/internal/steady"
+)
+
+// cutStore is a store that does not answer until it is back.
+type cutStore struct {
+	durable.Store
+	back    bool
+	items   map[string]durable.Item
+	commits []durable.Txn
+}
+
+// removedAt is the revision of what cutStore writes.
+const removedAt = 9
+
+func (s *cutStore) Get(_ context.Context, key string) (*durable.Item, error) {
+	if !s.back {
+		return nil, durable.ErrUnknown
+	}
+	if item, ok := s.items[key]; ok {
+		return &item, nil
+	}
+	return nil, nil
+}
+
+func (s *cutStore) Commit(_ context.Context, txn durable.Txn) (int64, error) {
+	if !s.back {
+		return 0, durable.ErrUnknown
+	}
+	s.commits = append(s.commits, txn)
+	return removedAt, nil
+}
+
+// heldAgents counts the holds that are sent.
+type heldAgents struct {
+	Agents
+	holds int
+}
+
+func (a *heldAgents) Hold(context.Context, *batch.Instance, batch.HoldOrder) (batch.Report, error) {
+	a.holds++
+	return batch.Report{}, nil
+}
+
+// newTerm is the term of a leader that renewed its lease a while ago.
+func newTerm(t *testing.T, store durable.Store, renewed time.Duration) *term {
+	_, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	return &term{
+		Leader: &Leader{Store: store, WallMS: func() int64 { return 0 }},
+		tenure: &Tenure{Fence: 1, renewedAt: steady.Now() - renewed, cancel: cancel},
+		log:    eventlog.New(io.Discard, logrus.ErrorLevel), kick: make(chan struct{}, 1),
+		sched: scheduler.New(scheduler.Settings{}, 1, nil),
+	}
+}
+
+var waitingJob = durable.Item{Key: JobKey("j"), Value: []byte(`{"queue":"q","pool":"p","job":{"steps":[{"tasks":1,"need":{}}]}}`)}
+
+// What happened: a lease was renewed on a VM that the next leader did not reach and
+// had waited out; the VM's tasks ran there and elsewhere.
+// Sequence: a process is suspended between the question whether it may act and the
+// look at the clock from which the lease is counted; it wakes seconds later.
+// Cause: the question was asked before the clock was read.
+func TestNoLeaseFromAMomentThatWasNotAskedAbout(t *testing.T) {
+	te := newTerm(t, nil, actWithoutStore+time.Second)
+	agents := &heldAgents{}
+	te.Agents = agents
+	inst := batch.Instance{ID: "vm", Address: "10.0.0.1:1"}
+	te.sched.SetInstances(steady.Now(), []batch.Instance{inst})
+	_, _ = te.holdOnce(context.Background(), &inst, 0)
+	require.Zero(t, agents.holds)
+}
+
+// What happened: two leaders started the same new job.
+// Sequence: a leader finds that it is confirmed and waits for its turn to take a job
+// up; meanwhile its lease runs out, and another leads.
+// Cause: it did not ask again once it had its turn.
+func TestJobIsTakenUpOnlyWhileConfirmed(t *testing.T) {
+	te := newTerm(t, nil, 0)
+	te.mu.Lock()
+	taken := make(chan struct{})
+	go func() {
+		defer close(taken)
+		te.observeJobs([]durable.Item{waitingJob}, false)
+	}()
+	time.Sleep(3 * confirmPause)
+	te.tenure.renewed(steady.Now() - 3*time.Second)
+	te.mu.Unlock()
+	time.Sleep(3 * confirmPause)
+	te.mu.Lock()
+	_, known := te.sched.State("j")
+	te.mu.Unlock()
+	require.False(t, known, "taken up by a leader that may have been deposed")
+	te.tenure.End()
+	<-taken
+}
+
+// What happened: a job that had ended was executed again from the beginning.
+// Sequence: a leader forgets a job that ended long ago, and the store does not
+// answer when its keys are to be removed; later the watch has lost its history, and
+// the leader reads all jobs that there are.
+// Cause: a job that the leader had forgotten was taken for a new one, though its
+// keys were there still.
+func TestForgottenJobIsNotANewOne(t *testing.T) {
+	store := &cutStore{}
+	te := newTerm(t, store, 0)
+	long := steady.Now() - 2*keepEnded
+	te.sched.Submit(long, scheduler.Submission{Job: &batch.Job{ID: "j", Steps: []batch.Step{{Tasks: 1}}}, Cancelled: true})
+	te.sched.RecordWritten(te.sched.Pending().Records[0], 1)
+	te.forget(context.Background())
+	old := waitingJob
+	old.Created = 5
+	te.observeJobs([]durable.Item{old}, true)
+	state, known := te.sched.State("j")
+	require.True(t, !known || state == batch.Cancelled, "executed again: %s", state)
+
+	store.back = true
+	te.forget(context.Background())
+	require.Len(t, store.commits, 1, "removed when the store is back")
+	require.Contains(t, store.commits[0].Deletes, JobKey("j"))
+	te.forget(context.Background())
+	require.Len(t, store.commits, 1, "removed once")
+	te.observeJobs([]durable.Item{old}, true)
+	_, known = te.sched.State("j")
+	require.False(t, known, "a read that began before the removal")
+
+	again := old
+	again.Created = removedAt + 1
+	te.observeJobs([]durable.Item{again}, false)
+	_, known = te.sched.State("j")
+	require.True(t, known, "handed in anew after the removal")
+}
+
+// What happened: what leaders had learned of interference was lost with a change of
+// leader.
+// Sequence: the new leader reads the model and gets no answer; seconds later it
+// stores what it has learned by itself.
+// Cause: a model that was not read counted as one that does not exist.
+func TestModelThatWasNotReadIsNotReplaced(t *testing.T) {
+	model := []byte(`{"images":["fill"],"pairs":{"web":{"a":[[1,0],[0,1]],"b":[1,1]}}}`)
+	store := &cutStore{items: map[string]durable.Item{modelKey: {Key: modelKey, Value: model, Revision: 3}}}
+	te := newTerm(t, store, 0)
+	te.loadModel(context.Background())
+	te.sched.SetModel(scheduler.Model{Pairs: map[string]scheduler.Evidence{"other": {}}})
+	store.back = true
+	require.NoError(t, te.storeModel(context.Background()))
+	require.Contains(t, te.sched.Model().Pairs, "web")
+	for _, txn := range store.commits {
+		require.Contains(t, string(txn.Writes[0].Value), `"web"`)
+	}
+}
--- a/internal/scheduler/absence_test.go
+++ b/internal/scheduler/absence_test.go
@@ -211,3 +211,21 @@
 	f.plan()
 	require.Equal(t, "newer", f.last("j.0.0.0").Start.Checkpoint)
 }
+
+// What happened: a job that had just completed was not known any more, and the same
+// job handed in again was executed anew.
+// Sequence: a process that has been up for longer than ended jobs are kept becomes
+// the leader, and reads the job's record.
+// Cause: the moment at which the job had ended was taken to be the start of the process.
+func TestEndedJobIsKeptByTheNextLeader(t *testing.T) {
+	f := newFixture(t, 1)
+	keep := 10 * time.Minute
+	f.advance(2 * keep)
+	f.s.Submit(f.now, Submission{
+		Job: &batch.Job{ID: "j", Steps: []batch.Step{tasks(1, 100)}}, Queue: testQueue, Pool: "pool", Existed: true,
+		Progress: &Progress{State: batch.Completed}, Record: 3,
+	})
+	require.Empty(t, f.s.Forget(f.now, keep, 10))
+	f.advance(keep + time.Second)
+	require.Equal(t, []string{"j"}, f.s.Forget(f.now, keep, 10))
+}
