A lease is counted from a moment at which the leader could act

A process that was suspended after it had asked whether it may act renewed leases from the moment at which it woke, for longer than a successor waits. The clock is read first now. TestNoLeaseFromAMomentThatWasNotAskedAbout passes.

--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -73,7 +73,7 @@
 func (t *term) holdLoop(ctx context.Context, inst batch.Instance) {
 	wait := time.Duration(0)
 	failures := 0
-	for ctx.Err() == nil && t.tenure.MayAct() {
+	for ctx.Err() == nil {
 		ok, err := t.holdOnce(ctx, &inst, wait)
 		if !ok {
 			return
@@ -93,9 +93,15 @@
 	}
 }
 
-// holdOnce makes one hold. ok is false when the instance need not be held any more.
+// holdOnce makes one hold. ok is false when the instance need not, or must not, be
+// held any more.
 func (t *term) holdOnce(ctx context.Context, inst *batch.Instance, wait time.Duration) (ok bool, err error) {
 	sentAt := steady.Now()
+	// Asked after the look at the clock, from which the lease is counted: a process
+	// that is suspended between the two must not renew one from when it wakes.
+	if !t.tenure.MayAct() {
+		return false, nil
+	}
 	t.mu.Lock()
 	order, known := t.sched.Hold(sentAt, inst.ID, wait)
 	t.mu.Unlock()
