A leader that waits for its turn asks again whether it is confirmed

New jobs were taken up after the wait for the lock, during which the lease may have run out and another have started them. TestJobIsTakenUpOnlyWhileConfirmed passes.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -272,12 +272,25 @@
 	return true
 }
 
+// lockConfirmed takes the lock at a moment at which the lease is known to be ours;
+// ok is false when the tenure is over. The lease may run out during the wait for
+// the lock.
+func (t *term) lockConfirmed() (ok bool) {
+	for t.awaitConfirmed() {
+		t.mu.Lock()
+		if t.tenure.Confirmed() {
+			return true
+		}
+		t.mu.Unlock()
+	}
+	return false
+}
+
 // observeJobs takes new jobs and cancels over.
 func (t *term) observeJobs(items []durable.Item, _ bool) {
-	if !t.awaitConfirmed() {
+	if !t.lockConfirmed() {
 		return
 	}
-	t.mu.Lock()
 	for i := range items {
 		if !items[i].Deleted {
 			t.observeJob(&items[i])
