Ended jobs leave the store before the leader forgets them

A leader dropped an ended job and then removed its keys. Where the store did not answer, or a read of all jobs was under way, it took what it read for a new job and executed it from the beginning. It removes the keys first now, and tells what a read from before the removal brings from a job that was handed in since by the revision. Scheduler.Forget has no user left.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -105,6 +105,8 @@
 	work    sync.WaitGroup
 	// carrying bounds the orders under way.
 	carrying chan struct{}
+	// removed are the jobs that this leader has removed of late.
+	removed removals
 	// advising is held during a question to the adviser.
 	advising sync.Mutex
 }
@@ -112,7 +114,7 @@
 // Lead does the leader's work until ctx ends.
 func (l *Leader) Lead(ctx context.Context, tenure *Tenure) {
 	t := &term{
-		Leader: l, tenure: tenure, log: l.Log, recorded: instances{}, holds: map[string]context.CancelFunc{},
+		Leader: l, tenure: tenure, log: l.Log, recorded: instances{}, removed: removals{}, holds: map[string]context.CancelFunc{},
 		flushed: make(chan struct{}), kick: make(chan struct{}, 1), carrying: make(chan struct{}, ordersAtOnce),
 	}
 	t.sched = scheduler.New(l.Settings, tenure.Fence, t.logDecision)
@@ -307,6 +309,9 @@
 		t.sched.Cancel(now, id)
 		return
 	}
+	if t.removed.has(id, item) {
+		return
+	}
 	r, err := decodeJob(id, item.Value)
 	if err != nil {
 		t.log.Warn("job_unreadable", err, eventlog.Fields{"job": id})
--- a/internal/leader/progress.go
+++ b/internal/leader/progress.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -132,19 +133,55 @@
 	pause.Every(ctx, forgetEvery, func() { t.forget(ctx) })
 }
 
+// forget removes jobs that ended long ago, first from the store: a job whose keys
+// are there still, and that this leader does not know, is a new one to it.
 func (t *term) forget(ctx context.Context) {
+	now := steady.Now()
 	t.mu.Lock()
-	gone := t.sched.Forget(steady.Now(), keepEnded, forgetMost)
+	t.removed.purge(now)
+	ended := t.sched.Ended(now, keepEnded, forgetMost)
 	t.mu.Unlock()
-	if len(gone) == 0 {
+	if len(ended) == 0 {
 		return
 	}
 	txn := durable.Txn{Conditions: []durable.Condition{t.leads()}}
-	for _, id := range gone {
+	for _, id := range ended {
 		txn.Deletes = append(txn.Deletes, JobKey(id), CancelKey(id), ProgressKey(id))
 	}
-	if _, err := t.commit(ctx, txn); err != nil {
-		// They are read again, and forgotten again, by the next leader.
-		t.log.Warn("jobs_not_removed", err, eventlog.Fields{"jobs": len(gone)})
+	revision, err := t.commit(ctx, txn)
+	if err != nil {
+		t.log.Warn("jobs_not_removed", err, eventlog.Fields{"jobs": len(ended)})
+		return
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sched.Drop(ended)
+	for _, id := range ended {
+		t.removed[id] = removal{at: now, revision: revision}
+	}
+}
+
+// removal is when a job was removed from the store.
+type removal struct {
+	at       time.Duration
+	revision int64
+}
+
+// removals are the jobs that were removed of late, by ID.
+type removals map[string]removal
+
+// removedFor is how long a removal is remembered: longer than an announcement, or a
+// read of all jobs that began before it, may take.
+const removedFor = time.Minute
+
+func (r removals) purge(now time.Duration) {
+	maps.DeleteFunc(r, func(_ string, one removal) bool { return now-one.at > removedFor })
+}
+
+// has reports whether the item is what was left of a removed job, rather than a job
+// that was handed in since. An announcement has no revision; the watch tells of a
+// new job as well.
+func (r removals) has(id string, item *durable.Item) bool {
+	one, ok := r[id]
+	return ok && item.Created <= one.revision
 }
--- a/internal/scheduler/absence_test.go
+++ b/internal/scheduler/absence_test.go
@@ -225,7 +225,7 @@
 		Job: &batch.Job{ID: "j", Steps: []batch.Step{tasks(1, 100)}}, Queue: testQueue, Pool: "pool", Existed: true,
 		Progress: &Progress{State: batch.Completed}, Record: 3,
 	})
-	require.Empty(t, f.s.Forget(f.now, keep, 10))
+	require.Empty(t, f.s.Ended(f.now, keep, 10))
 	f.advance(keep + time.Second)
-	require.Equal(t, []string{"j"}, f.s.Forget(f.now, keep, 10))
+	require.Equal(t, []string{"j"}, f.s.Ended(f.now, keep, 10))
 }
