A model that was not read is not replaced

A leader whose read of the model failed stored its own three seconds later, and what the leaders before it had learned of interference was lost. It reads again before it stores. TestModelThatWasNotReadIsNotReplaced passes.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -105,6 +105,9 @@
 	work    sync.WaitGroup
 	// carrying bounds the orders under way.
 	carrying chan struct{}
+	// modelRead is set once it is known what earlier leaders have learned. Only the
+	// rebuild, and after it the model's loop, look at it.
+	modelRead bool
 	// removed are the jobs that this leader has removed of late.
 	removed removals
 	// advising is held during a question to the adviser.
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -24,6 +24,10 @@
 }
 
 func (t *term) storeModel(ctx context.Context) error {
+	if !t.modelRead && !t.loadModel(ctx) {
+		// What is there is worth more than what was learned since.
+		return nil
+	}
 	t.mu.Lock()
 	model := t.sched.Model()
 	t.mu.Unlock()
@@ -41,22 +45,28 @@
 	return err
 }
 
-// loadModel reads what an earlier leader learned. Without it the leader learns
-// anew, so that a failure is no reason not to lead.
-func (t *term) loadModel(ctx context.Context) {
+// loadModel reads what an earlier leader learned, and reports whether it is known
+// what that is. Without it the leader learns anew, so that a failure is no reason
+// not to lead; but a model that was not read must not be replaced.
+func (t *term) loadModel(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
 	item, err := t.Store.Get(ctx, modelKey)
-	if err == nil && item == nil {
-		return
-	}
-	var model scheduler.Model
-	if err == nil {
-		err = json.Unmarshal(item.Value, &model)
-	}
 	if err != nil {
 		t.log.Warn("model_not_read", err, nil)
-		return
+		return false
+	}
+	t.modelRead = true
+	if item == nil {
+		return true
+	}
+	var model scheduler.Model
+	if err := json.Unmarshal(item.Value, &model); err != nil {
+		t.log.Warn("model_unreadable", err, nil)
+		return true
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sched.SetModel(model)
+	return true
 }
