An accepted order for maintenance ends no instance by itself

An order is accepted again when the maintenance was done before: for an earlier leader that died before it had recorded it, or after a lost answer. The instance that is there then is a new one that runs tasks. It was taken for gone and its tasks were started again elsewhere, its VM got nothing new, and the machine counted as down for ever, so that the wave stood still. The list of machines tells now: maintenance, or another instance, ends the one that was there; one that is up with the same instance a second later goes on.

SetMachines takes the time and when the list was asked for; the tests that call it pass both and check what they did.

--- a/internal/leader/waves.go
+++ b/internal/leader/waves.go
@@ -55,9 +55,13 @@
 		}
 		open = open || !written[w.Number].Completed
 	}
+	t.mu.Lock()
+	open = open || t.sched.Unsettled()
+	t.mu.Unlock()
 	if !open {
 		return
 	}
+	askedAt := steady.Now()
 	callCtx, cancel := context.WithTimeout(ctx, machineTimeout)
 	list, err := t.Machines.List(callCtx)
 	cancel()
@@ -66,7 +70,7 @@
 		return
 	}
 	t.mu.Lock()
-	t.sched.SetMachines(list)
+	t.sched.SetMachines(steady.Now(), askedAt, list)
 	statuses := t.sched.WaveStatuses()
 	t.mu.Unlock()
 	t.awake()
--- a/internal/scheduler/contracts_test.go
+++ b/internal/scheduler/contracts_test.go
@@ -245,7 +245,7 @@
 		machines = append(machines, batch.Machine{Name: name, State: batch.MachineUp, Instance: f.list[i].ID})
 	}
 	f.s.AddWave(f.now, w, nil)
-	f.s.SetMachines(machines)
+	f.s.SetMachines(f.now, f.now, machines)
 	return machines
 }
 
@@ -284,7 +284,7 @@
 				machines[i].State, machines[i].Instance = batch.MachineMaintenance, ""
 			}
 		}
-		f.s.SetMachines(machines)
+		f.s.SetMachines(f.now, f.now, machines)
 		f.advance(100 * time.Millisecond)
 		require.Empty(t, maintenances(f.plan()), "two machines of the wave down at once")
 		for i := range machines {
@@ -292,7 +292,7 @@
 				machines[i].State, machines[i].Instance = batch.MachineUp, "new-"+machines[i].Name
 			}
 		}
-		f.s.SetMachines(machines)
+		f.s.SetMachines(f.now, f.now, machines)
 	}
 	require.True(t, f.s.WaveStatuses()[0].Completed)
 }
@@ -317,7 +317,7 @@
 		index = 1
 	}
 	f.s.AddWave(f.now, batch.Wave{Number: 1, Machines: []string{"m"}, Duration: 20 * time.Second, MaxAtOnce: 1}, nil)
-	f.s.SetMachines([]batch.Machine{{Name: "m", State: batch.MachineUp, Instance: f.list[index].ID}})
+	f.s.SetMachines(f.now, f.now, []batch.Machine{{Name: "m", State: batch.MachineUp, Instance: f.list[index].ID}})
 	for range 5 {
 		f.advance(100 * time.Millisecond)
 		require.Empty(t, maintenances(f.plan()))
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -32,6 +32,9 @@
 	ordered map[string]Time
 	// lives holds the instance that each ordered machine had.
 	lives map[string]string
+	// accepted are the machines whose order was accepted, with the time since when,
+	// until the list of machines tells what became of their instances.
+	accepted map[string]Time
 }
 
 // done reports whether every machine of the wave that is still there has begun.
@@ -72,7 +75,7 @@
 	if s.waves[spec.Number] != nil {
 		return
 	}
-	w := &wave{spec: spec, beganAt: now, begun: map[string]bool{}, closed: map[string]Time{}, ordered: map[string]Time{}, lives: map[string]string{}}
+	w := &wave{spec: spec, beganAt: now, begun: map[string]bool{}, closed: map[string]Time{}, ordered: map[string]Time{}, lives: map[string]string{}, accepted: map[string]Time{}}
 	for _, name := range begun {
 		w.begun[name] = true
 	}
@@ -80,12 +83,57 @@
 	s.logf(Decision{Event: EventWaveBegun, Reason: spec.Duration.String(), Value: float64(len(spec.Machines))})
 }
 
-// SetMachines takes the machine service's list over.
-func (s *Scheduler) SetMachines(list []batch.Machine) {
+// SetMachines takes the machine service's list over, which was asked for at askedAt.
+func (s *Scheduler) SetMachines(now, askedAt Time, list []batch.Machine) {
 	s.machines = make(map[string]batch.Machine, len(list))
 	for _, m := range list {
 		s.machines[m.Name] = m
 	}
+	for _, w := range s.waves {
+		for name, at := range w.accepted {
+			s.settle(now, askedAt-at, w, name)
+		}
+	}
+}
+
+// Unsettled reports whether it is not known yet what became of the instance of some
+// machine whose order was accepted.
+func (s *Scheduler) Unsettled() bool {
+	for _, w := range s.waves {
+		if len(w.accepted) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// settleAfter is how long after an accepted order a machine that is still up with the
+// same instance is taken not to have gone down: a machine is down for longer.
+const settleAfter = time.Second
+
+// settle looks what became of the instance of a machine whose order was accepted a
+// while before the list was asked for. The order alone tells nothing: it is accepted
+// again when the maintenance was done before, for an earlier leader or after a lost
+// answer, and the instance that is there now lives on.
+func (s *Scheduler) settle(now Time, age time.Duration, w *wave, name string) {
+	m, life := s.machines[name], w.lives[name]
+	switch {
+	case m.State == batch.MachineMaintenance || (m.Instance != "" && m.Instance != life):
+		delete(w.accepted, name)
+		s.Gone(now, life, "maintenance")
+	case m.State == batch.MachineUp && age > settleAfter:
+		s.giveBack(w, name)
+	}
+}
+
+// giveBack gives work again to a machine that was emptied and does not go down.
+func (s *Scheduler) giveBack(w *wave, name string) {
+	if v := s.vms[w.lives[name]]; v != nil {
+		v.closed = false
+	}
+	delete(w.accepted, name)
+	delete(w.lives, name)
+	s.changed = true
 }
 
 // WaveStatuses tells how the waves go.
@@ -241,7 +289,7 @@
 }
 
 // Maintained takes the outcome of an order over: begun when the maintenance has
-// begun, refused when it certainly has not. After no answer the order is repeated:
+// begun, now or before, refused when it certainly has not. After no answer the order is repeated:
 // it is idempotent.
 func (s *Scheduler) Maintained(now Time, o Order, begun bool, refusal batch.Refusal) {
 	w := s.waves[o.Wave]
@@ -254,7 +302,9 @@
 		delete(w.ordered, o.Machine)
 		delete(w.closed, o.Machine)
 		if begun {
-			s.Gone(now, w.lives[o.Machine], "maintenance")
+			w.accepted[o.Machine] = now
+		} else {
+			s.giveBack(w, o.Machine)
 		}
 	case refusal != "":
 		delete(w.ordered, o.Machine)
--- a/internal/scheduler/waves_test.go
+++ b/internal/scheduler/waves_test.go
@@ -9,12 +9,22 @@
 	"github.com/rattanwall/rattanwall/internal/batch"
 )
 
+// work lets what is reported make progress, and hears all VMs.
+func work(f *fixture, reports map[string]batch.Report) {
+	f.advance(100 * time.Millisecond)
+	for _, rep := range reports {
+		for i := range rep.Running {
+			rep.Running[i].Progress++
+		}
+	}
+	f.hearAll(reports)
+}
+
 // untilMaintained lets time go by, with all VMs heard, until a machine is to be
 // taken down.
 func untilMaintained(f *fixture, reports map[string]batch.Report) Order {
 	for range 150 {
-		f.advance(100 * time.Millisecond)
-		f.hearAll(reports)
+		work(f, reports)
 		f.s.Tend(f.now)
 		if m := maintenances(f.plan()); len(m) > 0 {
 			return m[0]
@@ -40,15 +50,14 @@
 	reports := map[string]batch.Report{o.Instance.ID: runs(o)}
 	machines := []batch.Machine{{Name: "m", State: batch.MachineUp, Instance: o.Instance.ID}}
 	f.s.AddWave(f.now, batch.Wave{Number: 1, Machines: []string{"m"}, Duration: 20 * time.Second, MaxAtOnce: 1}, nil)
-	f.s.SetMachines(machines)
+	f.s.SetMachines(f.now, f.now, machines)
 	order := untilMaintained(f, reports)
 	f.s.Maintained(f.now, order, true, "")
 	require.Contains(t, f.s.Instances(), o.Instance.ID, "taken for gone")
-	f.s.SetMachines(machines)
+	f.s.SetMachines(f.now, f.now-time.Second, machines)
 	for range 30 {
-		f.advance(100 * time.Millisecond)
-		f.hearAll(reports)
-		f.s.SetMachines(machines)
+		work(f, reports)
+		f.s.SetMachines(f.now, f.now, machines)
 		f.s.Tend(f.now)
 		f.plan()
 	}
@@ -68,7 +77,7 @@
 	first := untilMaintained(f, nil)
 	f.s.Maintained(f.now, first, true, "")
 	f.advance(2 * time.Second)
-	f.s.SetMachines(machines)
+	f.s.SetMachines(f.now, f.now, machines)
 	second := untilMaintained(f, nil)
 	require.NotEqual(t, first.Machine, second.Machine)
 	f.s.Maintained(f.now, second, false, batch.RefusedWave)
@@ -90,11 +99,11 @@
 	o := f.last("j.0.0.0")
 	f.confirm(o)
 	f.s.AddWave(f.now, batch.Wave{Number: 1, Machines: []string{"m"}, Duration: 20 * time.Second, MaxAtOnce: 1}, nil)
-	f.s.SetMachines([]batch.Machine{{Name: "m", State: batch.MachineUp, Instance: o.Instance.ID}})
+	f.s.SetMachines(f.now, f.now, []batch.Machine{{Name: "m", State: batch.MachineUp, Instance: o.Instance.ID}})
 	order := untilMaintained(f, map[string]batch.Report{o.Instance.ID: runs(o)})
 	f.s.Maintained(f.now, order, true, "")
 	f.advance(500 * time.Millisecond)
-	f.s.SetMachines([]batch.Machine{{Name: "m", State: batch.MachineMaintenance}})
+	f.s.SetMachines(f.now, f.now, []batch.Machine{{Name: "m", State: batch.MachineMaintenance}})
 	f.plan()
 	require.Len(t, f.started["j.0.0.0"], 2)
 }
