--- a/internal/leader/cutoff_test.go
+++ b/internal/leader/cutoff_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -48,11 +49,11 @@
 // heldAgents counts the holds that are sent.
 type heldAgents struct {
 	Agents
-	holds int
+	sent atomic.Int64
 }
 
 func (a *heldAgents) Hold(context.Context, *batch.Instance, batch.HoldOrder) (batch.Report, error) {
-	a.holds++
+	a.sent.Add(1)
 	return batch.Report{}, nil
 }
 
@@ -82,7 +83,7 @@
 	inst := batch.Instance{ID: "vm", Address: "10.0.0.1:1"}
 	te.sched.SetInstances(steady.Now(), []batch.Instance{inst})
 	_, _ = te.holdOnce(context.Background(), &inst, 0)
-	require.Zero(t, agents.holds)
+	require.Zero(t, agents.sent.Load())
 }
 
 // What happened: two leaders started the same new job.
@@ -163,3 +164,50 @@
 		require.Contains(t, string(txn.Writes[0].Value), `"web"`)
 	}
 }
+
+// What happened: a VM that is up and listed got nothing new, and what it ran lapsed.
+// Sequence: the scheduler takes the VM out, and its hold loop ends; the VM is on the
+// list again before the leader has looked which VMs are held.
+// Cause: a loop that had ended counted as one that holds the VM.
+func TestInstanceThatIsBackIsHeldAgain(t *testing.T) {
+	te := newTerm(t, nil, 0)
+	agents := &heldAgents{}
+	te.Agents = agents
+	ctx, cancel := context.WithCancel(context.Background())
+	te.holds = map[string]context.CancelFunc{"vm": cancel}
+	inst := batch.Instance{ID: "vm", Address: "10.0.0.1:1"}
+	ok, _ := te.holdOnce(ctx, &inst, 0)
+	require.False(t, ok, "the scheduler does not know it")
+
+	te.sched.SetInstances(steady.Now(), []batch.Instance{inst})
+	tenure, end := context.WithCancel(context.Background())
+	te.holdAll(tenure)
+	require.Eventually(t, func() bool { return agents.sent.Load() > 0 }, time.Second, time.Millisecond)
+	end()
+	te.work.Wait()
+}
+
+// What happened: a task waited for ever.
+// Sequence: a start has no answer, so that its run is to be stopped; the VM answers
+// its holds and refuses stops for half a minute.
+// Cause: the stop was given up while its run still counted, as if a lease had run
+// out that each hold renews.
+func TestStopIsRepeatedWhileItsRunCounts(t *testing.T) {
+	te := newTerm(t, nil, 0)
+	inst := batch.Instance{ID: "vm", Pool: "p", Address: "10.0.0.1:1", Capacity: batch.Resources{MilliCPU: 1000, MemoryMB: 1000}}
+	now := steady.Now()
+	te.sched.SetInstances(now, []batch.Instance{inst})
+	te.sched.Heard(now, now, "vm", batch.Report{Clock: time.Hour})
+	te.sched.Submit(now, scheduler.Submission{Job: &batch.Job{ID: "j", Steps: []batch.Step{{Tasks: 1}}}, Pool: "p"})
+	start := te.sched.Plan(now)[0]
+	te.sched.Started(now, now, start, 0, "", true)
+	stop := te.sched.Plan(now)[0]
+	require.Equal(t, scheduler.OrderStop, stop.Kind)
+	require.True(t, te.repeatStop(stop, stopFor+time.Second))
+	te.sched.Stopped(now, stop)
+	require.False(t, te.repeatStop(stop, stopFor+time.Second))
+
+	stop.Run++
+	require.True(t, te.repeatStop(stop, stopFor-time.Second), "a run that the leader did not start")
+	require.False(t, te.repeatStop(stop, stopFor+time.Second))
+}
--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -239,10 +239,16 @@
 	t.awake()
 }
 
+// repeatStop reports whether a stop that has been repeated for a time is to be
+// repeated again.
+func (t *term) repeatStop(_ scheduler.Order, lasted time.Duration) bool {
+	return lasted < stopFor
+}
+
 // stop repeats a stop until it is confirmed.
 func (t *term) stop(ctx context.Context, o scheduler.Order) {
 	began := steady.Now()
-	for ctx.Err() == nil && t.tenure.MayAct() && steady.Now()-began < stopFor {
+	for ctx.Err() == nil && t.tenure.MayAct() && t.repeatStop(o, steady.Now()-began) {
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		err := t.Agents.Stop(callCtx, &o.Instance, o.Task, o.Run, t.tenure.Fence)
 		cancel()
