A hold loop that ends by itself does not count as holding its VM

A VM that the scheduler had taken out, and that was on the list again before the leader had looked which VMs are held, was not held any more: it got nothing new and what it ran lapsed. TestInstanceThatIsBackIsHeldAgain passes.

--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -53,10 +53,9 @@
 	defer t.mu.Unlock()
 	instances := t.sched.Instances()
 	t.wait.Store(int64(holdWait(len(instances))))
-	for id, cancel := range t.holds {
+	for id := range t.holds {
 		if _, ok := instances[id]; !ok {
-			cancel()
-			delete(t.holds, id)
+			t.dropHold(id)
 		}
 	}
 	for id, inst := range instances {
@@ -104,6 +103,9 @@
 	}
 	t.mu.Lock()
 	order, known := t.sched.Hold(sentAt, inst.ID, wait)
+	if !known && ctx.Err() == nil {
+		t.dropHold(inst.ID)
+	}
 	t.mu.Unlock()
 	if !known {
 		return false, nil
@@ -136,6 +138,16 @@
 	return true, nil
 }
 
+// dropHold notes that the instance's hold loop ends by itself: the instance may be
+// listed again before the next look at which are held, and must be held anew then.
+// t.mu is held.
+func (t *term) dropHold(id string) {
+	if cancel := t.holds[id]; cancel != nil {
+		cancel()
+		delete(t.holds, id)
+	}
+}
+
 // awaitFlush waits until the ends that the instance has told may be acknowledged.
 func (t *term) awaitFlush(ctx context.Context, id string) {
 	limit := time.NewTimer(ackPause)
