A stop is repeated for as long as its run counts

It was given up after 25 s, as if a lease had run out by then that each hold renews: a run whose start had no answer, on a VM that refused stops for as long, counted for ever and its task waited. TestStopIsRepeatedWhileItsRunCounts passes.

--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -38,7 +38,8 @@
 	startTries   = 3
 	// stopPause is the wait between tries of a stop.
 	stopPause = 200 * time.Millisecond
-	// stopFor bounds how long a stop is repeated; the lease is over by then.
+	// stopFor bounds how long a stop is repeated whose run does not count; while the
+	// VM lists it the stop is ordered again.
 	stopFor = 25 * time.Second
 )
 
@@ -252,9 +253,15 @@
 }
 
 // repeatStop reports whether a stop that has been repeated for a time is to be
-// repeated again.
-func (t *term) repeatStop(_ scheduler.Order, lasted time.Duration) bool {
-	return lasted < stopFor
+// repeated again. As long as its run counts nothing else ends the wait for it: the
+// VM's lease is renewed by each hold that it answers.
+func (t *term) repeatStop(o scheduler.Order, lasted time.Duration) bool {
+	if lasted < stopFor {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sched.Stopping(o)
 }
 
 // stop repeats a stop until it is confirmed.
--- /dev/null
+++ b/internal/scheduler/stops.go
@@ -0,0 +1,12 @@
+package scheduler
+
+// Stopping reports whether the run of a stop that was ordered still counts, and its
+// VM has not confirmed the stop.
+func (s *Scheduler) Stopping(o Order) bool {
+	v := s.vms[o.Instance.ID]
+	if v == nil {
+		return false
+	}
+	r := v.runs[o.Task]
+	return r != nil && r.number == o.Run && r.state == stopping && r.stopConfirmedAt == 0
+}
