--- a/internal/jobs/leader.go
+++ b/internal/jobs/leader.go
@@ -66,7 +66,9 @@
 	log     log
 	cluster Cluster
 	config  func() *config.Installed
-	logger  *logrus.Entry
+	// leads reports whether the node may still act for the shard.
+	leads  func() bool
+	logger *logrus.Entry
 
 	commands chan command
 	stopped  chan struct{}
@@ -76,9 +78,9 @@
 	state *State
 }
 
-func newLeader(shard, node string, store hosting.Store, cluster Cluster, cfg func() *config.Installed, logger *logrus.Entry) *Leader {
+func newLeader(shard, node string, store hosting.Store, cluster Cluster, cfg func() *config.Installed, leads func() bool, logger *logrus.Entry) *Leader {
 	l := &Leader{
-		shard: shard, node: node, cluster: cluster, config: cfg, logger: logger.WithField("shard", shard),
+		shard: shard, node: node, cluster: cluster, config: cfg, leads: leads, logger: logger.WithField("shard", shard),
 		log:      log{store: store, prefix: "jobs/" + shard + "/"},
 		commands: make(chan command, batchLimit), stopped: make(chan struct{}),
 	}
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -116,7 +116,11 @@
 func (s *Service) start(ctx context.Context, shard string, epoch int64) *running {
 	ctx, cancel := context.WithCancel(ctx)
 	short := strings.TrimPrefix(shard, shardPrefix)
-	l := newLeader(short, s.node, s.store, s.cluster, s.config, s.logger)
+	leads := func() bool {
+		now, own := s.ownership.Epoch(shard)
+		return own && now == epoch
+	}
+	l := newLeader(short, s.node, s.store, s.cluster, s.config, leads, s.logger)
 	go l.run(ctx)
 	return &running{leader: l, epoch: epoch, cancel: cancel}
 }
