A leader answers without a commit only while it leads its shard

An end that did not fit a shard's state was said to be recorded, also by a leader that had been paused and superseded, and the VM forgot it: the successor found the attempt lost and started the task again. Likewise a job accepted by the successor was said not to exist. TestDeposedLeaderRecordsNoEnds passes.

--- a/internal/jobs/leader.go
+++ b/internal/jobs/leader.go
@@ -162,7 +162,7 @@
 	for _, c := range batch {
 		more, err := c.ops(l.state)
 		if err != nil || len(more) == 0 {
-			c.done(err)
+			c.done(l.unwritten(err))
 			continue
 		}
 		applied := l.applyAll(more)
@@ -174,7 +174,7 @@
 	}
 	if len(ops) == 0 {
 		for _, c := range waiting {
-			c.done(nil)
+			c.done(l.unwritten(nil))
 		}
 		return nil
 	}
@@ -185,6 +185,16 @@
 	return err
 }
 
+// unwritten is the answer to a command for which nothing is committed. Only a commit
+// shows that nobody else leads: without one a leader that was paused would say of an
+// end that it does not know that it is recorded, or of a job that there is none.
+func (l *Leader) unwritten(err error) error {
+	if !l.leads() {
+		return ErrSuperseded
+	}
+	return err
+}
+
 // applyAll applies the operations that fit and returns them.
 func (l *Leader) applyAll(ops []Op) []Op {
 	applied := ops[:0:0]
