--- a/internal/jobs/leader.go
+++ b/internal/jobs/leader.go
@@ -216,6 +216,9 @@
 	}
 	for l.log.snapshotDue() && ctx.Err() == nil {
 		err := l.log.writeSnapshot(ctx, l.state)
+		if errors.Is(err, ErrSuperseded) {
+			return err
+		}
 		if err == nil || !l.log.snapshotOverdue() {
 			break
 		}
--- a/internal/jobs/log.go
+++ b/internal/jobs/log.go
@@ -192,6 +192,22 @@
 // the next snapshot, since it would overwrite one that is still needed.
 func (l *log) snapshotOverdue() bool { return l.sequence-l.snapSeq >= ringSize-1 }
 
+// otherSnapshot looks at a snapshot that is there in place of the one that was
+// written with err. One that goes no further is replaced by the next try: it is this
+// leader's own, whose answer was lost, or tells the same. Where another leader has
+// committed since, to replace it would bring an old state back.
+func (l *log) otherSnapshot(found hosting.Entry, err error) error {
+	var snap snapshot
+	if decodeErr := cbor.Unmarshal(found.Value, &snap); decodeErr != nil {
+		return errors.Wrapf(decodeErr, "decode %s", found.Key)
+	}
+	if snap.Sequence > l.sequence {
+		return ErrSuperseded
+	}
+	l.snapRev = found.Revision
+	return err
+}
+
 // writeSnapshot stores the state, which must be that after the last entry.
 func (l *log) writeSnapshot(ctx context.Context, s *State) error {
 	ctx, cancel := context.WithTimeout(ctx, logCallTimeout)
@@ -207,9 +223,8 @@
 		if readErr != nil {
 			return err
 		}
-		l.snapRev = found.Revision
 		if string(found.Value) != string(value) {
-			return err
+			return l.otherSnapshot(found, err)
 		}
 		rev = found.Revision
 	}
