--- a/internal/jobs/log.go
+++ b/internal/jobs/log.go
@@ -120,7 +120,7 @@
 	for {
 		next, ok := bySequence[l.sequence+1]
 		if !ok {
-			return snap.State, nil
+			return snap.State, l.checkEnd(bySequence)
 		}
 		for _, op := range next.Ops {
 			if err := snap.State.Apply(op); err != nil {
@@ -131,6 +131,18 @@
 	}
 }
 
+// checkEnd returns an error when there are entries after the one at which the log
+// seems to end: what is missing before them was committed, and a leader that went on
+// from here would lose it.
+func (l *log) checkEnd(bySequence map[int64]entry) error {
+	for sequence := range bySequence {
+		if sequence > l.sequence {
+			return errors.Newf("%s lacks entry %d and has %d", l.prefix, l.sequence+1, sequence)
+		}
+	}
+	return nil
+}
+
 // append commits ops as the next entry. It keeps trying until the store has
 // answered for certain or ctx ends; ErrSuperseded means that they were not and
 // will not be committed.
