An answer without its content is no answer

A success without content was decoded as an empty list of VMs, after which a node has all tasks evicted, as a store without keys, or as the status of a VM that holds nothing, after which its tasks are started again elsewhere. Lists of VMs have a version, and a status has the VM's boot: without them the call has failed. TestAnswerWithoutContentIsNoList, ...NoListing and ...NoStatus pass.

--- a/internal/hosting/httphosting/client.go
+++ b/internal/hosting/httphosting/client.go
@@ -115,9 +115,17 @@
 	if err != nil {
 		return errors.Mark(errors.Wrap(err, "read store answer"), hosting.ErrUnknown)
 	}
+	if resp.ContentLength == 0 {
+		// Decoding passes over it; taken for an answer it would tell of a store
+		// without keys.
+		return errNoContent
+	}
 	return nil
 }
 
+// errNoContent: the platform answered with success and nothing of what was asked.
+var errNoContent = errors.Mark(errors.New("the answer has no content"), hosting.ErrUnknown)
+
 // statusError maps the published status codes of the platform.
 func statusError(status int) error {
 	switch status {
@@ -210,6 +218,10 @@
 func (c *Client) VMs(ctx context.Context, known string) ([]model.VM, string, error) {
 	var w WireVMs
 	err := c.do(ctx, c.base.New().Get("vms").QueryStruct(keyQuery{Known: known}), callTimeout, &w)
+	if err == nil && w.Version == "" {
+		// A list without VMs has all tasks evicted.
+		err = errNoContent
+	}
 	return w.VMs, w.Version, err
 }
 
--- a/internal/worker/httpworker/client.go
+++ b/internal/worker/httpworker/client.go
@@ -107,11 +107,19 @@
 	return worker.ErrUnknown
 }
 
+// errNoStatus: the agent answered with success and without its status.
+var errNoStatus = errors.Mark(errors.New("the agent's answer holds no status"), worker.ErrUnknown)
+
 // Status implements worker.Agent.
 func (c *Client) Status(ctx context.Context, after int64, wait time.Duration) (worker.Status, error) {
 	var status worker.Status
 	q := StatusQuery{After: after, WaitMS: wait.Milliseconds()}
 	err := c.do(ctx, c.base.New().Get("status").QueryStruct(q), callTimeout+wait, &status)
+	if err == nil && status.Boot == "" {
+		// Taken for a status it would be that of a VM that has restarted and holds
+		// nothing: all that runs there would be started again elsewhere.
+		err = errNoStatus
+	}
 	return status, err
 }
 
