A VM off the list is kept until the ends of its tasks are recorded

An owner dropped a VM that was off the platform's list and held nothing, with the ends that the leader of a job shard had not recorded yet: the audit counted the attempts as lost, and tasks that had finished were executed again. TestUnrecordedEndOutlivesItsVM passes.

--- a/internal/vms/manager.go
+++ b/internal/vms/manager.go
@@ -167,8 +167,9 @@
 	}
 }
 
-// SetList takes the platform's list. A VM off the list is treated as leaving
-// until its tasks are gone: the list lags and may miss a VM that still runs.
+// SetList takes the platform's list. A VM off the list is treated as leaving until
+// its tasks are gone and their ends recorded: the list lags and may miss a VM that
+// still runs, and an end that is dropped here has its task executed again.
 func (m *Manager) SetList(list []model.VM) {
 	m.mu.Lock()
 	next := make(map[string]model.VM, len(list))
@@ -178,7 +179,7 @@
 	for name, mc := range m.owned {
 		_, listed := next[name]
 		mc.unlisted = !listed
-		if !listed && mc.ledger.Holds() > 0 {
+		if !listed && (mc.ledger.Holds() > 0 || len(mc.tasks) > 0) {
 			gone := mc.vm
 			gone.State = model.VMLeaving
 			next[name] = gone
