A start is in time only from before the question whether the VM is owned

An owner that was suspended after the question started the task when it woke, with the time that the agent has for it counted anew, although the next owner had waited for that time and counted the attempt as lost. TestStartIsInTimeForWhoeverAskedBeforeIt passes.

--- a/internal/vms/tasks.go
+++ b/internal/vms/tasks.go
@@ -97,6 +97,9 @@
 // startOne reports false when the attempt certainly does not run.
 func (m *Manager) startOne(ctx context.Context, a Attempt, durationMS int64) bool {
 	id := ledgerID(a.Ref)
+	// From before the question whether the VM is ours: a process that is suspended
+	// after it must not start what the next owner has found not to run.
+	notAfter := time.Now().Add(startWithin)
 	m.mu.Lock()
 	mc := m.owned[a.VM]
 	if mc == nil || mc.tasks[a.Ref] != nil {
@@ -118,7 +121,7 @@
 	err := mc.agent.Start(ctx, worker.StartRequest{
 		Ref: a.Ref, Resources: need, DurationMS: durationMS, Resume: a.Checkpoint,
 		LeaseMS:        m.Timing.Lease.Milliseconds(),
-		NotAfterUnixMS: time.Now().Add(startWithin).UnixMilli(),
+		NotAfterUnixMS: notAfter.UnixMilli(),
 	})
 	m.contactEnded(mc, err)
 	m.mu.Lock()
