--- a/internal/leader/cutoff_test.go
+++ b/internal/leader/cutoff_test.go
@@ -211,3 +211,18 @@
 	require.True(t, te.repeatStop(stop, stopFor-time.Second), "a run that the leader did not start")
 	require.False(t, te.repeatStop(stop, stopFor+time.Second))
 }
+
+// What happened: a job was executed after its caller had been told that it is
+// cancelled.
+// Sequence: the announcement of the job is lost, and the watch tells nothing for a
+// while; the cancellation is announced; then the watch tells of the job, and of its
+// cancellation only with its next answer.
+// Cause: the cancellation of a job that was not known was forgotten.
+func TestCancellationThatOvertakesItsJob(t *testing.T) {
+	te := newTerm(t, nil, 0)
+	te.observeJobs([]durable.Item{{Key: CancelKey("j")}}, false)
+	te.observeJobs([]durable.Item{waitingJob}, false)
+	state, known := te.sched.State("j")
+	require.True(t, known)
+	require.Equal(t, batch.Cancelled, state)
+}
