A cancellation that comes before its job is remembered

An announced cancellation overtakes the job where that one's announcement was lost and the watch is late; it was forgotten, and the job was executed until the watch told of the cancellation as well. TestCancellationThatOvertakesItsJob passes.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -108,6 +108,9 @@
 	// modelRead is set once it is known what earlier leaders have learned. Only the
 	// rebuild, and after it the model's loop, look at it.
 	modelRead bool
+	// cancelledEarly are the jobs whose cancellation came before they did, with the
+	// time at which it came.
+	cancelledEarly map[string]time.Duration
 	// removed are the jobs that this leader has removed of late.
 	removed removals
 	// advising is held during a question to the adviser.
@@ -117,7 +120,7 @@
 // Lead does the leader's work until ctx ends.
 func (l *Leader) Lead(ctx context.Context, tenure *Tenure) {
 	t := &term{
-		Leader: l, tenure: tenure, log: l.Log, recorded: instances{}, removed: removals{}, holds: map[string]context.CancelFunc{},
+		Leader: l, tenure: tenure, log: l.Log, recorded: instances{}, removed: removals{}, cancelledEarly: map[string]time.Duration{}, holds: map[string]context.CancelFunc{},
 		flushed: make(chan struct{}), kick: make(chan struct{}, 1), carrying: make(chan struct{}, ordersAtOnce),
 	}
 	t.sched = scheduler.New(l.Settings, tenure.Fence, t.logDecision)
@@ -309,6 +312,9 @@
 	now := steady.Now()
 	id, cancelled := jobKey(item.Key)
 	if cancelled {
+		if _, known := t.sched.State(id); !known {
+			t.cancelledEarly[id] = now
+		}
 		t.sched.Cancel(now, id)
 		return
 	}
@@ -320,7 +326,9 @@
 		t.log.Warn("job_unreadable", err, eventlog.Fields{"job": id})
 		return
 	}
-	t.sched.Submit(now, r.submission(t.age(r)))
+	sub := r.submission(t.age(r))
+	_, sub.Cancelled = t.cancelledEarly[id]
+	t.sched.Submit(now, sub)
 }
 
 // maxAge bounds the age of a submission: it comes from two clocks of the time of
--- a/internal/leader/progress.go
+++ b/internal/leader/progress.go
@@ -139,6 +139,7 @@
 	now := steady.Now()
 	t.mu.Lock()
 	t.removed.purge(now)
+	maps.DeleteFunc(t.cancelledEarly, func(_ string, at time.Duration) bool { return now-at > removedFor })
 	ended := t.sched.Ended(now, keepEnded, forgetMost)
 	t.mu.Unlock()
 	if len(ended) == 0 {
@@ -170,8 +171,8 @@
 // removals are the jobs that were removed of late, by ID.
 type removals map[string]removal
 
-// removedFor is how long a removal is remembered: longer than an announcement, or a
-// read of all jobs that began before it, may take.
+// removedFor is how long a removal, or a cancellation that came early, is remembered:
+// longer than an announcement, or a read of all jobs that began before it, may take.
 const removedFor = time.Minute
 
 func (r removals) purge(now time.Duration) {
