--- a/internal/edge/figures.go
+++ b/internal/edge/figures.go
@@ -1,8 +1,6 @@
 package edge
 
 import (
-	"strings"
-
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/rattanwall/rattanwall/internal/leader"
@@ -79,9 +77,6 @@
 	return 0
 }
 
-// addressTaken begins a reason that goes on with a VM's ID.
-const addressTaken = "address taken"
-
 // givenUpReasons are the reasons for which a VM or a run is given up, as the
 // scheduler and the leader tell them. What is none of them counts as otherReason,
 // so that the label set stays closed.
@@ -89,7 +84,6 @@
 	"lease over":               true,
 	"not listed":               true,
 	"another instance answers": true,
-	addressTaken:               true,
 	"unlisted":                 true,
 	"maintenance":              true,
 }
@@ -98,10 +92,7 @@
 
 // givenUpReason is the label of a reason.
 func givenUpReason(reason string) string {
-	switch {
-	case strings.HasPrefix(reason, addressTaken):
-		return addressTaken
-	case givenUpReasons[reason]:
+	if givenUpReasons[reason] {
 		return reason
 	}
 	return otherReason
--- a/internal/jobs/leader.go
+++ b/internal/jobs/leader.go
@@ -66,7 +66,9 @@
 	log     log
 	cluster Cluster
 	config  func() *config.Installed
-	logger  *logrus.Entry
+	// leads reports whether the node may still act for the shard.
+	leads  func() bool
+	logger *logrus.Entry
 
 	commands chan command
 	stopped  chan struct{}
@@ -76,9 +78,9 @@
 	state *State
 }
 
-func newLeader(shard, node string, store hosting.Store, cluster Cluster, cfg func() *config.Installed, logger *logrus.Entry) *Leader {
+func newLeader(shard, node string, store hosting.Store, cluster Cluster, cfg func() *config.Installed, leads func() bool, logger *logrus.Entry) *Leader {
 	l := &Leader{
-		shard: shard, node: node, cluster: cluster, config: cfg, logger: logger.WithField("shard", shard),
+		shard: shard, node: node, cluster: cluster, config: cfg, leads: leads, logger: logger.WithField("shard", shard),
 		log:      log{store: store, prefix: "jobs/" + shard + "/"},
 		commands: make(chan command, batchLimit), stopped: make(chan struct{}),
 	}
@@ -160,7 +162,7 @@
 	for _, c := range batch {
 		more, err := c.ops(l.state)
 		if err != nil || len(more) == 0 {
-			c.done(err)
+			c.done(l.unwritten(err))
 			continue
 		}
 		applied := l.applyAll(more)
@@ -172,7 +174,7 @@
 	}
 	if len(ops) == 0 {
 		for _, c := range waiting {
-			c.done(nil)
+			c.done(l.unwritten(nil))
 		}
 		return nil
 	}
@@ -183,6 +185,16 @@
 	return err
 }
 
+// unwritten is the answer to a command for which nothing is committed. Only a commit
+// shows that nobody else leads: without one a leader that was paused would say of an
+// end that it does not know that it is recorded, or of a job that there is none.
+func (l *Leader) unwritten(err error) error {
+	if !l.leads() {
+		return ErrSuperseded
+	}
+	return err
+}
+
 // applyAll applies the operations that fit and returns them.
 func (l *Leader) applyAll(ops []Op) []Op {
 	applied := ops[:0:0]
@@ -204,6 +216,9 @@
 	}
 	for l.log.snapshotDue() && ctx.Err() == nil {
 		err := l.log.writeSnapshot(ctx, l.state)
+		if errors.Is(err, ErrSuperseded) {
+			return err
+		}
 		if err == nil || !l.log.snapshotOverdue() {
 			break
 		}
--- a/internal/jobs/log.go
+++ b/internal/jobs/log.go
@@ -120,7 +120,7 @@
 	for {
 		next, ok := bySequence[l.sequence+1]
 		if !ok {
-			return snap.State, nil
+			return snap.State, l.checkEnd(bySequence)
 		}
 		for _, op := range next.Ops {
 			if err := snap.State.Apply(op); err != nil {
@@ -131,6 +131,18 @@
 	}
 }
 
+// checkEnd returns an error when there are entries after the one at which the log
+// seems to end: what is missing before them was committed, and a leader that went on
+// from here would lose it.
+func (l *log) checkEnd(bySequence map[int64]entry) error {
+	for sequence := range bySequence {
+		if sequence > l.sequence {
+			return errors.Newf("%s lacks entry %d and has %d", l.prefix, l.sequence+1, sequence)
+		}
+	}
+	return nil
+}
+
 // append commits ops as the next entry. It keeps trying until the store has
 // answered for certain or ctx ends; ErrSuperseded means that they were not and
 // will not be committed.
@@ -192,6 +204,22 @@
 // the next snapshot, since it would overwrite one that is still needed.
 func (l *log) snapshotOverdue() bool { return l.sequence-l.snapSeq >= ringSize-1 }
 
+// otherSnapshot looks at a snapshot that is there in place of the one that was
+// written with err. One that goes no further is replaced by the next try: it is this
+// leader's own, whose answer was lost, or tells the same. Where another leader has
+// committed since, to replace it would bring an old state back.
+func (l *log) otherSnapshot(found hosting.Entry, err error) error {
+	var snap snapshot
+	if decodeErr := cbor.Unmarshal(found.Value, &snap); decodeErr != nil {
+		return errors.Wrapf(decodeErr, "decode %s", found.Key)
+	}
+	if snap.Sequence > l.sequence {
+		return ErrSuperseded
+	}
+	l.snapRev = found.Revision
+	return err
+}
+
 // writeSnapshot stores the state, which must be that after the last entry.
 func (l *log) writeSnapshot(ctx context.Context, s *State) error {
 	ctx, cancel := context.WithTimeout(ctx, logCallTimeout)
@@ -207,9 +235,8 @@
 		if readErr != nil {
 			return err
 		}
-		l.snapRev = found.Revision
 		if string(found.Value) != string(value) {
-			return err
+			return l.otherSnapshot(found, err)
 		}
 		rev = found.Revision
 	}
--- a/internal/leader/election.go
+++ b/internal/leader/election.go
@@ -100,9 +100,16 @@
 	t.cancel()
 }
 
+// renewed notes that the store has renewed the leader's lease. A tenure that could not
+// act in between is over for good: some of its loops have found that and ended.
 func (t *Tenure) renewed(sentAt time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if steady.Now()-t.renewedAt >= actWithoutStore {
+		t.ended = true
+		t.cancel()
+		return
+	}
 	t.renewedAt = sentAt
 }
 
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -120,6 +120,14 @@
 	work    sync.WaitGroup
 	// carrying bounds the orders under way.
 	carrying chan struct{}
+	// modelRead is set once it is known what earlier leaders have learned. Only the
+	// rebuild, and after it the model's loop, look at it.
+	modelRead bool
+	// cancelledEarly are the jobs whose cancellation came before they did, with the
+	// time at which it came.
+	cancelledEarly map[string]time.Duration
+	// removed are the jobs that this leader has removed of late.
+	removed removals
 	// advising is held during a question to the adviser.
 	advising sync.Mutex
 }
@@ -127,8 +135,9 @@
 // Lead does the leader's work until ctx ends.
 func (l *Leader) Lead(ctx context.Context, tenure *Tenure) {
 	t := &term{
-		Leader: l, tenure: tenure, log: l.Log, recorded: instances{}, holds: map[string]context.CancelFunc{},
-		told: map[string]toldEnds{}, flushed: make(chan struct{}), kick: make(chan struct{}, 1), carrying: make(chan struct{}, ordersAtOnce),
+		Leader: l, tenure: tenure, log: l.Log, recorded: instances{}, removed: removals{}, cancelledEarly: map[string]time.Duration{},
+		holds: map[string]context.CancelFunc{}, told: map[string]toldEnds{}, flushed: make(chan struct{}),
+		kick: make(chan struct{}, 1), carrying: make(chan struct{}, ordersAtOnce),
 	}
 	t.sched = scheduler.New(l.Settings, tenure.Fence, t.logDecision)
 	jobs, err := t.rebuild(ctx)
@@ -360,12 +369,25 @@
 	return true
 }
 
+// lockConfirmed takes the lock at a moment at which the lease is known to be ours;
+// ok is false when the tenure is over. The lease may run out during the wait for
+// the lock.
+func (t *term) lockConfirmed() (ok bool) {
+	for t.awaitConfirmed() {
+		t.mu.Lock()
+		if t.tenure.Confirmed() {
+			return true
+		}
+		t.mu.Unlock()
+	}
+	return false
+}
+
 // observeJobs takes new jobs and cancels over.
 func (t *term) observeJobs(items []durable.Item, _ bool) {
-	if !t.awaitConfirmed() {
+	if !t.lockConfirmed() {
 		return
 	}
-	t.mu.Lock()
 	for i := range items {
 		if !items[i].Deleted {
 			t.observeJob(&items[i])
@@ -379,15 +401,23 @@
 	now := steady.Now()
 	id, cancelled := jobKey(item.Key)
 	if cancelled {
+		if _, known := t.sched.State(id); !known {
+			t.cancelledEarly[id] = now
+		}
 		t.sched.Cancel(now, id)
 		return
 	}
+	if t.removed.has(id, item) {
+		return
+	}
 	r, err := decodeJob(id, item.Value)
 	if err != nil {
 		t.log.Warn("job_unreadable", err, eventlog.Fields{"job": id})
 		return
 	}
-	t.sched.Submit(now, r.submission(t.age(r)))
+	sub := r.submission(t.age(r))
+	_, sub.Cancelled = t.cancelledEarly[id]
+	t.sched.Submit(now, sub)
 }
 
 // maxAge bounds the age of a submission: it comes from two clocks of the time of
--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -38,7 +38,8 @@
 	startTries   = 3
 	// stopPause is the wait between tries of a stop.
 	stopPause = 200 * time.Millisecond
-	// stopFor bounds how long a stop is repeated; the lease is over by then.
+	// stopFor bounds how long a stop is repeated whose run does not count; while the
+	// VM lists it the stop is ordered again.
 	stopFor = 25 * time.Second
 )
 
@@ -53,11 +54,9 @@
 	defer t.mu.Unlock()
 	instances := t.sched.Instances()
 	t.wait.Store(int64(holdWait(len(instances))))
-	for id, cancel := range t.holds {
+	for id := range t.holds {
 		if _, ok := instances[id]; !ok {
-			cancel()
-			delete(t.holds, id)
-			delete(t.told, id)
+			t.dropHold(id)
 		}
 	}
 	for id, inst := range instances {
@@ -106,7 +105,7 @@
 func (t *term) holdLoop(ctx context.Context, inst batch.Instance) {
 	wait := time.Duration(0)
 	var silent silence
-	for ctx.Err() == nil && t.tenure.MayAct() {
+	for ctx.Err() == nil {
 		ok, err := t.holdOnce(ctx, &inst, wait, &silent)
 		if !ok {
 			return
@@ -121,12 +120,21 @@
 	}
 }
 
-// holdOnce makes one hold. ok is false when the instance need not be held any more.
+// holdOnce makes one hold. ok is false when the instance need not, or must not, be
+// held any more.
 func (t *term) holdOnce(ctx context.Context, inst *batch.Instance, wait time.Duration, silent *silence) (ok bool, err error) {
 	sentAt := steady.Now()
+	// Asked after the look at the clock, from which the lease is counted: a process
+	// that is suspended between the two must not renew one from when it wakes.
+	if !t.tenure.MayAct() {
+		return false, nil
+	}
 	t.mu.Lock()
 	order, known := t.sched.Hold(sentAt, inst.ID, wait)
 	closed := t.closed
+	if !known && ctx.Err() == nil {
+		t.dropHold(inst.ID)
+	}
 	t.mu.Unlock()
 	if !known || closed {
 		return false, nil
@@ -226,6 +234,17 @@
 	t.told[id] = told
 }
 
+// dropHold notes that the instance's hold loop ends by itself: the instance may be
+// listed again before the next look at which are held, and must be held anew then.
+// t.mu is held.
+func (t *term) dropHold(id string) {
+	if cancel := t.holds[id]; cancel != nil {
+		cancel()
+		delete(t.holds, id)
+		delete(t.told, id)
+	}
+}
+
 // awaitFlush waits until the ends that the instance has told may be acknowledged.
 func (t *term) awaitFlush(ctx context.Context, id string) {
 	limit := time.NewTimer(ackPause)
@@ -338,14 +357,31 @@
 	return eventlog.Fields{"vm": o.Instance.ID, "job": o.Task.Job, "task": o.Task.String(), "run": o.Run, figure: value}
 }
 
+// repeatStop reports whether a stop that has been repeated for a time is to be
+// repeated again. As long as its run counts nothing else ends the wait for it: the
+// VM's lease is renewed by each hold that it answers.
+func (t *term) repeatStop(o scheduler.Order, lasted time.Duration) bool {
+	if lasted < stopFor {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sched.Stopping(o)
+}
+
 // stop repeats a stop until it is confirmed.
 func (t *term) stop(ctx context.Context, o scheduler.Order) { t.stopSince(ctx, o, steady.Now()) }
 
 func (t *term) stopSince(ctx context.Context, o scheduler.Order, began time.Duration) {
 	var err error
+	tellAt := stopFor
 	for ctx.Err() == nil && t.tenure.MayAct() {
-		if age := steady.Now() - began; age >= stopFor {
+		age := steady.Now() - began
+		if age >= tellAt {
 			t.log.Warn("stop_unconfirmed", err, orderFields(&o, "age_ms", age.Milliseconds()))
+			tellAt += stopFor
+		}
+		if !t.repeatStop(o, age) {
 			return
 		}
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
--- a/internal/leader/rebuild.go
+++ b/internal/leader/rebuild.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -79,7 +80,7 @@
 	}
 	now := steady.Now()
 	t.sched.SetInstances(now, list)
-	used := survivors(earlier, list)
+	used := slices.Collect(maps.Keys(earlier))
 	// The earlier leader may have renewed its own lease just before this one was
 	// elected, since a key can be taken away before its lease is over, and leases of
 	// VMs for as long as it may act without the store.
@@ -213,21 +214,6 @@
 	return nil
 }
 
-// survivors are the instances of used whose address no other instance has taken.
-func survivors(used instances, list []batch.Instance) []string {
-	byAddress := make(map[string]string, len(list))
-	for i := range list {
-		byAddress[list[i].Address] = list[i].ID
-	}
-	var ids []string
-	for id, address := range used {
-		if other, taken := byAddress[address]; !taken || other == id {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
 // listLoop follows the list of instances and holds each of them.
 func (t *term) listLoop(ctx context.Context) {
 	t.holdAll(ctx)
--- a/internal/leader/untold_test.go
+++ b/internal/leader/untold_test.go
@@ -17,7 +17,7 @@
 	"github.com/rattanwall/rattanwall/internal/steady"
 )
 
-// items is a store that can only be read.
+// items is a store that keeps nothing of what is written.
 type items struct {
 	durable.Store
 	values map[string]string
@@ -41,6 +41,8 @@
 	return found, 5, nil
 }
 
+func (s items) Commit(context.Context, durable.Txn) (int64, error) { return 6, nil }
+
 const jobValue = `{"queue":"q","pool":"p","job":{"steps":[{"tasks":2,"need":{}}]}}`
 
 // hearing returns a tenure that has just heard a VM with ends of one job.
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -122,7 +122,7 @@
 
 // taskFailed counts a failed run once, however often its end is told.
 func (s *Scheduler) taskFailed(now Time, t *task, v *vm, number int64) {
-	if slices.Contains(t.failedRuns, number) {
+	if t.done || slices.Contains(t.failedRuns, number) {
 		return
 	}
 	t.failedRuns = append(t.failedRuns, number)
@@ -133,10 +133,7 @@
 	}
 	failures := len(t.failedRuns)
 	if t.step.spec.Gang {
-		failures = 0
-		for k := range t.step.tasks {
-			failures += len(t.step.tasks[k].failedRuns)
-		}
+		failures = t.step.failedGangs()
 	}
 	t.notBefore = now + time.Duration(failures)*retryPause
 	j := t.step.occ.job
@@ -146,6 +143,18 @@
 	}
 }
 
+// failedGangs counts the runs of a gang that failed: its members share a run's number,
+// and several may fail before the others are ended.
+func (st *step) failedGangs() int {
+	failed := map[int64]bool{}
+	for k := range st.tasks {
+		for _, number := range st.tasks[k].failedRuns {
+			failed[number] = true
+		}
+	}
+	return len(failed)
+}
+
 // hold counts a run on its VM and task.
 func (s *Scheduler) hold(r *run) {
 	v, spec := r.vm, r.task.step.spec
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -48,6 +48,8 @@
 	s.applyConfig(j)
 	if sub.Progress != nil {
 		j.restore(sub.Progress)
+		// When it ended is not recorded: it is kept from now on.
+		j.endedAt = now
 	}
 	s.logf(Decision{Event: EventJobTaken, Job: sub.Job.ID, Reason: sub.Queue, Age: sub.Age, Value: j.work})
 	if sub.Cancelled {
--- a/internal/scheduler/leases.go
+++ b/internal/scheduler/leases.go
@@ -3,9 +3,10 @@
 import "time"
 
 // The end of what runs on a VM is concluded from its lease alone, or from another
-// life of the VM that answers or stands at its address. Its absence is no evidence:
-// a VM that is cut off together with a leader is off the store's list and unheard
-// like one that has died, and goes on running what that leader renews.
+// life of the VM that answers at its address. Its absence is no evidence: a VM that is
+// cut off together with a leader is off the store's list and unheard like one that has
+// died, and goes on running what that leader renews. Nor is another entry with its
+// address: whoever writes entries may be wrong, and a new life answers at once.
 
 // leaseMargin covers rounding and scheduling of the process when a lease is
 // taken to be over.
@@ -37,9 +38,11 @@
 }
 
 // renew takes a lease from now on and returns its end on the instance's clock. A
-// lease never gets shorter there.
+// lease never gets shorter there. The clock was read at gotAt at the latest: counted
+// from sentAt the lease would be longer by as much as the hold waited, and outlast
+// what a successor waits.
 func (v *vm) renew(now Time, length time.Duration) time.Duration {
-	v.leaseUntil = max(v.leaseUntil, v.clock.value+(now-v.clock.sentAt)+length)
+	v.leaseUntil = max(v.leaseUntil, v.clock.value+(now-v.clock.gotAt)+length)
 	over := v.clock.gotAt + leaseOver(v.leaseUntil-v.clock.value)
 	v.leaseOver = max(v.leaseOver, over)
 	return v.leaseUntil
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -18,10 +18,8 @@
 // SetInstances takes the store's list over.
 func (s *Scheduler) SetInstances(now Time, list []batch.Instance) {
 	listed := make(map[string]bool, len(list))
-	byAddress := make(map[string]string, len(list))
 	for i := range list {
 		listed[list[i].ID] = true
-		byAddress[list[i].Address] = list[i].ID
 		s.setInstance(now, list[i])
 	}
 	for id, v := range s.vms {
@@ -33,10 +31,6 @@
 			v.unlistedAt = now
 			s.logf(v.lifeDecision(now, EventVMUnlisted, ""))
 		}
-		// A new life at the same address: the old one has ended with all it ran.
-		if other, taken := byAddress[v.inst.Address]; taken && other != id {
-			s.Gone(now, id, "address taken by "+other)
-		}
 	}
 }
 
@@ -185,7 +179,7 @@
 		}
 	}
 	for _, r := range v.runs {
-		if !listed[r] {
+		if !listed[r] && !rep.MoreEnded {
 			s.missing(now, sentAt, r)
 		}
 	}
@@ -267,8 +261,9 @@
 	return &o.steps[id.Step].tasks[id.Index]
 }
 
-// missing handles a run that its VM does not list: the report was asked for
-// after the VM had confirmed the run, or had confirmed that it will not run.
+// missing handles a run that its VM does not list, neither under way nor ended: the
+// report was asked for after the VM had confirmed the run, or had confirmed that it
+// will not run.
 func (s *Scheduler) missing(now, sentAt Time, r *run) {
 	confirmed := r.state != starting && r.confirmedAt > 0 && r.confirmedAt < sentAt
 	stopped := r.stopConfirmedAt > 0 && r.stopConfirmedAt < sentAt
