--- a/internal/leader/sight_test.go
+++ b/internal/leader/sight_test.go
@@ -22,7 +22,7 @@
 type oneVM struct {
 	report batch.Report
 	err    error
-	// failed is called at each start; may be nil.
+	// failed is called at each start and stop; may be nil.
 	failed func()
 }
 
@@ -34,6 +34,9 @@
 }
 
 func (a *oneVM) Stop(context.Context, *batch.Instance, batch.TaskID, int64, int64) error {
+	if a.failed != nil {
+		a.failed()
+	}
 	return a.err
 }
 
