--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test faults soak bench generate
+.PHONY: build test faults soak days bench generate
 
 build:
 	go build -o bin/rattanwall ./cmd/rattanwall
@@ -17,6 +17,16 @@
 soak:
 	go test ./platform/soak -count=1 -timeout 60m -v -soak.first $(FIRST) -soak.seeds $(SEEDS)
 
+# The days of our own as written, one line each and what they break:
+# make days PLAYER=program SITE=file.
+days:
+	@broken=0; for day in deploy/days/*.toml; do \
+		name=$$(basename $$day .toml); \
+		out=$$($(PLAYER) run $(SITE) $$day --why "days of our own: $$name" 2>&1) || broken=1; \
+		printf '%s\n' "$$out" | grep -E "^$$name |BROKEN|^[a-z]+: "; \
+		case $$out in *BROKEN*) broken=1 ;; esac; \
+	done; exit $$broken
+
 bench:
 	go test -run NONE -bench . ./internal/route
 
