A leader that is cut off gives nothing up; the explorer knows VMs that come back

- A leader that is cut off from the store may act for 6 s.
It concluded that the lease of a VM that it did not hear was over, or the wait for earlier leaders' VMs, when a successor had heard the VM and acknowledged what ended there.
What is given up may now be started again only once a renewal of the leader's key that was sent later has succeeded (TestLeaseOutlivesTheLead, TestWaitForSilentVMsOutlivesTheLead).
- VMs stood idle for as long as leaders led, where ends were withheld that bind nobody: ends of runs whose lease ran out while nothing ran there, which the VM does not tell; such ends told to a later leader; and the end of the latest run.
A lease that is over for certain counts, is recorded for successors, and only ends before a later start are withheld.

--- a/internal/leader/election.go
+++ b/internal/leader/election.go
@@ -92,6 +92,13 @@
 	return !t.ended && steady.Now()-t.renewedAt < leaseTTL-confirmMargin
 }
 
+// RenewedAt is when the last renewal of the lease that succeeded was sent.
+func (t *Tenure) RenewedAt() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.renewedAt
+}
+
 // End ends the tenure: another one leads, or may.
 func (t *Tenure) End() {
 	t.mu.Lock()
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -100,6 +100,8 @@
 	mu       sync.Mutex
 	sched    *scheduler.Scheduler
 	recorded instances
+	// lapsed is what the store has under lapsedKey.
+	lapsed map[string]int64
 	// instancesRevision is that of the record of instances.
 	instancesRevision int64
 	holds             map[string]context.CancelFunc
@@ -326,6 +328,7 @@
 		t.config = c
 		t.sched.SetConfig(c)
 	}
+	t.sched.Led(t.tenure.RenewedAt())
 	t.sched.Tend(now)
 	t.sched.OpenDue(now, t.WallMS())
 	orders := t.sched.Plan(now)
--- a/internal/leader/predecessors_test.go
+++ b/internal/leader/predecessors_test.go
@@ -98,6 +98,7 @@
 	te.Predecessors = told{"dead": left(2*time.Second, false)}
 	require.Empty(t, te.askAll(t.Context(), open, said))
 	te.sched.ExpectUntil(said)
+	te.sched.Led(now + time.Minute)
 	te.sched.Tend(now + 2900*time.Millisecond)
 	require.Equal(t, []string{"silent"}, te.sched.Silent())
 	te.sched.Tend(steady.Now() + 3100*time.Millisecond)
--- a/internal/leader/rebuild.go
+++ b/internal/leader/rebuild.go
@@ -61,6 +61,7 @@
 		return rebuilt{}, err
 	}
 	t.loadModel(ctx)
+	t.restoreLapsed(ctx)
 	past, complete, err := t.readPast(ctx)
 	if err != nil {
 		return rebuilt{}, err
@@ -165,6 +166,27 @@
 	return used, nil
 }
 
+// restoreLapsed takes over which leases earlier leaders know to have run out. Without it
+// ends are withheld that may be acknowledged, so that a failure is no reason not to lead.
+func (t *term) restoreLapsed(ctx context.Context) {
+	item, err := t.Store.Get(ctx, lapsedKey)
+	if err == nil && item == nil {
+		return
+	}
+	var lapsed map[string]int64
+	if err == nil {
+		err = json.Unmarshal(item.Value, &lapsed)
+	}
+	if err != nil {
+		t.log.Warn("lapsed_not_read", err, nil)
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lapsed = lapsed
+	t.sched.RestoreLapsed(lapsed)
+}
+
 // recordInstances makes sure that the store names every instance before it may
 // be given work: a successor has to hear each, or to wait its lease out. Those
 // that are known to have ended are taken off, so that it need not.
@@ -182,7 +204,8 @@
 		next[list[i].ID] = list[i].Address
 	}
 	revision := t.instancesRevision
-	unchanged := maps.Equal(next, t.recorded)
+	lapsed := t.sched.LapsedRuns()
+	unchanged := maps.Equal(next, t.recorded) && maps.Equal(lapsed, t.lapsed)
 	t.mu.Unlock()
 	if unchanged {
 		return nil
@@ -191,9 +214,13 @@
 	if err != nil {
 		return err
 	}
+	lapsedValue, err := json.Marshal(lapsed)
+	if err != nil {
+		return err
+	}
 	written, err := t.commit(ctx, durable.Txn{
 		Conditions: []durable.Condition{t.leads(), {Key: instancesKey, Revision: revision}},
-		Writes:     []durable.Write{{Key: instancesKey, Value: value}},
+		Writes:     []durable.Write{{Key: instancesKey, Value: value}, {Key: lapsedKey, Value: lapsedValue}},
 	})
 	var conflict *durable.ConflictError
 	if errors.As(err, &conflict) {
@@ -210,7 +237,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.instancesRevision = written
-	t.recorded = next
+	t.recorded, t.lapsed = next, lapsed
 	return nil
 }
 
--- a/internal/leader/records.go
+++ b/internal/leader/records.go
@@ -19,6 +19,9 @@
 	leaderKey = "lead/leader"
 	// instancesKey lists the instances that leaders may have given work to.
 	instancesKey = "lead/instances"
+	// lapsedKey holds the instances whose leases were all over once, with the highest
+	// number that a run had by then.
+	lapsedKey = "lead/lapsed"
 	// tenuresKey lists the tenures of which leases may last, the current one first.
 	tenuresKey = "lead/tenures"
 	// modelKey holds what leaders have learned of interference.
--- a/internal/scheduler/accounts.go
+++ b/internal/scheduler/accounts.go
@@ -35,18 +35,24 @@
 	}
 }
 
-// account takes one end of a known job over. An end before one that says that the
-// lease lapsed is that of a run that was given up rightly: it binds nobody.
+// account takes one end of a known job over.
 func (s *Scheduler) account(now Time, v *vm, e *batch.RunEnd) {
-	if e.Kind == batch.EndDone && e.Seq > v.lapsedSeq && s.superseded(e) {
+	if e.Kind == batch.EndDone && !v.lapsedAfter(e) && s.superseded(e) {
 		s.withhold(v, e)
 		return
 	}
 	s.ended(now, v, e)
 }
 
-// superseded reports whether another run of the task counts, or a later one was
-// started, although this end says that it was done.
+// lapsedAfter reports whether every lease on the VM was over at some moment after
+// the end: then the run was given up rightly, and its end binds nobody. The VM tells of
+// a lapse only where something was running still.
+func (v *vm) lapsedAfter(e *batch.RunEnd) bool {
+	return e.Seq < v.lapsedSeq || e.Run <= v.lapsedRun
+}
+
+// superseded reports whether a later run of the task was started although this end
+// says that it was done. Run numbers rise with each start.
 func (s *Scheduler) superseded(e *batch.RunEnd) bool {
 	j := s.jobs[e.Task.Job]
 	if j == nil || e.Task.Step >= len(j.spec.Steps) {
@@ -55,30 +61,25 @@
 	if spec := &j.spec.Steps[e.Task.Step]; spec.Speculative || spec.Lasting {
 		return false
 	}
-	t := s.task(e.Task)
-	switch {
-	case t == nil:
-		counted := j.countedRun(e.Task)
-		return counted != 0 && counted != e.Run
-	case t.done:
-		return t.doneRun != 0 && t.doneRun != e.Run
+	if t := s.task(e.Task); t != nil {
+		return t.latest() > e.Run
 	}
-	return t.latest() > e.Run
+	return j.countedRun(e.Task) > e.Run
 }
 
 // latest is the highest number of a run of the task that may have been started.
 func (t *task) latest() int64 {
-	latest := t.latestRun
+	latest := max(t.latestRun, t.doneRun)
 	for _, r := range t.runs {
 		latest = max(latest, r.number)
 	}
 	return latest
 }
 
-// withhold leaves an end unacknowledged for good: the task was started again, and
-// the VM does not tell that its lease lapsed in between. The later run counts; to take
-// note of the first one's end now would make two of it. What comes after it can't be
-// acknowledged either, so that the VM gets nothing new.
+// withhold leaves an end unacknowledged for good: the task was started again, though
+// no lease ran out in between. The later run counts; to take note of the first one's
+// end now would make two of it. What comes after it can't be acknowledged either, so
+// that the VM gets nothing new.
 func (s *Scheduler) withhold(v *vm, e *batch.RunEnd) {
 	if v.ackLimit == 0 {
 		v.ackLimit = e.Seq
--- /dev/null
+++ b/internal/scheduler/explore_leader_test.go
@@ -0,0 +1,408 @@
+package scheduler
+
+import (
+	"cmp"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+// The times of an election and of what a leader does beside planning, as package
+// leader has them.
+const (
+	keyLife      = 1300 * time.Millisecond
+	keyConfirmed = keyLife - 150*time.Millisecond
+	renewalEvery = 350 * time.Millisecond
+	actsUnseen   = 6 * time.Second
+	listedEvery  = 500 * time.Millisecond
+	callLost     = 500 * time.Millisecond
+)
+
+// modelLeader is one tenure.
+type modelLeader struct {
+	s     *Scheduler
+	fence int64
+	zone  int
+	// ended: the process died, or learned that another leads.
+	ended       bool
+	frozenUntil Time
+	// storelessUntil is when it reaches the store again.
+	storelessUntil             Time
+	renewedAt, renewAt, listAt Time
+	watched                    int
+	// readyAt is when it has read what earlier leaders left, watchAt when its watch
+	// tells it something, openAt when it looks at the time of day.
+	readyAt, watchAt, openAt Time
+	wallOffset               time.Duration
+	flushing                 bool
+	// openedTo is the time of day up to which it has opened the occurrences of the
+	// jobs that it knows.
+	openedTo int64
+	recorded map[string]string
+	holding  map[string]bool
+	cut      map[string]Time
+}
+
+func (w *world) reachesStore(l *modelLeader) bool {
+	return w.now >= w.store.downUntil && w.now >= l.storelessUntil && w.now >= w.zoneCut[l.zone]
+}
+
+// acts reports whether a leader may give orders now.
+func (w *world) acts(l *modelLeader) bool {
+	unseen := actsUnseen
+	if w.breaks.actsOn {
+		unseen = time.Minute
+	}
+	return !l.ended && w.now >= l.frozenUntil && w.now-l.renewedAt < unseen
+}
+
+// confirmed reports whether nobody else can lead by now.
+func (w *world) confirmed(l *modelLeader) bool {
+	return w.acts(l) && (w.now-l.renewedAt < keyConfirmed || w.breaks.unconfirmed)
+}
+
+// leads reports whether the key in the store is the leader's.
+func (w *world) leads(l *modelLeader) bool { return w.store.holder == l && w.now < w.store.keyUntil }
+
+// elect makes a new leader once the key is free, from what is durable.
+func (w *world) elect() {
+	if w.now < w.store.downUntil || (w.store.holder != nil && w.now < w.store.keyUntil) || w.now < w.electAt {
+		return
+	}
+	zone := w.rng.IntN(zones)
+	if w.now < w.zoneCut[zone] {
+		zone = 1 - zone
+	}
+	w.changes++
+	w.fence++
+	l := &modelLeader{
+		fence: w.fence, zone: zone, renewedAt: w.now, wallOffset: w.upTo(3*time.Second) - 1500*time.Millisecond,
+		holding: map[string]bool{}, cut: map[string]Time{},
+	}
+	l.s = New(Settings{MaxLease: 10 * time.Second}, l.fence, w.decisions(l))
+	w.store.holder, w.store.keyUntil = l, w.now+keyLife
+	w.leaders = append(w.leaders, l)
+	w.tracef("leader %d elected in zone %d", l.fence, zone)
+	w.rebuild(l)
+	l.readyAt = w.now + w.upTo(400*time.Millisecond)
+	if w.faults.late && w.chance(60) {
+		l.watchAt = w.now + w.upTo(6*time.Second)
+	}
+	if w.faults.timed && w.chance(50) {
+		l.openAt = w.now + w.upTo(5*time.Second)
+	}
+}
+
+// rebuild reads what earlier leaders left, as package leader does.
+func (w *world) rebuild(l *modelLeader) {
+	l.s.SetConfig(&batch.Config{Queues: []batch.Queue{
+		{Name: "many", Pool: "pool", Attempts: manyAttempts, Stretch: 2},
+		{Name: "two", Pool: "pool", Attempts: 2, Stretch: 2},
+		{Name: "three", Pool: "pool", Attempts: 3, Stretch: 2},
+	}})
+	list := w.list()
+	earlier := w.store.instances
+	if w.breaks.unrecorded {
+		earlier = map[string]string{}
+		for i := range list {
+			earlier[list[i].ID] = list[i].Address
+		}
+	}
+	l.s.RestoreLapsed(w.store.lapsed)
+	w.record(l, list, earlier)
+	l.s.SetInstances(w.now, list)
+	used := slices.Sorted(maps.Keys(earlier))
+	if !w.breaks.noExpect {
+		wait := l.s.settings.SilentFor(actsUnseen)
+		if w.breaks.impatient {
+			wait = time.Second
+		}
+		l.s.Expect(w.now, used, w.now+wait)
+	}
+	for _, id := range used {
+		l.s.AddUnlisted(w.now, batch.Instance{ID: id, Address: earlier[id]})
+	}
+	for _, j := range w.store.jobs {
+		sub := j.submission(w.now)
+		sub.Existed, sub.Cancelled = true, j.cancelled
+		if value := w.store.records[j.spec.ID]; value != nil {
+			sub.Progress, sub.Record = &Progress{}, 1
+			if err := json.Unmarshal(value, sub.Progress); err != nil {
+				panic(err)
+			}
+		}
+		l.s.Submit(w.now, sub)
+	}
+	l.watched = len(w.store.events)
+}
+
+// record makes sure that the store names every instance before it may be given
+// work. It returns false when it can't.
+func (w *world) record(l *modelLeader, list []batch.Instance, earlier map[string]string) bool {
+	next := map[string]string{}
+	for _, id := range l.s.Silent() {
+		next[id] = l.recorded[id]
+	}
+	for id, inst := range l.s.Instances() {
+		next[id] = inst.Address
+	}
+	maps.Copy(next, earlier)
+	for i := range list {
+		next[list[i].ID] = list[i].Address
+	}
+	lapsed := l.s.LapsedRuns()
+	if maps.Equal(next, l.recorded) && maps.Equal(lapsed, w.store.lapsed) {
+		return true
+	}
+	if !w.leads(l) {
+		l.ended = true
+		return false
+	}
+	w.store.instances, l.recorded, w.store.lapsed = next, next, lapsed
+	return true
+}
+
+// tendLeader does what a leader does beside planning.
+func (w *world) tendLeader(l *modelLeader) {
+	if l.ended || w.now < l.frozenUntil {
+		return
+	}
+	w.watch(l)
+	if w.now >= l.renewAt {
+		l.renewAt = w.now + renewalEvery
+		switch {
+		case !w.reachesStore(l) || (!w.calm && w.chance(8)):
+		case w.leads(l):
+			l.renewedAt, w.store.keyUntil = w.now, w.now+keyLife
+		default:
+			l.ended = true
+			w.tracef("leader %d learns that it does not lead", l.fence)
+		}
+	}
+	if !w.acts(l) {
+		if !l.ended {
+			w.tracef("leader %d stops acting", l.fence)
+		}
+		l.ended = true
+		return
+	}
+	if w.now >= max(l.listAt, l.readyAt) && w.reachesStore(l) {
+		l.listAt = w.now + listedEvery
+		if list := w.list(); w.record(l, list, nil) {
+			l.s.SetInstances(w.now, list)
+		}
+	}
+}
+
+// watch brings a leader the jobs and cancels that came.
+func (w *world) watch(l *modelLeader) {
+	if w.faults.late && !w.calm && w.chance(1) {
+		l.watchAt = max(l.watchAt, w.now+w.upTo(6*time.Second))
+	}
+	if w.now < max(l.watchAt, l.readyAt) || !w.reachesStore(l) || !w.confirmed(l) {
+		return
+	}
+	for ; l.watched < len(w.store.events) && w.store.events[l.watched].at < w.now-20*time.Millisecond; l.watched++ {
+		w.learn(l, w.store.events[l.watched])
+	}
+}
+
+func (w *world) learn(l *modelLeader, e jobEvent) {
+	if e.cancel {
+		l.s.Cancel(w.now, e.job.spec.ID)
+		return
+	}
+	l.s.Submit(w.now, e.job.submission(w.now))
+	l.openedTo = 0
+}
+
+// flush writes what is pending, and takes the answer over if it comes.
+func (w *world) flush(l *modelLeader) {
+	if l.flushing || !w.chance(50) {
+		return
+	}
+	f := l.s.Pending()
+	if f == nil {
+		return
+	}
+	if len(f.Records) == 0 {
+		l.s.Flushed(f)
+		return
+	}
+	slices.SortFunc(f.Records, func(a, b Record) int { return strings.Compare(a.Job, b.Job) })
+	values := make([][]byte, len(f.Records))
+	for i := range f.Records {
+		value, err := json.Marshal(f.Records[i].Progress)
+		if err != nil {
+			panic(err)
+		}
+		values[i] = value
+	}
+	// Many records take several calls, of which some may fail.
+	written, answered := len(f.Records), w.calm || !w.chance(4)
+	if !w.calm && w.chance(4) {
+		written = w.rng.IntN(written)
+	}
+	l.flushing = true
+	w.after(w.travel(), func() {
+		if !w.reachesStore(l) {
+			w.after(callLost, func() { l.flushing = false })
+			return
+		}
+		if !w.leads(l) {
+			l.ended = true
+			return
+		}
+		for i := range f.Records[:written] {
+			w.store.records[f.Records[i].Job] = values[i]
+		}
+		w.after(w.travel(), func() {
+			l.flushing = false
+			if !answered || l.ended {
+				return
+			}
+			for i := range f.Records[:written] {
+				l.s.RecordWritten(f.Records[i], 1)
+			}
+			if written == len(f.Records) {
+				l.s.Flushed(f)
+			}
+		})
+	})
+}
+
+// act lets a leader talk to the VMs and plan.
+func (w *world) act(l *modelLeader) {
+	if !w.acts(l) || w.now < l.readyAt {
+		return
+	}
+	for _, v := range w.vms {
+		if !w.calm && w.rng.IntN(1000) < 5 {
+			l.cut[v.id] = w.now + w.upTo(12*time.Second)
+		}
+		if !l.holding[v.id] {
+			w.hold(l, v)
+		}
+	}
+	l.s.Led(l.renewedAt)
+	l.s.Tend(w.now)
+	if w.now >= l.openAt {
+		w.openDue(l)
+	}
+	orders := l.s.Plan(w.now)
+	// A job's runs are stopped in the order of a map.
+	slices.SortStableFunc(orders, func(a, b Order) int {
+		if a.Kind == OrderStop && b.Kind == OrderStop {
+			return cmp.Or(strings.Compare(a.Task.String(), b.Task.String()), cmp.Compare(a.Run, b.Run))
+		}
+		return cmp.Compare(a.Kind, b.Kind)
+	})
+	for _, o := range orders {
+		w.carryOut(l, o)
+	}
+	w.flush(l)
+}
+
+// openDue opens what is due by the leader's clock, one after the other: occurrences
+// of one job that are opened at one moment have the same place in the queue.
+func (w *world) openDue(l *modelLeader) {
+	var due []int64
+	wall := w.wall() + l.wallOffset.Milliseconds()
+	for _, j := range w.store.jobs {
+		if j.spec.Schedule == nil {
+			continue
+		}
+		for n := range j.spec.Occurrences() {
+			if at := j.spec.DueMS(n); at <= wall && at > l.openedTo {
+				due = append(due, at)
+			}
+		}
+	}
+	l.openedTo = max(l.openedTo, wall)
+	slices.Sort(due)
+	for i, at := range due {
+		l.s.OpenDue(w.now+time.Duration(i), at)
+	}
+}
+
+// gone tells a leader that another life answers at a VM's address.
+func (w *world) gone(l *modelLeader, v *modelVM) { l.s.Gone(w.now, v.id, "another instance answers") }
+
+// fenced ends the tenure of a leader whose successor a VM has seen.
+func (w *world) fenced(l *modelLeader) {
+	w.tracef("leader %d is fenced", l.fence)
+	l.ended = true
+}
+
+func (w *world) hold(l *modelLeader, v *modelVM) {
+	order, ok := l.s.Hold(w.now, v.id, 0)
+	if !ok {
+		return
+	}
+	if w.breaks.ackEarly {
+		order.Acked = l.s.vms[v.id].seen
+	}
+	l.holding[v.id] = true
+	sentAt := w.now
+	var report batch.Report
+	fenced := false
+	w.call(l, v, func() { report, fenced = w.held(v, order) }, func() {
+		l.holding[v.id] = false
+		if fenced {
+			w.fenced(l)
+			return
+		}
+		l.s.Heard(w.now, sentAt, v.id, report)
+	}, func() { l.holding[v.id] = false })
+}
+
+func (w *world) carryOut(l *modelLeader, o Order) {
+	for _, v := range w.vms {
+		if v.id != o.Instance.ID {
+			continue
+		}
+		switch o.Kind {
+		case OrderStart:
+			w.start(l, v, o)
+		case OrderStop:
+			w.stop(l, v, o)
+		case OrderPace, OrderAdvise, OrderMaintain:
+		}
+	}
+}
+
+func (w *world) start(l *modelLeader, v *modelVM, o Order) {
+	sentAt := w.now
+	refusal := batch.Refusal("")
+	w.call(l, v, func() { refusal = w.started(v, o) }, func() {
+		if refusal == batch.RefusedFence {
+			w.fenced(l)
+			return
+		}
+		l.s.Started(w.now, sentAt, o, v.clock(w.now), refusal, false)
+	}, func() {
+		if w.breaks.forgetUnknown {
+			l.s.Started(w.now, sentAt, o, 0, batch.RefusedBusy, false)
+			return
+		}
+		l.s.Started(w.now, sentAt, o, 0, "", true)
+	})
+}
+
+func (w *world) stop(l *modelLeader, v *modelVM, o Order) {
+	if !w.acts(l) {
+		return
+	}
+	known := true
+	w.call(l, v, func() { known = w.stopped(v, l.fence, o) }, func() {
+		if !known {
+			w.fenced(l)
+			return
+		}
+		l.s.Stopped(w.now, o)
+	}, func() { w.stop(l, v, o) })
+}
--- /dev/null
+++ b/internal/scheduler/explore_model_test.go
@@ -0,0 +1,377 @@
+package scheduler
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+const (
+	// zones is the number of availability zones of the model.
+	zones = 2
+	// manyAttempts stands for no bound.
+	manyAttempts = 1 << 20
+	// settleFor is how long after the last fault everything has to have come to an end.
+	settleFor = 40 * time.Second
+)
+
+type message struct {
+	at Time
+	do func()
+}
+
+// world is the VMs, the store and the leaders of one seed.
+type world struct {
+	rng     *rand.Rand
+	breaks  breaks
+	faults  faults
+	now     Time
+	tick    int64
+	vms     []*modelVM
+	zoneCut [zones]Time
+	// splitUntil is when the last leader that was left alone with some VMs is no more.
+	splitUntil Time
+	store      modelStore
+	leaders    []*modelLeader
+	fence      int64
+	electAt    Time
+	jobs       map[string]*modelJob
+	tasks      map[batch.TaskID]*history
+	messages   []message
+	// moved counts the lives that began at another address than the last.
+	moved int
+	// calm is set for the end of a seed: nothing is lost, late or cut off any more.
+	calm       bool
+	broken     string
+	brokenTask batch.TaskID
+	// starts, changes, overcautious and full count what happened.
+	starts, changes, overcautious int
+	full                          bool
+	traced                        func(string)
+}
+
+func newWorld(seed uint64, f faults, b breaks, traced func(string)) *world {
+	w := &world{
+		rng: rand.New(rand.NewPCG(seed, 7)), breaks: b, faults: f, now: time.Second, traced: traced,
+		jobs: map[string]*modelJob{}, tasks: map[batch.TaskID]*history{},
+	}
+	w.store.records = map[string][]byte{}
+	for i := range 4 {
+		w.addVM(fmt.Sprintf("10.0.0.%d:1", i), i%zones)
+	}
+	w.elect()
+	return w
+}
+
+// tracef notes what happens, where a seed is played again to be read.
+func (w *world) tracef(format string, args ...any) {
+	if w.traced != nil {
+		w.traced(fmt.Sprintf("%v: ", w.now) + fmt.Sprintf(format, args...))
+	}
+}
+
+// decisions traces what a leader decides.
+func (w *world) decisions(l *modelLeader) func(Decision) {
+	if w.traced == nil {
+		return nil
+	}
+	return func(d Decision) {
+		switch d.Event {
+		case EventFleetLoad, EventTaskWaits, EventVMListed, EventJobTaken:
+		default:
+			w.tracef("  leader %d: %s %s", l.fence, d.Event, described(d))
+		}
+	}
+}
+
+// described names what a decision is about.
+func described(d Decision) string {
+	var parts []string
+	if d.Task.Job != "" {
+		parts = append(parts, d.Task.String())
+	}
+	if d.Job != "" {
+		parts = append(parts, d.Job)
+	}
+	if d.VM != "" {
+		parts = append(parts, d.VM)
+	}
+	if d.Run != 0 {
+		parts = append(parts, "run "+runName(d.Run))
+	}
+	return strings.Join(append(parts, d.Reason), " ")
+}
+
+func (w *world) chance(percent int) bool { return w.rng.IntN(100) < percent }
+
+// upTo draws a time below d.
+func (w *world) upTo(d time.Duration) time.Duration {
+	return time.Duration(w.rng.Int64N(int64(d/time.Millisecond))) * time.Millisecond
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.messages = append(w.messages, message{w.now + d, do})
+}
+
+// travel is the time of one message.
+func (w *world) travel() time.Duration { return time.Millisecond + w.upTo(30*time.Millisecond) }
+
+// call carries a message to a VM and its answer back: lost on either way, late,
+// or carried out seconds after without an answer. Another life at the VM's address
+// tells that it is another.
+func (w *world) call(l *modelLeader, v *modelVM, do, answer, silence func()) {
+	arrive := func() bool {
+		if !v.dead {
+			do()
+		}
+		return !v.dead
+	}
+	lost := func() { w.after(callLost, func() { w.deliver(l, silence) }) }
+	switch {
+	case !w.reaches(l, v) || (!w.calm && w.chance(4)):
+		lost()
+	case v.dead:
+		for _, other := range w.vms {
+			if !other.dead && other.address == v.address && w.reaches(l, other) {
+				w.after(2*w.travel(), func() { w.deliver(l, func() { w.gone(l, v) }) })
+				return
+			}
+		}
+		lost()
+	case !w.calm && w.chance(4):
+		w.after(500*time.Millisecond+w.upTo(5*time.Second), func() { arrive() })
+		lost()
+	case !w.calm && w.chance(4):
+		w.after(w.travel(), func() { arrive() })
+		lost()
+	default:
+		w.after(w.travel(), func() {
+			if !arrive() {
+				lost()
+				return
+			}
+			w.after(w.travel(), func() { w.deliver(l, answer) })
+		})
+	}
+}
+
+// deliver hands an answer to a leader, once it is not frozen.
+func (w *world) deliver(l *modelLeader, do func()) {
+	if l.ended {
+		return
+	}
+	if w.now < l.frozenUntil {
+		w.after(l.frozenUntil-w.now, func() { w.deliver(l, do) })
+		return
+	}
+	do()
+}
+
+// step lets one random thing happen, and what is due.
+func (w *world) step() {
+	w.now += time.Duration(5+w.rng.IntN(100)) * time.Millisecond
+	var due []message
+	rest := w.messages[:0:0]
+	for _, m := range w.messages {
+		if m.at <= w.now {
+			due = append(due, m)
+		} else {
+			rest = append(rest, m)
+		}
+	}
+	w.messages = rest
+	w.rng.Shuffle(len(due), func(i, k int) { due[i], due[k] = due[k], due[i] })
+	for _, m := range due {
+		m.do()
+	}
+	for _, v := range w.vms {
+		w.tendVM(v)
+	}
+	if !w.calm {
+		w.disturb()
+	}
+	w.elect()
+	for _, l := range w.leaders {
+		w.tendLeader(l)
+		w.act(l)
+	}
+}
+
+// disturb lets jobs come, and something go wrong now and then.
+func (w *world) disturb() {
+	jobs := 6
+	switch {
+	case w.now < w.splitUntil:
+		// The VMs that are left have room for what ran on the others.
+		jobs = 2
+	case w.faults.alone:
+		// Their tasks run longer.
+		jobs = 4
+	}
+	if w.chance(jobs) {
+		w.submit()
+	}
+	if w.rng.IntN(1000) < 3 {
+		w.cancelOne()
+	}
+	// While a leader is alone, the next one mostly lives long enough to wait it out.
+	if w.rng.IntN(1000) < 15 && (w.now >= w.splitUntil || w.chance(20)) {
+		w.disturbLeader()
+	}
+	if w.faults.list && w.rng.IntN(1000) < 20 {
+		w.disturbVM()
+	}
+}
+
+// disturbLeader takes the lead away: the process dies, is frozen or cut off, or the
+// store is down or takes the key away.
+func (w *world) disturbLeader() {
+	l := w.store.holder
+	w.electAt = w.now + w.upTo(300*time.Millisecond)
+	n := w.rng.IntN(20)
+	if w.faults.late && w.chance(50) {
+		n = 8
+	}
+	switch {
+	case n < 8:
+		w.tracef("leader %d dies", l.fence)
+		l.ended = true
+		if w.chance(40) {
+			// Its next life takes the key over at once.
+			w.store.keyUntil = w.now
+		}
+	case n < 11:
+		w.tracef("the key of leader %d is taken away", l.fence)
+		w.store.keyUntil = w.now
+		if w.faults.late {
+			w.overlap(l)
+		}
+		if w.faults.revoked && w.chance(70) {
+			w.split(l, 0)
+		}
+	case n < 16:
+		if w.faults.alone && w.chance(70) {
+			w.split(l, 6*time.Second)
+			return
+		}
+		w.storeless(l, time.Second)
+	case n < 18:
+		l.frozenUntil = w.now + time.Second + w.upTo(7*time.Second)
+		w.tracef("leader %d is frozen until %v", l.fence, l.frozenUntil)
+	default:
+		w.storeDown(500*time.Millisecond + w.upTo(8*time.Second))
+	}
+}
+
+// storeless cuts a leader off from the store.
+func (w *world) storeless(l *modelLeader, least time.Duration) {
+	l.storelessUntil = w.now + least + w.upTo(8*time.Second)
+	w.tracef("leader %d is without the store until %v", l.fence, l.storelessUntil)
+}
+
+// overlap lets jobs come while a leader whose key was taken away has not heard of it,
+// since renewals of its are lost, and another one leads.
+func (w *world) overlap(l *modelLeader) {
+	w.electAt = w.now + w.upTo(100*time.Millisecond)
+	l.renewAt = w.now + w.upTo(keyConfirmed)
+	for range 4 {
+		w.after(w.upTo(keyConfirmed), w.submit)
+	}
+}
+
+// split leaves a leader alone with some of the VMs, while no other reaches those:
+// from the others it is cut off up to so long before it is from the store.
+func (w *world) split(l *modelLeader, before time.Duration) {
+	until := w.now + 6*time.Second + w.upTo(20*time.Second)
+	w.splitUntil = until
+	for _, v := range w.living() {
+		if w.chance(50) {
+			l.cut[v.id] = until
+			continue
+		}
+		v.heldBy, v.heldByUntil = l, until
+		w.tracef("%s reaches nobody but leader %d until %v", v.id, l.fence, until)
+	}
+	w.after(w.upTo(before+time.Millisecond), func() {
+		l.storelessUntil = until
+		w.tracef("leader %d is without the store until %v", l.fence, until)
+	})
+}
+
+// storeDown stops the store. What expires by time may do so meanwhile, or not.
+func (w *world) storeDown(d time.Duration) {
+	w.store.downUntil = w.now + d
+	w.tracef("the store is down until %v", w.store.downUntil)
+	if w.chance(50) {
+		w.store.keyUntil += d
+		for _, v := range w.vms {
+			v.lastBeat += d
+		}
+	}
+}
+
+// disturbVM cuts VMs off, or ends their lives.
+func (w *world) disturbVM() {
+	living := w.living()
+	v := living[w.rng.IntN(len(living))]
+	until := w.now + 3*time.Second + w.upTo(14*time.Second)
+	n := w.rng.IntN(20)
+	switch {
+	case n < 8:
+		zone := w.store.holder.zone
+		if w.chance(30) {
+			zone = 1 - zone
+		}
+		if w.now >= w.zoneCut[0] && w.now >= w.zoneCut[1] {
+			w.zoneCut[zone] = until
+			w.tracef("zone %d is cut off until %v", zone, until)
+		}
+	case n < 11:
+		v.cutUntil = until
+		w.tracef("%s is cut off until %v", v.id, until)
+	case n < 13:
+		v.storelessUntil = until
+		w.tracef("%s is without the store until %v", v.id, until)
+	case len(living) <= fewestVMs:
+	case n < 15:
+		w.die(v, false)
+	case n < 17:
+		w.drain(v)
+	default:
+		w.drain(v)
+		w.after(w.upTo(4*time.Second), func() {
+			v.cutUntil = w.now + 3*time.Second + w.upTo(14*time.Second)
+			w.tracef("%s, which drains, is cut off until %v", v.id, v.cutUntil)
+		})
+	}
+}
+
+// settle ends all faults and waits until everything has come to its end.
+func (w *world) settle() {
+	w.calm = true
+	w.zoneCut = [zones]Time{}
+	w.store.downUntil = 0
+	for _, v := range w.vms {
+		v.cutUntil, v.storelessUntil, v.heldByUntil = 0, 0, 0
+	}
+	for _, l := range w.leaders {
+		l.storelessUntil, l.frozenUntil = 0, 0
+		clear(l.cut)
+	}
+	w.tracef("faults end")
+	until := w.now + settleFor
+	for w.now < until && w.broken == "" {
+		for range 20 {
+			w.step()
+		}
+		if w.unfinished() == "" {
+			return
+		}
+	}
+	if what := w.unfinished(); what != "" {
+		w.fail(w.brokenTask, "after %v without faults: %s", settleFor, what)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/explore_vm_test.go
@@ -0,0 +1,286 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+const (
+	// beatEvery is how often a VM writes to the store, entryLife how long its entry
+	// outlives the last such write.
+	beatEvery = 1500 * time.Millisecond
+	entryLife = 3 * beatEvery
+	// drainFor is the least time from the announcement of a drain to the VM's exit.
+	drainFor = 2 * time.Second
+	// fewestVMs is how many VMs are left alone by crashes and drains.
+	fewestVMs = 3
+)
+
+// modelRun is something that runs on a VM of the model.
+type modelRun struct {
+	task   batch.TaskID
+	number int64
+	until  Time
+}
+
+// modelEnd is an end that a VM tells until it is acknowledged.
+type modelEnd struct {
+	batch.RunEnd
+	// tick is when it came, in the world's order of things.
+	tick int64
+	// lapsed is set once the VM's lease ran out after it.
+	lapsed bool
+}
+
+// modelVM is one life of a VM.
+type modelVM struct {
+	id, address string
+	zone        int
+	fence       int64
+	running     []modelRun
+	last        map[batch.TaskID]int64
+	ended       []*modelEnd
+	seq         int64
+	// lease is on the VM's clock, which runs at rate.
+	lease time.Duration
+	rate  float64
+
+	// cutUntil is when the VM reaches anybody again, storelessUntil the store.
+	cutUntil, storelessUntil Time
+	// heldBy is the only leader that reaches it until heldByUntil.
+	heldBy      *modelLeader
+	heldByUntil Time
+	// listed is whether the store has its entry, announced whether that says that
+	// it drains; its heartbeats are at beatAt, the last one to arrive was at lastBeat.
+	listed, announced bool
+	beatAt, lastBeat  Time
+	draining, dead    bool
+	exitAt            Time
+}
+
+func (v *modelVM) clock(now Time) time.Duration {
+	return time.Hour + time.Duration(float64(now)*v.rate)
+}
+
+// run returns the number of the run of a task, or 0.
+func (v *modelVM) run(task batch.TaskID) int64 {
+	for _, r := range v.running {
+		if r.task == task {
+			return r.number
+		}
+	}
+	return 0
+}
+
+func (v *modelVM) instance() batch.Instance {
+	return batch.Instance{
+		ID: v.id, Pool: "pool", Address: v.address, Zone: fmt.Sprint(v.zone), Draining: v.announced,
+		Capacity: batch.Resources{MilliCPU: 2000, MemoryMB: 2000},
+	}
+}
+
+// addVM begins a new life at an address.
+func (w *world) addVM(address string, zone int) {
+	rate := 1.0
+	if w.rng.IntN(2) == 0 {
+		rate = slowClock
+	}
+	v := &modelVM{
+		id: fmt.Sprintf("vm%d", len(w.vms)), address: address, zone: zone, rate: rate,
+		last: map[batch.TaskID]int64{}, beatAt: w.now,
+	}
+	w.vms = append(w.vms, v)
+	w.tracef("%s begins at %s in zone %d", v.id, address, zone)
+	w.beat(v)
+}
+
+func (w *world) living() []*modelVM {
+	var out []*modelVM
+	for _, v := range w.vms {
+		if !v.dead {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// reaches reports whether a leader and a VM can talk.
+func (w *world) reaches(l *modelLeader, v *modelVM) bool {
+	if w.now < v.cutUntil || w.now < l.cut[v.id] || (w.now < v.heldByUntil && v.heldBy != l) {
+		return false
+	}
+	return l.zone == v.zone || (w.now >= w.zoneCut[l.zone] && w.now >= w.zoneCut[v.zone])
+}
+
+// tendVM does what is due on a VM, and in the store's list with its entry.
+func (w *world) tendVM(v *modelVM) {
+	if !v.dead {
+		w.lapse(v)
+		for _, r := range slices.Clone(v.running) {
+			if w.now < r.until {
+				continue
+			}
+			kind := batch.EndDone
+			if !w.calm && w.chance(25) {
+				kind = batch.EndFailed
+			}
+			w.end(v, r, kind)
+		}
+		w.beat(v)
+		if v.exitAt > 0 && w.now >= v.exitAt {
+			w.die(v, true)
+		}
+	}
+	if v.listed && w.now-v.lastBeat > entryLife && w.faults.list && w.now >= w.store.downUntil {
+		v.listed = false
+		w.tracef("entry of %s goes", v.id)
+	}
+}
+
+func (w *world) beat(v *modelVM) {
+	if w.now < v.beatAt {
+		return
+	}
+	v.beatAt = w.now + beatEvery
+	if w.now < v.cutUntil || w.now < v.storelessUntil || w.now < w.zoneCut[v.zone] || w.now < w.store.downUntil {
+		return
+	}
+	v.lastBeat = w.now
+	if !v.listed {
+		w.tracef("entry of %s is there", v.id)
+	}
+	v.listed = true
+	if v.draining && !v.announced {
+		v.announced = true
+		// Some take many seconds longer than they must.
+		longest := time.Second
+		if w.chance(30) {
+			longest = 10 * time.Second
+		}
+		v.exitAt = w.now + drainFor + w.upTo(longest)
+		w.tracef("%s says that it drains", v.id)
+	}
+}
+
+// drain lets a VM announce its end.
+func (w *world) drain(v *modelVM) {
+	v.draining = true
+	v.beatAt = w.now
+}
+
+// die ends a VM's life, and with it all that runs there; a new one begins, often at
+// the same address. The entry goes at once only if the VM could take it off.
+func (w *world) die(v *modelVM, clean bool) {
+	w.tracef("%s dies", v.id)
+	v.dead = true
+	v.running, v.ended = nil, nil
+	if clean && w.now >= v.cutUntil && w.now >= v.storelessUntil && w.now >= w.zoneCut[v.zone] && w.now >= w.store.downUntil {
+		v.listed = false
+	}
+	address := v.address
+	if w.chance(40) {
+		w.moved++
+		address = fmt.Sprintf("10.0.1.%d:1", w.moved)
+	}
+	w.after(500*time.Millisecond+w.upTo(4*time.Second), func() { w.addVM(address, v.zone) })
+}
+
+// held is the VM's side of a hold.
+func (w *world) held(v *modelVM, o batch.HoldOrder) (batch.Report, bool) {
+	w.lapse(v)
+	if o.Fence < v.fence && !w.breaks.noFence {
+		return batch.Report{}, true
+	}
+	v.fence = max(v.fence, o.Fence)
+	v.lease = max(v.lease, o.LeaseUntil)
+	for len(v.ended) > 0 && v.ended[0].Seq <= o.Acked {
+		w.acknowledged(v, v.ended[0])
+		v.ended = v.ended[1:]
+	}
+	rep := batch.Report{Clock: v.clock(w.now)}
+	for _, e := range v.ended {
+		rep.Ended = append(rep.Ended, e.RunEnd)
+	}
+	for _, r := range v.running {
+		rep.Running = append(rep.Running, batch.RunStatus{Task: r.task, Run: r.number, Progress: w.rng.IntN(100)})
+	}
+	return rep, false
+}
+
+// lapse kills everything on a VM whose lease is over.
+func (w *world) lapse(v *modelVM) {
+	if v.clock(w.now) <= v.lease {
+		return
+	}
+	for _, e := range v.ended {
+		e.lapsed = true
+	}
+	for _, r := range slices.Clone(v.running) {
+		w.end(v, r, batch.EndLapsed)
+	}
+}
+
+func (w *world) end(v *modelVM, r modelRun, kind batch.EndKind) {
+	v.running = slices.DeleteFunc(v.running, func(other modelRun) bool { return other.task == r.task })
+	v.last[r.task] = max(v.last[r.task], r.number)
+	v.seq++
+	w.tick++
+	v.ended = append(v.ended, &modelEnd{RunEnd: batch.RunEnd{Seq: v.seq, Task: r.task, Run: r.number, Kind: kind}, tick: w.tick})
+	w.tracef("%s run %s ends on %s: %s", r.task, runName(r.number), v.id, kind)
+}
+
+// lasts draws how long a run takes: most are short, some outlive a change
+// of leader, and a few the wait for VMs that are not reached.
+func (w *world) lasts() time.Duration {
+	switch n := w.rng.IntN(20); {
+	case n < 12, w.calm:
+		return 100*time.Millisecond + w.upTo(500*time.Millisecond)
+	case n < 17:
+		return time.Second + w.upTo(2*time.Second)
+	case n < 19 && (!w.faults.alone || n < 18):
+		return 4*time.Second + w.upTo(5*time.Second)
+	}
+	return 8*time.Second + w.upTo(12*time.Second)
+}
+
+// started is the VM's side of a start.
+func (w *world) started(v *modelVM, o Order) batch.Refusal {
+	w.lapse(v)
+	switch {
+	case o.Start.Fence < v.fence && !w.breaks.noFence:
+		return batch.RefusedFence
+	case o.Start.LeaseUntil < v.clock(w.now):
+		return batch.RefusedLate
+	}
+	v.fence = max(v.fence, o.Start.Fence)
+	v.lease = max(v.lease, o.Start.LeaseUntil)
+	there := v.run(o.Task)
+	if there == o.Run {
+		return ""
+	}
+	if o.Run <= v.last[o.Task] || there != 0 {
+		return batch.RefusedOld
+	}
+	w.judgeStart(v, o)
+	v.running = append(v.running, modelRun{task: o.Task, number: o.Run, until: w.now + w.lasts()})
+	return ""
+}
+
+// stopped is the VM's side of a stop. It returns false for a leader that is fenced.
+func (w *world) stopped(v *modelVM, fence int64, o Order) bool {
+	w.lapse(v)
+	if fence < v.fence && !w.breaks.noFence {
+		return false
+	}
+	v.last[o.Task] = max(v.last[o.Task], o.Run)
+	if run := v.run(o.Task); run != 0 && run <= o.Run {
+		w.end(v, modelRun{task: o.Task, number: run}, batch.EndStopped)
+	}
+	return true
+}
+
+// runName tells a run's leader and its number there.
+func runName(run int64) string { return fmt.Sprintf("%d/%d", run>>runBits, run&(1<<runBits-1)) }
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -26,9 +26,14 @@
 
 const testQueue = "q"
 
+// farAhead is a moment after the end of every test: the fixture's leader leads for
+// certain.
+const farAhead = Time(1 << 62)
+
 func newFixture(t *testing.T, vms int) *fixture {
 	f := &fixture{t: t, fence: 1, now: time.Second, started: map[string][]Order{}}
 	f.s = New(Settings{MaxLease: 10 * time.Second}, f.fence, func(d Decision) { f.log = append(f.log, d) })
+	f.s.Led(farAhead)
 	f.s.SetConfig(&batch.Config{Version: 1, Queues: []batch.Queue{
 		{Name: testQueue, Pool: "pool", Attempts: 3, Stretch: 2, Slack: time.Second},
 	}})
--- a/internal/scheduler/leases.go
+++ b/internal/scheduler/leases.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // The end of what runs on a VM is concluded from its lease alone, or from another
 // life of the VM that answers at its address. Its absence is no evidence: a VM that is
@@ -68,6 +71,23 @@
 	s.changed = true
 }
 
+// Led notes that no other leader can have been elected before a moment: a renewal of
+// the leader's key that was sent then has succeeded. What was given up until then may
+// be started again. A leader that is cut off from the store must not conclude that a
+// VM's lease is over: a successor may have heard the VM and renewed it, or have
+// acknowledged what ended there.
+func (s *Scheduler) Led(at Time) {
+	if at > s.ledAt {
+		s.ledAt = at
+		s.changed = true
+	}
+}
+
+// startable reports whether the task may be started as far as its earlier runs go.
+func (s *Scheduler) startable(now Time, t *task) bool {
+	return now >= t.notBefore && t.lostAt <= s.ledAt
+}
+
 // ExpectUntil shortens the wait for silent instances: all earlier leaders have told
 // until when leases of theirs may last. What they do not name has none.
 func (s *Scheduler) ExpectUntil(until map[string]Time) {
@@ -90,17 +110,48 @@
 	return over
 }
 
+// mostLapsed bounds what is kept of VMs that do not come back: on an ordinary day some
+// hundred are replaced.
+const mostLapsed = 1000
+
+// LapsedRuns returns, for each instance whose leases were all over at some moment, the
+// highest number that a run had by then. A successor needs it to tell the ends that
+// such an instance tells later from those of runs that count.
+func (s *Scheduler) LapsedRuns() map[string]int64 {
+	all := maps.Clone(s.lapsed)
+	for id, v := range s.vms {
+		if v.lapsedRun > 0 {
+			all[id] = v.lapsedRun
+		}
+	}
+	for len(all) > mostLapsed {
+		oldest := ""
+		for id, number := range all {
+			if oldest == "" || number < all[oldest] {
+				oldest = id
+			}
+		}
+		delete(all, oldest)
+	}
+	return all
+}
+
+// RestoreLapsed takes over what an earlier leader returned from LapsedRuns; call it
+// before the instances are known.
+func (s *Scheduler) RestoreLapsed(lapsed map[string]int64) { maps.Copy(s.lapsed, lapsed) }
+
 // waitOutSilent stops waiting for the instances of earlier leaders that have
 // certainly ended what they ran.
 func (s *Scheduler) waitOutSilent(now Time) {
 	for id, until := range s.silent {
-		if now <= until {
+		if min(now, s.ledAt) <= until {
 			continue
 		}
 		delete(s.silent, id)
 		s.changed = true
 		d := Decision{Event: EventVMWaitedOut, VM: id}
 		if v := s.vms[id]; v != nil {
+			v.lapsedRun = s.nextRun
 			d = v.lifeDecision(now, EventVMWaitedOut, "")
 		}
 		s.logf(d)
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -224,7 +224,7 @@
 	}
 	for k := range st.tasks {
 		t := &st.tasks[k]
-		if t.done || len(t.runs) > 0 || r.now < t.notBefore {
+		if t.done || len(t.runs) > 0 || !s.startable(r.now, t) {
 			continue
 		}
 		v := s.choose(r.now, t)
@@ -250,7 +250,7 @@
 // without making progress.
 func (s *Scheduler) startGang(r *round, st *step) {
 	for k := range st.tasks {
-		if len(st.tasks[k].runs) > 0 || r.now < st.tasks[k].notBefore {
+		if len(st.tasks[k].runs) > 0 || !s.startable(r.now, &st.tasks[k]) {
 			return
 		}
 	}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -91,6 +91,8 @@
 	notBefore Time
 	// movedAt is when a run was last stopped to be started elsewhere.
 	movedAt Time
+	// lostAt is when a run was last given up whose end nobody has told.
+	lostAt Time
 	// lastRunEnd is when a run last ended.
 	lastRunEnd Time
 	// lastFailedOn is the VM where a run last failed; it is avoided.
@@ -217,8 +219,9 @@
 	// runs of such jobs.
 	deferred  map[int64]batch.RunEnd
 	strangers map[batch.TaskID]int64
-	// lapsedSeq is the highest end that says that a lease lapsed.
-	lapsedSeq int64
+	// lapsedSeq is the highest end that says that a lease lapsed. Every run here up to
+	// the number lapsedRun began before a moment at which all leases here were over.
+	lapsedSeq, lapsedRun int64
 	// ackLimit, where set, is the first end that is never acknowledged; see withhold.
 	ackLimit int64
 	// health rates failures of late; see health.go.
@@ -289,10 +292,14 @@
 	// silent are instances that an earlier leader may have given work to and
 	// that have not been heard, with the moment when they need not be waited for.
 	silent map[string]Time
+	// lapsed is the lapsedRun of instances that were forgotten and may come back.
+	lapsed map[string]int64
 	// untoldSince are the jobs that VMs tell of and that are not known, with the moment
 	// when they were first told of; absent those that the store does not have.
 	untoldSince map[string]Time
 	absent      map[string]Time
+	// ledAt is the last moment before which no other leader can have been elected.
+	ledAt Time
 	// freshAt is when jobs newer than this leader need not wait for silent instances.
 	freshAt Time
 	orders  []Order
@@ -321,7 +328,7 @@
 	}
 	return &Scheduler{
 		settings: settings, fence: fence, nextRun: fence << runBits, vms: map[string]*vm{}, jobs: map[string]*job{},
-		timed: map[string]*job{}, dirty: map[string]*job{}, waves: map[int64]*wave{}, silent: map[string]Time{}, untoldSince: map[string]Time{}, absent: map[string]Time{}, images: newImages(), meanWork: map[string]float64{}, logf: log,
+		timed: map[string]*job{}, dirty: map[string]*job{}, waves: map[int64]*wave{}, silent: map[string]Time{}, lapsed: map[string]int64{}, untoldSince: map[string]Time{}, absent: map[string]Time{}, images: newImages(), meanWork: map[string]float64{}, logf: log,
 	}
 }
 
--- a/internal/scheduler/twice_test.go
+++ b/internal/scheduler/twice_test.go
@@ -32,6 +32,7 @@
 	f := newFixture(t, vms)
 	f.fence = 9
 	f.s = New(Settings{MaxLease: 10 * time.Second}, f.fence, func(d Decision) { f.log = append(f.log, d) })
+	f.s.Led(farAhead)
 	f.s.SetConfig(&batch.Config{Version: 1, Queues: []batch.Queue{{Name: testQueue, Pool: "pool", Attempts: 3, Stretch: 2, Slack: time.Second}}})
 	f.s.SetInstances(f.now, f.list)
 	return f
@@ -176,6 +177,64 @@
 	require.Len(t, f.started, 1, "not started again though every lease there is over")
 }
 
+// What happened: a task was started after its end had been acknowledged.
+// Sequence: a leader is cut off from the store and from a VM whose lease it took; it
+// may act for some seconds more. Another is elected, which hears the VM and takes what
+// runs there over. The first counts the VM's lease as over and starts its task again,
+// on a VM that only it reaches.
+// Cause: a lease was taken to be over by a leader that may not lead any more.
+func TestLeaseOutlivesTheLead(t *testing.T) {
+	f := newFixture(t, 2)
+	f.hearAll(nil)
+	f.submit("j", tasks(1, 100))
+	f.plan()
+	first := f.last("j.0.0.0")
+	f.confirm(first)
+	other := f.list[0].ID
+	if other == first.Instance.ID {
+		other = f.list[1].ID
+	}
+	f.s.ledAt = f.now + 5*time.Second
+	f.pass(12*time.Second, other, first.Task, 2)
+	require.Len(t, f.started["j.0.0.0"], 1, "started again by a leader that is cut off")
+	f.s.Led(f.now)
+	f.plan()
+	require.Len(t, f.started["j.0.0.0"], 2, "not started again though it led all the while")
+}
+
+// A leader that is cut off does not take the wait for earlier leaders' VMs to be over.
+func TestWaitForSilentVMsOutlivesTheLead(t *testing.T) {
+	f := cutOff(t)
+	f.s.ledAt = f.now + expectFor - time.Millisecond
+	f.pass(2*expectFor, "vm00", oldTask, 1)
+	require.Empty(t, f.started)
+	f.s.Led(f.now)
+	f.pass(time.Second, "vm00", oldTask, 1)
+	require.Len(t, f.started, 1)
+}
+
+// What happened: a VM stood idle for as long as its leaders led.
+// Sequence: a VM is given up rightly, after its lease, and its task done elsewhere;
+// another leader is elected; the VM is back and tells that its run ended well.
+// Cause: that the lease had run out was known to the first leader only.
+func TestNextLeaderKnowsThatALeaseRanOut(t *testing.T) {
+	f := cutOff(t)
+	f.pass(2*expectFor, "vm00", oldTask, 1)
+	second := f.last("old.0.0.0")
+	f.confirm(second)
+	f.hear("vm00", batch.Report{Ended: []batch.RunEnd{ended(1, second, batch.EndDone)}})
+	records := f.write()
+
+	next := successor(t, 1)
+	next.s.RestoreLapsed(f.s.LapsedRuns())
+	next.s.Submit(next.now, oldJob(records["old"]))
+	next.hear("vm00", batch.Report{})
+	next.relist()
+	next.hear("cut", batch.Report{Ended: []batch.RunEnd{endOf(1, oldTask, 3, batch.EndDone)}})
+	next.write()
+	require.EqualValues(t, 1, next.acked("cut"))
+}
+
 // startedTwice brings about: a run of oldTask was confirmed on a VM, which then did
 // not list it, though its lease never ran out; the task was started again elsewhere.
 // The end of the first run is kept on its VM, and told later.
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -61,7 +61,7 @@
 }
 
 func (s *Scheduler) addVM(now Time, inst batch.Instance) *vm {
-	v := &vm{inst: inst, runs: map[batch.TaskID]*run{}, blindCap: fullPace, heardAt: now}
+	v := &vm{inst: inst, runs: map[batch.TaskID]*run{}, blindCap: fullPace, heardAt: now, lapsedRun: s.lapsed[inst.ID]}
 	s.vms[inst.ID] = v
 	s.sortVMs()
 	return v
@@ -122,7 +122,7 @@
 func (s *Scheduler) dropRuns(now Time, v *vm, reason string) {
 	for _, r := range v.runs {
 		s.logf(Decision{Event: EventRunLost, Task: r.task.id(), VM: v.inst.ID, Run: r.number, Reason: reason, Age: now - r.orderedAt, Unheard: now - v.heardAt, LeaseLeft: v.leaseOver - now})
-		s.release(now, r)
+		s.lose(now, r)
 	}
 }
 
@@ -271,6 +271,12 @@
 		return
 	}
 	s.logf(Decision{Event: EventRunLost, Task: r.task.id(), VM: r.vm.inst.ID, Run: r.number, Reason: "not listed", Age: now - r.orderedAt})
+	s.lose(now, r)
+}
+
+// lose takes a run off whose end nobody has told.
+func (s *Scheduler) lose(now Time, r *run) {
+	r.task.lostAt = now
 	s.release(now, r)
 }
 
@@ -299,13 +305,18 @@
 func (s *Scheduler) tendVM(now Time, id string, v *vm) {
 	s.copyUnheard(now, v)
 	if v.heard && now > v.leaseOver {
+		v.lapsedRun = s.nextRun
 		s.dropRuns(now, v, "lease over")
 	}
 	if v.inst.Draining && v.listed {
 		s.emptyDraining(now, v)
 	}
 	if !v.listed && len(v.runs) == 0 && now-v.unlistedAt > forgetAfter && now > v.leaseOver && !s.awaited(id) {
+		lapsed := v.lapsedRun
 		s.Gone(now, id, "unlisted")
+		if lapsed > 0 {
+			s.lapsed[id] = lapsed
+		}
 	}
 }
 
