Runs that are not wanted take room until they are gone; jobs of the overlap wait

After a cut a VM lists runs that are done elsewhere. They are counted until they are not listed any more.

A job that comes before an earlier leader has certainly learned that it was succeeded may have been started by that one on a VM that the new leader does not hear. It waited 1.5 s; it counts as older than the leader now.

--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -161,16 +161,7 @@
 	v.runs[r.task.id()] = r
 	v.health.started(r)
 	v.tailsStale = true
-	if spec.Filler {
-		v.fillerCPU += spec.Need.MilliCPU
-		v.used.MemoryMB += spec.Need.MemoryMB
-		v.used.Accelerators += spec.Need.Accelerators
-	} else {
-		v.used = v.used.Add(spec.Need)
-	}
-	if short(spec) {
-		v.shortCPU += spec.Need.MilliCPU
-	}
+	v.occupy(spec)
 	if spec.Serves() {
 		v.serving++
 		v.servingCPU += spec.Need.MilliCPU
@@ -181,12 +172,7 @@
 	}
 	r.task.runs = append(r.task.runs, r)
 	st.occ.job.running++
-	if st.spec.MaxPerVM > 0 {
-		if st.perVM == nil {
-			st.perVM = map[*vm]int{}
-		}
-		st.perVM[v]++
-	}
+	st.addPerVM(v)
 }
 
 // release takes a run that has ended off its VM and its task.
@@ -207,22 +193,13 @@
 	v.tailsStale = true
 	if spec.Filler {
 		s.noteEndedFiller(now, r)
-		v.fillerCPU -= spec.Need.MilliCPU
-		v.used.MemoryMB -= spec.Need.MemoryMB
-		v.used.Accelerators -= spec.Need.Accelerators
-	} else {
-		v.used = v.used.Sub(spec.Need)
-	}
-	if short(spec) {
-		v.shortCPU -= spec.Need.MilliCPU
 	}
+	v.vacate(spec)
 	if spec.Serves() {
 		v.serving--
 		v.servingCPU -= spec.Need.MilliCPU
 	}
-	if t.step.perVM != nil {
-		t.step.perVM[v]--
-	}
+	t.step.removePerVM(v)
 	if i := slices.Index(t.runs, r); i >= 0 {
 		t.runs = slices.Delete(t.runs, i, i+1)
 	}
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -51,6 +51,10 @@
 		// When it ended is not recorded: it is kept from now on.
 		j.endedAt = now
 	}
+	if j.submittedAt < s.freshAt {
+		// An earlier leader that had yet to learn of this one may have taken it up, too.
+		j.existed = true
+	}
 	s.logf(Decision{Event: EventJobTaken, Job: sub.Job.ID, Reason: sub.Queue, Age: sub.Age, Value: j.work})
 	if sub.Cancelled {
 		s.cancel(now, j)
--- a/internal/scheduler/leases.go
+++ b/internal/scheduler/leases.go
@@ -57,10 +57,10 @@
 const deposedWithin = 1500 * time.Millisecond
 
 // Expect names the instances that earlier leaders may have given work to. Until
-// each is heard, or its moment has passed, a task of a job that is older than
-// this leader is not started anywhere: it may run there. Newer jobs wait for
-// deposedWithin at most: until an earlier leader that still follows new jobs has
-// certainly learned that it is one.
+// each is heard, or its moment has passed, a task of a job that an earlier leader may
+// have known is not started anywhere: it may run there. That is each job that is older
+// than this leader, or comes before an earlier leader that still follows new jobs has
+// certainly learned that it is one. Jobs that come later than that need not wait.
 func (s *Scheduler) Expect(now Time, ids []string, until Time) {
 	s.freshAt = now + deposedWithin
 	for _, id := range ids {
--- /dev/null
+++ b/internal/scheduler/occupancy_test.go
@@ -0,0 +1,41 @@
+package scheduler
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+// What happened: after a cut, hundreds of starts were refused for want of room, and
+// some ran beside more tasks of their step than one VM may have.
+// Sequence: a VM is back and lists runs of tasks that run elsewhere by now. They are
+// ordered to stop, which takes a while; other tasks are started in their place at once.
+// Cause: a run that was not wanted was not counted while it stopped.
+func TestUnwantedRunsTakeRoomUntilTheyAreGone(t *testing.T) {
+	f := newFixture(t, 2)
+	f.hear("vm01", batch.Report{})
+	step := tasks(2, 6000)
+	step.MaxPerVM = 1
+	f.submit("j", step)
+	f.plan()
+	second := f.last("j.0.0.0")
+	require.Equal(t, "vm01", second.Instance.ID)
+	first := second
+	first.Run--
+	f.hear("vm00", runs(first))
+	f.plan()
+	require.Len(t, f.stops, 1)
+	require.NotContains(t, f.started, "j.0.0.1", "beside another of its step")
+	f.submit("other", tasks(1, 6000))
+	f.plan()
+	require.NotContains(t, f.started, "other.0.0.0", "there is no room yet")
+	f.hear("vm00", runs(first))
+	f.plan()
+	require.NotContains(t, f.started, "j.0.0.1")
+	f.hear("vm00", batch.Report{Ended: []batch.RunEnd{ended(1, first, batch.EndStopped)}})
+	f.plan()
+	require.Len(t, f.started, 2, "one of the two that wait")
+	require.Equal(t, int64(6000), f.s.vms["vm00"].used.MilliCPU)
+}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -205,7 +205,7 @@
 
 func (s *Scheduler) startStep(r *round, st *step) {
 	j := st.occ.job
-	if len(s.silent) > 0 && (j.existed || r.now < s.freshAt) {
+	if len(s.silent) > 0 && j.existed {
 		return
 	}
 	n := need{pool: j.pool, label: st.spec.Label, filler: st.spec.Filler, lasting: st.spec.Lasting, res: st.spec.Need}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -224,6 +224,8 @@
 	lapsedSeq, lapsedRun int64
 	// ackLimit, where set, is the first end that is never acknowledged; see withhold.
 	ackLimit int64
+	// unwanted are runs that do not count and were ordered to stop.
+	unwanted []unwanted
 	// health rates failures of late; see health.go.
 	health health
 	// leaseUntil is the end of the lease on the instance's clock.
@@ -300,7 +302,7 @@
 	absent      map[string]Time
 	// ledAt is the last moment before which no other leader can have been elected.
 	ledAt Time
-	// freshAt is when jobs newer than this leader need not wait for silent instances.
+	// freshAt is from when on jobs that come need not wait for silent instances.
 	freshAt Time
 	orders  []Order
 	// changed is set when a plan may find something new to do.
--- a/internal/scheduler/twice_test.go
+++ b/internal/scheduler/twice_test.go
@@ -235,6 +235,58 @@
 	require.EqualValues(t, 1, next.acked("cut"))
 }
 
+// What happened: two runs of one task at once, a second and a half after a change
+// of leader.
+// Sequence: a leader whose key is gone, which it has not heard of, takes a new job
+// up and starts it on a VM that the next leader does not reach. The next leader has
+// the job too, and starts it once the earlier one has certainly learned that it is
+// deposed.
+// Cause: that the earlier leader starts no more says nothing of what it has started.
+// A job that came while it may still have followed new ones is as good as an old one.
+func TestJobOfTheOverlapWaitsForSilentVMs(t *testing.T) {
+	f := successor(t, 2)
+	f.s.Expect(f.now, []string{"vm00", "vm01"}, f.now+expectFor)
+	f.advance(100 * time.Millisecond)
+	f.submit("new", tasks(1, 100))
+	f.pass(expectFor-500*time.Millisecond, "vm00", batch.TaskID{Job: "new"}, 1)
+	require.Empty(t, f.started, "started at %v, while an earlier leader's run may be on vm01 until %v", f.now, time.Second+expectFor)
+	f.pass(time.Second, "vm00", batch.TaskID{Job: "new"}, 1)
+	require.Len(t, f.started, 1)
+}
+
+// What happened: as above, seconds later.
+// Sequence: the job came in the same time, and the next leader's watch tells it late.
+func TestJobOfTheOverlapThatIsLearnedLateWaitsForSilentVMs(t *testing.T) {
+	f := successor(t, 2)
+	f.s.Expect(f.now, []string{"vm00", "vm01"}, f.now+expectFor)
+	f.advance(4 * time.Second)
+	f.s.Submit(f.now, Submission{
+		Job: &batch.Job{ID: "new", Steps: []batch.Step{tasks(1, 100)}}, Queue: testQueue, Pool: "pool", Age: 3900 * time.Millisecond,
+	})
+	f.pass(expectFor-4500*time.Millisecond, "vm00", batch.TaskID{Job: "new"}, 1)
+	require.Empty(t, f.started, "started at %v, while an earlier leader's run may be on vm01 until %v", f.now, time.Second+expectFor)
+}
+
+// What must not happen: an end is not looked at, since one before it is of a job that
+// is not known; its run, which the VM does not list any more, counts as lost, and its
+// task is started again.
+// The end of the unknown job holds up what is acknowledged, and nothing else.
+func TestEndsBehindOneOfAnUnknownJobAreTaken(t *testing.T) {
+	f := successor(t, 1)
+	f.hearAll(nil)
+	f.submit("known", tasks(1, 100))
+	f.plan()
+	o := f.last("known.0.0.0")
+	f.confirm(o)
+	f.advance(time.Second)
+	f.hear("vm00", batch.Report{Ended: []batch.RunEnd{endOf(1, batch.TaskID{Job: "late"}, 3, batch.EndDone), ended(2, o, batch.EndDone)}})
+	f.advance(time.Second)
+	f.hear("vm00", batch.Report{Ended: []batch.RunEnd{endOf(1, batch.TaskID{Job: "late"}, 3, batch.EndDone), ended(2, o, batch.EndDone)}})
+	f.plan()
+	require.Len(t, f.started["known.0.0.0"], 1)
+	require.Equal(t, batch.Completed, f.write()["known"].State)
+}
+
 // startedTwice brings about: a run of oldTask was confirmed on a VM, which then did
 // not list it, though its lease never ran out; the task was started again elsewhere.
 // The end of the first run is kept on its VM, and told later.
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -120,6 +120,7 @@
 
 // dropRuns counts everything on v as ended, without blame for the tasks.
 func (s *Scheduler) dropRuns(now Time, v *vm, reason string) {
+	s.clearUnwanted(v)
 	for _, r := range v.runs {
 		s.logf(Decision{Event: EventRunLost, Task: r.task.id(), VM: v.inst.ID, Run: r.number, Reason: reason, Age: now - r.orderedAt, Unheard: now - v.heardAt, LeaseLeft: v.leaseOver - now})
 		s.lose(now, r)
@@ -172,6 +173,7 @@
 	delete(s.silent, id)
 	s.takeEnds(now, v, rep.Ended)
 	clear(v.strangers)
+	s.clearUnwanted(v)
 	listed := make(map[*run]bool, len(rep.Running))
 	for i := range rep.Running {
 		if r := s.observe(now, v, &rep.Running[i]); r != nil {
@@ -237,8 +239,7 @@
 	s.openTold(now, st.Task)
 	t := s.task(st.Task)
 	if t == nil || t.done || t.step.occ.job.state.Final() || (len(t.runs) > 0 && !t.step.spec.Speculative) || v.runs[st.Task] != nil {
-		s.logf(Decision{Event: EventRunUnwanted, Task: st.Task, VM: v.inst.ID, Run: st.Run})
-		s.orderStop(v, st.Task, st.Run)
+		s.stopUnwanted(v, st)
 		return nil
 	}
 	r := &run{task: t, vm: v, number: st.Run, state: running, orderedAt: now, confirmedAt: now, paced: unknownPace}
