--- /dev/null
+++ b/internal/leader/holds.go
@@ -0,0 +1,257 @@
+package leader
+
+import (
+	"context"
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+	"github.com/rattanwall/rattanwall/internal/eventlog"
+	"github.com/rattanwall/rattanwall/internal/pause"
+	"github.com/rattanwall/rattanwall/internal/scheduler"
+	"github.com/rattanwall/rattanwall/internal/steady"
+)
+
+const (
+	// leastHoldWait is how long a hold waits for an end; it is also how often the
+	// leases are renewed and the figures of serving tasks told, which cover half a
+	// second. mostHoldWait bounds it where there are many VMs: one that is unheard
+	// for 1.5 s gets nothing new, and copies start after 1.3 s.
+	leastHoldWait = 600 * time.Millisecond
+	mostHoldWait  = time.Second
+	// holdWaitPerVM keeps the holds below a thousand a second: each takes some
+	// 60 us of processor, and at 3,000 VMs with 5,000 holds a second nothing else
+	// of the leader was in time.
+	holdWaitPerVM = time.Millisecond
+	// holdGrace is how much later a hold may answer before its connection
+	// counts as silent.
+	holdGrace = 700 * time.Millisecond
+	// holdPause is the wait after a hold that failed.
+	holdPause = 100 * time.Millisecond
+	// ackPause bounds the wait for the flush of ends before the next hold: a
+	// hold that does not acknowledge them returns at once with the same.
+	ackPause = 150 * time.Millisecond
+)
+
+// holdWait is how long a hold waits where there are so many VMs.
+func holdWait(vms int) time.Duration {
+	return min(max(time.Duration(vms)*holdWaitPerVM, leastHoldWait), mostHoldWait)
+}
+
+// holdAll runs one hold loop for each instance.
+func (t *term) holdAll(ctx context.Context) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	instances := t.sched.Instances()
+	t.wait.Store(int64(holdWait(len(instances))))
+	for id := range t.holds {
+		if _, ok := instances[id]; !ok {
+			t.dropHold(id)
+		}
+	}
+	for id, inst := range instances {
+		if t.holds[id] != nil {
+			continue
+		}
+		holdCtx, cancel := context.WithCancel(ctx)
+		t.holds[id] = cancel
+		t.work.Go(func() { t.holdLoop(holdCtx, inst) })
+	}
+}
+
+// silence is the time that a VM has left holds without an answer.
+type silence struct {
+	failures int
+	// tellAt is when it is worth a line again.
+	tellAt time.Duration
+}
+
+// firstTold is how long after the first line on a VM's silence the second comes;
+// the time between lines doubles, so that a dead VM costs a few of them.
+const firstTold = time.Second
+
+// failed counts a failure and reports whether it is worth a line.
+func (s *silence) failed(now, unheard time.Duration) bool {
+	s.failures++
+	if s.failures > 1 && now < s.tellAt {
+		return false
+	}
+	s.tellAt = now + max(firstTold, unheard)
+	return true
+}
+
+// standingFields are what is believed of a VM, for a line.
+func standingFields(vm string, x scheduler.Standing) eventlog.Fields {
+	f := eventlog.Fields{
+		"vm": vm, "unheard_ms": x.UnheardFor.Milliseconds(), "lease_left_ms": x.LeaseLeft.Milliseconds(), "runs": x.Runs,
+	}
+	if !x.Listed {
+		f["unlisted_ms"] = x.UnlistedFor.Milliseconds()
+	}
+	return f
+}
+
+// holdLoop renews the leases of an instance and takes its reports over.
+func (t *term) holdLoop(ctx context.Context, inst batch.Instance) {
+	wait := time.Duration(0)
+	var silent silence
+	for ctx.Err() == nil {
+		ok, err := t.holdOnce(ctx, &inst, wait, &silent)
+		if !ok {
+			return
+		}
+		if err != nil {
+			wait = 0
+			pause.For(ctx, holdPause)
+			continue
+		}
+		wait = time.Duration(t.wait.Load())
+		t.awaitFlush(ctx, inst.ID)
+	}
+}
+
+// holdOnce makes one hold. ok is false when the instance need not, or must not, be
+// held any more.
+func (t *term) holdOnce(ctx context.Context, inst *batch.Instance, wait time.Duration, silent *silence) (ok bool, err error) {
+	sentAt := steady.Now()
+	// Asked after the look at the clock, from which the lease is counted: a process
+	// that is suspended between the two must not renew one from when it wakes.
+	if !t.tenure.MayAct() {
+		return false, nil
+	}
+	t.mu.Lock()
+	order, known := t.sched.Hold(sentAt, inst.ID, wait)
+	closed := t.closed
+	if !known && ctx.Err() == nil {
+		t.dropHold(inst.ID)
+	}
+	t.mu.Unlock()
+	if !known || closed {
+		return false, nil
+	}
+	callCtx, cancel := context.WithTimeout(ctx, order.Wait+holdGrace)
+	report, err := t.Agents.Hold(callCtx, inst, order)
+	cancel()
+	if ctx.Err() != nil {
+		return false, nil
+	}
+	now := steady.Now()
+	switch refusalOf(err) {
+	case batch.RefusedGone:
+		t.replaced(now, inst.ID)
+		return false, nil
+	case batch.RefusedFence:
+		t.fenced(inst.ID)
+		return false, nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before, known := t.sched.Standing(now, inst.ID)
+	if !known {
+		return false, nil
+	}
+	if err != nil {
+		if silent.failed(now, before.UnheardFor) {
+			t.log.Warn("vm_unanswered", err, standingFields(inst.ID, before))
+		}
+		return true, err
+	}
+	if silent.failures > 0 {
+		f := standingFields(inst.ID, before)
+		f["failures"], f["running"], f["ended"] = silent.failures, len(report.Running), len(report.Ended)
+		t.log.Event("vm_answers", f)
+		*silent = silence{}
+	}
+	t.noteEnds(now, inst.ID, report.Ended)
+	t.sched.Heard(now, sentAt, inst.ID, report)
+	t.awake()
+	return true, nil
+}
+
+// replaced takes a VM out whose address another life answers at.
+func (t *term) replaced(now time.Duration, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if x, ok := t.sched.Standing(now, id); ok {
+		t.log.Event("vm_replaced", standingFields(id, x))
+	}
+	t.sched.Gone(now, id, "another instance answers")
+	t.awake()
+}
+
+// toldEnds are the ends that a VM goes on telling since they are not acknowledged.
+type toldEnds struct {
+	count int
+	// oldest is the sequence of the first, told since.
+	oldest int64
+	since  time.Duration
+	// late is set once a line has told that it takes long.
+	late bool
+}
+
+// endsLate is how long an end may be told before it is worth a line: some flushes,
+// each of which may wait for the store for a second.
+const endsLate = 3 * time.Second
+
+// noteEnds counts the ends of a report before it is taken over, and tells of those
+// that stay unacknowledged. The caller holds the lock.
+func (t *term) noteEnds(now time.Duration, id string, ends []batch.RunEnd) {
+	if len(ends) == 0 {
+		delete(t.told, id)
+		return
+	}
+	first := &ends[0]
+	for i := range ends {
+		if ends[i].Seq < first.Seq {
+			first = &ends[i]
+		}
+		if standing := t.sched.EndStanding(id, &ends[i]); standing != scheduler.EndAgain && t.ObserveEnd != nil {
+			t.ObserveEnd(standing)
+		}
+	}
+	told := t.told[id]
+	if told.oldest != first.Seq {
+		told = toldEnds{oldest: first.Seq, since: now}
+	}
+	told.count = len(ends)
+	if age := now - told.since; age > endsLate && !told.late {
+		told.late = true
+		t.log.Event("ends_unacknowledged", eventlog.Fields{
+			"vm": id, "ends": told.count, "age_ms": age.Milliseconds(),
+			"job": first.Task.Job, "task": first.Task.String(), "run": first.Run, "kind": string(first.Kind),
+		})
+	}
+	t.told[id] = told
+}
+
+// dropHold notes that the instance's hold loop ends by itself: the instance may be
+// listed again before the next look at which are held, and must be held anew then.
+// t.mu is held.
+func (t *term) dropHold(id string) {
+	if cancel := t.holds[id]; cancel != nil {
+		cancel()
+		delete(t.holds, id)
+		delete(t.told, id)
+	}
+}
+
+// awaitFlush waits until the ends that the instance has told may be acknowledged.
+func (t *term) awaitFlush(ctx context.Context, id string) {
+	limit := time.NewTimer(ackPause)
+	defer limit.Stop()
+	for {
+		t.mu.Lock()
+		unacked := t.sched.Unacked(id)
+		flushed := t.flushed
+		t.mu.Unlock()
+		if !unacked {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-limit.C:
+			return
+		case <-flushed:
+		}
+	}
+}
--- /dev/null
+++ b/internal/scheduler/reports.go
@@ -0,0 +1,137 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+// Heard takes an instance's report over; the hold was sent at sentAt.
+func (s *Scheduler) Heard(now, sentAt Time, id string, rep batch.Report) {
+	v := s.vms[id]
+	if v == nil {
+		return
+	}
+	v.setClock(sentAt, now, rep.Clock)
+	if !v.heard {
+		v.heard = true
+		// An earlier leader may have renewed the leases there until now.
+		v.leaseOver = max(v.leaseOver, now+leaseOver(s.settings.Lease()))
+		s.changed = true
+		s.logf(Decision{Event: EventVMHeard, VM: id, Value: float64(len(rep.Running))})
+	}
+	if now-v.heardAt > heardAgain {
+		s.changed = true
+	}
+	v.heardAt = now
+	v.unanswered = false
+	delete(s.silent, id)
+	s.takeEnds(now, v, rep.Ended)
+	clear(v.strangers)
+	s.clearUnwanted(v)
+	listed := make(map[*run]bool, len(rep.Running))
+	for i := range rep.Running {
+		if r := s.observe(now, v, &rep.Running[i]); r != nil {
+			listed[r] = true
+		}
+	}
+	for _, r := range v.runs {
+		if !listed[r] && !rep.MoreEnded {
+			s.missing(now, sentAt, r)
+		}
+	}
+	v.tailsStale = true
+	s.observeTails(now, v)
+	s.images.solve(now)
+	s.pace(now, v)
+	s.rescue(now, v)
+}
+
+// heardAgain is how long an instance has to have been unheard for its return to be
+// worth a plan of its own.
+const heardAgain = 3500 * time.Millisecond
+
+func (v *vm) setClock(sentAt, gotAt Time, value time.Duration) {
+	if value > 0 {
+		v.clock = clock{known: true, sentAt: sentAt, gotAt: gotAt, value: value}
+	}
+}
+
+// observe takes a listed run over and returns it, or nil when it is not to run.
+func (s *Scheduler) observe(now Time, v *vm, st *batch.RunStatus) *run {
+	r := v.runs[st.Task]
+	if r != nil && r.number == st.Run {
+		if r.state == starting {
+			r.confirm(now)
+		}
+	} else {
+		r = s.adopt(now, v, st)
+	}
+	if r == nil {
+		return nil
+	}
+	r.follow(now, st.Progress)
+	r.usage, r.hasUsage = st.Usage, st.HasUsage
+	r.noteFullUse(now)
+	if st.Checkpoint != "" {
+		r.checkpoint = st.Checkpoint
+		r.task.checkpoint = st.Checkpoint
+	}
+	return r
+}
+
+// adopt takes on a run that this leader did not start, or stops it.
+func (s *Scheduler) adopt(now Time, v *vm, st *batch.RunStatus) *run {
+	switch j := s.jobs[st.Task.Job]; {
+	case s.untold(st.Task.Job):
+		v.noteStranger(st)
+		s.noteUntold(now, st.Task.Job)
+		return nil
+	case j != nil && j.held && !j.state.Final():
+		v.noteStranger(st)
+		return nil
+	}
+	s.openTold(now, st.Task)
+	t := s.task(st.Task)
+	if t == nil || t.done || t.step.occ.job.state.Final() || (len(t.runs) > 0 && !t.step.spec.Speculative) || v.runs[st.Task] != nil {
+		s.stopUnwanted(v, st)
+		return nil
+	}
+	r := &run{task: t, vm: v, number: st.Run, state: running, orderedAt: now, confirmedAt: now, paced: unknownPace}
+	s.hold(r)
+	t.step.occ.job.started = true
+	s.logf(Decision{Event: EventRunAdopted, Task: st.Task, VM: v.inst.ID, Run: st.Run})
+	return r
+}
+
+// task finds a task of an open occurrence.
+func (s *Scheduler) task(id batch.TaskID) *task {
+	j := s.jobs[id.Job]
+	if j == nil {
+		return nil
+	}
+	o := j.occs[id.Occurrence]
+	if o == nil || id.Step >= len(o.steps) || id.Index >= len(o.steps[id.Step].tasks) {
+		return nil
+	}
+	return &o.steps[id.Step].tasks[id.Index]
+}
+
+// missing handles a run that its VM does not list, neither under way nor ended: the
+// report was asked for after the VM had confirmed the run, or had confirmed that it
+// will not run.
+func (s *Scheduler) missing(now, sentAt Time, r *run) {
+	confirmed := r.state != starting && r.confirmedAt > 0 && r.confirmedAt < sentAt
+	stopped := r.stopConfirmedAt > 0 && r.stopConfirmedAt < sentAt
+	if !confirmed && !stopped {
+		return
+	}
+	s.logf(Decision{Event: EventRunLost, Task: r.task.id(), VM: r.vm.inst.ID, Run: r.number, Reason: "not listed", Age: now - r.orderedAt})
+	s.lose(now, r)
+}
+
+// lose takes a run off whose end nobody has told.
+func (s *Scheduler) lose(now Time, r *run) {
+	r.task.lostAt = now
+	s.release(now, r)
+}
