--- a/internal/scheduler/explore_leader_test.go
+++ b/internal/scheduler/explore_leader_test.go
@@ -45,6 +45,17 @@
 	recorded map[string]string
 	holding  map[string]bool
 	cut      map[string]Time
+	// past are the tenures that it has to ask, said what they told, closed is set once
+	// it has told its own leases.
+	past   []*modelLeader
+	said   map[string]Time
+	askAt  Time
+	asking bool
+	closed bool
+	// died is set where the process died; its next life answers from restartAt on.
+	died      bool
+	restartAt Time
+	pruned    bool
 }
 
 func (w *world) reachesStore(l *modelLeader) bool {
@@ -89,6 +100,10 @@
 	w.tracef("leader %d elected in zone %d", l.fence, zone)
 	w.rebuild(l)
 	l.readyAt = w.now + w.upTo(400*time.Millisecond)
+	if w.faults.asks {
+		l.past, l.said, l.askAt = slices.Clone(w.store.tenures), map[string]Time{}, l.readyAt+300*time.Millisecond
+		w.store.tenures = append([]*modelLeader{l}, w.store.tenures...)
+	}
 	if w.faults.late && w.chance(60) {
 		l.watchAt = w.now + w.upTo(6*time.Second)
 	}
@@ -277,9 +292,10 @@
 
 // act lets a leader talk to the VMs and plan.
 func (w *world) act(l *modelLeader) {
-	if !w.acts(l) || w.now < l.readyAt {
+	if !w.acts(l) || w.now < l.readyAt || l.closed {
 		return
 	}
+	w.askPast(l)
 	for _, v := range w.vms {
 		if !w.calm && w.rng.IntN(1000) < 5 {
 			l.cut[v.id] = w.now + w.upTo(12*time.Second)
--- a/internal/scheduler/explore_model_test.go
+++ b/internal/scheduler/explore_model_test.go
@@ -240,9 +240,12 @@
 	case n < 8:
 		w.tracef("leader %d dies", l.fence)
 		l.ended = true
+		l.died, l.restartAt = true, w.now
 		if w.chance(40) {
 			// Its next life takes the key over at once.
 			w.store.keyUntil = w.now
+		} else if w.faults.asks {
+			l.restartAt = w.now + time.Second + w.upTo(20*time.Second)
 		}
 	case n < 11:
 		w.tracef("the key of leader %d is taken away", l.fence)
--- a/internal/scheduler/explore_store_test.go
+++ b/internal/scheduler/explore_store_test.go
@@ -34,6 +34,7 @@
 	records   map[string][]byte
 	instances map[string]string
 	lapsed    map[string]int64
+	tenures   []*modelLeader
 }
 
 func (j *modelJob) submission(now Time) Submission {
--- a/internal/scheduler/explore_test.go
+++ b/internal/scheduler/explore_test.go
@@ -33,6 +33,8 @@
 	// revoked: the key is taken from leaders that have just renewed it, and that are cut
 	// off from the store and left with some of the VMs.
 	revoked bool
+	// asks: new leaders ask their predecessors how long leases may last.
+	asks bool
 }
 
 // breaks leave a safeguard out; each has to be found.
@@ -55,6 +57,8 @@
 	unconfirmed bool
 	// concludes: a leader that may no longer lead takes leases to be over by time.
 	concludes bool
+	// hasty: a predecessor that is asked goes on.
+	hasty bool
 }
 
 // exploreScale runs more seeds of everything, for a hunt: -explore.scale 10.
@@ -142,6 +146,9 @@
 		{"timed jobs", faults{timed: true}, 120},
 		{"attempts", faults{attempts: true}, 120},
 		{"keys taken away", faults{alone: true, revoked: true}, 120},
+		{"predecessors asked", faults{alone: true, asks: true}, 160},
+		{"predecessors asked, VMs off the list", faults{alone: true, list: true, revoked: true, asks: true}, 160},
+		{"all, predecessors asked", faults{alone: true, list: true, late: true, timed: true, attempts: true, revoked: true, asks: true}, 160},
 		{"all", faults{alone: true, list: true, late: true, timed: true, attempts: true, revoked: true}, 120},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -197,6 +204,7 @@
 		"acts without the store for ever":    {breaks: breaks{actsOn: true}, faults: faults{alone: true}},
 		"takes jobs up without the lead":     {breaks: breaks{unconfirmed: true}, faults: faults{alone: true}},
 		"gives up VMs without the lead":      {breaks: breaks{concludes: true}, faults: faults{alone: true}},
+		"a predecessor goes on":              {breaks: breaks{hasty: true}, faults: faults{alone: true, asks: true}},
 		"knows no VMs that are off the list": {breaks: breaks{unrecorded: true}, faults: faults{list: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
