--- a/internal/edge/figures.go
+++ b/internal/edge/figures.go
@@ -86,6 +86,7 @@
 	"another instance answers": true,
 	"unlisted":                 true,
 	"maintenance":              true,
+	"machine ended it":         true,
 }
 
 const otherReason = "other"
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -83,6 +83,9 @@
 	if r.GetNode() != p.node {
 		return nil, twirp.NotFoundError("this process is " + p.node)
 	}
+	if r.GetSuccessor() <= r.GetFence() {
+		return nil, twirp.InvalidArgumentError("successor", "is not later than the tenure asked about")
+	}
 	p.election.Succeeded(r.GetSuccessor())
 	said := p.leader.LeasesLeft(r.GetFence(), r.GetVms())
 	resp := &scheduling.LeasesLeftResponse{LeftMs: make([]int64, len(said.Left)), Remembered: said.Remembered}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -47,7 +47,7 @@
 	planRest = 3
 	// planTick is how often the plan is looked at without a cause.
 	planTick = 50 * time.Millisecond
-	// ordersAtOnce bounds the orders under way: one takes some 5 ms, so that 900
+	// ordersAtOnce bounds the calls under way: one takes some 5 ms, so that 900
 	// a second need five. More are given after a change of leader, and their
 	// timeouts must not run while they wait for the processor or a connection.
 	ordersAtOnce = 96
@@ -102,6 +102,8 @@
 	recorded instances
 	// lapsed is what the store has under lapsedKey.
 	lapsed map[string]int64
+	// lapsedRead is set once that is known.
+	lapsedRead bool
 	// instancesRevision is that of the record of instances.
 	instancesRevision int64
 	holds             map[string]context.CancelFunc
@@ -120,7 +122,7 @@
 	flushed chan struct{}
 	kick    chan struct{}
 	work    sync.WaitGroup
-	// carrying bounds the orders under way.
+	// carrying bounds the calls under way.
 	carrying chan struct{}
 	// modelRead is set once it is known what earlier leaders have learned. Only the
 	// rebuild, and after it the model's loop, look at it.
@@ -261,7 +263,7 @@
 func (t *term) run(ctx context.Context, revision int64) {
 	jobs := &follow.Follower{Store: t.Store, Prefix: jobsPrefix, Wait: jobsWatch, Handle: t.observeJobs, After: revision}
 	for _, loop := range []func(context.Context){
-		func(ctx context.Context) { _ = jobs.Serve(ctx) }, t.listLoop, t.flushLoop, t.untoldLoop, t.predecessorsLoop, t.forgetLoop, t.modelLoop, t.wavesLoop,
+		func(ctx context.Context) { _ = jobs.Serve(ctx) }, t.listLoop, t.flushLoop, t.untoldLoop, t.predecessorsLoop, t.newSinceLoop, t.livesLoop, t.forgetLoop, t.modelLoop, t.wavesLoop,
 	} {
 		t.work.Go(func() { loop(ctx) })
 	}
@@ -336,8 +338,6 @@
 	for i := range orders {
 		o := orders[i]
 		t.work.Go(func() {
-			t.carrying <- struct{}{}
-			defer func() { <-t.carrying }()
 			t.carryOut(ctx, o)
 		})
 	}
@@ -419,6 +419,7 @@
 		return
 	}
 	sub := r.submission(t.age(r))
+	sub.Created = item.Created
 	_, sub.Cancelled = t.cancelledEarly[id]
 	t.sched.Submit(now, sub)
 }
--- /dev/null
+++ b/internal/leader/lives.go
@@ -0,0 +1,65 @@
+package leader
+
+import (
+	"context"
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/eventlog"
+	"github.com/rattanwall/rattanwall/internal/pause"
+	"github.com/rattanwall/rattanwall/internal/scheduler"
+	"github.com/rattanwall/rattanwall/internal/steady"
+)
+
+const (
+	// livesEvery is how often the machine service is asked while VMs are in doubt; it
+	// takes some tens of calls a second of all processes together.
+	livesEvery = 500 * time.Millisecond
+	// newSinceEvery is the pause between reads of the store's revision until one succeeds.
+	newSinceEvery = 200 * time.Millisecond
+)
+
+// livesLoop asks the machine service which VMs live while some are unheard. Without its
+// word they are waited for until their leases are over, 8.5 s after they were last heard.
+func (t *term) livesLoop(ctx context.Context) {
+	pause.Every(ctx, livesEvery, func() {
+		t.mu.Lock()
+		doubtful := t.sched.Doubtful(steady.Now())
+		t.mu.Unlock()
+		if !doubtful || !t.tenure.MayAct() {
+			return
+		}
+		callCtx, cancel := context.WithTimeout(ctx, machineTimeout)
+		defer cancel()
+		askedAt := steady.Now()
+		list, err := t.Machines.List(callCtx)
+		if err != nil {
+			if ctx.Err() == nil {
+				t.log.Warn("machines_not_read", err, nil)
+			}
+			return
+		}
+		t.mu.Lock()
+		t.sched.SetLives(steady.Now(), askedAt, list)
+		t.mu.Unlock()
+		t.awake()
+	})
+}
+
+// newSinceLoop reads a revision of the store once earlier leaders have certainly learned
+// that they were succeeded. Jobs created after it need not wait for VMs that are silent.
+func (t *term) newSinceLoop(ctx context.Context) {
+	pause.For(ctx, scheduler.DeposedWithin)
+	for ctx.Err() == nil && t.awaits() {
+		callCtx, cancel := context.WithTimeout(ctx, untoldCall)
+		_, revision, err := t.Store.Range(callCtx, leaderKey)
+		cancel()
+		if err == nil {
+			t.mu.Lock()
+			t.sched.NewSince(revision)
+			t.mu.Unlock()
+			t.log.Event("new_since", eventlog.Fields{"revision": revision})
+			return
+		}
+		pause.For(ctx, newSinceEvery)
+	}
+}
--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -55,22 +55,31 @@
 	}
 }
 
+// takePlace waits for a place among the calls under way. It is held for one call: an
+// order that is repeated for long must not keep others from being given.
+func (t *term) takePlace() { t.carrying <- struct{}{} }
+
+func (t *term) leavePlace() { <-t.carrying }
+
+// begins reports whether a start is still to be given.
+func (t *term) begins(o scheduler.Order) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sched.Begin(steady.Now(), o)
+}
+
 // start gives a start order until its outcome is known, a few times. A refusal
 // after a try that got no answer says nothing of that try, which may be carried
 // out later: the outcome is unknown.
 func (t *term) start(ctx context.Context, o scheduler.Order) {
-	t.mu.Lock()
-	wanted := t.sched.Begin(steady.Now(), o)
-	t.mu.Unlock()
-	if !wanted {
-		return
-	}
 	unanswered := false
 	var refusal batch.Refusal
 	var clock time.Duration
 	var sentAt time.Duration
 	for try := 0; ; try++ {
-		if ctx.Err() != nil || !t.tenure.MayAct() {
+		t.takePlace()
+		if (try == 0 && !t.begins(o)) || ctx.Err() != nil || !t.tenure.MayAct() {
+			t.leavePlace()
 			if unanswered {
 				t.log.Event("start_abandoned", orderFields(&o, "tries", try))
 			}
@@ -80,6 +89,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		value, err := t.Agents.Start(callCtx, &o.Instance, o.Start)
 		cancel()
+		t.leavePlace()
 		refusal = refusalOf(err)
 		clock = value
 		if err == nil {
@@ -142,9 +152,11 @@
 		if !t.repeatStop(o, age) {
 			return
 		}
+		t.takePlace()
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		err = t.Agents.Stop(callCtx, &o.Instance, o.Task, o.Run, t.tenure.Fence)
 		cancel()
+		t.leavePlace()
 		switch refusalOf(err) {
 		case batch.RefusedGone:
 			return
@@ -164,6 +176,8 @@
 }
 
 func (t *term) pace(ctx context.Context, o scheduler.Order) {
+	t.takePlace()
+	defer t.leavePlace()
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	err := t.Agents.Pace(callCtx, &o.Instance, o.Task, o.Run, o.Percent, t.tenure.Fence)
--- a/internal/leader/predecessors.go
+++ b/internal/leader/predecessors.go
@@ -62,6 +62,8 @@
 		t.log.Warn("tenures_unreadable", err, nil)
 		return nil, false, nil
 	}
+	// After a reading that failed halfway the record names this tenure, too.
+	past = slices.DeleteFunc(past, func(p Past) bool { return p.Fence == t.tenure.Fence })
 	return past, true, nil
 }
 
@@ -163,8 +165,9 @@
 	last time.Duration
 }
 
-// close returns the leases of the term and keeps it from taking further ones.
+// close ends the term and returns its leases, after which it takes no further ones.
 func (t *term) close() leases {
+	t.tenure.End()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.closed = true
--- a/internal/leader/rebuild.go
+++ b/internal/leader/rebuild.go
@@ -85,7 +85,7 @@
 	// The earlier leader may have renewed its own lease just before this one was
 	// elected, since a key can be taken away before its lease is over, and leases of
 	// VMs for as long as it may act without the store.
-	t.sched.Expect(now, used, now+t.Settings.SilentFor(actWithoutStore))
+	t.sched.Expect(used, now+t.Settings.SilentFor(actWithoutStore))
 	for _, id := range used {
 		t.sched.AddUnlisted(now, batch.Instance{ID: id, Address: earlier[id]})
 	}
@@ -167,14 +167,15 @@
 }
 
 // restoreLapsed takes over which leases earlier leaders know to have run out. Without it
-// ends are withheld that may be acknowledged, so that a failure is no reason not to lead.
+// ends are withheld that may be acknowledged, so that a failure is no reason not to lead;
+// it is read again before it is written.
 func (t *term) restoreLapsed(ctx context.Context) {
-	item, err := t.Store.Get(ctx, lapsedKey)
-	if err == nil && item == nil {
+	if t.lapsedRead {
 		return
 	}
+	item, err := t.Store.Get(ctx, lapsedKey)
 	var lapsed map[string]int64
-	if err == nil {
+	if err == nil && item != nil {
 		err = json.Unmarshal(item.Value, &lapsed)
 	}
 	if err != nil {
@@ -183,7 +184,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.lapsed = lapsed
+	t.lapsed, t.lapsedRead = lapsed, true
 	t.sched.RestoreLapsed(lapsed)
 }
 
@@ -196,7 +197,7 @@
 	for _, id := range t.sched.Silent() {
 		next[id] = t.recorded[id]
 	}
-	for id, inst := range t.sched.Instances() {
+	for id, inst := range t.sched.Recorded(steady.Now()) {
 		next[id] = inst.Address
 	}
 	maps.Copy(next, earlier)
@@ -205,23 +206,28 @@
 	}
 	revision := t.instancesRevision
 	lapsed := t.sched.LapsedRuns()
-	unchanged := maps.Equal(next, t.recorded) && maps.Equal(lapsed, t.lapsed)
+	txn := durable.Txn{Conditions: []durable.Condition{t.leads()}}
+	usedChanged, lapsedChanged := !maps.Equal(next, t.recorded), t.lapsedRead && !maps.Equal(lapsed, t.lapsed)
 	t.mu.Unlock()
-	if unchanged {
-		return nil
+	if usedChanged {
+		value, err := json.Marshal(next)
+		if err != nil {
+			return err
+		}
+		txn.Conditions = append(txn.Conditions, durable.Condition{Key: instancesKey, Revision: revision})
+		txn.Writes = append(txn.Writes, durable.Write{Key: instancesKey, Value: value})
 	}
-	value, err := json.Marshal(next)
-	if err != nil {
-		return err
+	if lapsedChanged {
+		value, err := json.Marshal(lapsed)
+		if err != nil {
+			return err
+		}
+		txn.Writes = append(txn.Writes, durable.Write{Key: lapsedKey, Value: value})
 	}
-	lapsedValue, err := json.Marshal(lapsed)
-	if err != nil {
-		return err
+	if len(txn.Writes) == 0 {
+		return nil
 	}
-	written, err := t.commit(ctx, durable.Txn{
-		Conditions: []durable.Condition{t.leads(), {Key: instancesKey, Revision: revision}},
-		Writes:     []durable.Write{{Key: instancesKey, Value: value}, {Key: lapsedKey, Value: lapsedValue}},
-	})
+	written, err := t.commit(ctx, txn)
 	var conflict *durable.ConflictError
 	if errors.As(err, &conflict) {
 		t.mu.Lock()
@@ -236,8 +242,12 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.instancesRevision = written
-	t.recorded, t.lapsed = next, lapsed
+	if usedChanged {
+		t.instancesRevision, t.recorded = written, next
+	}
+	if lapsedChanged {
+		t.lapsed = lapsed
+	}
 	return nil
 }
 
@@ -259,6 +269,7 @@
 	if err != nil {
 		return err
 	}
+	t.restoreLapsed(ctx)
 	if err := t.recordInstances(ctx, list, nil); err != nil {
 		return err
 	}
--- a/internal/leader/untold.go
+++ b/internal/leader/untold.go
@@ -65,7 +65,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := steady.Now()
-	if t.takeJobs(now, items, found) == 0 {
+	switch taken := t.takeJobs(now, items, found); {
+	case taken > 0:
+	case len(items) > 0:
+		t.sched.Unreadable(now, id)
+	default:
 		t.log.Event("job_absent", eventlog.Fields{"job": id})
 		t.sched.Absent(now, id)
 	}
--- a/internal/scheduler/accounts.go
+++ b/internal/scheduler/accounts.go
@@ -37,6 +37,7 @@
 
 // account takes one end of a known job over.
 func (s *Scheduler) account(now Time, v *vm, e *batch.RunEnd) {
+	s.openTold(now, e.Task)
 	if e.Kind == batch.EndDone && !v.lapsedAfter(e) && s.superseded(e) {
 		s.withhold(v, e)
 		return
@@ -91,6 +92,9 @@
 // pending is written.
 func (v *vm) accounted() int64 {
 	mark := v.seen
+	if v.ackLimit > 0 {
+		mark = min(mark, v.ackLimit-1)
+	}
 	for seq := range v.deferred {
 		mark = min(mark, seq-1)
 	}
@@ -98,24 +102,23 @@
 }
 
 // acked is the highest end that may be acknowledged.
-func (v *vm) acked() int64 {
-	if v.ackLimit > 0 {
-		return min(v.durable, v.ackLimit-1)
-	}
-	return v.durable
-}
+func (v *vm) acked() int64 { return v.durable }
 
 // untold reports whether a VM may know more of a job than this leader: its watch is
-// late or silent, and an earlier leader took the job on.
+// late or silent, and an earlier leader took the job on; or the job is held, since what
+// is known of it can't be read.
 func (s *Scheduler) untold(job string) bool {
-	if s.jobs[job] != nil {
-		return false
+	if j := s.jobs[job]; j != nil {
+		return j.held && !j.state.Final()
 	}
 	_, absent := s.absent[job]
 	return !absent
 }
 
 func (s *Scheduler) noteUntold(now Time, job string) {
+	if s.jobs[job] != nil {
+		return
+	}
 	if _, noted := s.untoldSince[job]; !noted {
 		s.untoldSince[job] = now
 	}
@@ -152,6 +155,18 @@
 	return ids
 }
 
+// unreadablePause is the pause before a job whose record can't be read is asked for
+// again: somebody has to mend it.
+const unreadablePause = 5 * time.Second
+
+// Unreadable notes that the store has such a job, whose record can't be read: what VMs
+// tell of it is kept.
+func (s *Scheduler) Unreadable(now Time, id string) {
+	if s.jobs[id] == nil {
+		s.untoldSince[id] = now + unreadablePause
+	}
+}
+
 // absentFor is how long it is remembered that a job does not exist, in which its
 // VMs' next reports come in. After that the store is asked anew.
 const absentFor = time.Minute
@@ -175,10 +190,10 @@
 	}
 }
 
-// settle takes over what VMs have told of a job before it was known: ends first, in
-// their order.
+// settle takes over what VMs have told of a job before it was known, or while it was
+// held: ends first, in their order.
 func (s *Scheduler) settle(now Time, id string) {
-	if _, told := s.untoldSince[id]; !told {
+	if _, told := s.untoldSince[id]; !told && (s.jobs[id] == nil || !s.jobs[id].held) {
 		return
 	}
 	delete(s.untoldSince, id)
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -19,6 +19,8 @@
 	Age time.Duration
 	// Existed is set when the submission is older than this leader.
 	Existed bool
+	// Created is the store's revision of the submission, 0 when it is not known.
+	Created int64
 	// Cancelled is set when the job is cancelled already.
 	Cancelled bool
 	// Progress is what an earlier leader recorded; nil for none.
@@ -31,12 +33,13 @@
 
 // Submit takes a job on. A job that is known is left as it is.
 func (s *Scheduler) Submit(now Time, sub Submission) {
-	if _, known := s.jobs[sub.Job.ID]; known {
+	if j := s.jobs[sub.Job.ID]; j != nil {
+		j.existed = j.existed && (sub.Existed || s.mayBeOlder(sub.Created))
 		return
 	}
 	j := &job{
 		spec: sub.Job, queue: sub.Queue, pool: sub.Pool, submittedAt: now - sub.Age, state: batch.Queued,
-		existed: sub.Existed, occs: map[int]*occurrence{}, doneOccs: map[int]bool{}, record: sub.Record,
+		existed: sub.Existed || s.mayBeOlder(sub.Created), occs: map[int]*occurrence{}, doneOccs: map[int]bool{}, record: sub.Record,
 		chain: sub.Job.Chain(), work: sub.Job.Work(), attempts: 1,
 	}
 	j.objective = j.chain
@@ -51,10 +54,6 @@
 		// When it ended is not recorded: it is kept from now on.
 		j.endedAt = now
 	}
-	if j.submittedAt < s.freshAt {
-		// An earlier leader that had yet to learn of this one may have taken it up, too.
-		j.existed = true
-	}
 	s.logf(Decision{Event: EventJobTaken, Job: sub.Job.ID, Reason: sub.Queue, Age: sub.Age, Value: j.work})
 	if sub.Cancelled {
 		s.cancel(now, j)
@@ -221,6 +220,9 @@
 	}
 	j.state = state
 	j.endedAt = now
+	if j.held {
+		defer s.settle(now, j.spec.ID)
+	}
 	delete(s.timed, j.spec.ID)
 	s.touch(j)
 	s.logf(Decision{Event: EventJobEnded, Job: j.spec.ID, Reason: string(state) + ": " + reason, Age: now - j.submittedAt, Value: j.objective.Seconds()})
--- a/internal/scheduler/leases.go
+++ b/internal/scheduler/leases.go
@@ -51,18 +51,17 @@
 	return v.leaseUntil
 }
 
-// deposedWithin is how long a leader whose key is gone may go on taking new jobs
+// DeposedWithin is how long a leader whose key is gone may go on taking new jobs
 // up: it renews its lease each 0.35 s, and a renewal that reaches the store tells
 // it within 0.4 s. Both leaders would start a job that comes in this time.
-const deposedWithin = 1500 * time.Millisecond
+const DeposedWithin = 1500 * time.Millisecond
 
 // Expect names the instances that earlier leaders may have given work to. Until
 // each is heard, or its moment has passed, a task of a job that an earlier leader may
 // have known is not started anywhere: it may run there. That is each job that is older
 // than this leader, or comes before an earlier leader that still follows new jobs has
 // certainly learned that it is one. Jobs that come later than that need not wait.
-func (s *Scheduler) Expect(now Time, ids []string, until Time) {
-	s.freshAt = now + deposedWithin
+func (s *Scheduler) Expect(ids []string, until Time) {
 	for _, id := range ids {
 		if v := s.vms[id]; v == nil || !v.heard {
 			s.silent[id] = until
@@ -88,6 +87,16 @@
 	return now >= t.notBefore && t.lostAt <= s.ledAt
 }
 
+// NewSince notes a revision of the store that was read DeposedWithin after the election
+// or later: an earlier leader takes up no job that was created after it.
+func (s *Scheduler) NewSince(revision int64) { s.newSince = revision }
+
+// mayBeOlder reports whether an earlier leader may have taken a job up that was created
+// at a revision of the store. The time of day does not tell: clocks differ by seconds.
+func (s *Scheduler) mayBeOlder(created int64) bool {
+	return s.newSince == 0 || created == 0 || created <= s.newSince
+}
+
 // ExpectUntil shortens the wait for silent instances: all earlier leaders have told
 // until when leases of theirs may last. What they do not name has none.
 func (s *Scheduler) ExpectUntil(until map[string]Time) {
@@ -110,7 +119,7 @@
 	return over
 }
 
-// mostLapsed bounds what is kept of VMs that do not come back: on an ordinary day some
+// mostLapsed bounds what is kept of VMs that were forgotten: on an ordinary day some
 // hundred are replaced.
 const mostLapsed = 1000
 
@@ -124,21 +133,44 @@
 			all[id] = v.lapsedRun
 		}
 	}
-	for len(all) > mostLapsed {
-		oldest := ""
-		for id, number := range all {
-			if oldest == "" || number < all[oldest] {
-				oldest = id
-			}
+	return all
+}
+
+// RestoreLapsed takes over what an earlier leader returned from LapsedRuns.
+func (s *Scheduler) RestoreLapsed(lapsed map[string]int64) {
+	for id, number := range lapsed {
+		if v := s.vms[id]; v != nil {
+			v.lapsedRun = max(v.lapsedRun, number)
+		} else {
+			s.keepLapsed(id, number)
 		}
-		delete(all, oldest)
 	}
-	return all
 }
 
-// RestoreLapsed takes over what an earlier leader returned from LapsedRuns; call it
-// before the instances are known.
-func (s *Scheduler) RestoreLapsed(lapsed map[string]int64) { maps.Copy(s.lapsed, lapsed) }
+// keepLapsed keeps the lapsedRun of an instance that is not known any more, instead of
+// the oldest one where there are too many.
+func (s *Scheduler) keepLapsed(id string, number int64) {
+	s.lapsed[id] = number
+	if len(s.lapsed) <= mostLapsed {
+		return
+	}
+	oldest := id
+	for other, n := range s.lapsed {
+		if n < s.lapsed[oldest] || (n == s.lapsed[oldest] && other < oldest) {
+			oldest = other
+		}
+	}
+	delete(s.lapsed, oldest)
+}
+
+// lapse counts what runs on v as ended: every lease there is over.
+func (s *Scheduler) lapse(now Time, v *vm) {
+	if v.lapsedLease != v.leaseOver {
+		// Nothing can have begun there since.
+		v.lapsedLease, v.lapsedRun = v.leaseOver, s.nextRun
+	}
+	s.dropRuns(now, v, "lease over")
+}
 
 // waitOutSilent stops waiting for the instances of earlier leaders that have
 // certainly ended what they ran.
--- /dev/null
+++ b/internal/scheduler/lives_test.go
@@ -0,0 +1,132 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+// machinesOf is a list of the machine service that names the instances as living.
+func machinesOf(ids ...string) []batch.Machine {
+	var list []batch.Machine
+	for _, id := range ids {
+		list = append(list, batch.Machine{Name: "m-" + id, State: batch.MachineUp, Instance: id})
+	}
+	return list
+}
+
+// lives tells the scheduler what the machine service says now.
+func (f *fixture) lives(ids ...string) { f.s.SetLives(f.now, f.now, machinesOf(ids...)) }
+
+// unheardVM is a fixture with three VMs, of which the one that runs a task is not heard
+// for a while.
+func unheardVM(t *testing.T) (f *fixture, first Order, others []string) {
+	f = newFixture(t, 3)
+	f.hearAll(nil)
+	f.submit("j", tasks(1, 100))
+	f.plan()
+	first = f.last("j.0.0.0")
+	f.confirm(first)
+	for _, inst := range f.list {
+		if inst.ID != first.Instance.ID {
+			others = append(others, inst.ID)
+		}
+	}
+	f.advance(livesAfter + time.Millisecond)
+	for _, id := range others {
+		f.hear(id, batch.Report{})
+	}
+	return f, first, others
+}
+
+// What ran on a VM that has crashed was away for the whole of its lease, 8.5 s. The
+// machine service knows at once: two of its lists lack the VM's life.
+func TestVMThatItsMachineEndedIsGone(t *testing.T) {
+	f, first, others := unheardVM(t)
+	require.True(t, f.s.Doubtful(f.now))
+	f.lives(others...)
+	f.plan()
+	require.Len(t, f.started["j.0.0.0"], 1, "one list may lack a machine that lives")
+	f.advance(missedFor)
+	f.lives(others...)
+	f.plan()
+	require.Len(t, f.started["j.0.0.0"], 2)
+	require.NotEqual(t, first.Instance.ID, f.last("j.0.0.0").Instance.ID)
+	require.False(t, f.s.Doubtful(f.now))
+}
+
+// A VM that is cut off lives, and the machine service says so, whatever the store's list
+// says: its lease counts.
+func TestVMThatIsCutOffLives(t *testing.T) {
+	f, first, others := unheardVM(t)
+	f.s.SetInstances(f.now, []batch.Instance{})
+	for range 8 {
+		f.lives(append(others, first.Instance.ID)...)
+		f.advance(missedFor)
+		for _, id := range others {
+			f.hear(id, batch.Report{})
+		}
+		f.s.Tend(f.now)
+		f.plan()
+	}
+	require.Len(t, f.started["j.0.0.0"], 1)
+}
+
+// A list that was asked for before the VM was last heard, one that lacks most of the VMs
+// that are heard, and an empty one say nothing.
+func TestListsOfMachinesThatSayNothing(t *testing.T) {
+	for name, tell := range map[string]func(f *fixture, first Order, others []string){
+		"empty":       func(f *fixture, _ Order, _ []string) { f.lives() },
+		"mostly else": func(f *fixture, _ Order, _ []string) { f.lives("vm77", "vm78") },
+		"one lacks it": func(f *fixture, first Order, others []string) {
+			f.lives(others...)
+			f.lives(append(others, first.Instance.ID)...)
+		},
+		"old": func(f *fixture, first Order, others []string) {
+			v := f.s.vms[first.Instance.ID]
+			f.s.SetLives(f.now, v.heardAt-time.Millisecond, machinesOf(others...))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, first, others := unheardVM(t)
+			for range 4 {
+				tell(f, first, others)
+				f.advance(missedFor)
+			}
+			f.plan()
+			require.Len(t, f.started["j.0.0.0"], 1)
+		})
+	}
+}
+
+// A machine that is down, or that another life runs on, has ended the one before; so
+// have VMs of earlier leaders that a new one has yet to hear.
+func TestEarlierLifeOfAMachineIsNotWaitedFor(t *testing.T) {
+	f := cutOff(t)
+	f.advance(livesAfter + time.Millisecond)
+	f.hear("vm00", batch.Report{})
+	list := append(machinesOf("vm00", "new life"), batch.Machine{Name: "m-cut", State: batch.MachineDown, Instance: "cut"})
+	f.s.SetLives(f.now, f.now, list)
+	f.advance(missedFor)
+	f.s.SetLives(f.now, f.now, list)
+	require.Empty(t, f.s.Silent())
+	f.plan()
+	require.Len(t, f.started, 1)
+}
+
+// A VM that left, and whose lease is over, need not be heard by a successor: it would
+// wait for it, and hold all older jobs back, for as long as for one that is cut off.
+func TestVMThatLeftIsNotRecorded(t *testing.T) {
+	f := newFixture(t, 2)
+	f.hearAll(nil)
+	f.hearAll(nil)
+	f.s.SetInstances(f.now, f.list[:1])
+	require.Contains(t, f.s.Recorded(f.now), "vm01", "its lease may live")
+	f.advance(leaseOver(f.s.settings.Lease()) + time.Second)
+	f.hear("vm00", batch.Report{})
+	require.NotContains(t, f.s.Recorded(f.now), "vm01")
+	require.Contains(t, f.s.Recorded(f.now), "vm00")
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -136,6 +136,10 @@
 
 var obstacleNames = [obstacles]string{"none", "unheard", "draining", "pool", "suspected", "per_vm", "processor", "reserve", "memory", "leftover", "advice", "pressure"}
 
+// mostUnacked is how many ends a VM may have to be acknowledged and get new work: it
+// tells 500 at a time, and a run whose end is beyond them is in doubt.
+const mostUnacked = 200
+
 // fits reports what keeps the VM from being given the task now.
 func (s *Scheduler) fits(now Time, v *vm, t *task) obstacle {
 	spec := t.step.spec
@@ -144,7 +148,7 @@
 		return obstaclePool
 	case !v.heard || !v.listed || v.silent(now) || len(v.strangers) > 0:
 		return obstacleUnheard
-	case v.inst.Draining || v.closed || v.ackLimit > 0:
+	case v.inst.Draining || v.closed || v.ackLimit > 0 || v.seen-v.durable > mostUnacked:
 		return obstacleDraining
 	case !v.health.usable(now, spec):
 		return obstacleSuspected
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -160,18 +160,18 @@
 // written.
 type Flush struct {
 	Records []Record
-	ends    map[string]int64
+	ends    map[*vm]int64
 }
 
 // Pending returns what has to be written, or nil when there is nothing.
 func (s *Scheduler) Pending() *Flush {
-	f := &Flush{ends: map[string]int64{}}
+	f := &Flush{ends: map[*vm]int64{}}
 	for id, j := range s.dirty {
 		f.Records = append(f.Records, Record{Job: id, Progress: j.progress(), Revision: j.record, version: j.version})
 	}
-	for id, v := range s.vms {
+	for _, v := range s.vms {
 		if mark := v.accounted(); mark > v.durable {
-			f.ends[id] = mark
+			f.ends[v] = mark
 		}
 	}
 	if len(f.Records) == 0 && len(f.ends) == 0 {
@@ -205,9 +205,7 @@
 // Flushed notes that all records of f are written, so that the ends that they
 // hold may be acknowledged.
 func (s *Scheduler) Flushed(f *Flush) {
-	for id, seq := range f.ends {
-		if v := s.vms[id]; v != nil {
-			v.durable = max(v.durable, seq)
-		}
+	for v, seq := range f.ends {
+		v.durable = max(v.durable, seq)
 	}
 }
--- a/internal/scheduler/reports.go
+++ b/internal/scheduler/reports.go
@@ -25,7 +25,10 @@
 	}
 	v.heardAt = now
 	v.unanswered = false
-	delete(s.silent, id)
+	v.missedAt = 0
+	if !rep.MoreEnded {
+		delete(s.silent, id)
+	}
 	s.takeEnds(now, v, rep.Ended)
 	clear(v.strangers)
 	s.clearUnwanted(v)
@@ -82,14 +85,10 @@
 
 // adopt takes on a run that this leader did not start, or stops it.
 func (s *Scheduler) adopt(now Time, v *vm, st *batch.RunStatus) *run {
-	switch j := s.jobs[st.Task.Job]; {
-	case s.untold(st.Task.Job):
+	if s.untold(st.Task.Job) {
 		v.noteStranger(st)
 		s.noteUntold(now, st.Task.Job)
 		return nil
-	case j != nil && j.held && !j.state.Final():
-		v.noteStranger(st)
-		return nil
 	}
 	s.openTold(now, st.Task)
 	t := s.task(st.Task)
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -222,6 +222,11 @@
 	// lapsedSeq is the highest end that says that a lease lapsed. Every run here up to
 	// the number lapsedRun began before a moment at which all leases here were over.
 	lapsedSeq, lapsedRun int64
+	// lapsedLease is the leaseOver that lapsedRun was taken at.
+	lapsedLease Time
+	// missedAt is when the machine service's list was asked for that first lacked the
+	// instance; 0 when the last one had it.
+	missedAt Time
 	// ackLimit, where set, is the first end that is never acknowledged; see withhold.
 	ackLimit int64
 	// unwanted are runs that do not count and were ordered to stop.
@@ -302,9 +307,10 @@
 	absent      map[string]Time
 	// ledAt is the last moment before which no other leader can have been elected.
 	ledAt Time
-	// freshAt is from when on jobs that come need not wait for silent instances.
-	freshAt Time
-	orders  []Order
+	// newSince is the store's revision after which jobs were created that no earlier
+	// leader has taken up; 0 before it is known.
+	newSince int64
+	orders   []Order
 	// changed is set when a plan may find something new to do.
 	changed bool
 	// meanWork is the mean work of each queue's jobs of late, in processor seconds.
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -62,6 +62,7 @@
 
 func (s *Scheduler) addVM(now Time, inst batch.Instance) *vm {
 	v := &vm{inst: inst, runs: map[batch.TaskID]*run{}, blindCap: fullPace, heardAt: now, lapsedRun: s.lapsed[inst.ID]}
+	delete(s.lapsed, inst.ID)
 	s.vms[inst.ID] = v
 	s.sortVMs()
 	return v
@@ -85,6 +86,19 @@
 	return ids
 }
 
+// Recorded returns the instances that a successor has to hear or to wait for, by ID:
+// those that may be given work, and those where a lease may live. One that has left and
+// whose lease is over would keep a successor waiting for nothing.
+func (s *Scheduler) Recorded(now Time) map[string]batch.Instance {
+	out := make(map[string]batch.Instance, len(s.vms))
+	for id, v := range s.vms {
+		if v.listed || len(v.runs) > 0 || now <= v.leaseOver || s.awaited(id) {
+			out[id] = v.inst
+		}
+	}
+	return out
+}
+
 // Instances returns the instances to be held, by ID.
 func (s *Scheduler) Instances() map[string]batch.Instance {
 	out := make(map[string]batch.Instance, len(s.vms))
@@ -176,8 +190,7 @@
 func (s *Scheduler) tendVM(now Time, id string, v *vm) {
 	s.copyUnheard(now, v)
 	if v.heard && now > v.leaseOver {
-		v.lapsedRun = s.nextRun
-		s.dropRuns(now, v, "lease over")
+		s.lapse(now, v)
 	}
 	if v.inst.Draining && v.listed {
 		s.emptyDraining(now, v)
@@ -186,7 +199,7 @@
 		lapsed := v.lapsedRun
 		s.Gone(now, id, "unlisted")
 		if lapsed > 0 {
-			s.lapsed[id] = lapsed
+			s.keepLapsed(id, lapsed)
 		}
 	}
 }
