Ports of test processes are claimed, not only looked up

Tests of platform/platformtest failed on a busy machine with 503, 404 or no starts at all. Cause: a process's ports were looked up by listening and closing; until the process listened itself, another deployment, or anything else that asked the system for a port, could be given them ("address already in use").

--- a/internal/edge/metrics_test.go
+++ b/internal/edge/metrics_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/rattanwall/rattanwall/internal/eventlog"
 	"github.com/rattanwall/rattanwall/internal/leader"
+	"github.com/rattanwall/rattanwall/internal/ports"
 	"github.com/rattanwall/rattanwall/internal/scheduler"
 )
 
@@ -49,10 +50,10 @@
 
 // The metrics are served on their port, and nothing else is.
 func TestMetricsAreServedOnTheirPort(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	block, err := ports.Claim()
 	require.NoError(t, err)
-	address := ln.Addr().String()
-	require.NoError(t, ln.Close())
+	defer block.Release()
+	address := block.Address(0)
 	e, _ := metricsEdge(t, address)
 	require.True(t, e.metricsApart())
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/edge/peers_test.go
+++ b/internal/edge/peers_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/rattanwall/rattanwall/internal/durable"
 	"github.com/rattanwall/rattanwall/internal/leader"
+	"github.com/rattanwall/rattanwall/internal/ports"
 )
 
 // led is an election that was won by the process at an address.
@@ -29,11 +30,10 @@
 // Sequence: the leader dies; a process without the store asks it to store a job.
 // Cause: a connection that was never made was taken for a lost answer.
 func TestSubmitToADeadLeaderIsRefused(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	block, err := ports.Claim()
 	require.NoError(t, err)
-	address := ln.Addr().String()
-	require.NoError(t, ln.Close())
-	err = peersOf(address).Submit(t.Context(), "id", nil)
+	defer block.Release()
+	err = peersOf(block.Address(0)).Submit(t.Context(), "id", nil)
 	require.True(t, errors.Is(err, durable.ErrRefused))
 	require.False(t, errors.Is(err, durable.ErrUnknown))
 }
--- a/internal/faults/processes_test.go
+++ b/internal/faults/processes_test.go
@@ -23,6 +23,7 @@
 	"github.com/rattanwall/rattanwall/internal/load"
 	"github.com/rattanwall/rattanwall/internal/netio"
 	"github.com/rattanwall/rattanwall/internal/node"
+	"github.com/rattanwall/rattanwall/internal/ports"
 	"github.com/rattanwall/rattanwall/internal/settings"
 	"github.com/rattanwall/rattanwall/internal/standin/hosting"
 	"github.com/rattanwall/rattanwall/internal/standin/record"
@@ -66,18 +67,23 @@
 	balancer *load.Balancer
 	load     *load.Generator
 	platform string
-	ports    int
+	// ports are claimed for the deployment, used of the last of them given out.
+	ports []*ports.Block
+	used  int
 
 	mu    sync.Mutex
 	procs map[string]*process
 	nodes map[string]settings.Node
 }
 
-var nextPort = 21000
-
 func (w *world) port() string {
-	nextPort++
-	return fmt.Sprintf("127.0.0.1:%d", nextPort)
+	if len(w.ports) == 0 || w.used == ports.Most {
+		b, err := ports.Claim()
+		require.NoError(w.t, err)
+		w.ports, w.used = append(w.ports, b), 0
+	}
+	w.used++
+	return w.ports[len(w.ports)-1].Address(w.used - 1)
 }
 
 func (w *world) start(name string, args ...string) {
@@ -264,4 +270,7 @@
 	for _, p := range w.procs {
 		<-p.done
 	}
+	for _, b := range w.ports {
+		b.Release()
+	}
 }
