--- a/internal/leader/predecessors.go
+++ b/internal/leader/predecessors.go
@@ -63,7 +63,12 @@
 		return nil, false, nil
 	}
 	// After a reading that failed halfway the record names this tenure, too.
-	past = slices.DeleteFunc(past, func(p Past) bool { return p.Fence == t.tenure.Fence })
+	seen := map[int64]bool{t.tenure.Fence: true}
+	past = slices.DeleteFunc(past, func(p Past) bool {
+		known := seen[p.Fence]
+		seen[p.Fence] = true
+		return known
+	})
 	return past, true, nil
 }
 
