A start that is not wanted any more is not tried again

A start had no answer for its first tries, a copy elsewhere was done at 37.17 s and the run ordered to stop, and the next try of the start was made and carried out at 38.23 s. A start keeps its place for its three tries again (1.5 s at most), a stop takes one for each try, and each try of a start asks. TestStartThatIsNotWantedAnyMoreIsNotTriedAgain: three tries before, one now.

--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -55,41 +55,50 @@
 	}
 }
 
-// takePlace waits for a place among the calls under way. It is held for one call: an
-// order that is repeated for long must not keep others from being given.
+// takePlace waits for a place among the calls under way. A stop holds it for one try
+// at a time: what is repeated for long must not keep other orders from being given.
 func (t *term) takePlace() { t.carrying <- struct{}{} }
 
 func (t *term) leavePlace() { <-t.carrying }
 
-// begins reports whether a start is still to be given.
-func (t *term) begins(o scheduler.Order) bool {
+// wanted reports whether a try of a start is still to be made. A task may be done
+// elsewhere, or its job cancelled, while an earlier try had no answer.
+func (t *term) wanted(o scheduler.Order, try int) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.sched.Begin(steady.Now(), o)
+	if try == 0 {
+		return t.sched.Begin(steady.Now(), o)
+	}
+	return t.sched.Wanted(o)
 }
 
 // start gives a start order until its outcome is known, a few times. A refusal
 // after a try that got no answer says nothing of that try, which may be carried
 // out later: the outcome is unknown.
 func (t *term) start(ctx context.Context, o scheduler.Order) {
+	t.takePlace()
+	defer t.leavePlace()
 	unanswered := false
 	var refusal batch.Refusal
 	var clock time.Duration
 	var sentAt time.Duration
 	for try := 0; ; try++ {
-		t.takePlace()
-		if (try == 0 && !t.begins(o)) || ctx.Err() != nil || !t.tenure.MayAct() {
-			t.leavePlace()
+		if ctx.Err() != nil || !t.tenure.MayAct() {
 			if unanswered {
 				t.log.Event("start_abandoned", orderFields(&o, "tries", try))
 			}
 			return
 		}
+		if !t.wanted(o, try) {
+			if unanswered {
+				break
+			}
+			return
+		}
 		sentAt = steady.Now()
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		value, err := t.Agents.Start(callCtx, &o.Instance, o.Start)
 		cancel()
-		t.leavePlace()
 		refusal = refusalOf(err)
 		clock = value
 		if err == nil {
--- a/internal/leader/sight_test.go
+++ b/internal/leader/sight_test.go
@@ -229,6 +229,33 @@
 	require.Equal(t, 2, calls, "goes on after the line")
 }
 
+// What happened: a task was started a second after its end had been acknowledged.
+// Sequence: a start has no answer; a copy of the run elsewhere is done, so that the run
+// is ordered to stop; the next try of the start is made, and carried out.
+// Cause: whether a start is still wanted was asked before its first try only.
+func TestStartThatIsNotWantedAnyMoreIsNotTriedAgain(t *testing.T) {
+	x, agent, _ := sightTerm(t)
+	x.sched.SetConfig(&batch.Config{Version: 1, Queues: []batch.Queue{{Name: "q", Pool: "p", Attempts: 3, Stretch: 2, Slack: time.Second}}})
+	now := steady.Now()
+	x.sched.SetInstances(now, []batch.Instance{{
+		ID: sightVM, Pool: "p", Address: "10.0.0.1:1", Capacity: batch.Resources{MilliCPU: 1000, MemoryMB: 100},
+	}})
+	step := batch.Step{Tasks: 1, Need: batch.Resources{MilliCPU: 100, MemoryMB: 10}, Estimate: time.Second}
+	x.sched.Submit(now, scheduler.Submission{Job: &batch.Job{ID: "j", Payload: "p", Steps: []batch.Step{step}}, Queue: "q", Pool: "p"})
+	orders := x.sched.Plan(now)
+	require.Len(t, orders, 1)
+	agent.err = errors.New("timed out")
+	calls := 0
+	agent.failed = func() {
+		calls++
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		x.sched.Cancel(steady.Now(), "j")
+	}
+	x.start(t.Context(), orders[0])
+	require.Equal(t, 1, calls)
+}
+
 // A process that doesn't lead has no figures; one that leads has them.
 func TestFiguresOfALeader(t *testing.T) {
 	x, _, _ := sightTerm(t)
--- a/internal/scheduler/stops.go
+++ b/internal/scheduler/stops.go
@@ -1,5 +1,16 @@
 package scheduler
 
+// Wanted reports whether the run of a start that was ordered is to be: it counts, and
+// was not ordered to stop.
+func (s *Scheduler) Wanted(o Order) bool {
+	v := s.vms[o.Instance.ID]
+	if v == nil {
+		return false
+	}
+	r := v.runs[o.Task]
+	return r != nil && r.number == o.Run && r.state != stopping
+}
+
 // Stopping reports whether the run of a stop that was ordered still counts, and its
 // VM has not confirmed the stop.
 func (s *Scheduler) Stopping(o Order) bool {
