Ends told again to a later leader stand apart from those that come too late

The count of ends for tasks that are done took both together; the run that counts, which the record has now, tells them apart.

--- a/internal/scheduler/figures.go
+++ b/internal/scheduler/figures.go
@@ -99,7 +99,7 @@
 const (
 	// EndOpen: its task is open.
 	EndOpen EndStanding = "open"
-	// EndAgain: this leader has taken it over before.
+	// EndAgain: this leader, or an earlier one, has taken it over before.
 	EndAgain EndStanding = "again"
 	// EndAfterDone: its task was done, or its job ended, before.
 	EndAfterDone EndStanding = "task_done"
@@ -118,11 +118,12 @@
 	if j == nil {
 		return EndUnknownJob
 	}
-	if j.state.Final() || e.Task.Occurrence < j.doneLow || j.doneOccs[e.Task.Occurrence] {
-		return EndAfterDone
-	}
 	t := s.task(e.Task)
 	switch {
+	case (t != nil && t.done && t.doneRun == e.Run) || (t == nil && j.countedRun(e.Task) == e.Run):
+		return EndAgain
+	case j.state.Final() || e.Task.Occurrence < j.doneLow || j.doneOccs[e.Task.Occurrence]:
+		return EndAfterDone
 	case t == nil:
 		return EndNotOpen
 	case t.done:
--- a/internal/scheduler/figures_test.go
+++ b/internal/scheduler/figures_test.go
@@ -59,6 +59,16 @@
 	f.hear(vm, batch.Report{Ended: []batch.RunEnd{end}})
 	require.Equal(t, EndAgain, f.s.EndStanding(vm, &end))
 
+	// The next leader is told it again, and knows from the record which run counts.
+	next := successor(t, 1)
+	next.s.Submit(next.now, Submission{
+		Job: &batch.Job{ID: "j", Steps: []batch.Step{tasks(2, 1000)}}, Queue: testQueue, Pool: "pool", Existed: true, Progress: f.write()["j"],
+	})
+	require.Equal(t, EndAgain, next.s.EndStanding(vm, &end))
+	other := end
+	other.Run--
+	require.Equal(t, EndAfterDone, next.s.EndStanding(vm, &other))
+
 	older := batch.RunEnd{Seq: 2, Task: first.Task, Run: first.Run - 1, Kind: batch.EndDone}
 	require.Equal(t, EndAfterDone, f.s.EndStanding(vm, &older))
 	older.Task.Job = "none"
--- a/internal/scheduler/leases.go
+++ b/internal/scheduler/leases.go
@@ -5,11 +5,12 @@
 	"time"
 )
 
-// The end of what runs on a VM is concluded from its lease alone, or from another
-// life of the VM that answers at its address. Its absence is no evidence: a VM that is
-// cut off together with a leader is off the store's list and unheard like one that has
-// died, and goes on running what that leader renews. Nor is another entry with its
-// address: whoever writes entries may be wrong, and a new life answers at once.
+// The end of what runs on a VM is concluded from its lease, from another life of the VM
+// that answers at its address, or from the machine service (lives.go). Its absence is no
+// evidence: a VM that is cut off together with a leader is off the store's list and
+// unheard like one that has died, and goes on running what that leader renews. Nor is
+// another entry with its address: whoever writes entries may be wrong, and a new life
+// answers at once.
 
 // leaseMargin covers rounding and scheduling of the process when a lease is
 // taken to be over.
--- a/internal/scheduler/twice_test.go
+++ b/internal/scheduler/twice_test.go
@@ -105,6 +105,10 @@
 // starts their tasks again, while the old leader may still renew their leases.
 // Cause: the end of a VM's life was concluded from its absence on the list, before
 // every lease that an earlier leader may have taken is over.
+// What settled it, from the logs of a cut that began at 8 s: the new leader's vm_unlisted
+// at 11.97 s and vm_gone, "off the list and unheard", at 15.98 s; its first run_started of
+// such a task at 16.48 s; the old leader's leader_lease_unrenewed not before 13.81 s, so
+// that its leases lasted until 22 s. 243 tasks ran twice.
 func TestLeaseOutlivesListEntry(t *testing.T) {
 	f := cutOff(t)
 	f.pass(forgetAfter-200*time.Millisecond, "vm00", oldTask, 1)
