--- a/internal/command/edge.go
+++ b/internal/command/edge.go
@@ -35,7 +35,7 @@
 			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
 			go reload(ctx, catchHangUps(), path, log)
-			return edge.New(s.Settings, s.Connect(), log).Run(ctx)
+			return edge.New(s.Settings, s.Connect(log), log).Run(ctx)
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", platform.SettingsPath(), "the platform's settings file")
