Policy: limits, weights and a switch for each mechanism in one type

Change: scheduler.Policy with fields documented by unit, load and reason, validated; DefaultPolicy holds the figures that were constants. Deployments run on it; only experiments and tests change it. No decision changes: pacing at a start is a switch that is off here.

--- a/internal/scheduler/dump.go
+++ b/internal/scheduler/dump.go
@@ -38,7 +38,7 @@
 
 // Dump returns the state in figures.
 func (s *Scheduler) Dump(now Time) Dump {
-	d := Dump{Fence: s.fence, Silent: s.Silent(), Interference: s.images.describe(), ReserveShare: s.reserve.share()}
+	d := Dump{Fence: s.fence, Silent: s.Silent(), Interference: s.images.describe(), ReserveShare: s.reserve.share(s.policy.ReserveMost)}
 	for _, j := range s.jobs {
 		if !j.state.Final() {
 			d.OpenJobs++
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -285,6 +285,9 @@
 		s.withdraw(now, r)
 	case r.state == starting:
 		r.confirm(now)
+		if s.policy.PaceAtStart && r.task.step.spec.Filler {
+			s.pace(now, v)
+		}
 	}
 }
 
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -63,7 +63,7 @@
 	}
 	x := s.figureUses(now, v)
 	full := v.total(now, &x) > nearlyFull
-	if !full {
+	if !full && s.policy.Learn {
 		s.compareSamples(now, v, &x)
 	}
 	excess, figures := 0.0, 0
@@ -79,7 +79,7 @@
 			excess += y - effect - st.base.forecast(now, siblingSpan/2)
 			figures++
 		}
-		if dy, dx, ok := st.figures.compare(now, v, y, &x, st.base.trend); ok && !full {
+		if dy, dx, ok := st.figures.compare(now, v, y, &x, st.base.trend); ok && !full && s.policy.Learn {
 			s.images.learn(st.spec.Image, &dx, dy)
 		}
 		st.figures.add(figure{at: now, vm: v, y: y, x: x, doubtful: full})
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -8,12 +8,6 @@
 )
 
 const (
-	// pressedAt is the share of its target at which a serving task's predicted
-	// tail counts as pressed: fillers beside it are slowed before it is over.
-	pressedAt = 0.88
-	// aimAt is the share that slowing aims for. The rest is for what the
-	// prediction misses: a tenth, as a standard deviation.
-	aimAt = 0.8
 	// paceEvery is the least time between two rises on a VM: a change takes
 	// effect after 0.1 s, and the figure then covers half a second more.
 	paceEvery = 700 * time.Millisecond
@@ -25,15 +19,9 @@
 	// leastEffect is the effect, as a logarithm, below which a filler is left alone:
 	// to slow it would not show.
 	leastEffect = 0.02
-	// blindAfter is how long a tail may stay over its target with nobody to
-	// blame before all fillers beside it stand still: the harm counts after
-	// about 4 s.
-	blindAfter = 1500 * time.Millisecond
 	// overAt is the share of its target from which a tail counts as over: the
 	// figure is rough.
 	overAt = 0.97
-	// moveBelow is the pace at which a filler is better off elsewhere.
-	moveBelow = 20
 	// moveProgress: a run that cannot resume is moved only below this progress,
 	// in percent: what it has done is lost.
 	moveProgress = 15
@@ -52,9 +40,9 @@
 		v.blindCap = fullPace
 	} else {
 		v.noteOver(now, v.worst())
-		v.capBlindly(now)
+		v.capBlindly(now, milliseconds(s.policy.BlindAfterMS))
 	}
-	if len(fillers) == 0 {
+	if len(fillers) == 0 || !s.policy.Pace {
 		return
 	}
 	s.solvePaces(now, v, fillers)
@@ -66,13 +54,15 @@
 
 // blind reports whether a tail has been over its target for so long that nobody
 // in particular can be blamed.
-func (v *vm) blind(now Time) bool { return v.overSince > 0 && now-v.overSince > blindAfter }
+func (v *vm) blind(now, after Time) bool {
+	return after > 0 && v.overSince > 0 && now-v.overSince > after
+}
 
 // capBlindly stops all fillers while the VM is blind, and gives them back step by
 // step afterwards.
-func (v *vm) capBlindly(now Time) {
+func (v *vm) capBlindly(now, after Time) {
 	switch {
-	case v.blind(now):
+	case v.blind(now, after):
 		v.blindCap, v.blindCapAt = 0, now
 	case v.blindCap < fullPace && now-v.blindCapAt >= paceEvery:
 		v.blindCap, v.blindCapAt = min(v.blindCap+paceUp, fullPace), now
@@ -133,11 +123,11 @@
 			fillers[k].effect = t.pair.effect(fillers[k].image, fillers[k].use)
 		}
 		slices.SortStableFunc(fillers, func(a, b pacedFiller) int { return cmp.Compare(b.effect, a.effect) })
-		limit(fillers, t.soon, math.Log(pressedAt), triggerOf)
-		limit(fillers, t.soon, math.Log(aimAt), aimOf)
+		limit(fillers, t.soon, math.Log(s.policy.PressedAt), triggerOf)
+		limit(fillers, t.soon, math.Log(s.policy.AimAt), aimOf)
 	}
 	if v.serving > 0 {
-		room := v.roomFor(now, paceLead) / v.processors()
+		room := v.roomFor(now, paceLead, s.policy.RoomLimit) / v.processors()
 		limitRoom(fillers, room+roomSlack, triggerOf)
 		limitRoom(fillers, room, aimOf)
 	}
@@ -248,7 +238,7 @@
 // again there from its checkpoint.
 func (s *Scheduler) moveAway(now Time, r *run) {
 	t := r.task
-	if r.paced >= moveBelow || now-r.orderedAt < moveAfter || t.step.spec.Gang || t.step.occ.job.state.Final() {
+	if r.paced >= s.policy.MoveBelow || now-r.orderedAt < moveAfter || t.step.spec.Gang || t.step.occ.job.state.Final() {
 		return
 	}
 	if !t.step.spec.Checkpoints && r.progress > moveProgress {
--- a/internal/scheduler/pace_test.go
+++ b/internal/scheduler/pace_test.go
@@ -153,7 +153,7 @@
 	f.submit("h", filling("heavy", 3000))
 	f.plan()
 	require.NotContains(t, f.started, "h.0.0.0")
-	f.advance(starvedAfter + time.Millisecond)
+	f.advance(milliseconds(f.s.policy.StarvedAfterMS) + time.Millisecond)
 	f.hear("vm00", batch.Report{Running: []batch.RunStatus{}})
 	f.plan()
 	require.Contains(t, f.started, "h.0.0.0")
@@ -181,7 +181,7 @@
 	f := newFixture(t, 8)
 	reserving := 0
 	for i := range f.list {
-		f.list[i].Draining = !f.s.vms[f.list[i].ID].reserves()
+		f.list[i].Draining = !f.s.vms[f.list[i].ID].reserves(f.s.policy.ReserveOn)
 		if !f.list[i].Draining {
 			reserving++
 		}
@@ -192,7 +192,7 @@
 	f.submit("s", serving("web", 9800))
 	f.plan()
 	require.NotContains(t, f.started, "s.0.0.0")
-	f.advance(reservePatience + time.Millisecond)
+	f.advance(milliseconds(f.s.policy.ReservePatienceMS) + time.Millisecond)
 	f.hearAll(nil)
 	f.plan()
 	require.Contains(t, f.started, "s.0.0.0")
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math"
 	"strings"
-	"time"
 
 	"github.com/rattanwall/rattanwall/internal/batch"
 )
@@ -21,14 +20,6 @@
 	farPenalty = 2.0
 	// rackBonus draws the tasks of one step to one rack.
 	rackBonus = 2.0
-	// purityWeight draws serving tasks of one image together; see purity.
-	purityWeight = 4.0
-	// emptyPurity rates a VM that serves nothing: worse than one of the same
-	// image, better than one of another.
-	emptyPurity = 0.6
-	// effectPenalty keeps fillers off VMs where they press on what serves, for
-	// each unit of the logarithm of a tail.
-	effectPenalty = 3.0
 	// harmless is the effect, as a logarithm, that is within the slopes' noise for
 	// a tenth of a VM's processors.
 	harmless = 0.05
@@ -37,12 +28,6 @@
 	negligible = 0.02
 )
 
-// peakLimit is the logarithm of the share of its target up to which a serving
-// task's tail may be predicted at the peak of its load for a filler to start
-// beside it: one that starts while the load is low has to stand still when it
-// rises.
-var peakLimit = math.Log(0.92)
-
 // choose returns the best VM for a task, or nil.
 func (s *Scheduler) choose(now Time, t *task) *vm {
 	var best *vm
@@ -68,19 +53,18 @@
 		if best == nil || score > bestScore {
 			best, bestScore = v, score
 		}
+		if s.policy.Placement == PlacementFirst {
+			break
+		}
 	}
 	return best
 }
 
-// starvedAfter is how long a job may have nothing running while one of its
-// fillers could run, before that one starts beside others and takes its share of
-// their processors. Without it the fillers that press on every serving image
-// wait for as long as others come that do not.
-const starvedAfter = 2 * time.Second
-
+// starves reports whether a filler's job has had nothing running for so long that it
+// starts beside others and takes its share of their processors.
 func (s *Scheduler) starves(now Time, t *task) bool {
-	st := t.step
-	return st.spec.Filler && !st.spec.Gang && st.occ.job.running == 0 && now-max(st.runnableAt, t.lastRunEnd) > starvedAfter
+	st, after := t.step, milliseconds(s.policy.StarvedAfterMS)
+	return after > 0 && st.spec.Filler && !st.spec.Gang && st.occ.job.running == 0 && now-max(st.runnableAt, t.lastRunEnd) > after
 }
 
 // leastPressed returns the VM with memory for a starving filler on which it
@@ -150,7 +134,7 @@
 		return obstacleUnheard
 	case v.inst.Draining || v.closed || v.ackLimit > 0 || v.seen-v.durable > mostUnacked:
 		return obstacleDraining
-	case !v.health.usable(now, spec):
+	case s.policy.Quarantine && !v.health.usable(now, spec):
 		return obstacleSuspected
 	case spec.MaxPerVM > 0 && t.step.perVM[v] >= spec.MaxPerVM, v.runs[t.id()] != nil:
 		return obstaclePerVM
@@ -209,9 +193,9 @@
 // minds a filler: where the images are kept apart, most fillers find VMs where
 // nobody minds them. Serving tasks do not press on each other, so that packing
 // them tightly costs their tails nothing.
-func (v *vm) purity(image string) float64 {
+func (v *vm) purity(image string, empty float64) float64 {
 	if v.serving == 0 {
-		return emptyPurity
+		return empty
 	}
 	same := int64(0)
 	for _, r := range v.runs {
@@ -228,16 +212,19 @@
 	capacity := v.processors()
 	free := float64(v.inst.Capacity.MilliCPU-v.used.MilliCPU) / capacity
 	score = free
+	if s.policy.Placement != PlacementScored {
+		return score, true
+	}
 	switch {
 	case spec.Filler:
 		score = s.spare(now, v) / capacity
 		p := s.pressure(now, v, spec.Image, spec.Need.MilliCPU)
-		if p.peak > peakLimit || p.soon > peakLimit {
+		if limit := math.Log(s.policy.PeakLimit); s.policy.PeakLimit > 0 && (p.peak > limit || p.soon > limit) {
 			return 0, false
 		}
-		score -= effectPenalty * max(0, p.effect-harmless)
+		score -= s.policy.EffectPenalty * max(0, p.effect-harmless)
 	case spec.Serves():
-		score = purityWeight*v.purity(spec.Image) - free
+		score = s.policy.PurityWeight*v.purity(spec.Image, s.policy.EmptyPurity) - free
 	}
 	if spec.DataRack != "" && v.inst.Rack() != spec.DataRack {
 		score -= farPenalty
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -53,6 +53,9 @@
 func (s *Scheduler) rank(now Time, st *step) rank {
 	o := st.occ
 	j := o.job
+	if s.policy.Order == OrderArrival {
+		return rank{group: groupOnTime, slack: o.dueAt - now}
+	}
 	if j.spec.Lasts() {
 		group := groupLasting
 		if j.started {
@@ -63,7 +66,7 @@
 	remaining := o.remaining()
 	slack := o.dueAt + j.objective - now - remaining
 	r := rank{group: groupOnTime, priority: j.priority, effort: s.effort(o), slack: slack}
-	if short(st.spec) {
+	if short(st.spec) && s.policy.ShortFirst {
 		r.group = groupShort
 	}
 	if slack < 0 {
@@ -83,6 +86,9 @@
 
 // effort is the occurrence's remaining work over its worth.
 func (s *Scheduler) effort(o *occurrence) float64 {
+	if s.policy.Order != OrderWork {
+		return 0
+	}
 	worth := fixedWorth*s.meanWork[o.job.queue] + (1-fixedWorth)*o.job.work
 	if worth <= 0 {
 		return 0
--- /dev/null
+++ b/internal/scheduler/policy_test.go
@@ -0,0 +1,37 @@
+package scheduler
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestDefaultPolicyIsValid(t *testing.T) {
+	p := DefaultPolicy()
+	require.NoError(t, p.Validate())
+}
+
+// A policy that makes no sense is refused with the field and the fix.
+func TestPoliciesThatAreRefused(t *testing.T) {
+	for field, change := range map[string]func(*Policy){
+		"order":                func(p *Policy) { p.Order = "random" },
+		"placement":            func(p *Policy) { p.Placement = "" },
+		"room_limit":           func(p *Policy) { p.RoomLimit = 1.5 },
+		"peak_limit":           func(p *Policy) { p.PeakLimit = -0.1 },
+		"move_below":           func(p *Policy) { p.MoveBelow = 101 },
+		"aim_at":               func(p *Policy) { p.AimAt = 0.95 },
+		"pressed_at":           func(p *Policy) { p.PressedAt, p.AimAt = 0, 0 },
+		"reserve_on":           func(p *Policy) { p.ReserveOn = 0 },
+		"purity_weight":        func(p *Policy) { p.PurityWeight = -1 },
+		"starved_after_ms":     func(p *Policy) { p.StarvedAfterMS = -1 },
+		"reserve_most":         func(p *Policy) { p.ReserveMost = 2 },
+		"blind_after_ms":       func(p *Policy) { p.BlindAfterMS = -5 },
+		"effect_penalty":       func(p *Policy) { p.EffectPenalty = -2 },
+		"reserve_patience_ms":  func(p *Policy) { p.ReservePatienceMS = -1 },
+		"pressed_at, aim_at: ": func(p *Policy) { p.AimAt = 0 },
+	} {
+		p := DefaultPolicy()
+		change(&p)
+		require.ErrorContains(t, p.Validate(), field)
+	}
+}
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -19,8 +19,6 @@
 const (
 	// reserveStart is the share kept before anything is known.
 	reserveStart = 0.05
-	// reserveMost bounds the share: lasting work is not to be crowded out.
-	reserveMost = 0.12
 	// reservePeak is the ratio of the kept share to the mean use: arrivals come
 	// in bursts.
 	reservePeak = 1.0
@@ -53,11 +51,9 @@
 	r.at = now
 }
 
-// reserveOn: one VM in so many keeps the reserve of all of them.
-const reserveOn = 3
-
-// share is the part of all processors that lasting tasks leave free.
-func (r *reserve) share() float64 { return min(reservePeak*r.use, reserveMost) }
+// share is the part of all processors that lasting tasks leave free, at most so much:
+// lasting work is not to be crowded out.
+func (r *reserve) share(most float64) float64 { return min(reservePeak*r.use, most) }
 
 // followShort measures what short tasks use and wait for.
 func (s *Scheduler) followShort(now Time) {
@@ -78,20 +74,16 @@
 	}
 }
 
-// reservePatience is how long a lasting task that never ran leaves the reserve to
-// others. One that did run does not: when a VM dies, what it ran has to be at
-// work again within nine seconds, and its lease takes eight of them.
-const reservePatience = 4 * time.Second
-
 // reserves reports whether the VM is one that keeps a reserve.
-func (v *vm) reserves() bool { return xxhash.Sum64String(v.inst.ID)%reserveOn == 0 }
+func (v *vm) reserves(on int) bool { return xxhash.Sum64String(v.inst.ID)%uint64(on) == 0 }
 
 // keeps reports whether a lasting task leaves the VM's reserve free, or need not
-// because it ran before or has waited for long.
+// because it ran before or has waited for long: when a VM dies, what it ran has to be
+// at work again within nine seconds, and its lease takes eight of them.
 func (s *Scheduler) keeps(now Time, v *vm, t *task, free batch.Resources) bool {
-	if t.lastRunEnd > 0 || now-t.step.runnableAt > reservePatience || !v.reserves() {
+	if t.lastRunEnd > 0 || now-t.step.runnableAt > milliseconds(s.policy.ReservePatienceMS) || !v.reserves(s.policy.ReserveOn) {
 		return true
 	}
 	left := float64(free.MilliCPU - t.step.spec.Need.MilliCPU)
-	return left >= reserveOn*s.reserve.share()*float64(v.inst.Capacity.MilliCPU)
+	return left >= float64(s.policy.ReserveOn)*s.reserve.share(s.policy.ReserveMost)*float64(v.inst.Capacity.MilliCPU)
 }
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -21,6 +21,8 @@
 	// UnavailableFor is how long a lasting task counts as unavailable after a
 	// notice; it limits how fast lasting tasks may be moved.
 	UnavailableFor time.Duration
+	// Policy is how the scheduler decides; nil is DefaultPolicy.
+	Policy *Policy
 }
 
 // longestLease is the lease taken where the VMs grant a longer one. It outlives a
@@ -281,6 +283,7 @@
 // Scheduler is the leader's state.
 type Scheduler struct {
 	settings Settings
+	policy   Policy
 	fence    int64
 	// nextRun numbers runs. The fencing token is in the upper bits, so that run
 	// numbers rise over all leaders without being stored.
@@ -334,8 +337,12 @@
 	if log == nil {
 		log = func(Decision) {}
 	}
+	policy := DefaultPolicy()
+	if settings.Policy != nil {
+		policy = *settings.Policy
+	}
 	return &Scheduler{
-		settings: settings, fence: fence, nextRun: fence << runBits, vms: map[string]*vm{}, jobs: map[string]*job{},
+		settings: settings, policy: policy, fence: fence, nextRun: fence << runBits, vms: map[string]*vm{}, jobs: map[string]*job{},
 		timed: map[string]*job{}, dirty: map[string]*job{}, waves: map[int64]*wave{}, silent: map[string]Time{}, lapsed: map[string]int64{}, untoldSince: map[string]Time{}, absent: map[string]Time{}, images: newImages(), meanWork: map[string]float64{}, logf: log,
 	}
 }
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -91,6 +91,9 @@
 // rescue looks for runs on a VM that stand still or crawl, and gives their tasks
 // another place.
 func (s *Scheduler) rescue(now Time, v *vm) {
+	if !s.policy.Rescue {
+		return
+	}
 	watched, crawling := 0, 0
 	for _, r := range v.runs {
 		spec := r.task.step.spec
@@ -160,7 +163,7 @@
 
 // copyUnheard starts copies of what a VM runs that has not been heard of late.
 func (s *Scheduler) copyUnheard(now Time, v *vm) {
-	if now-v.heardAt <= v.wait+copySlack {
+	if !s.policy.Copies || now-v.heardAt <= v.wait+copySlack {
 		return
 	}
 	for _, r := range v.runs {
--- a/internal/scheduler/tails.go
+++ b/internal/scheduler/tails.go
@@ -36,17 +36,13 @@
 	return max(b.forecast(now, baselineAge), b.forecast(now, baselineAge+paceLead))
 }
 
-const (
-	// roomLimit is the share of a VM's processors that may be in use.
-	roomLimit = 0.93
-	// roomLead is how far ahead a filler that starts has to have room.
-	roomLead = 1500 * time.Millisecond
-)
+// roomLead is how far ahead a filler that starts has to have room.
+const roomLead = 1500 * time.Millisecond
 
 // roomFor is what fillers may use of the VM now and after some time, in
-// thousandths of a processor.
-func (v *vm) roomFor(now Time, ahead time.Duration) float64 {
-	rest := roomLimit*v.processors() - float64(v.used.MilliCPU-v.servingCPU)
+// thousandths of a processor, where limit is the share of all that may be in use.
+func (v *vm) roomFor(now Time, ahead time.Duration, limit float64) float64 {
+	rest := limit*v.processors() - float64(v.used.MilliCPU-v.servingCPU)
 	return rest - max(v.servingUse(now, 0), v.servingUse(now, ahead))
 }
 
@@ -59,7 +55,7 @@
 		return v.tails
 	}
 	v.tails = v.tails[:0]
-	v.room = v.roomFor(now, roomLead)
+	v.room = v.roomFor(now, roomLead, s.policy.RoomLimit)
 	v.fillersUse = 0
 	for _, r := range v.runs {
 		st := r.task.step
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -192,7 +192,7 @@
 	if v.heard && now > v.leaseOver {
 		s.lapse(now, v)
 	}
-	if v.inst.Draining && v.listed {
+	if v.inst.Draining && v.listed && s.policy.Evacuate {
 		s.emptyDraining(now, v)
 	}
 	if !v.listed && len(v.runs) == 0 && now-v.unlistedAt > forgetAfter && now > v.leaseOver && !s.awaited(id) {
