--- a/internal/scheduler/pace_test.go
+++ b/internal/scheduler/pace_test.go
@@ -64,6 +64,26 @@
 	require.Less(t, f.now-began, 3*time.Second)
 }
 
+// Symptom: a serving task is over its target for half a second each time that a filler
+// which presses on it starts beside it.
+// Sequence: the VM reports; the filler starts just after; the next report comes 0.6 s on.
+// Cause: paces were worked out with reports only, and runs start at full pace.
+func TestFillerIsSlowedAsSoonAsItHasStarted(t *testing.T) {
+	f, serves, fills := beside(t)
+	f.s.images.pair("web").slope[f.s.images.number("crunch")] = 5
+	f.advance(2 * time.Second)
+	f.hear("vm00", figures(serves, fills, 60, 1000))
+	f.plan()
+	f.s.policy.PeakLimit = 0
+	f.submit("g", filling("crunch", 4000))
+	f.plan()
+	f.paces = nil
+	f.advance(5 * time.Millisecond)
+	f.confirm(f.last("g.0.0.0"))
+	f.plan()
+	require.NotEmpty(t, f.paces, "it works at full pace until the next report")
+}
+
 // A filler that is known to press is slowed before the target is reached, by as
 // much as the tail needs, and gets its pace back when the tail allows.
 func TestPressingFillerIsSlowedAndGivenBack(t *testing.T) {
