A store that resets connections shuts the door after one doubt; a probe opens it

Change: two calls in a row that are broken off count as silence; a question of our own, each 0.2 s, finds the return; a job in doubt is tried again for 0.56 s; a caller that was refused may come back after 1 s, since mostly another process is answered. Tests, failing before: TestResetsShutTheDoorAfterOneCaller, TestReturnOfTheStoreIsFoundByAProbe, TestDoubtIsSettledWhenTheStoreIsBackSoon.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,10 +24,14 @@
 	// milliseconds; slow spells of it last for seconds.
 	// A store that is sixty times slower than usual still answers in time.
 	commitTimeout = 500 * time.Millisecond
-	// storeTries is how often a write is tried whose outcome is unknown. The
-	// second try finds what the first has done; a process that gets no answer to
-	// either is cut off, and the caller is better served elsewhere.
+	// storeTries is how often a write is tried whose outcome is unknown, and settleFor
+	// how long it is tried again beyond that: where connections are reset a try takes
+	// milliseconds. A later try finds what the first has done; a process that gets no
+	// answer to any is cut off, and the caller is better served elsewhere.
 	storeTries = 2
+	settleFor  = commitTimeout + retryPause
+	// probeEvery is the wait between questions to a store that is taken to be away.
+	probeEvery = 200 * time.Millisecond
 	// leaderTimeout bounds a question to the leader, after which the store is asked.
 	leaderTimeout = 500 * time.Millisecond
 	// readTimeout bounds one reading of a job's records.
@@ -74,8 +79,9 @@
 	// Observe is told of each answer, for the metrics; may be nil.
 	Observe func(operation string, took time.Duration, err error)
 
-	// reach is that of the store.
-	reach Reach
+	// reach is that of the store; probing is set while probe runs.
+	reach   Reach
+	probing atomic.Bool
 }
 
 // storeSilent is how long the store may leave this process without an answer
@@ -91,14 +97,43 @@
 func (e *Entry) create(ctx context.Context, key string, value []byte) error {
 	sentAt := steady.Now()
 	err := Create(ctx, e.Store, key, value)
-	if err == nil {
+	switch {
+	case err == nil:
 		e.reach.Answered()
-	} else {
+	case errors.Is(err, durable.ErrUnknown) && ctx.Err() == nil:
+		e.reach.Broken(sentAt)
+	default:
 		e.reach.Unanswered(sentAt)
 	}
+	if !e.StoreAnswers() {
+		e.probe()
+	}
 	return err
 }
 
+// probe asks the store until it answers, one question at a time: a store that is back
+// is found by that, not by the next caller's job.
+func (e *Entry) probe() {
+	if !e.probing.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer e.probing.Store(false)
+		for !e.StoreAnswers() {
+			time.Sleep(probeEvery)
+			ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
+			_, err := e.Store.Get(ctx, leader.JobKey(probedJob))
+			cancel()
+			if err == nil {
+				e.reach.Answered()
+			}
+		}
+	}()
+}
+
+// probedJob is one that no caller can name.
+const probedJob = "probe"
+
 // Config returns the configuration in force, or nil.
 func (e *Entry) Config() *batch.Config { return e.InForce() }
 
@@ -155,6 +190,7 @@
 // caller's next try reaches another one.
 func (e *Entry) store(ctx context.Context, id string, record []byte) error {
 	unknown := false
+	began := steady.Now()
 	for try := 1; ; try++ {
 		err := e.storeOnce(ctx, id, record, unknown)
 		switch {
@@ -163,9 +199,9 @@
 		case errors.Is(err, durable.ErrUnknown):
 			unknown = true
 		case !unknown:
-			return errkind.New(errkind.StoreUnavailable, "not accepted", err)
+			return elsewhere("not accepted", err)
 		}
-		if deadline, ok := ctx.Deadline(); try >= storeTries || (ok && time.Until(deadline) < answerMargin+retryPause) {
+		if deadline, ok := ctx.Deadline(); (try >= storeTries && steady.Now()-began >= settleFor) || (ok && time.Until(deadline) < answerMargin+retryPause) {
 			return errkind.New(errkind.StoreUnknown, "it is not known whether the job was accepted", err)
 		}
 		if pause.For(ctx, retryPause); ctx.Err() != nil {
@@ -174,6 +210,17 @@
 	}
 }
 
+// tryElsewhere is when a caller that was refused for want of the store may come back.
+// Mostly it is this process alone that the store does not answer, and the balancer
+// sends the caller to another one; each second of waiting makes a quick job late.
+const tryElsewhere = time.Second
+
+func elsewhere(message string, cause error) error {
+	err := errkind.New(errkind.StoreUnavailable, message, cause)
+	err.RetryAfter = tryElsewhere
+	return err
+}
+
 // errStoreSilent: the store has not answered this process for a while; it was not asked.
 var errStoreSilent = errors.Mark(errors.New("the store does not answer this process"), durable.ErrRefused)
 
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,18 +24,26 @@
 	durable.Store
 	commits int
 	// silent leaves commits without an answer.
-	silent bool
+	silent atomic.Bool
 	// loseNext does one commit and loses its answer.
 	loseNext bool
-	keys     map[string]bool
+	// resets breaks each connection at once; gets counts the readings.
+	resets bool
+	gets   atomic.Int64
+	// back ends resets.
+	back atomic.Bool
+	keys map[string]bool
 }
 
 func (s *fakeStore) Commit(ctx context.Context, txn durable.Txn) (int64, error) {
 	s.commits++
-	if s.silent {
+	if s.silent.Load() {
 		<-ctx.Done()
 		return 0, errors.Mark(ctx.Err(), durable.ErrUnknown)
 	}
+	if s.resets && !s.back.Load() {
+		return 0, errReset
+	}
 	key := txn.Writes[0].Key
 	if s.keys[key] {
 		return 0, &durable.ConflictError{}
@@ -48,6 +57,20 @@
 	return 1, nil
 }
 
+var errReset = errors.Mark(errors.New("connection reset"), durable.ErrUnknown)
+
+func (s *fakeStore) Get(ctx context.Context, _ string) (*durable.Item, error) {
+	s.gets.Add(1)
+	if s.silent.Load() {
+		<-ctx.Done()
+		return nil, errors.Mark(ctx.Err(), durable.ErrUnknown)
+	}
+	if s.resets && !s.back.Load() {
+		return nil, errReset
+	}
+	return nil, nil
+}
+
 // noPeers is a leader that can't be reached.
 type noPeers struct{ Peers }
 
@@ -60,14 +83,15 @@
 	*Entry
 	store *fakeStore
 	// heardAt is when the watch last heard.
-	heardAt time.Duration
+	heardAt atomic.Int64
 	n       int
 }
 
 func newEntryFixture() *entryFixture {
-	f := &entryFixture{store: &fakeStore{keys: map[string]bool{}}, heardAt: steady.Now()}
+	f := &entryFixture{store: &fakeStore{keys: map[string]bool{}}}
+	f.heardAt.Store(int64(steady.Now()))
 	f.Entry = &Entry{
-		Store: f.store, Peers: noPeers{}, StoreHeardAt: func() time.Duration { return f.heardAt },
+		Store: f.store, Peers: noPeers{}, StoreHeardAt: func() time.Duration { return time.Duration(f.heardAt.Load()) },
 		LeaderAnswers: func() bool { return false }, WallMS: func() int64 { return 0 }, Log: eventlog.New(io.Discard, logrus.ErrorLevel),
 	}
 	return f
@@ -85,7 +109,7 @@
 // Cause: only the watch, which hears once a second, told that the store is away.
 func TestSubmissionsAreRefusedAtOnceAfterOneWentUnanswered(t *testing.T) {
 	f := newEntryFixture()
-	f.store.silent = true
+	f.store.silent.Store(true)
 	require.True(t, errkind.Is(f.submit(t.Context()), errkind.StoreUnknown))
 	sent := f.store.commits
 	began := time.Now()
@@ -93,15 +117,15 @@
 	require.Less(t, time.Since(began), 100*time.Millisecond)
 	require.Equal(t, sent, f.store.commits, "told that it was not accepted, and was sent")
 	// The watch hears again.
-	f.store.silent = false
-	f.heardAt = steady.Now()
+	f.store.silent.Store(false)
+	f.heardAt.Store(int64(steady.Now()))
 	require.NoError(t, f.submit(t.Context()))
 }
 
 // A cancellation is refused at once, too, where it can't be stored.
 func TestCancellationIsRefusedAtOnceWithoutStoreAndLeader(t *testing.T) {
 	f := newEntryFixture()
-	f.heardAt = 0
+	f.heardAt.Store(0)
 	began := time.Now()
 	err := f.Cancel(t.Context(), &batch.Queue{Name: "q"}, "0000000000000001")
 	require.True(t, errkind.Is(err, errkind.StoreUnavailable))
@@ -119,10 +143,43 @@
 // A caller that leaves before the answer says nothing of the store.
 func TestCallerThatLeavesIsNoEvidence(t *testing.T) {
 	f := newEntryFixture()
-	f.store.silent = true
+	f.store.silent.Store(true)
 	ctx, cancel := context.WithTimeout(t.Context(), 150*time.Millisecond)
 	defer cancel()
 	require.Error(t, f.submit(ctx))
-	f.store.silent = false
+	f.store.silent.Store(false)
+	require.NoError(t, f.submit(t.Context()))
+}
+
+// Symptom: while the store resets every connection, each caller's job is sent into the
+// outage and ends as "not known": 150 in four seconds, none of which may come back.
+// Sequence: the store resets connections within milliseconds; jobs keep coming.
+// Cause: only a call that waited for 0.3 s told anything of the store.
+func TestResetsShutTheDoorAfterOneCaller(t *testing.T) {
+	f := newEntryFixture()
+	f.store.resets = true
+	require.True(t, errkind.Is(f.submit(t.Context()), errkind.StoreUnknown))
+	sent := f.store.commits
+	require.True(t, errkind.Is(f.submit(t.Context()), errkind.StoreUnavailable))
+	require.Equal(t, sent, f.store.commits, "told that it was not accepted, and was sent")
+}
+
+// A store that is back is found by a question of our own, not by a caller's job.
+func TestReturnOfTheStoreIsFoundByAProbe(t *testing.T) {
+	f := newEntryFixture()
+	f.store.resets = true
+	require.True(t, errkind.Is(f.submit(t.Context()), errkind.StoreUnknown))
+	require.Eventually(t, func() bool { return f.store.gets.Load() > 0 }, 2*time.Second, 10*time.Millisecond)
+	f.store.back.Store(true)
+	require.Eventually(t, f.StoreAnswers, 2*time.Second, 10*time.Millisecond)
+	require.NoError(t, f.submit(t.Context()))
+}
+
+// A job in doubt is settled where the store is back soon: the caller of one that is
+// not can't come back with it.
+func TestDoubtIsSettledWhenTheStoreIsBackSoon(t *testing.T) {
+	f := newEntryFixture()
+	f.store.resets = true
+	time.AfterFunc(600*time.Millisecond, func() { f.store.back.Store(true) })
 	require.NoError(t, f.submit(t.Context()))
 }
