Equal inputs give equal plans: a VM's runs are gone through in their order

Paces, tails and what is learned were worked out in the order of a map, so that sums and ties fell out differently each time, and nothing could be replayed. Change: a VM holds its runs in the order they were taken on, replaced where one goes; what is due by time is done in the order of the VMs.

--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -159,6 +159,7 @@
 func (s *Scheduler) hold(r *run) {
 	v, spec := r.vm, r.task.step.spec
 	v.runs[r.task.id()] = r
+	v.ordered = append(v.ordered, r)
 	v.health.started(r)
 	v.tailsStale = true
 	v.occupy(spec)
@@ -190,6 +191,7 @@
 	v, t := r.vm, r.task
 	spec := t.step.spec
 	delete(v.runs, t.id())
+	v.ordered = slices.DeleteFunc(slices.Clone(v.ordered), func(o *run) bool { return o == r })
 	v.tailsStale = true
 	if spec.Filler {
 		s.noteEndedFiller(now, r)
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -52,7 +52,7 @@
 			l.saturated++
 		}
 	}
-	for _, r := range v.runs {
+	for _, r := range v.ordered {
 		if !r.task.step.spec.Serves() || !r.hasUsage {
 			continue
 		}
@@ -66,7 +66,7 @@
 // measuredFillers sums what the VM's fillers would use at their pace and what they were
 // seen to use, over those that have told a figure.
 func (v *vm) measuredFillers() (ask, use float64) {
-	for _, r := range v.runs {
+	for _, r := range v.ordered {
 		spec := r.task.step.spec
 		if !spec.Filler || !r.hasUsage || r.state != running {
 			continue
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -41,7 +41,7 @@
 // figureUses are the fillers' uses that the VM's figures of now show.
 func (s *Scheduler) figureUses(now Time, v *vm) uses {
 	var x uses
-	for _, r := range v.runs {
+	for _, r := range v.ordered {
 		spec := r.task.step.spec
 		if spec.Filler && r.hasUsage {
 			x[s.images.number(spec.Image)] += r.usage / v.processors()
@@ -67,7 +67,7 @@
 		s.compareSamples(now, v, &x)
 	}
 	excess, figures := 0.0, 0
-	for _, r := range v.runs {
+	for _, r := range v.ordered {
 		st := r.task.step
 		if !st.spec.Serves() || !r.atWork() {
 			continue
@@ -107,7 +107,7 @@
 // in thousandths of a processor.
 func (v *vm) servingUse(now Time, ahead time.Duration) float64 {
 	sum := 0.0
-	for _, r := range v.runs {
+	for _, r := range v.ordered {
 		if st := r.task.step; st.spec.Serves() {
 			sum += st.base.use(now, ahead+baselineAge) * float64(st.spec.Need.MilliCPU)
 		}
@@ -133,7 +133,7 @@
 		return
 	}
 	next := sample{at: now, use: *x, tails: make(map[*run]float64, v.serving)}
-	for _, r := range v.runs {
+	for _, r := range v.ordered {
 		st := r.task.step
 		if st.spec.Serves() && r.atWork() && st.siblingsElsewhere(v) < leastSiblings {
 			next.tails[r] = r.usage
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -72,7 +72,7 @@
 // worst is the serving run nearest to its target, or nil.
 func (v *vm) worst() *run {
 	var worst *run
-	for _, r := range v.runs {
+	for _, r := range v.ordered {
 		if r.task.step.spec.Serves() && r.hasUsage && r.state == running && (worst == nil || r.ratio() > worst.ratio()) {
 			worst = r
 		}
@@ -102,7 +102,7 @@
 // pacedFillers are the VM's running fillers, in a fixed order.
 func (s *Scheduler) pacedFillers(v *vm) []pacedFiller {
 	var list []pacedFiller
-	for _, r := range v.runs {
+	for _, r := range v.ordered {
 		spec := r.task.step.spec
 		if spec.Filler && r.state == running {
 			// What it would use at full pace: the figure lags behind the pace.
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -198,7 +198,7 @@
 		return empty
 	}
 	same := int64(0)
-	for _, r := range v.runs {
+	for _, r := range v.ordered {
 		if spec := r.task.step.spec; spec.Serves() && spec.Image == image {
 			same += spec.Need.MilliCPU
 		}
--- a/internal/scheduler/reports.go
+++ b/internal/scheduler/reports.go
@@ -38,7 +38,7 @@
 			listed[r] = true
 		}
 	}
-	for _, r := range v.runs {
+	for _, r := range v.ordered {
 		if !listed[r] && !rep.MoreEnded {
 			s.missing(now, sentAt, r)
 		}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -204,6 +204,10 @@
 	heardAt Time
 	clock   clock
 	runs    map[batch.TaskID]*run
+	// ordered holds runs in the order in which they were taken on: what is decided for
+	// one after the other must not follow the order of a map, or equal inputs would give
+	// other plans. It is replaced, not changed, when a run goes, so that loops may end runs.
+	ordered []*run
 	used    batch.Resources
 	// fillerCPU is what the fillers here would like to use, in thousandths of a processor.
 	fillerCPU int64
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -95,7 +95,7 @@
 		return
 	}
 	watched, crawling := 0, 0
-	for _, r := range v.runs {
+	for _, r := range v.ordered {
 		spec := r.task.step.spec
 		if spec.Lasting || spec.Gang || !r.unhindered() || r.progressAt == 0 {
 			continue
@@ -166,7 +166,7 @@
 	if !s.policy.Copies || now-v.heardAt <= v.wait+copySlack {
 		return
 	}
-	for _, r := range v.runs {
+	for _, r := range v.ordered {
 		if r.task.step.spec.Speculative {
 			s.startCopy(now, r.task, "VM unheard")
 		}
--- a/internal/scheduler/tails.go
+++ b/internal/scheduler/tails.go
@@ -57,13 +57,13 @@
 	v.tails = v.tails[:0]
 	v.room = v.roomFor(now, roomLead, s.policy.RoomLimit)
 	v.fillersUse = 0
-	for _, r := range v.runs {
+	for _, r := range v.ordered {
 		st := r.task.step
 		if st.spec.Serves() {
 			v.addTail(s.images.pair(st.spec.Image), st.spec.Image, st.base.peak(now), st.base.soon(now)+v.held())
 		}
 	}
-	for _, r := range v.runs {
+	for _, r := range v.ordered {
 		spec := r.task.step.spec
 		if !spec.Filler {
 			continue
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -135,7 +136,7 @@
 // dropRuns counts everything on v as ended, without blame for the tasks.
 func (s *Scheduler) dropRuns(now Time, v *vm, reason string) {
 	s.clearUnwanted(v)
-	for _, r := range v.runs {
+	for _, r := range v.ordered {
 		s.logf(Decision{Event: EventRunLost, Task: r.task.id(), VM: v.inst.ID, Run: r.number, Reason: reason, Age: now - r.orderedAt, Unheard: now - v.heardAt, LeaseLeft: v.leaseOver - now})
 		s.lose(now, r)
 	}
@@ -171,8 +172,8 @@
 	s.logInterference(now)
 	s.waitOutSilent(now)
 	s.forgetAbsent(now)
-	for id, v := range s.vms {
-		s.tendVM(now, id, v)
+	for _, v := range slices.Clone(s.order) {
+		s.tendVM(now, v.inst.ID, v)
 	}
 }
 
@@ -208,7 +209,7 @@
 // time: each is away for its stop and its startup only, not until the VM is known
 // to have left.
 func (s *Scheduler) emptyDraining(now Time, v *vm) {
-	for _, r := range v.runs {
+	for _, r := range v.ordered {
 		if r.task.step.spec.Lasting {
 			s.moveLasting(now, r)
 		}
--- a/internal/scheduler/waves.go
+++ b/internal/scheduler/waves.go
@@ -225,7 +225,7 @@
 	v.closed = true
 	late := now-since > w.emptyFor()
 	lasting := 0
-	for _, r := range v.runs {
+	for _, r := range v.ordered {
 		if r.task.step.spec.Lasting {
 			lasting++
 			s.moveLasting(now, r)
