rattanwall experiment: policies compared on a modelled fleet in virtual time

The production scheduler against arrivals, loads in swings, interference it is not told, rough figures, faults of VMs and take-overs; policies on the same seeds with medians, quartiles and 95 % intervals; baselines, a variant that knows all, one where nobody presses, each mechanism off in turn; plots. Scenario files are checked whole: every fault with line, field and fix; settings.Read serves them and the settings, lists included.

--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -65,7 +65,7 @@
 	root.SetOut(os.Stdout)
 	root.SetErr(os.Stderr)
 	root.AddCommand(newNode(), newEdge(), newDev(), newStandin(), newSettings(), newCapacity())
-	root.AddCommand(newConfig(), newService(), newWatch(), newJob(), newTeam(), newVM(), newStatus(), newDump(), newTrace())
+	root.AddCommand(newConfig(), newService(), newWatch(), newJob(), newTeam(), newVM(), newStatus(), newDump(), newTrace(), newExperiment())
 	refuseUnknownVerbs(root)
 	return root
 }
--- /dev/null
+++ b/internal/experiment/compare.go
@@ -0,0 +1,174 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"slices"
+	"sync"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// Report is a comparison of variants over the same seeds.
+type Report struct {
+	Scenario string   `json:"scenario"`
+	Seeds    int      `json:"seeds"`
+	First    uint64   `json:"first_seed"`
+	Variants []Result `json:"variants"`
+}
+
+// Result is what a variant came to over all seeds.
+type Result struct {
+	Name string `json:"name"`
+	// Median, Low and High are those of Service, Low and High its quartiles.
+	Median float64 `json:"median"`
+	Low    float64 `json:"lower_quartile"`
+	High   float64 `json:"upper_quartile"`
+	// Difference is the mean of the differences to the first variant, seed by seed;
+	// Margin half of its 95 % confidence interval.
+	Difference float64 `json:"difference"`
+	Margin     float64 `json:"margin"`
+	// Means has the means of the other figures.
+	Means    Outcome   `json:"means"`
+	Outcomes []Outcome `json:"outcomes"`
+}
+
+// Clear reports whether the difference is beyond what chance gives.
+func (r *Result) Clear() bool { return math.Abs(r.Difference) > r.Margin }
+
+// Options say what to compare.
+type Options struct {
+	Variants []Variant
+	Seeds    int
+	First    uint64
+	// Workers is how many plays run at a time.
+	Workers int
+	// Progress is told how many plays of how many are done; may be nil. Calls do not
+	// overlap.
+	Progress func(done, all int)
+}
+
+// Compare plays all variants on the same seeds.
+func Compare(ctx context.Context, s *Scenario, o Options) (Report, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	outcomes := make([][]Outcome, len(o.Variants))
+	type play struct{ variant, seed int }
+	plays := make(chan play)
+	var group sync.WaitGroup
+	var lock sync.Mutex
+	var failed error
+	done, all := 0, len(o.Variants)*o.Seeds
+	for range max(o.Workers, 1) {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			for p := range plays {
+				out, err := Play(ctx, s, &o.Variants[p.variant], o.First+uint64(p.seed))
+				lock.Lock()
+				if err != nil && failed == nil {
+					failed = err
+					cancel()
+				}
+				outcomes[p.variant][p.seed] = out
+				done++
+				if o.Progress != nil && err == nil {
+					o.Progress(done, all)
+				}
+				lock.Unlock()
+			}
+		}()
+	}
+	for v := range o.Variants {
+		outcomes[v] = make([]Outcome, o.Seeds)
+	}
+	for seed := range o.Seeds {
+		for v := range o.Variants {
+			plays <- play{v, seed}
+		}
+	}
+	close(plays)
+	group.Wait()
+	if o.Workers > 1 {
+		forgetAllocations(outcomes)
+	}
+	if failed != nil {
+		return Report{}, fmt.Errorf("experiment %s: %w", s.Name, failed)
+	}
+	r := Report{Scenario: s.Name, Seeds: o.Seeds, First: o.First}
+	for v := range o.Variants {
+		r.Variants = append(r.Variants, summarise(o.Variants[v].Name, outcomes[v], outcomes[0]))
+	}
+	return r, nil
+}
+
+// forgetAllocations drops figures that count other plays' allocations as well.
+func forgetAllocations(outcomes [][]Outcome) {
+	for v := range outcomes {
+		for i := range outcomes[v] {
+			outcomes[v][i].AllocsPerDecision = 0
+		}
+	}
+}
+
+func summarise(name string, outcomes, first []Outcome) Result {
+	r := Result{Name: name, Outcomes: outcomes}
+	service := figures(outcomes, func(o *Outcome) float64 { return o.Service })
+	differences := make([]float64, len(service))
+	for i := range service {
+		differences[i] = service[i] - first[i].Service
+	}
+	r.Difference, r.Margin = meanAndMargin(differences)
+	slices.Sort(service)
+	r.Low = stat.Quantile(0.25, stat.Empirical, service, nil)
+	r.Median = stat.Quantile(0.5, stat.Empirical, service, nil)
+	r.High = stat.Quantile(0.75, stat.Empirical, service, nil)
+	r.Means = means(outcomes)
+	return r
+}
+
+// confidence is that of the interval of a difference.
+const confidence = 0.95
+
+// meanAndMargin returns a mean and half the width of its confidence interval; the
+// margin of fewer than two figures is infinite in truth, and 0 here.
+func meanAndMargin(x []float64) (mean, margin float64) {
+	if len(x) < 2 {
+		return stat.Mean(x, nil), 0
+	}
+	mean, deviation := stat.MeanStdDev(x, nil)
+	t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: float64(len(x) - 1)}.Quantile((1 + confidence) / 2)
+	return mean, t * deviation / math.Sqrt(float64(len(x)))
+}
+
+func figures(outcomes []Outcome, of func(*Outcome) float64) []float64 {
+	list := make([]float64, len(outcomes))
+	for i := range outcomes {
+		list[i] = of(&outcomes[i])
+	}
+	return list
+}
+
+func means(outcomes []Outcome) Outcome {
+	mean := func(of func(*Outcome) float64) float64 { return stat.Mean(figures(outcomes, of), nil) }
+	m := Outcome{
+		Service: mean(func(o *Outcome) float64 { return o.Service }), Kinds: map[string]float64{},
+		Largest: mean(func(o *Outcome) float64 { return o.Largest }), Smallest: mean(func(o *Outcome) float64 { return o.Smallest }),
+		HarmS: mean(func(o *Outcome) float64 { return o.HarmS }), Used: mean(func(o *Outcome) float64 { return o.Used }),
+		WastedS:    mean(func(o *Outcome) float64 { return o.WastedS }),
+		PaceOrders: int(mean(func(o *Outcome) float64 { return float64(o.PaceOrders) })), Starts: int(mean(func(o *Outcome) float64 { return float64(o.Starts) })),
+		NsPerDecision:     mean(func(o *Outcome) float64 { return o.NsPerDecision }),
+		AllocsPerDecision: mean(func(o *Outcome) float64 { return o.AllocsPerDecision }),
+	}
+	for _, k := range kindNames {
+		m.Kinds[k] = mean(func(o *Outcome) float64 { return o.Kinds[k] })
+	}
+	// Of the longest spells the longest of all seeds counts, not their mean.
+	for i := range outcomes {
+		m.LongestHarmS = max(m.LongestHarmS, outcomes[i].LongestHarmS)
+		m.LongestWaitS = max(m.LongestWaitS, outcomes[i].LongestWaitS)
+	}
+	return m
+}
--- /dev/null
+++ b/internal/experiment/play.go
@@ -0,0 +1,453 @@
+package experiment
+
+import (
+	"cmp"
+	"context"
+	"runtime"
+	"slices"
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+	"github.com/rattanwall/rattanwall/internal/scheduler"
+)
+
+const (
+	// playStep is the resolution of virtual time.
+	playStep = 20 * time.Millisecond
+	// account is the span by which lasting work is rated.
+	account = 2 * time.Second
+	// harmFactor is how many times more a tail over its target costs than a task that
+	// is away, where what fills beside it is the cause.
+	harmFactor = 4.0
+	// lateFactor times its objective a job still earns lateShare.
+	lateFactor = 3.0
+	lateShare  = 0.15
+	// leaseOver is how long after it was lost a VM counts as ended by its lease.
+	leaseOver = 9 * time.Second
+)
+
+// Outcome is what one play of a scenario came to.
+type Outcome struct {
+	Seed uint64 `json:"seed"`
+	// Service is the worth earned over the worth asked for, 0 to 1.
+	Service float64 `json:"service"`
+	// Kinds has the same by kind of work.
+	Kinds map[string]float64 `json:"kinds"`
+	// Largest and Smallest are those of the largest tenth and the smaller half of the
+	// filler jobs.
+	Largest  float64 `json:"largest_fillers"`
+	Smallest float64 `json:"smaller_fillers"`
+	// HarmS is the time that serving tasks were over their target because of fillers, in
+	// task seconds.
+	HarmS float64 `json:"harm_task_s"`
+	// LongestHarmS is the longest that one task was so on end.
+	LongestHarmS float64 `json:"longest_harm_s"`
+	// LongestWaitS is the longest wait of a short job's first task.
+	LongestWaitS float64 `json:"longest_short_wait_s"`
+	// Used is the share of all processors in use during the load.
+	Used float64 `json:"used"`
+	// WastedS is work that was not kept, in processor seconds.
+	WastedS float64 `json:"wasted_s"`
+	// PaceOrders and Starts count orders.
+	PaceOrders int `json:"pace_orders"`
+	Starts     int `json:"starts"`
+	// NsPerDecision and AllocsPerDecision are the processor time and allocations of the
+	// scheduler for each start, all its calls counted; allocations, those of the model
+	// included, are told where one play runs at a time.
+	NsPerDecision     float64 `json:"ns_per_decision"`
+	AllocsPerDecision float64 `json:"allocs_per_decision"`
+}
+
+// player plays one world against one policy.
+type player struct {
+	s       *Scenario
+	f       *fleet
+	variant *Variant
+	sched   *scheduler.Scheduler
+	fence   int64
+	now     time.Duration
+	// arrivals are the jobs still to come.
+	arrivals   []*job
+	known      []*job
+	store      map[string]*scheduler.Progress
+	faults     []Fault
+	recoveries []recovery
+	// leaderAt is when the next leader takes over, absent is set until then.
+	leaderAt time.Duration
+	absent   bool
+	lostAt   map[string]time.Duration
+
+	earned, owed [kinds]float64
+	harm         map[batch.TaskID]time.Duration
+	spans        map[*job]*span
+	waits        map[*job]time.Duration
+	out          Outcome
+	busy         time.Duration
+	allocs       uint64
+}
+
+// span is a lasting job's account of the present two seconds.
+type span struct{ atWork, lost, all time.Duration }
+
+// Play plays one seed of a scenario with a variant. Equal arguments give equal outcomes
+// but for the figures of time and allocations.
+func Play(ctx context.Context, s *Scenario, v *Variant, seed uint64) (Outcome, error) {
+	w := newWorld(s, seed)
+	v.apply(w)
+	p := &player{
+		s: s, f: newFleet(s, w, seed), variant: v, arrivals: w.jobs, store: map[string]*scheduler.Progress{}, lostAt: map[string]time.Duration{},
+		harm: map[batch.TaskID]time.Duration{}, spans: map[*job]*span{}, waits: map[*job]time.Duration{}, faults: append([]Fault(nil), s.Faults...),
+	}
+	p.elect()
+	end := seconds(s.LeadS + s.LoadS + s.AfterS)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for p.now = playStep; p.now < end; p.now += playStep {
+		if err := ctx.Err(); err != nil {
+			return Outcome{}, err
+		}
+		p.step()
+	}
+	runtime.ReadMemStats(&after)
+	p.allocs = after.Mallocs - before.Mallocs
+	return p.outcome(seed), nil
+}
+
+// elect begins a leader's term: it learns of the jobs from the store and of the runs
+// from the VMs.
+func (p *player) elect() {
+	p.fence++
+	var model scheduler.Model
+	if p.sched != nil {
+		model = p.sched.Model()
+	}
+	policy := p.variant.Policy
+	p.sched = scheduler.New(scheduler.Settings{MaxLease: 10 * time.Second, StopWithin: 500 * time.Millisecond, UnavailableFor: 4500 * time.Millisecond, Policy: &policy}, p.fence, nil)
+	p.sched.Led(time.Hour)
+	if p.variant.Informed {
+		model = p.f.w.knowledge(p.s.Serving.Images, p.s.Fillers.Images)
+	}
+	if len(model.Images) > 0 {
+		p.sched.SetModel(model)
+	}
+	p.sched.SetConfig(p.config())
+	p.sched.SetInstances(p.now, p.f.instances())
+	for _, j := range p.known {
+		if !j.cancelled {
+			p.submit(j, true)
+		}
+	}
+}
+
+func (p *player) config() *batch.Config {
+	c := &batch.Config{Version: 1}
+	for k, t := range [kinds]*Terms{&p.s.Serving.Terms, &p.s.Short.Terms, &p.s.Fillers.Terms} {
+		c.Queues = append(c.Queues, batch.Queue{
+			Name: kindNames[k], Pool: pool, Attempts: t.Attempts, Stretch: t.Stretch, Slack: seconds(t.SlackS), Priority: t.Priority,
+		})
+	}
+	return c
+}
+
+func (p *player) submit(j *job, existed bool) {
+	p.sched.Submit(p.now, scheduler.Submission{
+		Job: j.spec, Queue: kindNames[j.kind], Pool: pool, Age: p.now - j.at, Existed: existed, Progress: p.store[j.spec.ID],
+	})
+}
+
+func (p *player) step() {
+	p.arrive()
+	p.beginFaults()
+	p.recover()
+	if p.absent && p.now >= p.leaderAt {
+		p.absent = false
+		p.elect()
+	}
+	if !p.absent {
+		p.lead()
+	}
+	for _, v := range p.f.vms {
+		p.f.step(p.now, playStep, v)
+	}
+	if p.now >= seconds(p.s.LeadS) {
+		p.rate()
+	}
+}
+
+// arrive hands in the jobs that are due and cancels those that leave.
+func (p *player) arrive() {
+	for len(p.arrivals) > 0 && p.arrivals[0].at <= p.now && !p.absent {
+		j := p.arrivals[0]
+		p.arrivals = p.arrivals[1:]
+		p.f.jobs[j.spec.ID] = j
+		p.known = append(p.known, j)
+		p.submit(j, false)
+	}
+	for _, j := range p.known {
+		if j.leaves > 0 && p.now >= j.leaves && !j.cancelled && !p.absent {
+			j.cancelled = true
+			p.sched.Cancel(p.now, j.spec.ID)
+		}
+	}
+}
+
+// lead is one turn of the leader: reports, what is due by time, a plan.
+func (p *player) lead() {
+	every := time.Duration(p.s.Fleet.ReportMS) * time.Millisecond
+	began := time.Now()
+	for _, v := range p.f.vms {
+		if v.lost {
+			p.giveUp(v)
+			continue
+		}
+		if p.now-v.heardAt >= every || len(v.ends) > v.told {
+			hold, ok := p.sched.Hold(p.now, v.inst.ID, every)
+			if ok {
+				p.sched.Heard(p.now, p.now, v.inst.ID, p.f.report(p.now, v, hold.Acked))
+			}
+		}
+	}
+	p.sched.Tend(p.now)
+	orders := p.sched.Plan(p.now)
+	p.busy += time.Since(began)
+	for _, o := range orders {
+		p.carryOut(o)
+	}
+	p.flush()
+}
+
+// giveUp tells the leader that a VM has ended, when its lease is over.
+func (p *player) giveUp(v *vm) {
+	if at := p.lostAt[v.inst.ID]; at > 0 && p.now-at > leaseOver {
+		p.sched.Gone(p.now, v.inst.ID, "lost")
+	}
+}
+
+func (p *player) carryOut(o scheduler.Order) {
+	switch o.Kind {
+	case scheduler.OrderStart:
+		p.out.Starts++
+		refusal := p.f.start(p.now, o)
+		if j := p.f.jobs[o.Task.Job]; refusal == "" && p.waits[j] == 0 {
+			p.waits[j] = p.now - j.at + 1
+		}
+		p.sched.Started(p.now+startsWithin, p.now, o, p.now+time.Hour, refusal, false)
+	case scheduler.OrderStop:
+		p.f.stop(o)
+		p.sched.Stopped(p.now, o)
+	case scheduler.OrderPace:
+		p.out.PaceOrders++
+		p.f.pace(o)
+		p.sched.Paced(o, true)
+	case scheduler.OrderAdvise, scheduler.OrderMaintain:
+		// No scenario has an adviser or waves of maintenance.
+	}
+}
+
+// flush writes what the leader has to record.
+func (p *player) flush() {
+	f := p.sched.Pending()
+	if f == nil {
+		return
+	}
+	for _, r := range f.Records {
+		p.store[r.Job] = r.Progress
+		p.sched.RecordWritten(r, 1)
+		if j := p.f.jobs[r.Job]; r.Progress.State == batch.Failed {
+			j.failed = true
+		}
+	}
+	p.sched.Flushed(f)
+}
+
+func (p *player) beginFaults() {
+	rest := p.faults[:0]
+	for _, f := range p.faults {
+		at := seconds(p.s.LeadS + f.AtS)
+		switch {
+		case p.now < at:
+			rest = append(rest, f)
+		case f.Kind == FaultTakeover:
+			p.takeOver(f)
+		default:
+			p.befall(f)
+		}
+	}
+	p.faults = rest
+}
+
+func (p *player) takeOver(f Fault) { p.leaderAt, p.absent = p.now+seconds(f.ForS), true }
+
+// recovery ends a fault of VMs.
+type recovery struct {
+	at time.Duration
+	vm *vm
+}
+
+// befall strikes VMs at random, and those that recover do so when the fault is over.
+func (p *player) befall(f Fault) {
+	struck := p.f.random.Perm(len(p.f.vms))[:int(f.Share*float64(len(p.f.vms))+0.5)]
+	for _, i := range struck {
+		v := p.f.vms[i]
+		switch f.Kind {
+		case FaultSlow:
+			v.slow = f.Times
+		case FaultStalled:
+			v.slow = 0
+		case FaultFailing:
+			v.failing = true
+		case FaultLost:
+			p.lose(v)
+		case FaultTakeover:
+		}
+		if f.ForS > 0 {
+			p.recoveries = append(p.recoveries, recovery{at: p.now + seconds(f.ForS), vm: v})
+		}
+	}
+}
+
+func (p *player) recover() {
+	for _, r := range p.recoveries {
+		if p.now >= r.at {
+			r.vm.slow, r.vm.failing = 1, false
+		}
+	}
+	p.recoveries = slices.DeleteFunc(p.recoveries, func(r recovery) bool { return p.now >= r.at })
+}
+
+func (p *player) lose(v *vm) {
+	v.lost = true
+	p.lostAt[v.inst.ID] = p.now
+	v.runs, v.list, v.ends = map[batch.TaskID]*run{}, nil, nil
+	p.sched.SetInstances(p.now, p.f.instances())
+}
+
+// rate takes the state of lasting work into its account.
+func (p *player) rate() {
+	for _, j := range p.known {
+		if j.kind == servingKind && !j.cancelled {
+			p.span(j).all += playStep * time.Duration(j.spec.Steps[0].Tasks)
+		}
+	}
+	for _, v := range p.f.vms {
+		for _, r := range v.list {
+			if r.job.kind == servingKind && !r.job.cancelled && p.f.ready(p.now, r) {
+				p.rateRun(r)
+			}
+		}
+	}
+	if (p.now-seconds(p.s.LeadS))%account < playStep {
+		p.closeSpans()
+	}
+}
+
+func (p *player) span(j *job) *span {
+	a := p.spans[j]
+	if a == nil {
+		a = &span{}
+		p.spans[j] = a
+	}
+	return a
+}
+
+func (p *player) rateRun(r *run) {
+	a := p.span(r.job)
+	a.atWork += playStep
+	switch {
+	case r.harmed:
+		a.lost += time.Duration(harmFactor * float64(playStep))
+		p.out.HarmS += playStep.Seconds()
+		p.harm[r.order.Task] += playStep
+		p.out.LongestHarmS = max(p.out.LongestHarmS, p.harm[r.order.Task].Seconds())
+	case r.over:
+		a.lost += playStep
+	default:
+		delete(p.harm, r.order.Task)
+	}
+}
+
+func (p *player) closeSpans() {
+	// In the order of the jobs: sums must not follow the order of a map.
+	for _, j := range p.known {
+		a := p.spans[j]
+		if a == nil {
+			continue
+		}
+		p.earned[servingKind] += j.worth * max(a.atWork-a.lost, 0).Seconds() / a.all.Seconds()
+		p.owed[servingKind] += j.worth
+	}
+	clear(p.spans)
+}
+
+func (p *player) outcome(seed uint64) Outcome {
+	o := p.out
+	o.Seed = seed
+	var fillers []*job
+	for _, j := range p.known {
+		if j.kind == servingKind {
+			continue
+		}
+		p.earned[j.kind] += j.earned()
+		p.owed[j.kind] += j.worth
+		if j.kind == fillerKind {
+			fillers = append(fillers, j)
+		} else {
+			o.LongestWaitS = max(o.LongestWaitS, p.wait(j).Seconds())
+		}
+	}
+	o.Kinds = map[string]float64{}
+	earned, owed := 0.0, 0.0
+	for k := range kinds {
+		o.Kinds[kindNames[k]] = ratio(p.earned[k], p.owed[k])
+		earned, owed = earned+p.earned[k], owed+p.owed[k]
+	}
+	o.Service = ratio(earned, owed)
+	slices.SortStableFunc(fillers, func(a, b *job) int { return cmp.Compare(a.work, b.work) })
+	o.Largest, o.Smallest = share(fillers[len(fillers)*9/10:]), share(fillers[:len(fillers)/2])
+	capacity := 0.0
+	for _, v := range p.f.vms {
+		capacity += float64(v.inst.Capacity.MilliCPU) / 1000
+	}
+	o.Used = p.f.used / (capacity * (p.s.LeadS + p.s.LoadS + p.s.AfterS))
+	o.WastedS = p.f.wasted
+	o.NsPerDecision = ratio(float64(p.busy.Nanoseconds()), float64(o.Starts))
+	o.AllocsPerDecision = ratio(float64(p.allocs), float64(o.Starts))
+	return o
+}
+
+// wait is how long a job waited for its first task, so far.
+func (p *player) wait(j *job) time.Duration {
+	if w := p.waits[j]; w > 0 {
+		return w
+	}
+	return p.now - j.at
+}
+
+// earned is what a job that ends came to.
+func (j *job) earned() float64 {
+	took := j.ended - j.at
+	switch {
+	case j.ended == 0 || j.failed:
+		return 0
+	case took <= j.objective:
+		return j.worth
+	case took <= time.Duration(lateFactor*float64(j.objective)):
+		return lateShare * j.worth
+	}
+	return 0
+}
+
+func share(jobs []*job) float64 {
+	earned, owed := 0.0, 0.0
+	for _, j := range jobs {
+		earned, owed = earned+j.earned(), owed+j.worth
+	}
+	return ratio(earned, owed)
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
--- /dev/null
+++ b/internal/experiment/play_test.go
@@ -0,0 +1,139 @@
+package experiment
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanwall/rattanwall/internal/scheduler"
+)
+
+// small is a scenario that plays in a tenth of a second.
+func small(t *testing.T) Scenario {
+	s, err := Find("faults-48")
+	require.NoError(t, err)
+	s.Fleet.VMs, s.Serving.Jobs, s.Short.PerS, s.Fillers.PerS = 12, 9, 1.6, 1.1
+	s.LeadS, s.LoadS, s.AfterS = 4, 20, 6
+	return s
+}
+
+func play(t *testing.T, s *Scenario, v Variant, seed uint64) Outcome {
+	out, err := Play(context.Background(), s, &v, seed)
+	require.NoError(t, err)
+	// These two are measured, not decided.
+	out.NsPerDecision, out.AllocsPerDecision = 0, 0
+	return out
+}
+
+func TestEqualSeedsGiveEqualOutcomes(t *testing.T) {
+	s := small(t)
+	v := Variants()[0]
+	require.Equal(t, play(t, &s, v, 3), play(t, &s, v, 3))
+	require.NotEqual(t, play(t, &s, v, 3).Service, play(t, &s, v, 4).Service)
+}
+
+func TestScenariosOfTheLibraryAreValid(t *testing.T) {
+	require.NotEmpty(t, Scenarios())
+	for _, name := range Scenarios() {
+		s, err := Find(name)
+		require.NoError(t, err)
+		require.Equal(t, name, s.Name)
+	}
+}
+
+func TestBuiltInPoliciesAreValid(t *testing.T) {
+	for _, v := range Variants() {
+		require.NoError(t, v.Policy.Validate(), v.Name)
+	}
+	_, err := Choose([]string{"nothing"})
+	require.ErrorContains(t, err, "use default, first-come")
+}
+
+// A scenario that makes no sense is refused whole: every fault with line, field and fix.
+func TestScenariosThatAreRefused(t *testing.T) {
+	whole, err := library.ReadFile("scenarios/colocated-48.jsonc")
+	require.NoError(t, err)
+	for name, c := range map[string]struct{ raw, want string }{
+		"unknown field":     {`{"name": "x", "vmz": 3}`, "vmz: no such field"},
+		"field of a fault":  {`{"faults": [{"kin": "slow"}]}`, "faults[0].kin: no such field"},
+		"kind of fault":     {`{"faults": [{"kind": "flood"}]}`, "faults[0].kind: use slow"},
+		"negative rate":     {`{"short": {"per_s": -1}}`, "short.per_s: give 0 to 1000"},
+		"absurd size":       {`{"fleet": {"vms": 100000000}}`, "fleet.vms: give 1 to 5000"},
+		"cut off":           {string(whole[:len(whole)/2]), "unexpected EOF"},
+		"empty":             {``, "EOF"},
+		"wrong type":        {`{"name": 7}`, "name: give a string"},
+		"share of a fault":  {`{"faults": [{"kind": "lost", "share": 3}]}`, "faults[0].share: give a share"},
+		"slow without much": {`{"faults": [{"kind": "slow", "share": 0.1}]}`, "faults[0].times"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := Parse("s.jsonc", []byte(c.raw))
+			require.ErrorContains(t, err, c.want)
+		})
+	}
+	_, err = Load(filepath.Join(t.TempDir(), "none"))
+	require.ErrorContains(t, err, "--list")
+}
+
+func TestChangedPolicies(t *testing.T) {
+	v, err := Changed("x", []byte(`{"peak_limit": 0.8}`))
+	require.NoError(t, err)
+	want := scheduler.DefaultPolicy()
+	want.PeakLimit = 0.8
+	require.Equal(t, want, v.Policy)
+	_, err = Changed("x", []byte(`{"peak_limits": 0.8}`))
+	require.ErrorContains(t, err, "peak_limits: no such field")
+	_, err = Changed("x", []byte(`{"peak_limit": 8}`))
+	require.ErrorContains(t, err, "peak_limit: give a share")
+}
+
+// A comparison tells chance from gain: a variant that is the default one has a
+// difference of 0, and a plot is a picture.
+func TestCompareAndPlot(t *testing.T) {
+	s := small(t)
+	variants, err := Choose([]string{"first-come"})
+	require.NoError(t, err)
+	variants = append(variants, Variant{Name: "same", Policy: scheduler.DefaultPolicy()})
+	calls := 0
+	r, err := Compare(context.Background(), &s, Options{Variants: variants, Seeds: 3, First: 5, Workers: 2, Progress: func(int, int) { calls++ }})
+	require.NoError(t, err)
+	require.Equal(t, 9, calls)
+	require.Zero(t, r.Variants[2].Difference)
+	require.False(t, r.Variants[2].Clear())
+	file := filepath.Join(t.TempDir(), "p.svg")
+	require.NoError(t, Plot(&r, file))
+	raw, err := os.ReadFile(file)
+	require.NoError(t, err)
+	require.Contains(t, string(raw[:200]), "<svg")
+	require.ErrorContains(t, Plot(&r, filepath.Join(t.TempDir(), "p.doc")), ".svg")
+}
+
+// A play ends when it is told to.
+func TestPlayIsCancelled(t *testing.T) {
+	s := small(t)
+	variants, err := Choose(nil)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err = Compare(ctx, &s, Options{Variants: variants, Seeds: 4, Workers: 2})
+	require.ErrorIs(t, err, context.Canceled)
+}
+
+// Load: nearly every filler presses on all that serves, and more fillers come than
+// can run beside it. Symptom: serving tasks are over their target each time a filler
+// starts. The decision that answers it is to work paces out at each start.
+func TestPacingAtStartsSparesWhatServes(t *testing.T) {
+	s, err := Find("pressed-48")
+	require.NoError(t, err)
+	late, err := Changed("with reports only", []byte(`{"pace_at_start": false}`))
+	require.NoError(t, err)
+	variants, err := Choose(nil)
+	require.NoError(t, err)
+	r, err := Compare(context.Background(), &s, Options{Variants: append(variants, late), Seeds: 8, First: 1, Workers: 4})
+	require.NoError(t, err)
+	now, before := r.Variants[0].Means.HarmS, r.Variants[1].Means.HarmS
+	t.Logf("harmed task seconds: %.0f, with reports only %.0f", now, before)
+	require.Less(t, now, 0.8*before)
+}
--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -12,17 +12,24 @@
 	"github.com/tailscale/hujson"
 )
 
-// document is a settings file that knows on which line each field stands.
-type document struct {
+// Document is a file of JSON with comments that knows on which line each field stands.
+type Document struct {
 	file   string
 	raw    []byte
 	lines  map[string]int
 	faults []string
 }
 
+// Read reads raw into target, a pointer to a struct; file stands for it in errors. The
+// caller checks what it has read with Fault and Err.
+func Read(file string, raw []byte, target any) (*Document, error) {
+	d := &Document{file: file, raw: raw}
+	return d, d.decode(target)
+}
+
 // decode reads the file into target, a pointer to a struct. Every field that
 // target does not have is a fault.
-func (d *document) decode(target any) error {
+func (d *Document) decode(target any) error {
 	root, err := hujson.Parse(d.raw)
 	if err != nil {
 		// hujson's message already tells line and column.
@@ -30,7 +37,7 @@
 	}
 	d.lines = map[string]int{}
 	d.walk(root, reflect.TypeOf(target).Elem(), "")
-	if err := d.err(); err != nil {
+	if err := d.Err(); err != nil {
 		return err
 	}
 	root.Standardize()
@@ -38,8 +45,8 @@
 	if err := dec.Decode(target); err != nil {
 		var wrong *json.UnmarshalTypeError
 		if errors.As(err, &wrong) {
-			d.fault(wrong.Field, fmt.Sprintf("give a %s, not a %s", wrong.Type, wrong.Value))
-			return d.err()
+			d.Fault(wrong.Field, fmt.Sprintf("give a %s, not a %s", wrong.Type, wrong.Value))
+			return d.Err()
 		}
 		return fmt.Errorf("%s: %w", d.file, err)
 	}
@@ -47,7 +54,13 @@
 }
 
 // walk notes the line of each field of v and refuses those that t lacks.
-func (d *document) walk(v hujson.Value, t reflect.Type, path string) {
+func (d *Document) walk(v hujson.Value, t reflect.Type, path string) {
+	if list, ok := v.Value.(*hujson.Array); ok && t.Kind() == reflect.Slice {
+		for i := range list.Elements {
+			d.walk(list.Elements[i], t.Elem(), fmt.Sprintf("%s[%d]", path, i))
+		}
+		return
+	}
 	object, ok := v.Value.(*hujson.Object)
 	if !ok || t.Kind() != reflect.Struct {
 		return
@@ -104,9 +117,9 @@
 	return "use one of " + strings.Join(names, ", ")
 }
 
-// fault notes a fault of a field. A field that is not in the file is shown
+// Fault notes a fault of a field. A field that is not in the file is shown
 // without a line, as missing.
-func (d *document) fault(field, fix string) {
+func (d *Document) Fault(field, fix string) {
 	if line := d.lines[field]; line > 0 {
 		d.faults = append(d.faults, fmt.Sprintf("%s:%d: %s: %s", d.file, line, field, fix))
 		return
@@ -114,7 +127,8 @@
 	d.faults = append(d.faults, fmt.Sprintf("%s: %s: missing; %s", d.file, field, fix))
 }
 
-func (d *document) err() error {
+// Err lists the faults, or is nil when there are none.
+func (d *Document) Err() error {
 	if len(d.faults) == 0 {
 		return nil
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -109,13 +109,13 @@
 // Parse checks raw; name stands for the file in errors.
 func Parse(name string, raw []byte) (Node, error) {
 	var n Node
-	d := &document{file: name, raw: raw}
-	if err := d.decode(&n); err != nil {
+	d, err := Read(name, raw, &n)
+	if err != nil {
 		return n, err
 	}
 	n.defaults()
 	n.check(d)
-	return n, d.err()
+	return n, d.Err()
 }
 
 func (n *Node) defaults() {
@@ -137,12 +137,12 @@
 	}
 }
 
-func (n *Node) check(d *document) {
+func (n *Node) check(d *Document) {
 	if !model.ValidName(n.Name) {
-		d.fault("name", "use 1 to 80 letters, digits, '-', '_' or '.'")
+		d.Fault("name", "use 1 to 80 letters, digits, '-', '_' or '.'")
 	}
 	if !model.ValidName(n.Zone) {
-		d.fault("zone", "give the availability zone as the platform's list spells it")
+		d.Fault("zone", "give the availability zone as the platform's list spells it")
 	}
 	for field, address := range map[string]string{
 		"listen.callers": n.Listen.Callers, "listen.admin": n.Listen.Admin, "listen.peers": n.Listen.Peers,
@@ -151,28 +151,28 @@
 		checkAddress(d, field, address)
 	}
 	if n.Drain.NoticeMS < 0 || n.Drain.LimitMS < 0 {
-		d.fault("drain", "give milliseconds of 0 or more")
+		d.Fault("drain", "give milliseconds of 0 or more")
 	}
 	if n.Leases.SessionMS < minSessionMS {
-		d.fault("leases.session_ms", fmt.Sprintf("give at least %d", minSessionMS))
+		d.Fault("leases.session_ms", fmt.Sprintf("give at least %d", minSessionMS))
 	}
 	if n.Leases.TaskMS < minTaskMS {
-		d.fault("leases.task_ms", fmt.Sprintf("give at least %d", minTaskMS))
+		d.Fault("leases.task_ms", fmt.Sprintf("give at least %d", minTaskMS))
 	}
 	if _, err := logrus.ParseLevel(n.Log.Level); err != nil {
-		d.fault("log.level", "use debug, info, warning or error")
+		d.Fault("log.level", "use debug, info, warning or error")
 	}
 	if n.Log.Format != "text" && n.Log.Format != "json" {
-		d.fault("log.format", "use text or json")
+		d.Fault("log.format", "use text or json")
 	}
 }
 
 // checkAddress wants an IP number and a port: names would need a resolver that
 // may be away when it is needed most.
-func checkAddress(d *document, field, address string) {
+func checkAddress(d *Document, field, address string) {
 	host, _, err := net.SplitHostPort(address)
 	if err != nil || net.ParseIP(strings.Trim(host, "[]")) == nil {
-		d.fault(field, "give ip:port with an IP number, such as 10.0.0.5:7000")
+		d.Fault(field, "give ip:port with an IP number, such as 10.0.0.5:7000")
 	}
 }
 
