Starved fillers wait longer in a crowded fleet before they start beside others

Hypothesis: where most images press, hundreds of jobs wait, and each gets one task after 2 s beside serving tasks that mind it. Slowed to a crawl there they keep others from ending in time and press on what serves. Change: while lasting and short tasks declare 0.6 of all processors or more the wait is 20 s; below, 2 s as before: with half of the fleet idle nobody may be left waiting.

--- a/internal/experiment/play_test.go
+++ b/internal/experiment/play_test.go
@@ -121,19 +121,40 @@
 	require.ErrorIs(t, err, context.Canceled)
 }
 
-// Load: nearly every filler presses on all that serves, and more fillers come than
-// can run beside it. Symptom: serving tasks are over their target each time a filler
-// starts. The decision that answers it is to work paces out at each start.
+// Load: nearly every filler presses on all that serves, more of them come than can run
+// beside it, and each starts soon: many starts beside what minds them. Symptom: serving
+// tasks are over their target each time a filler starts. The decision that answers it is
+// to work paces out at each start.
 func TestPacingAtStartsSparesWhatServes(t *testing.T) {
+	const manyStarts = `"starved_crowded_ms": 2000, "keep_empty": 0`
 	s, err := Find("pressed-48")
 	require.NoError(t, err)
-	late, err := Changed("with reports only", []byte(`{"pace_at_start": false}`))
+	atStarts, err := Changed("at starts", []byte(`{`+manyStarts+`}`))
 	require.NoError(t, err)
-	variants, err := Choose(nil)
+	late, err := Changed("with reports only", []byte(`{`+manyStarts+`, "pace_at_start": false}`))
 	require.NoError(t, err)
-	r, err := Compare(context.Background(), &s, Options{Variants: append(variants, late), Seeds: 8, First: 1, Workers: 4})
+	r, err := Compare(context.Background(), &s, Options{Variants: []Variant{atStarts, late}, Seeds: 8, First: 1, Workers: 4})
 	require.NoError(t, err)
 	now, before := r.Variants[0].Means.HarmS, r.Variants[1].Means.HarmS
 	t.Logf("harmed task seconds: %.0f, with reports only %.0f", now, before)
 	require.Less(t, now, 0.8*before)
 }
+
+// Load: as above. Symptom: hundreds of jobs wait, and each gets one task after two
+// seconds beside serving tasks that mind it; slowed to a crawl there, they keep others
+// from ending in time and press on what serves. The decision that answers it: in a
+// crowded fleet jobs wait longer before they start beside others.
+func TestStarvedJobsWaitLongerInACrowdedFleet(t *testing.T) {
+	s, err := Find("pressed-48")
+	require.NoError(t, err)
+	soon, err := Changed("as soon as elsewhere", []byte(`{"starved_crowded_ms": 2000}`))
+	require.NoError(t, err)
+	variants, err := Choose(nil)
+	require.NoError(t, err)
+	r, err := Compare(context.Background(), &s, Options{Variants: append(variants, soon), Seeds: 8, First: 1, Workers: 4})
+	require.NoError(t, err)
+	now, before := &r.Variants[0].Means, &r.Variants[1].Means
+	t.Logf("fillers %.3f, before %.3f; harmed task seconds %.0f, before %.0f", now.Kinds["fillers"], before.Kinds["fillers"], now.HarmS, before.HarmS)
+	require.Greater(t, now.Kinds["fillers"], before.Kinds["fillers"]+0.01)
+	require.Less(t, now.HarmS, before.HarmS)
+}
--- a/internal/experiment/variant.go
+++ b/internal/experiment/variant.go
@@ -44,7 +44,7 @@
 // firstCome is first come, first served with first fit.
 func firstCome() scheduler.Policy {
 	p := scheduler.DefaultPolicy()
-	p.Order, p.Placement, p.ReserveMost, p.StarvedAfterMS = scheduler.OrderArrival, scheduler.PlacementFirst, 0, 0
+	p.Order, p.Placement, p.ReserveMost, p.StarvedAfterMS, p.StarvedCrowdedMS = scheduler.OrderArrival, scheduler.PlacementFirst, 0, 0, 0
 	p.Learn, p.Pace, p.BlindAfterMS, p.MoveBelow = false, false, 0, 0
 	return p
 }
@@ -64,11 +64,14 @@
 	{"work-order", func(p *scheduler.Policy) { p.Order = scheduler.OrderSlack }},
 	{"short-first", func(p *scheduler.Policy) { p.ShortFirst = false }},
 	{"reserve", func(p *scheduler.Policy) { p.ReserveMost = 0 }},
+	{"kept-empty", func(p *scheduler.Policy) { p.KeepEmpty = 0 }},
+	{"starts-paced", func(p *scheduler.Policy) { p.PaceAtStart = false }},
+	{"crowded", func(p *scheduler.Policy) { p.StarvedCrowdedMS = p.StarvedAfterMS }},
 	{"purity", func(p *scheduler.Policy) { p.PurityWeight = 0 }},
 	{"effect-penalty", func(p *scheduler.Policy) { p.EffectPenalty = 0 }},
 	{"peak-limit", func(p *scheduler.Policy) { p.PeakLimit = 0 }},
 	{"room-limit", func(p *scheduler.Policy) { p.RoomLimit = 1 }},
-	{"starved", func(p *scheduler.Policy) { p.StarvedAfterMS = 0 }},
+	{"starved", func(p *scheduler.Policy) { p.StarvedAfterMS, p.StarvedCrowdedMS = 0, 0 }},
 	{"learning", func(p *scheduler.Policy) { p.Learn = false }},
 	{"pacing", func(p *scheduler.Policy) { p.Pace = false }},
 	{"blind-stop", func(p *scheduler.Policy) { p.BlindAfterMS = 0 }},
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -164,6 +164,9 @@
 	v.tailsStale = true
 	v.occupy(spec)
 	if spec.Serves() {
+		if v.serving == 0 {
+			s.emptyVMs--
+		}
 		v.serving++
 		v.servingCPU += spec.Need.MilliCPU
 	}
--- a/internal/scheduler/pace_test.go
+++ b/internal/scheduler/pace_test.go
@@ -217,3 +217,25 @@
 	f.plan()
 	require.Contains(t, f.started, "s.0.0.0")
 }
+
+// The bound on the wait of a filler that presses everywhere holds in a crowded fleet,
+// too, and is longer there.
+func TestStarvedFillerStartsInACrowdedFleet(t *testing.T) {
+	f := newFixture(t, 1)
+	f.hearAll(nil)
+	f.submit("s", serving("web", 7000))
+	f.plan()
+	serves := f.last("s.0.0.0")
+	f.confirm(serves)
+	f.s.images.pair("web").slope[f.s.images.number("crunch")] = 9
+	f.submit("f", filling("crunch", 3000))
+	told := batch.Report{Running: []batch.RunStatus{{Task: serves.Task, Run: serves.Run, Progress: 100, Usage: 95, HasUsage: true}}}
+	began := f.now
+	for len(f.started["f.0.0.0"]) == 0 && f.now-began < time.Minute {
+		f.advance(500 * time.Millisecond)
+		f.hear("vm00", told)
+		f.plan()
+	}
+	require.Greater(t, f.now-began, milliseconds(f.s.policy.StarvedAfterMS)+time.Second)
+	require.LessOrEqual(t, f.now-began, milliseconds(f.s.policy.StarvedCrowdedMS)+time.Second)
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -64,6 +64,9 @@
 // starts beside others and takes its share of their processors.
 func (s *Scheduler) starves(now Time, t *task) bool {
 	st, after := t.step, milliseconds(s.policy.StarvedAfterMS)
+	if s.crowded {
+		after = milliseconds(s.policy.StarvedCrowdedMS)
+	}
 	return after > 0 && st.spec.Filler && !st.spec.Gang && st.occ.job.running == 0 && now-max(st.runnableAt, t.lastRunEnd) > after
 }
 
@@ -206,6 +209,18 @@
 	return float64(same) / float64(max(v.servingCPU, 1))
 }
 
+// keptPurity rates an empty VM that is to be left to others: worse than any that serves.
+const keptPurity = -0.3
+
+// emptyPurity rates a VM that serves nothing, for a serving task: the last few are left
+// to fillers and short tasks as long as there is room elsewhere.
+func (s *Scheduler) emptyPurity() float64 {
+	if float64(s.emptyVMs) <= s.policy.KeepEmpty*float64(s.heardVMs) {
+		return keptPurity
+	}
+	return s.policy.EmptyPurity
+}
+
 // score rates a VM that fits; higher is better. ok is false when the task would
 // press too hard on what serves there.
 func (s *Scheduler) score(now Time, v *vm, spec *batch.Step) (score float64, ok bool) {
@@ -224,7 +239,7 @@
 		}
 		score -= s.policy.EffectPenalty * max(0, p.effect-harmless)
 	case spec.Serves():
-		score = s.policy.PurityWeight*v.purity(spec.Image, s.policy.EmptyPurity) - free
+		score = s.policy.PurityWeight*v.purity(spec.Image, s.emptyPurity()) - free
 	}
 	if spec.DataRack != "" && v.inst.Rack() != spec.DataRack {
 		score -= farPenalty
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -57,6 +57,10 @@
 	// EmptyPurity rates a VM that serves nothing: worse than one of the same image,
 	// better than one of another.
 	EmptyPurity float64 `json:"empty_purity"`
+	// KeepEmpty is the share of the VMs that serving tasks leave to others as long as
+	// they find room elsewhere. On them fillers that press on all that serves find whole
+	// processors, where they would have a tenth of a VM beside it.
+	KeepEmpty float64 `json:"keep_empty"`
 	// EffectPenalty keeps fillers off VMs where they press on what serves, for each
 	// unit of the logarithm of a tail.
 	EffectPenalty float64 `json:"effect_penalty"`
@@ -71,6 +75,11 @@
 	// Without it fillers that press on every serving image wait for as long as others
 	// come that do not.
 	StarvedAfterMS int64 `json:"starved_after_ms"`
+	// StarvedCrowdedMS is the same while lasting and short tasks declare most of all
+	// processors. Then hundreds of jobs wait for the little room beside what serves: a
+	// task of each would be slowed to a crawl there, keep others from ending in time, and
+	// press on what serves.
+	StarvedCrowdedMS int64 `json:"starved_crowded_ms"`
 	// Learn takes in what tails tell of interference.
 	Learn bool `json:"learn"`
 	// Pace slows fillers that press on what serves.
@@ -107,7 +116,7 @@
 	return Policy{
 		Order: OrderWork, ShortFirst: true, Placement: PlacementScored,
 		ReserveMost: 0.12, ReserveOn: 3, ReservePatienceMS: 4000,
-		PurityWeight: 4, EmptyPurity: 0.6, EffectPenalty: 3, PeakLimit: 0.92, RoomLimit: 0.93, StarvedAfterMS: 2000,
+		PurityWeight: 4, EmptyPurity: 0.6, KeepEmpty: 0, EffectPenalty: 3, PeakLimit: 0.92, RoomLimit: 0.93, StarvedAfterMS: 2000, StarvedCrowdedMS: 20_000,
 		Learn: true, Pace: true, PaceAtStart: true, PressedAt: 0.88, AimAt: 0.8, BlindAfterMS: 1500, MoveBelow: 20,
 		Quarantine: true, Rescue: true, Copies: true, Evacuate: true,
 	}
@@ -119,7 +128,7 @@
 		name  string
 		value float64
 	}{
-		{"reserve_most", p.ReserveMost}, {"peak_limit", p.PeakLimit}, {"room_limit", p.RoomLimit},
+		{"reserve_most", p.ReserveMost}, {"peak_limit", p.PeakLimit}, {"room_limit", p.RoomLimit}, {"keep_empty", p.KeepEmpty},
 		{"pressed_at", p.PressedAt}, {"aim_at", p.AimAt}, {"move_below", float64(p.MoveBelow) / 100},
 	} {
 		if share.value < 0 || share.value > 1 {
@@ -139,8 +148,8 @@
 		return fmt.Errorf("reserve_on: give 1 or more")
 	case p.PurityWeight < 0 || p.EffectPenalty < 0:
 		return fmt.Errorf("purity_weight, effect_penalty: give 0 or more")
-	case p.ReservePatienceMS < 0 || p.StarvedAfterMS < 0 || p.BlindAfterMS < 0:
-		return fmt.Errorf("reserve_patience_ms, starved_after_ms, blind_after_ms: give 0 or more milliseconds")
+	case p.ReservePatienceMS < 0 || p.StarvedAfterMS < 0 || p.StarvedCrowdedMS < 0 || p.BlindAfterMS < 0:
+		return fmt.Errorf("reserve_patience_ms, starved_after_ms, starved_crowded_ms, blind_after_ms: give 0 or more milliseconds")
 	}
 	return nil
 }
--- a/internal/scheduler/policy_test.go
+++ b/internal/scheduler/policy_test.go
@@ -24,6 +24,7 @@
 		"reserve_on":           func(p *Policy) { p.ReserveOn = 0 },
 		"purity_weight":        func(p *Policy) { p.PurityWeight = -1 },
 		"starved_after_ms":     func(p *Policy) { p.StarvedAfterMS = -1 },
+		"keep_empty":           func(p *Policy) { p.KeepEmpty = 2 },
 		"reserve_most":         func(p *Policy) { p.ReserveMost = 2 },
 		"blind_after_ms":       func(p *Policy) { p.BlindAfterMS = -5 },
 		"effect_penalty":       func(p *Policy) { p.EffectPenalty = -2 },
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -55,13 +55,24 @@
 // lasting work is not to be crowded out.
 func (r *reserve) share(most float64) float64 { return min(reservePeak*r.use, most) }
 
-// followShort measures what short tasks use and wait for.
+// crowdedAt is the share of all processors declared by lasting and short tasks from
+// which the fleet counts as crowded: below half of it in use nobody may be left waiting.
+const crowdedAt = 0.6
+
+// followShort measures what short tasks use and wait for, whether the fleet is crowded,
+// and how many VMs serve nothing.
 func (s *Scheduler) followShort(now Time) {
-	capacity, use := 0.0, 0.0
+	capacity, use, held := 0.0, 0.0, 0.0
+	s.heardVMs, s.emptyVMs = 0, 0
 	for _, v := range s.order {
 		if v.heard {
 			capacity += float64(v.inst.Capacity.MilliCPU)
 			use += float64(v.shortCPU)
+			held += float64(v.used.MilliCPU)
+			s.heardVMs++
+			if v.serving == 0 {
+				s.emptyVMs++
+			}
 		}
 	}
 	for _, st := range s.ready {
@@ -71,6 +82,7 @@
 	}
 	if capacity > 0 {
 		s.reserve.follow(now, min(use/capacity, 1))
+		s.crowded = held >= crowdedAt*capacity
 	}
 }
 
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -321,13 +321,17 @@
 	// changed is set when a plan may find something new to do.
 	changed bool
 	// meanWork is the mean work of each queue's jobs of late, in processor seconds.
-	meanWork    map[string]float64
-	images      images
-	reserve     reserve
-	logf        func(Decision)
-	plannedAt   Time
-	explainedAt Time
-	describedAt Time
+	meanWork map[string]float64
+	images   images
+	reserve  reserve
+	// crowded is set while lasting and short tasks declare most of all processors.
+	crowded bool
+	// heardVMs counts the VMs that are heard, emptyVMs those of them that serve nothing.
+	heardVMs, emptyVMs int
+	logf               func(Decision)
+	plannedAt          Time
+	explainedAt        Time
+	describedAt        Time
 	// loadLoggedAt is when the fleet's load was last logged.
 	loadLoggedAt Time
 }
