--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -40,7 +40,6 @@
 	told    int
 	seq     int64
 	heardAt time.Duration
-	acked   int64
 	// slow is how many times as long work takes; 0 stands still.
 	slow    float64
 	failing bool
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -203,9 +203,13 @@
 		d.Fault("name", "give the scenario a name")
 	}
 	bounds := []bound{
-		{"lead_s", s.LeadS, 1, maxSeconds}, {"load_s", s.LoadS, 1, maxSeconds}, {"after_s", s.AfterS, 0, maxSeconds},
-		{"fleet.vms", float64(s.Fleet.VMs), 1, maxVMs}, {"fleet.cores", s.Fleet.Cores, 0.1, maxCores},
-		{"fleet.memory_gb", s.Fleet.MemoryGB, 0.1, 1 << 20}, {"fleet.rack_of", float64(s.Fleet.RackOf), 1, maxVMs},
+		{"lead_s", s.LeadS, 1, maxSeconds},
+		{"load_s", s.LoadS, 1, maxSeconds},
+		{"after_s", s.AfterS, 0, maxSeconds},
+		{"fleet.vms", float64(s.Fleet.VMs), 1, maxVMs},
+		{"fleet.cores", s.Fleet.Cores, 0.1, maxCores},
+		{"fleet.memory_gb", s.Fleet.MemoryGB, 0.1, 1 << 20},
+		{"fleet.rack_of", float64(s.Fleet.RackOf), 1, maxVMs},
 		{"fleet.report_ms", float64(s.Fleet.ReportMS), 100, 10_000},
 	}
 	for i, size := range s.Fleet.Sizes {
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -280,18 +280,3 @@
 	j.version++
 	s.dirty[j.spec.ID] = j
 }
-
-// Forget drops jobs that ended more than keep ago and returns their IDs.
-func (s *Scheduler) Forget(now Time, keep time.Duration, most int) []string {
-	var gone []string
-	for id, j := range s.jobs {
-		if len(gone) >= most {
-			break
-		}
-		if j.state.Final() && j.durableState == j.state && now-j.endedAt > keep {
-			gone = append(gone, id)
-			delete(s.jobs, id)
-		}
-	}
-	return gone
-}
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -128,8 +128,13 @@
 		name  string
 		value float64
 	}{
-		{"reserve_most", p.ReserveMost}, {"peak_limit", p.PeakLimit}, {"room_limit", p.RoomLimit}, {"keep_empty", p.KeepEmpty},
-		{"pressed_at", p.PressedAt}, {"aim_at", p.AimAt}, {"move_below", float64(p.MoveBelow) / 100},
+		{"reserve_most", p.ReserveMost},
+		{"peak_limit", p.PeakLimit},
+		{"room_limit", p.RoomLimit},
+		{"keep_empty", p.KeepEmpty},
+		{"pressed_at", p.PressedAt},
+		{"aim_at", p.AimAt},
+		{"move_below", float64(p.MoveBelow) / 100},
 	} {
 		if share.value < 0 || share.value > 1 {
 			return fmt.Errorf("%s: give a share from 0 to 1 (move_below: 0 to 100), not %g", share.name, share.value)
