--- a/internal/experiment/compare.go
+++ b/internal/experiment/compare.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 
+	"golang.org/x/sync/errgroup"
 	"gonum.org/v1/gonum/stat"
 	"gonum.org/v1/gonum/stat/distuv"
 )
@@ -52,51 +53,13 @@
 
 // Compare plays all variants on the same seeds.
 func Compare(ctx context.Context, s *Scenario, o Options) (Report, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	outcomes := make([][]Outcome, len(o.Variants))
-	type play struct{ variant, seed int }
-	plays := make(chan play)
-	var group sync.WaitGroup
-	var lock sync.Mutex
-	var failed error
-	done, all := 0, len(o.Variants)*o.Seeds
-	for range max(o.Workers, 1) {
-		group.Add(1)
-		go func() {
-			defer group.Done()
-			for p := range plays {
-				out, err := Play(ctx, s, &o.Variants[p.variant], o.First+uint64(p.seed))
-				lock.Lock()
-				if err != nil && failed == nil {
-					failed = err
-					cancel()
-				}
-				outcomes[p.variant][p.seed] = out
-				done++
-				if o.Progress != nil && err == nil {
-					o.Progress(done, all)
-				}
-				lock.Unlock()
-			}
-		}()
+	outcomes, err := playAll(ctx, s, &o)
+	if err != nil {
+		return Report{}, fmt.Errorf("experiment %s: %w", s.Name, err)
 	}
-	for v := range o.Variants {
-		outcomes[v] = make([]Outcome, o.Seeds)
-	}
-	for seed := range o.Seeds {
-		for v := range o.Variants {
-			plays <- play{v, seed}
-		}
-	}
-	close(plays)
-	group.Wait()
 	if o.Workers > 1 {
 		forgetAllocations(outcomes)
 	}
-	if failed != nil {
-		return Report{}, fmt.Errorf("experiment %s: %w", s.Name, failed)
-	}
 	r := Report{Scenario: s.Name, Seeds: o.Seeds, First: o.First}
 	for v := range o.Variants {
 		r.Variants = append(r.Variants, summarise(o.Variants[v].Name, outcomes[v], outcomes[0]))
@@ -104,6 +67,38 @@
 	return r, nil
 }
 
+// playAll plays each variant on each seed, some at a time. The first error ends the
+// others.
+func playAll(ctx context.Context, s *Scenario, o *Options) ([][]Outcome, error) {
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(max(o.Workers, 1))
+	outcomes := make([][]Outcome, len(o.Variants))
+	for v := range outcomes {
+		outcomes[v] = make([]Outcome, o.Seeds)
+	}
+	var lock sync.Mutex
+	done, all := 0, len(o.Variants)*o.Seeds
+	for seed := range o.Seeds {
+		for v := range o.Variants {
+			group.Go(func() error {
+				out, err := Play(ctx, s, &o.Variants[v], o.First+uint64(seed))
+				if err != nil {
+					return err
+				}
+				lock.Lock()
+				defer lock.Unlock()
+				outcomes[v][seed] = out
+				done++
+				if o.Progress != nil {
+					o.Progress(done, all)
+				}
+				return nil
+			})
+		}
+	}
+	return outcomes, group.Wait()
+}
+
 // forgetAllocations drops figures that count other plays' allocations as well.
 func forgetAllocations(outcomes [][]Outcome) {
 	for v := range outcomes {
