--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -124,6 +124,8 @@
 	at    Time
 	use   uses
 	tails map[*run]float64
+	// runs holds the keys of tails in the order of the VM's runs.
+	runs []*run
 }
 
 // compareSamples learns of tasks without siblings by comparing a VM's new report
@@ -137,6 +139,7 @@
 		st := r.task.step
 		if st.spec.Serves() && r.atWork() && st.siblingsElsewhere(v) < leastSiblings {
 			next.tails[r] = r.usage
+			next.runs = append(next.runs, r)
 		}
 	}
 	if now-v.sample.at <= sampleMax {
@@ -155,9 +158,9 @@
 	if largest < leastChange {
 		return
 	}
-	for r, tail := range after.tails {
+	for _, r := range after.runs {
 		if earlier := before.tails[r]; earlier > 0 {
-			s.images.learn(r.task.step.spec.Image, &dx, math.Log(tail/earlier))
+			s.images.learn(r.task.step.spec.Image, &dx, math.Log(after.tails[r]/earlier))
 		}
 	}
 }
