--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -70,11 +70,10 @@
 	vms    []*vm
 	byID   map[string]*vm
 	jobs   map[string]*job
-	// ended are the tasks that are done, by run: another run's end must not count again.
+	// done are the tasks that are done: another run's end must not count again.
 	done map[batch.TaskID]bool
-	// wasted sums the processor seconds of work that was not kept.
-	wasted float64
-	used   float64
+	// wasted sums the processor seconds of work that was not kept, used those in use.
+	wasted, used float64
 }
 
 func newFleet(s *Scenario, w *world, seed uint64) *fleet {
