--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -175,11 +175,18 @@
 	require.NoError(t, f.submit(t.Context()))
 }
 
-// A job in doubt is settled where the store is back soon: the caller of one that is
-// not can't come back with it.
+// A job in doubt is settled where the store is back within settleFor: the caller of one
+// that is not can't come back with it. Beyond that its caller is told at once.
 func TestDoubtIsSettledWhenTheStoreIsBackSoon(t *testing.T) {
 	f := newEntryFixture()
 	f.store.resets = true
-	time.AfterFunc(600*time.Millisecond, func() { f.store.back.Store(true) })
+	time.AfterFunc(settleFor/2, func() { f.store.back.Store(true) })
 	require.NoError(t, f.submit(t.Context()))
+
+	f = newEntryFixture()
+	f.store.resets = true
+	began := time.Now()
+	require.True(t, errkind.Is(f.submit(t.Context()), errkind.StoreUnknown))
+	require.GreaterOrEqual(t, time.Since(began), settleFor)
+	require.Less(t, time.Since(began), 2*settleFor)
 }
