Orders go to VMs through relays: other entry VMs hold the connections

Cause: one process held all VMs and gave all orders.

Change: the leader decides as before. Processes offer themselves to it, and it opens streams to as many as the fleet needs (more than 64 VMs; by their processor and link, in the zone of the VMs). Orders and outcomes go in batches of some ms; payloads once a stream; reports as differences. For the leader a call through a relay is one that it made itself: leases are counted from its own clock, an outcome that is not known stays unknown. A relay that is lost, silent for 0.9 s or stopping hands its VMs to others.

Conclusion: the link and the calls are spread; the leader's decisions bind next.

--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 
 # Needs protoc, protoc-gen-go and protoc-gen-twirp; their output is committed.
 generate:
-	protoc --go_out=. --go_opt=module=github.com/rattanwall/rattanwall \
-		--twirp_out=. --twirp_opt=module=github.com/rattanwall/rattanwall \
-		internal/peer/peer.proto internal/scheduling/scheduling.proto
+	@for file in internal/peer/peer.proto internal/scheduling/scheduling.proto; do \
+		protoc --go_out=. --go_opt=module=github.com/rattanwall/rattanwall \
+			--twirp_out=. --twirp_opt=module=github.com/rattanwall/rattanwall $$file || exit 1; \
+	done
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -23,6 +23,7 @@
 	"github.com/rattanwall/rattanwall/internal/follow"
 	"github.com/rattanwall/rattanwall/internal/leader"
 	"github.com/rattanwall/rattanwall/internal/pause"
+	"github.com/rattanwall/rattanwall/internal/relay"
 	"github.com/rattanwall/rattanwall/internal/scheduler"
 	"github.com/rattanwall/rattanwall/internal/scheduling"
 )
@@ -43,6 +44,8 @@
 	Metrics string
 	// Processor is the share of a core that the VM has.
 	Processor float64
+	// LinkMbps is the bandwidth of the VM's link, 0 where it is not told.
+	LinkMbps float64
 	// MemoryMB is the memory limit of the process.
 	MemoryMB float64
 	// Grace is the time from the signal to stop until the process is killed.
@@ -113,20 +116,32 @@
 	metrics  *metrics
 	operator *follow.Follower
 	peers    *peers
+	// relays are the processes that carry orders for this one while it leads; relay
+	// carries those of another leader.
+	relays *relay.Pool
+	relay  *relay.Server
+	offers *offers
 }
 
 // New puts the process together.
 func New(s Settings, p Platform, log *eventlog.Log) *Edge {
 	e := &Edge{settings: s, platform: p, log: log, waves: map[int64]batch.Wave{}, aborted: make(chan struct{})}
+	e.relays = &relay.Pool{Direct: p.Agents, Node: s.Node, Processor: s.Processor, Log: log}
+	e.relay = &relay.Server{Agents: p.Agents, Log: log}
 	e.leader = &leader.Leader{
-		Store: p.Store, Agents: p.Agents, Adviser: p.Adviser, Instances: p.Instances, Config: e.config.Load,
+		Store: p.Store, Agents: e.relays, Relays: e.relays, Adviser: p.Adviser, Instances: p.Instances, Config: e.config.Load,
 		Settings: s.Bounds, Log: log, WallMS: wallMS,
 		Machines: p.Machines, Node: s.Node, Address: s.Peers, Predecessors: &predecessors{client: p.PeerClient}, Waves: e.listWaves, ReportWave: p.ReportWave,
 	}
 	e.metrics = newMetrics(e.leader.Figures)
 	e.leader.Observe, e.leader.ObserveEnd = e.metrics.decision, e.metrics.end
 	e.election = leader.NewElection(p.Store, leader.Record{Node: s.Node, Address: s.Peers}, s.Processor, log, e.leader.Lead)
-	local := &peerServer{node: s.Node, leader: e.leader, election: e.election, store: p.Store}
+	local := &peerServer{node: s.Node, leader: e.leader, election: e.election, store: p.Store, relays: e.relays}
+	e.offers = &offers{
+		offer:  relay.Offer{Node: s.Node, Address: s.Peers, Zone: s.Zone, VMs: relay.Room(s.Processor, s.LinkMbps)},
+		leader: e.election.Leader, client: p.PeerClient, log: log, wake: make(chan struct{}, 1),
+	}
+	e.election.Seen = func(leader.Record) { e.offers.soon() }
 	e.operator = &follow.Follower{
 		Store: p.Store, Prefix: p.OperatorPrefix, Wait: configWatch, Handle: e.observeOperator,
 		Failed: func(err error) { log.Warn("config_watch_failed", err, nil) },
@@ -140,7 +155,10 @@
 	callers, ready := p.Callers(e.entry)
 	e.serve(s.Callers, callers)
 	e.serve(s.Readiness, ready)
-	e.serve(s.Peers, scheduling.NewSchedulingServer(local))
+	peers := http.NewServeMux()
+	peers.Handle("/", scheduling.NewSchedulingServer(local))
+	peers.Handle("GET "+relay.Path, e.relay)
+	e.serve(s.Peers, peers)
 	if s.Operations != "" {
 		e.serve(s.Operations, e.operations())
 	}
@@ -177,6 +195,7 @@
 	tree.Add(e.operator)
 	tree.Add(e.election.Follower())
 	tree.Add(e.election)
+	tree.Add(e.offers)
 	for _, s := range e.servers {
 		tree.Add(httpService{s})
 	}
@@ -257,7 +276,9 @@
 	began := time.Now()
 	e.log.Event("process_stopping", eventlog.Fields{"grace_ms": e.settings.Grace.Milliseconds()})
 	e.draining.Store(true)
+	e.offers.stop()
 	e.election.Resign(context.Background())
+	go e.relay.Leave()
 	time.Sleep(noticeTime)
 	for _, s := range e.servers {
 		s.SetKeepAlivesEnabled(false)
--- /dev/null
+++ b/internal/edge/offers.go
@@ -0,0 +1,91 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/eventlog"
+	"github.com/rattanwall/rattanwall/internal/leader"
+	"github.com/rattanwall/rattanwall/internal/relay"
+	"github.com/rattanwall/rattanwall/internal/scheduling"
+)
+
+const (
+	// offerTimeout bounds one offer.
+	offerTimeout = 800 * time.Millisecond
+	// offerAgain is the pause after an offer that the leader did not take: it may
+	// just be taking over.
+	offerAgain = 400 * time.Millisecond
+	// offerSpread spreads the offers of many processes that see a new leader at the
+	// same moment; those with little room wait for up to smallOffer more, so that a
+	// leader has those with the most first.
+	offerSpread = 20 * time.Millisecond
+	smallOffer  = 150 * time.Millisecond
+	// fullOffer is the room from which a process does not wait.
+	fullOffer = 64
+)
+
+// offers tells each leader that this process can carry orders for it.
+type offers struct {
+	offer   relay.Offer
+	leader  func() (leader.Record, bool)
+	client  *http.Client
+	log     *eventlog.Log
+	wake    chan struct{}
+	stopped atomic.Bool
+}
+
+// soon has the offer made now.
+func (o *offers) soon() {
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+// stop ends the offers: the process is about to stop.
+func (o *offers) stop() { o.stopped.Store(true) }
+
+// Serve implements suture.Service.
+func (o *offers) Serve(ctx context.Context) error {
+	small := float64(max(0, fullOffer-o.offer.VMs)) / fullOffer
+	delay := rand.N(offerSpread) + time.Duration(small*float64(smallOffer))
+	next := time.NewTimer(delay)
+	defer next.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-o.wake:
+			next.Reset(delay)
+			continue
+		case <-next.C:
+		}
+		if o.make(ctx) {
+			next.Reset(relay.OfferEvery - offerSpread + 2*rand.N(offerSpread))
+		} else {
+			next.Reset(offerAgain + rand.N(offerAgain))
+		}
+	}
+}
+
+// make makes the offer, and reports whether it need not be made again soon.
+func (o *offers) make(ctx context.Context) bool {
+	record, known := o.leader()
+	if !known || record.Address == o.offer.Address || o.stopped.Load() {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
+	defer cancel()
+	remote := scheduling.NewSchedulingProtobufClient("http://"+record.Address, o.client)
+	_, err := remote.Offer(ctx, &scheduling.OfferRequest{
+		Node: o.offer.Node, Address: o.offer.Address, Zone: o.offer.Zone, Vms: int32(o.offer.VMs),
+	})
+	if err != nil && ctx.Err() == nil {
+		o.log.Event("offer_not_taken", eventlog.Fields{"leader": record.Node, "error": err.Error()})
+	}
+	return err == nil
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -15,6 +15,7 @@
 	"github.com/rattanwall/rattanwall/internal/durable"
 	"github.com/rattanwall/rattanwall/internal/entry"
 	"github.com/rattanwall/rattanwall/internal/leader"
+	"github.com/rattanwall/rattanwall/internal/relay"
 	"github.com/rattanwall/rattanwall/internal/scheduling"
 	"github.com/rattanwall/rattanwall/internal/steady"
 )
@@ -26,6 +27,7 @@
 	leader   *leader.Leader
 	election *leader.Election
 	store    durable.Store
+	relays   *relay.Pool
 }
 
 var _ scheduling.Scheduling = (*peerServer)(nil)
@@ -96,6 +98,14 @@
 	return resp, nil
 }
 
+// Offer implements scheduling.Scheduling.
+func (p *peerServer) Offer(_ context.Context, r *scheduling.OfferRequest) (*scheduling.OfferResponse, error) {
+	if !p.relays.Offered(relay.Offer{Node: r.GetNode(), Address: r.GetAddress(), Zone: r.GetZone(), VMs: max(int(r.GetVms()), 1)}) {
+		return nil, errNotLeading
+	}
+	return &scheduling.OfferResponse{}, nil
+}
+
 // predecessors asks processes that led.
 type predecessors struct{ client *http.Client }
 
--- a/internal/leader/election.go
+++ b/internal/leader/election.go
@@ -51,6 +51,8 @@
 	processor float64
 	log       *eventlog.Log
 	lead      func(ctx context.Context, term *Tenure)
+	// Seen is told of each leader that is not this process; may be nil. It must not wait.
+	Seen func(Record)
 
 	mu     sync.Mutex
 	leader Record
@@ -174,6 +176,9 @@
 		t.End()
 	}
 	e.log.Event("leader_seen", eventlog.Fields{"leader": e.leader.Node, "fence": e.fence})
+	if e.Seen != nil && e.fence != 0 && e.leader != e.self {
+		e.Seen(e.leader)
+	}
 	e.mu.Unlock()
 	select {
 	case e.wake <- struct{}{}:
--- a/internal/leader/holds.go
+++ b/internal/leader/holds.go
@@ -40,8 +40,11 @@
 // holdAll runs one hold loop for each instance.
 func (t *term) holdAll(ctx context.Context) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	instances := t.sched.Instances()
+	t.mu.Unlock()
+	t.tellFleet(ctx, instances)
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.wait.Store(int64(holdWait(len(instances))))
 	for id := range t.holds {
 		if _, ok := instances[id]; !ok {
@@ -58,6 +61,22 @@
 	}
 }
 
+// tellFleet tells the relays which VMs are held; the first time it waits for some.
+func (t *term) tellFleet(ctx context.Context, instances map[string]batch.Instance) {
+	if t.Relays == nil {
+		return
+	}
+	fleet := make(map[string]string, len(instances))
+	for id := range instances {
+		fleet[id] = instances[id].Zone
+	}
+	t.Relays.SetFleet(fleet)
+	if !t.relaysAwaited {
+		t.relaysAwaited = true
+		t.Relays.AwaitReady(ctx, relaysWait)
+	}
+}
+
 // silence is the time that a VM has left holds without an answer.
 type silence struct {
 	failures int
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -24,6 +24,18 @@
 	Hold(ctx context.Context, instance *batch.Instance, o batch.HoldOrder) (batch.Report, error)
 }
 
+// Relays spread the Agents' work over other processes where the fleet is large.
+type Relays interface {
+	// Lead begins a tenure, which ends with ctx.
+	Lead(ctx context.Context, fence int64)
+	// SetFleet tells which VMs are held, by ID with their availability zone.
+	SetFleet(fleet map[string]string)
+	// AwaitReady waits up to d until there are relays for the fleet.
+	AwaitReady(ctx context.Context, d time.Duration)
+	// Relayed reports whether orders to a VM go through a relay.
+	Relayed(id string) bool
+}
+
 // Adviser knows which instances may run a step of some queues. It returns their
 // tickets by ID and how long these last.
 type Adviser interface {
@@ -51,6 +63,13 @@
 	// a second need five. More are given after a change of leader, and their
 	// timeouts must not run while they wait for the processor or a connection.
 	ordersAtOnce = 96
+	// relayedAtOnce bounds those that go through relays, which have no connections
+	// and few timeouts here: at 25 ms each 4,000 a second need a hundred, and
+	// after a change of leader a whole fleet's are given at once.
+	relayedAtOnce = 2048
+	// relaysWait is how long a new leader waits for relays before it holds a large
+	// fleet itself: processes offer themselves when they see its key.
+	relaysWait = 500 * time.Millisecond
 	// rebuildTimeout bounds one attempt to read all records.
 	rebuildTimeout = 5 * time.Second
 	rebuildPause   = 200 * time.Millisecond
@@ -60,8 +79,10 @@
 
 // Leader does the leader's work during a tenure.
 type Leader struct {
-	Store     durable.Store
-	Agents    Agents
+	Store  durable.Store
+	Agents Agents
+	// Relays may be nil: then all orders are given from this process.
+	Relays    Relays
 	Adviser   Adviser
 	Instances Instances
 	Machines  Machines
@@ -122,8 +143,10 @@
 	flushed chan struct{}
 	kick    chan struct{}
 	work    sync.WaitGroup
-	// carrying bounds the calls under way.
-	carrying chan struct{}
+	// carrying bounds the calls under way from this process, relayed those through others.
+	carrying, relayed chan struct{}
+	// relaysAwaited is set once relays were waited for.
+	relaysAwaited bool
 	// modelRead is set once it is known what earlier leaders have learned. Only the
 	// rebuild, and after it the model's loop, look at it.
 	modelRead bool
@@ -141,7 +164,10 @@
 	t := &term{
 		Leader: l, tenure: tenure, log: l.Log, recorded: instances{}, removed: removals{}, cancelledEarly: map[string]time.Duration{},
 		holds: map[string]context.CancelFunc{}, told: map[string]toldEnds{}, flushed: make(chan struct{}),
-		kick: make(chan struct{}, 1), carrying: make(chan struct{}, ordersAtOnce),
+		kick: make(chan struct{}, 1), carrying: make(chan struct{}, ordersAtOnce), relayed: make(chan struct{}, relayedAtOnce),
+	}
+	if l.Relays != nil {
+		l.Relays.Lead(ctx, tenure.Fence)
 	}
 	t.sched = scheduler.New(l.Settings, tenure.Fence, t.logDecision)
 	jobs, err := t.rebuild(ctx)
--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -57,9 +57,15 @@
 
 // takePlace waits for a place among the calls under way. A stop holds it for one try
 // at a time: what is repeated for long must not keep other orders from being given.
-func (t *term) takePlace() { t.carrying <- struct{}{} }
-
-func (t *term) leavePlace() { <-t.carrying }
+// The place is to be left when the call is over.
+func (t *term) takePlace(vm string) (leave func()) {
+	places := t.carrying
+	if t.Relays != nil && t.Relays.Relayed(vm) {
+		places = t.relayed
+	}
+	places <- struct{}{}
+	return func() { <-places }
+}
 
 // wanted reports whether a try of a start is still to be made. A task may be done
 // elsewhere, or its job cancelled, while an earlier try had no answer.
@@ -76,8 +82,7 @@
 // after a try that got no answer says nothing of that try, which may be carried
 // out later: the outcome is unknown.
 func (t *term) start(ctx context.Context, o scheduler.Order) {
-	t.takePlace()
-	defer t.leavePlace()
+	defer t.takePlace(o.Instance.ID)()
 	unanswered := false
 	var refusal batch.Refusal
 	var clock time.Duration
@@ -161,11 +166,11 @@
 		if !t.repeatStop(o, age) {
 			return
 		}
-		t.takePlace()
+		leave := t.takePlace(o.Instance.ID)
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		err = t.Agents.Stop(callCtx, &o.Instance, o.Task, o.Run, t.tenure.Fence)
 		cancel()
-		t.leavePlace()
+		leave()
 		switch refusalOf(err) {
 		case batch.RefusedGone:
 			return
@@ -185,8 +190,7 @@
 }
 
 func (t *term) pace(ctx context.Context, o scheduler.Order) {
-	t.takePlace()
-	defer t.leavePlace()
+	defer t.takePlace(o.Instance.ID)()
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	err := t.Agents.Pace(callCtx, &o.Instance, o.Task, o.Run, o.Percent, t.tenure.Fence)
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,328 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+	"github.com/rattanwall/rattanwall/internal/eventlog"
+	"github.com/rattanwall/rattanwall/internal/steady"
+)
+
+// vms are the VMs of a test, as whoever gives orders to them sees them.
+type vms struct {
+	mu     sync.Mutex
+	starts []batch.StartOrder
+	holds  map[string]int
+	report func(id string) (batch.Report, error)
+	stop   error
+	// slow delays each answer.
+	slow time.Duration
+}
+
+func (v *vms) Start(ctx context.Context, _ *batch.Instance, o batch.StartOrder) (time.Duration, error) {
+	v.mu.Lock()
+	v.starts = append(v.starts, o)
+	v.mu.Unlock()
+	select {
+	case <-time.After(v.slow):
+		return time.Hour, nil
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+}
+
+func (v *vms) Stop(context.Context, *batch.Instance, batch.TaskID, int64, int64) error { return v.stop }
+
+func (v *vms) Pace(context.Context, *batch.Instance, batch.TaskID, int64, int, int64) error {
+	return nil
+}
+
+func (v *vms) Hold(_ context.Context, vm *batch.Instance, _ batch.HoldOrder) (batch.Report, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.holds == nil {
+		v.holds = map[string]int{}
+	}
+	v.holds[vm.ID]++
+	if v.report == nil {
+		return batch.Report{Clock: time.Hour}, nil
+	}
+	return v.report(vm.ID)
+}
+
+func (v *vms) holdCount() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	n := 0
+	for _, c := range v.holds {
+		n += c
+	}
+	return n
+}
+
+func quiet() *eventlog.Log { return eventlog.New(io.Discard, logrus.ErrorLevel) }
+
+// process is a relay of a test.
+type process struct {
+	server *Server
+	web    *httptest.Server
+	offer  Offer
+}
+
+func newProcess(t *testing.T, node, zone string, agents Agents) *process {
+	p := &process{server: &Server{Agents: agents, Log: quiet()}}
+	mux := http.NewServeMux()
+	mux.Handle(Path, p.server)
+	p.web = httptest.NewServer(mux)
+	t.Cleanup(p.web.Close)
+	p.offer = Offer{Node: node, Zone: zone, Address: strings.TrimPrefix(p.web.URL, "http://"), VMs: 64}
+	return p
+}
+
+func (p *process) streams() int {
+	p.server.mu.Lock()
+	defer p.server.mu.Unlock()
+	return len(p.server.streams)
+}
+
+// cut breaks the streams to the relay.
+func (p *process) cut() {
+	p.server.mu.Lock()
+	defer p.server.mu.Unlock()
+	for st := range p.server.streams {
+		_ = st.conn.Close()
+	}
+}
+
+// newPool is the pool of a leader of a fleet of so many VMs in two availability zones.
+func newPool(t *testing.T, direct Agents, fleet int, relays ...*process) *Pool {
+	p := &Pool{Direct: direct, Node: "leader", Processor: 1, Log: quiet()}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	p.Lead(ctx, 7)
+	for _, r := range relays {
+		require.True(t, p.Offered(r.offer))
+	}
+	p.SetFleet(fleetOf(fleet))
+	p.AwaitReady(ctx, 5*time.Second)
+	return p
+}
+
+func fleetOf(n int) map[string]string {
+	fleet := map[string]string{}
+	for i := range n {
+		vm := vmOf(i)
+		fleet[vm.ID] = vm.Zone
+	}
+	return fleet
+}
+
+func vmOf(i int) *batch.Instance {
+	return &batch.Instance{ID: fmt.Sprintf("vm%03d", i), Address: "10.0.0.1:1", Zone: []string{"a", "b"}[i%2]}
+}
+
+func soon(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestOrdersGoThroughRelaysOfTheirZone(t *testing.T) {
+	near, far, direct := &vms{}, &vms{}, &vms{}
+	p := newPool(t, direct, 100, newProcess(t, "ra", "a", near), newProcess(t, "rb", "b", far))
+	for i := range 100 {
+		_, err := p.Hold(soon(t), vmOf(i), batch.HoldOrder{})
+		require.NoError(t, err)
+	}
+	require.Equal(t, map[string]int{"ra": 50, "rb": 50}, p.Relays())
+	require.Equal(t, 50, near.holdCount())
+	require.Equal(t, 50, far.holdCount())
+	require.Zero(t, direct.holdCount())
+	require.True(t, p.Relayed("vm003"))
+}
+
+func TestSmallFleetsAreServedDirectly(t *testing.T) {
+	direct, relayed := &vms{}, &vms{}
+	p := newPool(t, direct, directVMs, newProcess(t, "ra", "a", relayed))
+	_, err := p.Hold(soon(t), vmOf(1), batch.HoldOrder{})
+	require.NoError(t, err)
+	require.Equal(t, 1, direct.holdCount())
+	require.Empty(t, p.Relays())
+}
+
+func TestOutcomesComeAsTheyWere(t *testing.T) {
+	cause := &batch.RefusalError{Reason: batch.RefusedUnreached, Cause: errors.New("no route")}
+	relayed := &vms{stop: cause, report: func(string) (batch.Report, error) { return batch.Report{}, errors.New("cut off") }}
+	p := newPool(t, &vms{}, 100, newProcess(t, "ra", "a", relayed), newProcess(t, "rb", "b", relayed))
+	clock, err := p.Start(soon(t), vmOf(0), batch.StartOrder{Task: batch.TaskID{Job: "j"}, Payload: "text", Fence: 7})
+	require.NoError(t, err)
+	require.Equal(t, time.Hour, clock)
+	_, err = p.Start(soon(t), vmOf(2), batch.StartOrder{Task: batch.TaskID{Job: "j", Index: 1}, Payload: "text"})
+	require.NoError(t, err)
+	require.Equal(t, "text", relayed.starts[0].Payload)
+	require.Equal(t, "text", relayed.starts[1].Payload)
+	var refusal *batch.RefusalError
+	require.ErrorAs(t, p.Stop(soon(t), vmOf(0), batch.TaskID{Job: "j"}, 1, 7), &refusal)
+	require.Equal(t, batch.RefusedUnreached, refusal.Reason)
+	require.ErrorContains(t, refusal, "no route")
+	_, err = p.Hold(soon(t), vmOf(0), batch.HoldOrder{})
+	require.ErrorContains(t, err, "cut off")
+	require.NotErrorAs(t, err, &refusal)
+}
+
+func TestReportsAreRestoredWhole(t *testing.T) {
+	task := func(i int) batch.TaskID { return batch.TaskID{Job: "job", Step: 1, Index: i} }
+	full := []batch.Report{
+		{Clock: 1, Running: []batch.RunStatus{{Task: task(1), Run: 5, Checkpoint: "c1", Progress: 4, Usage: 2, HasUsage: true}, {Task: task(2), Run: 6}}},
+		{Clock: 2, Running: []batch.RunStatus{{Task: task(2), Run: 6, Progress: 1}, {Task: task(1), Run: 5, Checkpoint: "c1", Progress: 8}}},
+		{Clock: 3, Running: []batch.RunStatus{{Task: task(1), Run: 5}, {Task: task(3), Run: 9}}, Ended: []batch.RunEnd{{Seq: 1, Task: task(2), Run: 6, Kind: batch.EndDone}}},
+		// Members of a gang have one number.
+		{Clock: 4, Running: []batch.RunStatus{{Task: task(4), Run: 9}, {Task: task(3), Run: 9, Checkpoint: "x"}}, MoreEnded: true},
+		{Clock: 5, Running: []batch.RunStatus{}},
+	}
+	next := 0
+	relayed := &vms{report: func(string) (batch.Report, error) {
+		next++
+		return full[next-1], nil
+	}}
+	p := newPool(t, &vms{}, 100, newProcess(t, "ra", "a", relayed), newProcess(t, "rb", "b", relayed))
+	for i := range full {
+		rep, err := p.Hold(soon(t), vmOf(0), batch.HoldOrder{})
+		require.NoError(t, err)
+		require.Equal(t, full[i], rep)
+	}
+}
+
+// Symptom: the VMs of a relay that died are unheard until their calls time out.
+// Sequence: a relay's connections are cut while calls are under way.
+// Cause: nothing but the timeout of each call told of it.
+func TestVMsOfALostRelayAreServedByOthers(t *testing.T) {
+	relayed := &vms{slow: time.Minute}
+	ra, rb := newProcess(t, "ra", "a", relayed), newProcess(t, "rb", "b", &vms{})
+	p := newPool(t, &vms{}, 100, ra, rb)
+	began := steady.Now()
+	failed := make(chan error, 1)
+	go func() {
+		_, err := p.Start(soon(t), vmOf(0), batch.StartOrder{Task: batch.TaskID{Job: "j"}})
+		failed <- err
+	}()
+	require.Eventually(t, func() bool {
+		relayed.mu.Lock()
+		defer relayed.mu.Unlock()
+		return len(relayed.starts) == 1
+	}, time.Second, time.Millisecond)
+	ra.cut()
+	err := <-failed
+	require.ErrorIs(t, err, errBroken, "it may have been carried out")
+	var refusal *batch.RefusalError
+	require.NotErrorAs(t, err, &refusal)
+	require.Less(t, steady.Now()-began, time.Second)
+	require.Eventually(t, func() bool { return p.Relays()["ra"] == 0 }, time.Second, time.Millisecond)
+	_, err = p.Hold(soon(t), vmOf(0), batch.HoldOrder{})
+	require.NoError(t, err)
+	require.Equal(t, 1, p.Relays()["rb"])
+}
+
+// Symptom: a relay that stops cuts off what it has under way.
+// Sequence: a planned stop of a relay, with orders under way and others to come.
+// Cause: the leader did not know that it was about to stop.
+func TestLeavingRelayFinishesItsCalls(t *testing.T) {
+	relayed := &vms{slow: 300 * time.Millisecond}
+	ra, rb := newProcess(t, "ra", "a", relayed), newProcess(t, "rb", "b", &vms{})
+	p := newPool(t, &vms{}, 100, ra, rb)
+	done := make(chan error, 1)
+	go func() {
+		_, err := p.Start(soon(t), vmOf(0), batch.StartOrder{Task: batch.TaskID{Job: "j"}})
+		done <- err
+	}()
+	require.Eventually(t, func() bool { return p.Relays()["ra"] == 1 }, time.Second, time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
+	ra.server.Leave()
+	require.NoError(t, <-done)
+	_, err := p.Hold(soon(t), vmOf(0), batch.HoldOrder{})
+	require.NoError(t, err)
+	require.Equal(t, 1, p.Relays()["rb"])
+}
+
+// Symptom: orders of a leader that was replaced reach VMs that its successor has not
+// reached yet.
+// Sequence: a relay serves a leader when a later one opens a stream to it.
+func TestRelayLeavesTheEarlierLeader(t *testing.T) {
+	ra := newProcess(t, "ra", "a", &vms{})
+	first := newPool(t, &vms{}, 65, ra)
+	require.Eventually(t, func() bool { return ra.streams() == 1 }, time.Second, time.Millisecond)
+	later := &Pool{Direct: &vms{}, Node: "later", Processor: 1, Log: quiet()}
+	later.Lead(t.Context(), 8)
+	require.True(t, later.Offered(ra.offer))
+	later.SetFleet(fleetOf(65))
+	require.Eventually(t, func() bool { return len(first.Relays()) == 0 && len(later.Relays()) == 1 }, 2*time.Second, time.Millisecond)
+	_, err := dial(soon(t), ra.offer, hello{Fence: 7})
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return ra.streams() == 1 }, time.Second, time.Millisecond)
+}
+
+// Symptom: a task is started seconds after its leader had given the start up.
+// Sequence: a relay is suspended; meanwhile the leader sends it starts and gives them
+// up; the relay wakes and finds them in its queue.
+// Cause: a call's time was counted from when it was read.
+func TestStartsThatWereLongUnderWayAreRefused(t *testing.T) {
+	relayed := &vms{}
+	st := &served{server: &Server{Agents: relayed, Log: quiet()}, kick: make(chan struct{}, 1), instances: map[int]*batch.Instance{1: {ID: "vm"}}, payloads: map[string]string{}, last: lastReports{}}
+	at := steady.Now()
+	st.take(t.Context(), &orders{SentAt: at})
+	late := orders{SentAt: at - staleAfter - 100*time.Millisecond, Starts: []startCall{{Head: callHead{Call: 3, VM: 1, Within: time.Second}}}}
+	st.take(t.Context(), &late)
+	require.Len(t, st.queue, 1)
+	require.Equal(t, batch.RefusedUnreached, st.queue[0].Refusal)
+	require.Empty(t, relayed.starts)
+}
+
+func TestPayloadsAreSentOnceAndBounded(t *testing.T) {
+	table := payloadTable{used: map[string]uint64{}}
+	for i := range mostPayloads {
+		fresh, dropped := table.use(fmt.Sprint(i))
+		require.True(t, fresh)
+		require.Empty(t, dropped)
+	}
+	fresh, _ := table.use("0")
+	require.False(t, fresh)
+	fresh, dropped := table.use("new")
+	require.True(t, fresh)
+	require.Equal(t, "1", dropped)
+}
+
+// Symptom: a task is started with an empty payload.
+// Sequence: a relay is to forget a job's payload; before that is written a task of the job
+// is started again.
+// Cause: the relay was told the payload and to drop it in one message, and dropped it last.
+func TestPayloadThatIsNeededAgainIsKept(t *testing.T) {
+	var m orders
+	m.drop("j")
+	m.keep("j", "text")
+	require.Empty(t, m.Dropped)
+	require.Empty(t, m.Payloads)
+	st := &served{server: &Server{Agents: &vms{}, Log: quiet()}, kick: make(chan struct{}, 1), instances: map[int]*batch.Instance{1: {ID: "vm"}}, payloads: map[string]string{}, last: lastReports{}}
+	m = orders{SentAt: steady.Now(), Starts: []startCall{{Head: callHead{Call: 3, VM: 1, Within: time.Second}}}}
+	st.take(t.Context(), &m)
+	require.Equal(t, batch.RefusedUnreached, st.queue[0].Refusal, "a payload that was not told is no empty one")
+}
+
+func TestRoomGoesByProcessorAndLink(t *testing.T) {
+	require.Equal(t, 64, Room(0.8, 200))
+	require.Equal(t, 64, Room(0.192, 20))
+	require.Equal(t, 15, Room(0.12, 2))
+	require.Equal(t, 55, Room(0.11, 10))
+	require.Equal(t, 64, Room(0.4, 0))
+}
--- /dev/null
+++ b/internal/relay/serve.go
@@ -0,0 +1,334 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"encoding/gob"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+	"github.com/rattanwall/rattanwall/internal/eventlog"
+	"github.com/rattanwall/rattanwall/internal/steady"
+)
+
+// Server carries the orders of leaders out. It is the handler of Path.
+type Server struct {
+	Agents Agents
+	Log    *eventlog.Log
+
+	mu sync.Mutex
+	// fence is the highest fencing token of a leader that opened a stream.
+	fence   int64
+	streams map[*served]bool
+	leaving bool
+}
+
+const (
+	// staleAfter is how much longer than the quickest message of its stream one may
+	// have been under way for its starts to be carried out. The leader has given
+	// them up by then, and a relay that wakes from a suspension has a queue of them.
+	staleAfter = 600 * time.Millisecond
+	// leaveWithin bounds the wait for calls under way at a planned stop: a hold
+	// takes a second at most.
+	leaveWithin = 1500 * time.Millisecond
+)
+
+// ServeHTTP implements http.Handler: it takes the connection over for a stream.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("Upgrade") != protocol {
+		w.Header().Set("Upgrade", protocol)
+		http.Error(w, "this address takes streams of "+protocol, http.StatusUpgradeRequired)
+		return
+	}
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		s.Log.Warn("relay_not_taken_over", err, nil)
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	switching := http.Response{
+		StatusCode: http.StatusSwitchingProtocols, ProtoMajor: 1, ProtoMinor: 1,
+		Header: http.Header{"Upgrade": {protocol}, "Connection": {"Upgrade"}},
+	}
+	_ = conn.SetDeadline(time.Now().Add(silentAfter))
+	if err := switching.Write(conn); err != nil {
+		s.Log.Warn("relay_not_taken_over", err, nil)
+		return
+	}
+	s.serve(conn, buffered.Reader)
+}
+
+// errSuperseded: a leader with a higher fencing token has opened a stream.
+var errSuperseded = errors.New("a later leader is served")
+
+// serve carries out what comes on one stream until it ends.
+func (s *Server) serve(conn net.Conn, in *bufio.Reader) {
+	decoder := gob.NewDecoder(in)
+	var h hello
+	_ = conn.SetReadDeadline(time.Now().Add(silentAfter))
+	if err := decoder.Decode(&h); err != nil {
+		s.Log.Warn("relay_not_opened", err, nil)
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	st := &served{
+		server: s, conn: conn, every: h.Every, kick: make(chan struct{}, 1), cancel: cancel, fence: h.Fence,
+		instances: map[int]*batch.Instance{}, payloads: map[string]string{}, last: lastReports{}, quickest: -1,
+	}
+	if err := s.admit(st); err != nil {
+		s.Log.Warn("relay_not_opened", err, eventlog.Fields{"leader": h.Node, "fence": h.Fence})
+		return
+	}
+	s.Log.Event("relay_opened", eventlog.Fields{"leader": h.Node, "fence": h.Fence})
+	go st.write(ctx)
+	err := st.read(ctx, decoder)
+	s.remove(st)
+	s.Log.Event("relay_closed", eventlog.Fields{"leader": h.Node, "fence": h.Fence, "error": err.Error()})
+}
+
+// admit takes a stream on and ends those of earlier leaders.
+func (s *Server) admit(st *served) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if st.fence < s.fence {
+		return errSuperseded
+	}
+	s.fence = st.fence
+	if s.streams == nil {
+		s.streams = map[*served]bool{}
+	}
+	for other := range s.streams {
+		if other.fence < st.fence {
+			_ = other.conn.Close()
+		}
+	}
+	s.streams[st] = true
+	st.leaving = s.leaving
+	return nil
+}
+
+func (s *Server) remove(st *served) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.streams, st)
+}
+
+// Leave tells the leader that this process is about to stop, and waits until the calls
+// under way have their answers.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	s.leaving = true
+	open := make([]*served, 0, len(s.streams))
+	for st := range s.streams {
+		open = append(open, st)
+	}
+	s.mu.Unlock()
+	limit := time.Now().Add(leaveWithin)
+	for _, st := range open {
+		st.leave()
+	}
+	for _, st := range open {
+		for st.busy() && time.Now().Before(limit) {
+			time.Sleep(beatEvery / 10)
+		}
+	}
+}
+
+// served is the relay's side of a stream.
+type served struct {
+	server *Server
+	conn   net.Conn
+	fence  int64
+	every  time.Duration
+	kick   chan struct{}
+	cancel context.CancelFunc
+
+	// What the reader alone uses.
+	instances map[int]*batch.Instance
+	payloads  map[string]string
+	// quickest is the least difference between the arrival of a message and its
+	// SentAt: the two clocks differ by it, and by the quickest way.
+	quickest time.Duration
+	seen     bool
+
+	mu      sync.Mutex
+	last    lastReports
+	queue   []result
+	open    int
+	leaving bool
+}
+
+func (st *served) busy() bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.open > 0 || len(st.queue) > 0
+}
+
+func (st *served) leave() {
+	st.mu.Lock()
+	st.leaving = true
+	st.mu.Unlock()
+	st.wake()
+}
+
+func (st *served) wake() {
+	select {
+	case st.kick <- struct{}{}:
+	default:
+	}
+}
+
+// read takes messages until the stream breaks.
+func (st *served) read(ctx context.Context, decoder *gob.Decoder) error {
+	defer st.cancel()
+	for {
+		_ = st.conn.SetReadDeadline(time.Now().Add(silentAfter))
+		var m orders
+		if err := decoder.Decode(&m); err != nil {
+			return err
+		}
+		st.take(ctx, &m)
+	}
+}
+
+// stale reports whether a message was under way for so long that the leader has given
+// its starts up.
+func (st *served) stale(sentAt time.Duration) bool {
+	took := steady.Now() - sentAt
+	if !st.seen || took < st.quickest {
+		st.seen, st.quickest = true, took
+	}
+	return took-st.quickest > staleAfter
+}
+
+// take begins the calls of a message: what ends work first, what renews leases next,
+// and new starts last.
+func (st *served) take(ctx context.Context, m *orders) {
+	stale := st.stale(m.SentAt)
+	for _, n := range m.Named {
+		st.instances[n.Number] = &batch.Instance{ID: n.ID, Address: n.Address}
+	}
+	for _, p := range m.Payloads {
+		st.payloads[p.Job] = p.Text
+	}
+	for _, c := range m.Stops {
+		st.begin(ctx, c.Head, func(ctx context.Context, vm *batch.Instance, r *result) error {
+			return st.server.Agents.Stop(ctx, vm, c.Task, c.Run, c.Fence)
+		})
+	}
+	for _, c := range m.Holds {
+		st.begin(ctx, c.Head, func(ctx context.Context, vm *batch.Instance, r *result) error {
+			rep, err := st.server.Agents.Hold(ctx, vm, c.Order)
+			if err == nil {
+				r.Clock = rep.Clock
+				st.told(r, c.Head.VM, &rep)
+			}
+			return err
+		})
+	}
+	for _, c := range m.Paces {
+		st.begin(ctx, c.Head, func(ctx context.Context, vm *batch.Instance, r *result) error {
+			return st.server.Agents.Pace(ctx, vm, c.Task, c.Run, c.Percent, c.Fence)
+		})
+	}
+	for _, c := range m.Starts {
+		if stale {
+			st.answer(result{Call: c.Head.Call, Refusal: batch.RefusedUnreached, Error: "it was too long under way to this relay"})
+			continue
+		}
+		text, known := st.payloads[c.Order.Task.Job]
+		if !known {
+			// A task must not be started with less than its job says.
+			st.answer(result{Call: c.Head.Call, Refusal: batch.RefusedUnreached, Error: "the stream has not told the job's payload"})
+			continue
+		}
+		c.Order.Payload = text
+		st.begin(ctx, c.Head, func(ctx context.Context, vm *batch.Instance, r *result) (err error) {
+			r.Clock, err = st.server.Agents.Start(ctx, vm, c.Order)
+			return err
+		})
+	}
+	for _, job := range m.Dropped {
+		delete(st.payloads, job)
+	}
+}
+
+// told puts a report into a result. The differences follow each other in the order in
+// which the results are queued.
+func (st *served) told(r *result, vm int, rep *batch.Report) {
+	r.Report = &report{VM: vm, More: rep.MoreEnded, Ended: rep.Ended}
+	r.whole = rep
+}
+
+// begin makes one call beside the others and queues its outcome.
+func (st *served) begin(ctx context.Context, head callHead, do func(context.Context, *batch.Instance, *result) error) {
+	vm := st.instances[head.VM]
+	if vm == nil {
+		st.answer(result{Call: head.Call, Refusal: batch.RefusedUnreached, Error: "the stream has not named the VM"})
+		return
+	}
+	st.mu.Lock()
+	st.open++
+	st.mu.Unlock()
+	go func() {
+		callCtx, cancel := context.WithTimeout(ctx, head.Within)
+		defer cancel()
+		r := result{Call: head.Call}
+		if err := do(callCtx, vm, &r); err != nil {
+			r.fail(err)
+		}
+		st.mu.Lock()
+		st.open--
+		st.mu.Unlock()
+		st.answer(r)
+	}()
+}
+
+// fail notes an error of a call.
+func (r *result) fail(err error) {
+	var refusal *batch.RefusalError
+	if !errors.As(err, &refusal) {
+		r.Error = err.Error()
+		return
+	}
+	r.Refusal = refusal.Reason
+	if refusal.Cause != nil {
+		r.Error = refusal.Cause.Error()
+	}
+}
+
+func (st *served) answer(r result) {
+	st.mu.Lock()
+	if r.whole != nil {
+		r.Report = st.last.shorten(r.Report.VM, r.whole)
+	}
+	st.queue = append(st.queue, r)
+	st.mu.Unlock()
+	st.wake()
+}
+
+// write sends the outcomes, a batch at a time.
+func (st *served) write(ctx context.Context) {
+	writer := bufio.NewWriterSize(st.conn, bufferBytes)
+	encoder := gob.NewEncoder(writer)
+	pace := newPacer(st.every)
+	defer pace.stop()
+	for pace.wait(ctx, st.kick) {
+		st.mu.Lock()
+		m := results{Results: st.queue, Leaving: st.leaving}
+		st.queue = nil
+		st.mu.Unlock()
+		_ = st.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if encoder.Encode(&m) != nil || writer.Flush() != nil {
+			// The reader tells why the stream ended.
+			_ = st.conn.Close()
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/stream.go
@@ -0,0 +1,353 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"encoding/gob"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+	"github.com/rattanwall/rattanwall/internal/steady"
+)
+
+const (
+	// dialTimeout bounds the opening of a stream.
+	dialTimeout = 600 * time.Millisecond
+	// mostPayloads bounds the payloads that a relay keeps for one stream: 512 of
+	// 4 KB at most are 2 MB.
+	mostPayloads = 512
+)
+
+// errBroken: the stream ended while the call was under way.
+var errBroken = errors.New("the stream to the relay is broken")
+
+// errNotWritten: the stream ended before the call was written to it; the order may be
+// given in another way.
+var errNotWritten = errors.New("the relay was not told of the order")
+
+// stream is the leader's side of a stream to a relay.
+type stream struct {
+	offer   Offer
+	conn    net.Conn
+	writer  *bufio.Writer
+	encoder *gob.Encoder
+	every   time.Duration
+	kick    chan struct{}
+
+	mu       sync.Mutex
+	next     uint64
+	waiting  map[uint64]*waiter
+	out      orders
+	numbers  map[string]int
+	payloads payloadTable
+	last     lastReports
+	leaving  bool
+	closed   bool
+}
+
+// waiter is a call under way.
+type waiter struct {
+	done    chan struct{}
+	written bool
+	result  result
+	report  batch.Report
+	err     error
+}
+
+// payloadTable are the jobs whose payloads the relay has, the latest use last.
+type payloadTable struct {
+	used  map[string]uint64
+	clock uint64
+}
+
+// use notes that a job's payload is needed. fresh is true when the relay does not have
+// it; dropped is the job whose payload it need not keep any more, or "".
+func (t *payloadTable) use(job string) (fresh bool, dropped string) {
+	t.clock++
+	_, known := t.used[job]
+	t.used[job] = t.clock
+	if known || len(t.used) <= mostPayloads {
+		return !known, ""
+	}
+	dropped = job
+	for other, at := range t.used {
+		if at < t.used[dropped] {
+			dropped = other
+		}
+	}
+	delete(t.used, dropped)
+	return true, dropped
+}
+
+// dial opens a stream to the relay that made the offer.
+func dial(ctx context.Context, offer Offer, h hello) (*stream, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", offer.Address)
+	if err != nil {
+		return nil, err
+	}
+	deadline, _ := ctx.Deadline()
+	_ = conn.SetDeadline(deadline)
+	in, err := upgrade(conn, offer.Address)
+	writer := bufio.NewWriterSize(conn, bufferBytes)
+	encoder := gob.NewEncoder(writer)
+	if err == nil {
+		err = encoder.Encode(&h)
+	}
+	if err == nil {
+		err = writer.Flush()
+	}
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	_ = conn.SetDeadline(time.Time{})
+	return &stream{
+		offer: offer, conn: &bufferedConn{Conn: conn, in: in}, writer: writer, encoder: encoder, every: h.Every, kick: make(chan struct{}, 1),
+		waiting: map[uint64]*waiter{}, numbers: map[string]int{}, payloads: payloadTable{used: map[string]uint64{}}, last: lastReports{},
+	}, nil
+}
+
+// upgrade asks the other side to go on with the stream on this connection.
+func upgrade(conn net.Conn, address string) (*bufio.Reader, error) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+address+Path, http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Upgrade", protocol)
+	req.Header.Set("Connection", "Upgrade")
+	if err := req.Write(conn); err != nil {
+		return nil, err
+	}
+	in := bufio.NewReaderSize(conn, bufferBytes)
+	resp, err := http.ReadResponse(in, req)
+	if err != nil {
+		return nil, err
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusSwitchingProtocols {
+		return nil, errors.Newf("the process at %s answers %s", address, resp.Status)
+	}
+	return in, nil
+}
+
+// bufferedConn reads on from what was read ahead during the upgrade.
+type bufferedConn struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+// Read implements net.Conn.
+func (c *bufferedConn) Read(p []byte) (int, error) { return c.in.Read(p) }
+
+// serve carries messages until the stream breaks or ctx ends, and returns why.
+func (s *stream) serve(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = s.conn.Close() })
+	defer stop()
+	go s.write(ctx)
+	decoder := gob.NewDecoder(s.conn)
+	var err error
+	for err == nil {
+		_ = s.conn.SetReadDeadline(time.Now().Add(silentAfter))
+		var m results
+		if err = decoder.Decode(&m); err == nil {
+			err = s.take(&m)
+		}
+	}
+	s.fail()
+	return err
+}
+
+// write sends the calls, a batch at a time.
+func (s *stream) write(ctx context.Context) {
+	pace := newPacer(s.every)
+	defer pace.stop()
+	for pace.wait(ctx, s.kick) {
+		m := s.takeOut()
+		m.SentAt = steady.Now()
+		_ = s.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if s.encoder.Encode(&m) != nil || s.writer.Flush() != nil {
+			// The reader tells why the stream ended.
+			_ = s.conn.Close()
+			return
+		}
+	}
+}
+
+// takeOut returns what is to be written next. From here on its calls may be carried out.
+func (s *stream) takeOut() orders {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.out
+	s.out = orders{}
+	for _, c := range m.Stops {
+		s.mark(c.Head.Call)
+	}
+	for _, c := range m.Holds {
+		s.mark(c.Head.Call)
+	}
+	for _, c := range m.Paces {
+		s.mark(c.Head.Call)
+	}
+	for _, c := range m.Starts {
+		s.mark(c.Head.Call)
+	}
+	return m
+}
+
+func (s *stream) mark(call uint64) {
+	if w := s.waiting[call]; w != nil {
+		w.written = true
+	}
+}
+
+// errReport: a report went back to one that this side does not have.
+var errReport = errors.New("the relay's report follows one that did not come")
+
+// take hands the outcomes to those who wait for them.
+func (s *stream) take(m *results) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = s.leaving || m.Leaving
+	for i := range m.Results {
+		r := &m.Results[i]
+		var rep batch.Report
+		if r.Report != nil {
+			// Also of a call that nobody waits for any more: the next one follows it.
+			var ok bool
+			if rep, ok = s.last.restore(r.Report); !ok {
+				return errReport
+			}
+			rep.Clock = r.Clock
+		}
+		w := s.waiting[r.Call]
+		if w == nil {
+			continue
+		}
+		delete(s.waiting, r.Call)
+		w.result, w.report, w.err = *r, rep, r.err()
+		close(w.done)
+	}
+	return nil
+}
+
+// fail ends all calls under way.
+func (s *stream) fail() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for call, w := range s.waiting {
+		w.err = errBroken
+		if !w.written {
+			w.err = errNotWritten
+		}
+		delete(s.waiting, call)
+		close(w.done)
+	}
+}
+
+// usable reports whether new calls may be made.
+func (s *stream) usable() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.closed && !s.leaving
+}
+
+// call queues a call and waits for its outcome. add puts it into the next message.
+func (s *stream) call(ctx context.Context, vm *batch.Instance, add func(out *orders, head callHead)) (*waiter, error) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return nil, errors.New("a call needs a deadline")
+	}
+	w := &waiter{done: make(chan struct{})}
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return nil, errNotWritten
+	}
+	s.next++
+	id := s.next
+	s.waiting[id] = w
+	add(&s.out, callHead{Call: id, VM: s.number(vm), Within: time.Until(deadline)})
+	s.mu.Unlock()
+	select {
+	case s.kick <- struct{}{}:
+	default:
+	}
+	select {
+	case <-w.done:
+		return w, w.err
+	case <-ctx.Done():
+		s.mu.Lock()
+		delete(s.waiting, id)
+		s.mu.Unlock()
+		return nil, ctx.Err()
+	}
+}
+
+// number is how the stream names a VM. s.mu is held.
+func (s *stream) number(vm *batch.Instance) int {
+	key := vm.ID + " " + vm.Address
+	n, ok := s.numbers[key]
+	if !ok {
+		n = len(s.numbers) + 1
+		s.numbers[key] = n
+		s.out.Named = append(s.out.Named, named{Number: n, ID: vm.ID, Address: vm.Address})
+	}
+	return n
+}
+
+// Start orders a run and returns the VM's clock.
+func (s *stream) Start(ctx context.Context, vm *batch.Instance, o batch.StartOrder) (time.Duration, error) {
+	w, err := s.call(ctx, vm, func(out *orders, head callHead) {
+		fresh, dropped := s.payloads.use(o.Task.Job)
+		if fresh {
+			out.keep(o.Task.Job, o.Payload)
+		}
+		if dropped != "" {
+			out.drop(dropped)
+		}
+		o.Payload = ""
+		out.Starts = append(out.Starts, startCall{Head: head, Order: o})
+	})
+	if w == nil {
+		return 0, err
+	}
+	return w.result.Clock, err
+}
+
+// Stop ends a run.
+func (s *stream) Stop(ctx context.Context, vm *batch.Instance, task batch.TaskID, run, fence int64) error {
+	_, err := s.call(ctx, vm, func(out *orders, head callHead) {
+		out.Stops = append(out.Stops, stopCall{Head: head, Task: task, Run: run, Fence: fence})
+	})
+	return err
+}
+
+// Pace sets the pace of a run.
+func (s *stream) Pace(ctx context.Context, vm *batch.Instance, task batch.TaskID, run int64, percent int, fence int64) error {
+	_, err := s.call(ctx, vm, func(out *orders, head callHead) {
+		out.Paces = append(out.Paces, paceCall{Head: head, Task: task, Run: run, Percent: percent, Fence: fence})
+	})
+	return err
+}
+
+// Hold renews the leases of a VM and returns its report.
+func (s *stream) Hold(ctx context.Context, vm *batch.Instance, o batch.HoldOrder) (batch.Report, error) {
+	w, err := s.call(ctx, vm, func(out *orders, head callHead) {
+		out.Holds = append(out.Holds, holdCall{Head: head, Order: o})
+	})
+	if err != nil {
+		return batch.Report{}, err
+	}
+	return w.report, nil
+}
