VMs are rated once a step, not once a task

Change: a step's tasks ask for the same, and each start changes one VM. The VMs are rated once a step and kept as a heap; the best is rated anew before it is taken. Room is looked at before the costlier checks. Steps drawn to a rack, and tasks that failed on a VM, are rated by themselves as before.

--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -37,7 +37,7 @@
 		rack = t.step.rack()
 	}
 	for _, v := range s.order {
-		if s.fits(now, v, t) != obstacleNone {
+		if !s.hasRoom(now, v, t.step.spec) || s.fits(now, v, t) != obstacleNone {
 			continue
 		}
 		score, ok := s.score(now, v, t.step.spec)
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -228,12 +228,21 @@
 		}
 		return
 	}
+	var list *candidates
 	for k := range st.tasks {
 		t := &st.tasks[k]
 		if t.done || len(t.runs) > 0 || !s.startable(r.now, t) {
 			continue
 		}
-		v := s.choose(r.now, t)
+		var v *vm
+		if s.shared(t) {
+			if list == nil {
+				list = s.candidatesFor(r.now, t)
+			}
+			v = s.take(r.now, list, t)
+		} else {
+			v = s.choose(r.now, t)
+		}
 		if v == nil && s.starves(r.now, t) {
 			v = s.leastPressed(r.now, t)
 		}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -324,6 +324,8 @@
 	meanWork map[string]float64
 	images   images
 	reserve  reserve
+	// candidates is the list in use for the step that is being placed.
+	candidates candidates
 	// crowded is set while lasting and short tasks declare most of all processors.
 	crowded bool
 	// heardVMs counts the VMs that are heard, emptyVMs those of them that serve nothing.
