--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -218,7 +218,7 @@
 		st.payloads[p.Job] = p.Text
 	}
 	for _, c := range m.Stops {
-		st.begin(ctx, c.Head, func(ctx context.Context, vm *batch.Instance, r *result) error {
+		st.begin(ctx, c.Head, func(ctx context.Context, vm *batch.Instance, _ *result) error {
 			return st.server.Agents.Stop(ctx, vm, c.Task, c.Run, c.Fence)
 		})
 	}
@@ -233,7 +233,7 @@
 		})
 	}
 	for _, c := range m.Paces {
-		st.begin(ctx, c.Head, func(ctx context.Context, vm *batch.Instance, r *result) error {
+		st.begin(ctx, c.Head, func(ctx context.Context, vm *batch.Instance, _ *result) error {
 			return st.server.Agents.Pace(ctx, vm, c.Task, c.Run, c.Percent, c.Fence)
 		})
 	}
