Relays keep the payloads for the next leader, and serve one leader at a time

Narrow links had more relays than they need, and each costs the leader every payload.

Change: a relay tells a new leader which payloads it has, by job and hash. Room counts 0.7 of a link instead of half. A later stream ends the one before; the leader waits for the relay's first message when it opens a stream.

--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -59,19 +59,21 @@
 )
 
 // Room returns how many VMs a process can serve with half of its processor, a share of
-// a core, and half of its link: a VM takes some 1 ms of a core a second (2.5 starts and
-// a hold), and 8 KB/s.
+// a core, and 0.7 of its link: a VM takes some 1 ms of a core a second (2.5 starts and
+// a hold), and 8 KB/s. More relays than that cost the leader: it sends each job's payload
+// to each of them.
 func Room(processor, linkMbps float64) int {
 	const (
 		perVM        = 0.001
 		bitsPerVM    = 8 * 8000
 		share        = 0.5
+		linkShare    = 0.7
 		least, most  = 4, 64
 		bitsPerMegab = 1e6
 	)
 	room := share * processor / perVM
 	if linkMbps > 0 {
-		room = min(room, share*linkMbps*bitsPerMegab/bitsPerVM)
+		room = min(room, linkShare*linkMbps*bitsPerMegab/bitsPerVM)
 	}
 	return int(min(max(room, least), most))
 }
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -23,9 +23,13 @@
 
 	mu sync.Mutex
 	// fence is the highest fencing token of a leader that opened a stream.
-	fence   int64
-	streams map[*served]bool
+	fence int64
+	// current is the stream that is served; a later one ends it.
+	current *served
 	leaving bool
+	// payloads are those of jobs of which tasks were started, for this leader and the
+	// next.
+	payloads map[string]string
 }
 
 const (
@@ -79,7 +83,7 @@
 	defer cancel()
 	st := &served{
 		server: s, conn: conn, every: h.Every, kick: make(chan struct{}, 1), cancel: cancel, fence: h.Fence,
-		instances: map[int]*batch.Instance{}, payloads: map[string]string{}, last: lastReports{}, quickest: -1,
+		instances: map[int]*batch.Instance{}, last: lastReports{},
 	}
 	if err := s.admit(st); err != nil {
 		s.Log.Warn("relay_not_opened", err, eventlog.Fields{"leader": h.Node, "fence": h.Fence})
@@ -92,7 +96,7 @@
 	s.Log.Event("relay_closed", eventlog.Fields{"leader": h.Node, "fence": h.Fence, "error": err.Error()})
 }
 
-// admit takes a stream on and ends those of earlier leaders.
+// admit takes a stream on and ends the one before.
 func (s *Server) admit(st *served) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -100,23 +104,56 @@
 		return errSuperseded
 	}
 	s.fence = st.fence
-	if s.streams == nil {
-		s.streams = map[*served]bool{}
+	if s.current != nil {
+		_ = s.current.conn.Close()
 	}
-	for other := range s.streams {
-		if other.fence < st.fence {
-			_ = other.conn.Close()
-		}
-	}
-	s.streams[st] = true
+	s.current = st
 	st.leaving = s.leaving
+	st.greeting = make([]kept, 0, len(s.payloads))
+	for job, text := range s.payloads {
+		st.greeting = append(st.greeting, kept{Job: job, Hash: hashOf(text)})
+	}
+	st.wake()
 	return nil
 }
 
+// keep notes the payloads that a message tells.
+func (s *Server) keep(list []payload) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.payloads == nil {
+		s.payloads = map[string]string{}
+	}
+	for _, p := range list {
+		s.payloads[p.Job] = p.Text
+	}
+}
+
+func (s *Server) payload(job string) (text string, known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	text, known = s.payloads[job]
+	return text, known
+}
+
+// drop forgets payloads, if the stream that says so is the one that is served.
+func (s *Server) drop(st *served, jobs []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.current != st {
+		return
+	}
+	for _, job := range jobs {
+		delete(s.payloads, job)
+	}
+}
+
 func (s *Server) remove(st *served) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.streams, st)
+	if s.current == st {
+		s.current = nil
+	}
 }
 
 // Leave tells the leader that this process is about to stop, and waits until the calls
@@ -124,19 +161,15 @@
 func (s *Server) Leave() {
 	s.mu.Lock()
 	s.leaving = true
-	open := make([]*served, 0, len(s.streams))
-	for st := range s.streams {
-		open = append(open, st)
-	}
+	st := s.current
 	s.mu.Unlock()
-	limit := time.Now().Add(leaveWithin)
-	for _, st := range open {
-		st.leave()
+	if st == nil {
+		return
 	}
-	for _, st := range open {
-		for st.busy() && time.Now().Before(limit) {
-			time.Sleep(beatEvery / 10)
-		}
+	st.leave()
+	limit := time.Now().Add(leaveWithin)
+	for st.busy() && time.Now().Before(limit) {
+		time.Sleep(beatEvery / 10)
 	}
 }
 
@@ -151,17 +184,17 @@
 
 	// What the reader alone uses.
 	instances map[int]*batch.Instance
-	payloads  map[string]string
 	// quickest is the least difference between the arrival of a message and its
 	// SentAt: the two clocks differ by it, and by the quickest way.
 	quickest time.Duration
 	seen     bool
 
-	mu      sync.Mutex
-	last    lastReports
-	queue   []result
-	open    int
-	leaving bool
+	mu       sync.Mutex
+	greeting []kept
+	last     lastReports
+	queue    []result
+	open     int
+	leaving  bool
 }
 
 func (st *served) busy() bool {
@@ -214,9 +247,7 @@
 	for _, n := range m.Named {
 		st.instances[n.Number] = &batch.Instance{ID: n.ID, Address: n.Address}
 	}
-	for _, p := range m.Payloads {
-		st.payloads[p.Job] = p.Text
-	}
+	st.server.keep(m.Payloads)
 	for _, c := range m.Stops {
 		st.begin(ctx, c.Head, func(ctx context.Context, vm *batch.Instance, _ *result) error {
 			return st.server.Agents.Stop(ctx, vm, c.Task, c.Run, c.Fence)
@@ -242,7 +273,7 @@
 			st.answer(result{Call: c.Head.Call, Refusal: batch.RefusedUnreached, Error: "it was too long under way to this relay"})
 			continue
 		}
-		text, known := st.payloads[c.Order.Task.Job]
+		text, known := st.server.payload(c.Order.Task.Job)
 		if !known {
 			// A task must not be started with less than its job says.
 			st.answer(result{Call: c.Head.Call, Refusal: batch.RefusedUnreached, Error: "the stream has not told the job's payload"})
@@ -254,9 +285,7 @@
 			return err
 		})
 	}
-	for _, job := range m.Dropped {
-		delete(st.payloads, job)
-	}
+	st.server.drop(st, m.Dropped)
 }
 
 // told puts a report into a result. The differences follow each other in the order in
@@ -321,8 +350,8 @@
 	defer pace.stop()
 	for pace.wait(ctx, st.kick) {
 		st.mu.Lock()
-		m := results{Results: st.queue, Leaving: st.leaving}
-		st.queue = nil
+		m := results{Kept: st.greeting, Results: st.queue, Leaving: st.leaving}
+		st.greeting, st.queue = nil, nil
 		st.mu.Unlock()
 		_ = st.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if encoder.Encode(&m) != nil || writer.Flush() != nil {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -36,6 +36,7 @@
 	conn    net.Conn
 	writer  *bufio.Writer
 	encoder *gob.Encoder
+	decoder *gob.Decoder
 	every   time.Duration
 	kick    chan struct{}
 
@@ -59,18 +60,34 @@
 	err     error
 }
 
-// payloadTable are the jobs whose payloads the relay has, the latest use last.
+// payloadTable are the jobs whose payloads the relay has, with when they were last used.
 type payloadTable struct {
 	used  map[string]uint64
 	clock uint64
+	// hashes are those of payloads that the relay had before this stream, until they
+	// are used.
+	hashes map[string]uint64
+}
+
+func newPayloadTable(list []kept) payloadTable {
+	t := payloadTable{used: map[string]uint64{}, hashes: map[string]uint64{}}
+	for _, k := range list {
+		t.used[k.Job], t.hashes[k.Job] = 0, k.Hash
+	}
+	return t
 }
 
 // use notes that a job's payload is needed. fresh is true when the relay does not have
 // it; dropped is the job whose payload it need not keep any more, or "".
-func (t *payloadTable) use(job string) (fresh bool, dropped string) {
+func (t *payloadTable) use(job, text string) (fresh bool, dropped string) {
 	t.clock++
 	_, known := t.used[job]
 	t.used[job] = t.clock
+	if hash, early := t.hashes[job]; early {
+		// An ID may have been another job's once.
+		known = hash == hashOf(text)
+		delete(t.hashes, job)
+	}
 	if known || len(t.used) <= mostPayloads {
 		return !known, ""
 	}
@@ -81,6 +98,7 @@
 		}
 	}
 	delete(t.used, dropped)
+	delete(t.hashes, dropped)
 	return true, dropped
 }
 
@@ -104,14 +122,20 @@
 	if err == nil {
 		err = writer.Flush()
 	}
+	buffered := &bufferedConn{Conn: conn, in: in}
+	decoder := gob.NewDecoder(buffered)
+	var greeting results
+	if err == nil {
+		err = decoder.Decode(&greeting)
+	}
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
 	_ = conn.SetDeadline(time.Time{})
 	return &stream{
-		offer: offer, conn: &bufferedConn{Conn: conn, in: in}, writer: writer, encoder: encoder, every: h.Every, kick: make(chan struct{}, 1),
-		waiting: map[uint64]*waiter{}, numbers: map[string]int{}, payloads: payloadTable{used: map[string]uint64{}}, last: lastReports{},
+		offer: offer, conn: buffered, writer: writer, encoder: encoder, decoder: decoder, every: h.Every, kick: make(chan struct{}, 1),
+		waiting: map[uint64]*waiter{}, numbers: map[string]int{}, payloads: newPayloadTable(greeting.Kept), leaving: greeting.Leaving, last: lastReports{},
 	}, nil
 }
 
@@ -154,12 +178,11 @@
 	stop := context.AfterFunc(ctx, func() { _ = s.conn.Close() })
 	defer stop()
 	go s.write(ctx)
-	decoder := gob.NewDecoder(s.conn)
 	var err error
 	for err == nil {
 		_ = s.conn.SetReadDeadline(time.Now().Add(silentAfter))
 		var m results
-		if err = decoder.Decode(&m); err == nil {
+		if err = s.decoder.Decode(&m); err == nil {
 			err = s.take(&m)
 		}
 	}
@@ -309,7 +332,7 @@
 // Start orders a run and returns the VM's clock.
 func (s *stream) Start(ctx context.Context, vm *batch.Instance, o batch.StartOrder) (time.Duration, error) {
 	w, err := s.call(ctx, vm, func(out *orders, head callHead) {
-		fresh, dropped := s.payloads.use(o.Task.Job)
+		fresh, dropped := s.payloads.use(o.Task.Job, o.Payload)
 		if fresh {
 			out.keep(o.Task.Job, o.Payload)
 		}
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -13,6 +13,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/rattanwall/rattanwall/internal/batch"
 )
 
@@ -129,8 +131,20 @@
 	Order batch.HoldOrder
 }
 
+// kept names a payload that a relay has, by a hash of its text.
+type kept struct {
+	Job  string
+	Hash uint64
+}
+
+// hashOf is the hash of a payload.
+func hashOf(text string) uint64 { return xxhash.Sum64String(text) }
+
 // results is a message of a relay.
 type results struct {
+	// Kept is told in the first message: what an earlier leader has told. A leader that
+	// takes over while jobs run would send each payload to each relay again.
+	Kept    []kept
 	Results []result
 	// Leaving is set from the moment at which the relay is about to stop.
 	Leaving bool
