Starts are bounded by how fast they are answered

Each start without an answer is stopped and given again, which is more of what filled the link.

Change: a window for starts under way. While as many wait as the window holds nothing more is decided. Stops are repeated after 0.2, 0.4, 0.8, 1.6 s instead of 0.2 s.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -143,7 +143,9 @@
 	flushed chan struct{}
 	kick    chan struct{}
 	work    sync.WaitGroup
-	// carrying bounds the calls under way from this process, relayed those through others.
+	// starts bounds the starts under way, carrying the other calls from this process,
+	// relayed those through others.
+	starts            *window
 	carrying, relayed chan struct{}
 	// relaysAwaited is set once relays were waited for.
 	relaysAwaited bool
@@ -165,8 +167,10 @@
 		Leader: l, tenure: tenure, log: l.Log, recorded: instances{}, removed: removals{}, cancelledEarly: map[string]time.Duration{},
 		holds: map[string]context.CancelFunc{}, told: map[string]toldEnds{}, flushed: make(chan struct{}),
 		kick: make(chan struct{}, 1), carrying: make(chan struct{}, ordersAtOnce), relayed: make(chan struct{}, relayedAtOnce),
+		starts: newWindow(ordersAtOnce),
 	}
 	if l.Relays != nil {
+		t.starts = newWindow(relayedAtOnce)
 		l.Relays.Lead(ctx, tenure.Fence)
 	}
 	t.sched = scheduler.New(l.Settings, tenure.Fence, t.logDecision)
@@ -356,6 +360,7 @@
 		t.config = c
 		t.sched.SetConfig(c)
 	}
+	t.sched.Throttle(t.starts.full())
 	t.sched.Led(t.tenure.RenewedAt())
 	t.sched.Tend(now)
 	t.sched.OpenDue(now, t.WallMS())
--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -18,8 +18,10 @@
 	// repeated before its run is given up.
 	orderTimeout = 500 * time.Millisecond
 	startTries   = 3
-	// stopPause is the wait between tries of a stop.
-	stopPause = 200 * time.Millisecond
+	// stopPause is the wait after the first try of a stop. It doubles up to
+	// longStopPause: a leader that is behind would do nothing but repeat stops.
+	stopPause     = 200 * time.Millisecond
+	longStopPause = 1600 * time.Millisecond
 	// stopFor bounds how long a stop is repeated whose run does not count; while the
 	// VM lists it the stop is ordered again.
 	stopFor = 25 * time.Second
@@ -82,7 +84,11 @@
 // after a try that got no answer says nothing of that try, which may be carried
 // out later: the outcome is unknown.
 func (t *term) start(ctx context.Context, o scheduler.Order) {
-	defer t.takePlace(o.Instance.ID)()
+	release, err := t.starts.acquire(ctx)
+	if err != nil {
+		return
+	}
+	defer release()
 	unanswered := false
 	var refusal batch.Refusal
 	var clock time.Duration
@@ -105,6 +111,7 @@
 		value, err := t.Agents.Start(callCtx, &o.Instance, o.Start)
 		cancel()
 		refusal = refusalOf(err)
+		t.starts.outcome(steady.Now()-sentAt, err == nil || refusal != "")
 		clock = value
 		if err == nil {
 			unanswered = false
@@ -157,6 +164,7 @@
 func (t *term) stopSince(ctx context.Context, o scheduler.Order, began time.Duration) {
 	var err error
 	tellAt := stopFor
+	rest := stopPause
 	for ctx.Err() == nil && t.tenure.MayAct() {
 		age := steady.Now() - began
 		if age >= tellAt {
@@ -185,7 +193,8 @@
 			t.mu.Unlock()
 			return
 		}
-		pause.For(ctx, stopPause)
+		pause.For(ctx, rest)
+		rest = min(2*rest, longStopPause)
 	}
 }
 
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -142,6 +142,15 @@
 	return cmp.Or(cmp.Compare(a.group, b.group), cmp.Compare(a.priority, b.priority), cmp.Compare(a.effort, b.effort), cmp.Compare(a.slack, b.slack))
 }
 
+// Throttle keeps Plan from starting anything while the leader is behind with the starts
+// that it has.
+func (s *Scheduler) Throttle(on bool) {
+	if s.throttled && !on {
+		s.changed = true
+	}
+	s.throttled = on
+}
+
 // Plan starts what can be started and returns the orders to carry out. The rest
 // waits in the order of its rank.
 func (s *Scheduler) Plan(now Time) []Order {
@@ -149,7 +158,9 @@
 		s.plannedAt = now
 		s.changed = false
 		s.planWaves(now)
-		s.startWaiting(now)
+		if !s.throttled {
+			s.startWaiting(now)
+		}
 	}
 	orders := s.orders
 	s.orders = nil
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -320,6 +320,8 @@
 	orders   []Order
 	// changed is set when a plan may find something new to do.
 	changed bool
+	// throttled is set while nothing is to be started.
+	throttled bool
 	// meanWork is the mean work of each queue's jobs of late, in processor seconds.
 	meanWork map[string]float64
 	images   images
