--- a/internal/command/devplatform.go
+++ b/internal/command/devplatform.go
@@ -43,6 +43,7 @@
 		},
 	}
 	cmd.Flags().DurationVar(&o.For, "for", 20*time.Second, "how long jobs come")
+	cmd.Flags().BoolVar(&o.Relays, "relays", false, "have each leader give its orders through the other processes, as in a large fleet")
 	cmd.Flags().Uint64Var(&o.Seed, "seed", 1, "seed of load and mishaps")
 	return cmd
 }
--- a/internal/command/edge.go
+++ b/internal/command/edge.go
@@ -13,12 +13,13 @@
 
 	"github.com/rattanwall/rattanwall/internal/edge"
 	"github.com/rattanwall/rattanwall/internal/eventlog"
+	"github.com/rattanwall/rattanwall/internal/relay"
 	"github.com/rattanwall/rattanwall/platform"
 )
 
 func newEdge() *cobra.Command {
 	var path string
-	var metricsPort int
+	var metricsPort, directVMs int
 	cmd := &cobra.Command{
 		Use:     "edge",
 		Short:   "Run the process of an entry VM on the users' platform",
@@ -31,6 +32,7 @@
 				return err
 			}
 			s.Metrics = besides(s.Operations, metricsPort)
+			s.DirectVMs = directVMs
 			log := eventlog.New(os.Stdout, logrus.InfoLevel)
 			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
@@ -39,6 +41,7 @@
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", platform.SettingsPath(), "the platform's settings file")
+	cmd.Flags().IntVar(&directVMs, "direct-vms", relay.DirectVMs, "up to how many VMs a leader serves itself; orders to more go through other processes")
 	cmd.Flags().IntVar(&metricsPort, "metrics-port", 0, "one more port of the VM that serves /metrics, where it can be had; 0 for none")
 	return cmd
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -44,6 +44,9 @@
 	Metrics string
 	// Processor is the share of a core that the VM has.
 	Processor float64
+	// DirectVMs is up to how many VMs this process, while it leads, serves itself; the
+	// orders to more go through relays.
+	DirectVMs int
 	// LinkMbps is the bandwidth of the VM's link, 0 where it is not told.
 	LinkMbps float64
 	// MemoryMB is the memory limit of the process.
@@ -126,7 +129,7 @@
 // New puts the process together.
 func New(s Settings, p Platform, log *eventlog.Log) *Edge {
 	e := &Edge{settings: s, platform: p, log: log, waves: map[int64]batch.Wave{}, aborted: make(chan struct{})}
-	e.relays = &relay.Pool{Direct: p.Agents, List: relay.Instances(p.Instances), Node: s.Node, Processor: s.Processor, Log: log}
+	e.relays = &relay.Pool{Direct: p.Agents, List: relay.Instances(p.Instances), Node: s.Node, DirectVMs: s.DirectVMs, Processor: s.Processor, Log: log}
 	e.relay = &relay.Server{Agents: p.Agents, Instances: relay.Instances(p.Instances), Log: log}
 	e.leader = &leader.Leader{
 		Store: p.Store, Agents: e.relays, Relays: e.relays, Adviser: p.Adviser, Instances: e.relays.Instances, Config: e.config.Load,
--- a/internal/edge/figures.go
+++ b/internal/edge/figures.go
@@ -12,6 +12,7 @@
 	read func() (f leader.Figures, leading bool)
 
 	leads, confirmed, fence, vms, lease, runs, ends, endAge *prometheus.Desc
+	window, waiting, relays, relayed                        *prometheus.Desc
 }
 
 func newFigures(read func() (leader.Figures, bool)) *figures {
@@ -28,12 +29,16 @@
 		runs:      desc("runs", "Runs that count."),
 		ends:      desc("unacknowledged_ends", "Ends that VMs go on telling."),
 		endAge:    desc("unacknowledged_end_age_seconds", "Since when the oldest of them is told."),
+		window:    desc("start_window", "Starts that may be under way; it shrinks while most of them are slow."),
+		waiting:   desc("starts_waiting", "Starts that wait for their turn."),
+		relays:    desc("relays", "Processes that carry its orders."),
+		relayed:   desc("relayed_vms", "VMs that relays serve; the others it serves itself."),
 	}
 }
 
 // Describe implements prometheus.Collector.
 func (c *figures) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{c.leads, c.confirmed, c.fence, c.vms, c.lease, c.runs, c.ends, c.endAge} {
+	for _, d := range []*prometheus.Desc{c.leads, c.confirmed, c.fence, c.vms, c.lease, c.runs, c.ends, c.endAge, c.window, c.waiting, c.relays, c.relayed} {
 		out <- d
 	}
 }
@@ -54,6 +59,14 @@
 	gauge(c.runs, float64(f.Runs))
 	gauge(c.ends, float64(f.UnackedEnds))
 	gauge(c.endAge, f.OldestUnacked.Seconds())
+	gauge(c.window, float64(f.StartWindow))
+	gauge(c.waiting, float64(f.StartsWaiting))
+	gauge(c.relays, float64(len(f.Relays)))
+	relayed := 0
+	for _, vms := range f.Relays {
+		relayed += vms
+	}
+	gauge(c.relayed, float64(relayed))
 	for _, v := range []struct {
 		state string
 		count int
--- a/internal/edge/operations.go
+++ b/internal/edge/operations.go
@@ -109,11 +109,17 @@
 	Queues        int             `json:"queues"`
 	Leader        leader.Record   `json:"leader"`
 	Scheduler     *scheduler.Dump `json:"scheduler,omitempty"`
+	// Relays are the processes that carry this leader's orders, with how many VMs each
+	// serves; empty where it gives them itself.
+	Relays map[string]int `json:"relays,omitempty"`
 }
 
 // Dump returns the process's state.
 func (e *Edge) Dump() Dump {
 	d := Dump{Node: e.settings.Node, Zone: e.settings.Zone, Ready: e.ready(), Scheduler: e.leader.Dump()}
+	if d.Scheduler != nil {
+		d.Relays = e.relays.Serving()
+	}
 	d.Leader, _ = e.election.Leader()
 	if c := e.config.Load(); c != nil {
 		d.ConfigVersion, d.Queues = c.Version, len(c.Queues)
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -34,6 +34,8 @@
 	AwaitReady(ctx context.Context, d time.Duration)
 	// Relayed reports whether orders to a VM go through a relay.
 	Relayed(id string) bool
+	// Serving returns the relays by node, with how many VMs each serves.
+	Serving() map[string]int
 }
 
 // Adviser knows which instances may run a step of some queues. It returns their
@@ -253,6 +255,11 @@
 	// when the oldest is told.
 	UnackedEnds   int
 	OldestUnacked time.Duration
+	// StartWindow is how many starts may be under way, StartsWaiting how many wait for
+	// their turn.
+	StartWindow, StartsWaiting int
+	// Relays are the processes that carry orders, with how many VMs each serves.
+	Relays map[string]int
 }
 
 // Figures returns the state in counts; leading is false when this process does
@@ -274,6 +281,10 @@
 		f.UnackedEnds += told.count
 		f.OldestUnacked = max(f.OldestUnacked, now-told.since)
 	}
+	f.StartWindow, f.StartsWaiting = t.starts.figures()
+	if t.Relays != nil {
+		f.Relays = t.Relays.Serving()
+	}
 	return f
 }
 
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -27,9 +27,9 @@
 }
 
 const (
-	// directVMs is up to how many VMs a leader holds all by itself: a fleet of this
-	// size takes some 7 % of a core of it.
-	directVMs = 64
+	// DirectVMs is up to how many VMs a leader mostly serves all by itself: a fleet of
+	// this size takes some 7 % of a core of it.
+	DirectVMs = 64
 	// spareRoom is how much more room the relays have than there are VMs: one of
 	// them may be lost, and what it served finds a place at once.
 	spareRoom = 1.3
@@ -87,6 +87,8 @@
 	List Instances
 	// Node is this process's name.
 	Node string
+	// DirectVMs is up to how many VMs this process serves itself.
+	DirectVMs int
 	// Processor is the share of a core that this process has.
 	Processor float64
 	Log       *eventlog.Log
@@ -172,7 +174,7 @@
 func (p *Pool) ready() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.leads() || len(p.fleet) <= directVMs {
+	if !p.leads() || len(p.fleet) <= p.DirectVMs {
 		return true
 	}
 	room := 0
@@ -189,8 +191,8 @@
 	return p.routes[id] != nil
 }
 
-// Relays returns the relays with how many VMs each serves.
-func (p *Pool) Relays() map[string]int {
+// Serving returns the relays by node, with how many VMs each serves.
+func (p *Pool) Serving() map[string]int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	all := make(map[string]int, len(p.streams))
@@ -202,7 +204,7 @@
 
 // wanted is how much room the relays have to have together.
 func (p *Pool) wanted() int {
-	if len(p.fleet) <= directVMs {
+	if len(p.fleet) <= p.DirectVMs {
 		return 0
 	}
 	return int(spareRoom * float64(len(p.fleet)))
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -81,14 +81,19 @@
 	offer  Offer
 }
 
-func newProcess(t *testing.T, node, zone string, agents Agents) *process {
-	p := &process{server: &Server{Agents: agents, Log: quiet()}}
+func newProcess(t testing.TB, node, zone string, agents Agents) *process {
+	p := &process{server: &Server{Agents: agents, Log: quiet()}, offer: Offer{Node: node, Zone: zone, VMs: 80}}
+	serveRelay(t, p)
+	return p
+}
+
+func serveRelay(t testing.TB, p *process) {
 	mux := http.NewServeMux()
 	mux.Handle(Path, p.server)
 	p.web = httptest.NewServer(mux)
 	t.Cleanup(p.web.Close)
-	p.offer = Offer{Node: node, Zone: zone, Address: strings.TrimPrefix(p.web.URL, "http://"), VMs: 80}
-	return p
+	p.offer.Address = strings.TrimPrefix(p.web.URL, "http://")
+	p.offer.VMs = max(p.offer.VMs, 80)
 }
 
 func (p *process) streams() int {
@@ -108,8 +113,8 @@
 }
 
 // newPool is the pool of a leader of a fleet of so many VMs in two availability zones.
-func newPool(t *testing.T, direct Agents, fleet int, relays ...*process) *Pool {
-	p := &Pool{Direct: direct, Node: "leader", Processor: 1, Log: quiet()}
+func newPool(t testing.TB, direct Agents, fleet int, relays ...*process) *Pool {
+	p := &Pool{Direct: direct, Node: "leader", DirectVMs: DirectVMs, Processor: 1, Log: quiet()}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	p.Lead(ctx, 7)
@@ -147,7 +152,7 @@
 		_, err := p.Hold(soon(t), vmOf(i), batch.HoldOrder{})
 		require.NoError(t, err)
 	}
-	require.Equal(t, map[string]int{"ra": 50, "rb": 50}, p.Relays())
+	require.Equal(t, map[string]int{"ra": 50, "rb": 50}, p.Serving())
 	require.Equal(t, 50, near.holdCount())
 	require.Equal(t, 50, far.holdCount())
 	require.Zero(t, direct.holdCount())
@@ -156,11 +161,11 @@
 
 func TestSmallFleetsAreServedDirectly(t *testing.T) {
 	direct, relayed := &vms{}, &vms{}
-	p := newPool(t, direct, directVMs, newProcess(t, "ra", "a", relayed))
+	p := newPool(t, direct, DirectVMs, newProcess(t, "ra", "a", relayed))
 	_, err := p.Hold(soon(t), vmOf(1), batch.HoldOrder{})
 	require.NoError(t, err)
 	require.Equal(t, 1, direct.holdCount())
-	require.Empty(t, p.Relays())
+	require.Empty(t, p.Serving())
 }
 
 func TestOutcomesComeAsTheyWere(t *testing.T) {
@@ -230,10 +235,10 @@
 	var refusal *batch.RefusalError
 	require.NotErrorAs(t, err, &refusal)
 	require.Less(t, steady.Now()-began, time.Second)
-	require.Eventually(t, func() bool { return p.Relays()["ra"] == 0 }, time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return p.Serving()["ra"] == 0 }, time.Second, time.Millisecond)
 	_, err = p.Hold(soon(t), vmOf(0), batch.HoldOrder{})
 	require.NoError(t, err)
-	require.Equal(t, 1, p.Relays()["rb"])
+	require.Equal(t, 1, p.Serving()["rb"])
 }
 
 // Symptom: a relay that stops cuts off what it has under way.
@@ -248,13 +253,13 @@
 		_, err := p.Start(soon(t), vmOf(0), batch.StartOrder{Task: batch.TaskID{Job: "j"}})
 		done <- err
 	}()
-	require.Eventually(t, func() bool { return p.Relays()["ra"] == 1 }, time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return p.Serving()["ra"] == 1 }, time.Second, time.Millisecond)
 	time.Sleep(50 * time.Millisecond)
 	ra.server.Leave()
 	require.NoError(t, <-done)
 	_, err := p.Hold(soon(t), vmOf(0), batch.HoldOrder{})
 	require.NoError(t, err)
-	require.Equal(t, 1, p.Relays()["rb"])
+	require.Equal(t, 1, p.Serving()["rb"])
 }
 
 // Symptom: orders of a leader that was replaced reach VMs that its successor has not
@@ -264,14 +269,14 @@
 	ra := newProcess(t, "ra", "a", &vms{})
 	first := newPool(t, &vms{}, 65, ra)
 	require.Eventually(t, func() bool { return ra.streams() == 1 }, time.Second, time.Millisecond)
-	later := &Pool{Direct: &vms{}, Node: "later", Processor: 1, Log: quiet()}
+	later := &Pool{Direct: &vms{}, Node: "later", DirectVMs: DirectVMs, Processor: 1, Log: quiet()}
 	later.Lead(t.Context(), 8)
 	require.True(t, later.Offered(ra.offer))
 	later.SetFleet(fleetOf(65))
-	require.Eventually(t, func() bool { return len(first.Relays()) == 0 && len(later.Relays()) == 1 }, 2*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return len(first.Serving()) == 0 && len(later.Serving()) == 1 }, 2*time.Second, time.Millisecond)
 	_, err := dial(soon(t), ra.offer, hello{Fence: 7}, &packer{})
 	require.Error(t, err)
-	require.Len(t, later.Relays(), 1)
+	require.Len(t, later.Serving(), 1)
 	require.Equal(t, 1, ra.streams())
 }
 
@@ -336,7 +341,7 @@
 	require.NoError(t, err)
 	_, err = first.Start(soon(t), vmOf(0), order("other", "old"))
 	require.NoError(t, err)
-	later := &Pool{Direct: &vms{}, Node: "later", Processor: 1, Log: quiet()}
+	later := &Pool{Direct: &vms{}, Node: "later", DirectVMs: DirectVMs, Processor: 1, Log: quiet()}
 	later.Lead(t.Context(), 8)
 	require.True(t, later.Offered(ra.offer))
 	later.SetFleet(fleetOf(65))
