A VM that its relay does not reach gets another relay

Change: after a hold without an answer the VM gets another relay, three in a row at most: mostly it is the VM that is gone, and each relay makes connections of its own.

TestVMGetsAnotherRelayWhenItsOwnDoesNotReachIt fails without it.

--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -104,6 +104,8 @@
 	// fleet are the VMs that are held, by ID; routes says by which relay.
 	fleet  map[string]string
 	routes map[string]*stream
+	// misses counts the holds in a row that a VM left without an answer.
+	misses map[string]int
 	loads  map[*stream]int
 
 	payloads packer
@@ -124,6 +126,7 @@
 	p.leading, p.fence = ctx, fence
 	p.offers, p.streams, p.dialing = map[string]*offered{}, map[string]*stream{}, map[string]int{}
 	p.fleet, p.routes, p.loads = map[string]string{}, map[string]*stream{}, map[*stream]int{}
+	p.misses = map[string]int{}
 }
 
 // Offered notes an offer. leading is false when this process does not lead.
@@ -158,6 +161,11 @@
 			p.unroute(id)
 		}
 	}
+	for id := range p.misses {
+		if _, held := fleet[id]; !held {
+			delete(p.misses, id)
+		}
+	}
 	p.recruit()
 	p.rebalance()
 }
@@ -355,21 +363,52 @@
 	if _, held := p.fleet[vm.ID]; !held {
 		return nil
 	}
-	best := p.roomiest(vm.Zone)
-	if best != nil {
-		p.routes[vm.ID] = best
-		p.loads[best]++
-	}
+	best := p.roomiest(vm.Zone, nil)
+	p.assign(vm.ID, best)
 	return best
 }
 
-// roomiest is the relay with the most room for a VM of a zone. p.mu is held.
-func (p *Pool) roomiest(zone string) *stream {
+// assign has a relay, or none, serve a VM. p.mu is held.
+func (p *Pool) assign(id string, s *stream) {
+	if s != nil {
+		p.routes[id] = s
+		p.loads[s]++
+	}
+}
+
+// mostDetours bounds the relays that are tried in turn for a VM that does not answer:
+// each makes connections of its own, and mostly it is the VM that is gone.
+const mostDetours = 3
+
+// heldVia notes how a hold went that a relay carried. A VM that leaves it without an
+// answer may have lost the path to this relay only, and gets another one.
+func (p *Pool) heldVia(vm *batch.Instance, s *stream, err error) {
+	var refusal *batch.RefusalError
+	answered := err == nil || (errors.As(err, &refusal) && refusal.Reason != batch.RefusedUnreached)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if answered {
+		delete(p.misses, vm.ID)
+		return
+	}
+	p.misses[vm.ID]++
+	if p.misses[vm.ID] > mostDetours || p.routes[vm.ID] != s {
+		return
+	}
+	if other := p.roomiest(vm.Zone, s); other != nil {
+		p.unroute(vm.ID)
+		p.assign(vm.ID, other)
+	}
+}
+
+// roomiest is the relay with the most room for a VM of a zone, other than the one given.
+// p.mu is held.
+func (p *Pool) roomiest(zone string, but *stream) *stream {
 	var best *stream
 	least := crowdedRelay
 	for _, node := range sortedKeys(p.streams) {
 		s := p.streams[node]
-		if !s.usable() {
+		if s == but || !s.usable() {
 			continue
 		}
 		use := p.use(s)
@@ -417,8 +456,7 @@
 		}
 		if p.routes[id] == fullest {
 			p.unroute(id)
-			p.routes[id] = emptiest
-			p.loads[emptiest]++
+			p.assign(id, emptiest)
 			moved++
 		}
 	}
@@ -464,6 +502,9 @@
 func (p *Pool) Hold(ctx context.Context, vm *batch.Instance, o batch.HoldOrder) (rep batch.Report, err error) {
 	err = p.do(vm, func(a Agents) (err error) {
 		rep, err = a.Hold(ctx, vm, o)
+		if s, relayed := a.(*stream); relayed && !errors.Is(err, errNotWritten) {
+			p.heldVia(vm, s, err)
+		}
 		return err
 	})
 	return rep, err
@@ -472,7 +513,7 @@
 // Instances returns the list of VMs. A relay reads it, if there is one, and tells what has
 // changed: the whole takes 1.2 MB/s of the link where there are 3,000 VMs.
 func (p *Pool) Instances(ctx context.Context) ([]batch.Instance, error) {
-	if s := p.roomiestOf(""); s != nil {
+	if s := p.reader(); s != nil {
 		askCtx, cancel := context.WithTimeout(ctx, listWithin)
 		defer cancel()
 		if list, err := s.Instances(askCtx); err == nil {
@@ -485,11 +526,12 @@
 // listWithin is how long a relay has to read the list before this process reads it.
 const listWithin = 800 * time.Millisecond
 
-func (p *Pool) roomiestOf(zone string) *stream {
+// reader is the relay that reads the list, or nil.
+func (p *Pool) reader() *stream {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.leads() {
 		return nil
 	}
-	return p.roomiest(zone)
+	return p.roomiest("", nil)
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -241,6 +241,31 @@
 	require.Equal(t, 1, p.Serving()["rb"])
 }
 
+// Symptom: a VM that is alive gets nothing, and what it runs is started elsewhere.
+// Sequence: the path between a VM and its relay is cut; other processes reach it.
+// Cause: the VM stayed with the relay that did not reach it.
+func TestVMGetsAnotherRelayWhenItsOwnDoesNotReachIt(t *testing.T) {
+	cut := func(string) (batch.Report, error) { return batch.Report{}, errors.New("no answer") }
+	unreached, other := &vms{report: cut}, &vms{}
+	p := newPool(t, &vms{}, 100, newProcess(t, "ra", "a", unreached), newProcess(t, "rb", "b", other))
+	_, err := p.Hold(soon(t), vmOf(0), batch.HoldOrder{})
+	require.Error(t, err)
+	_, err = p.Hold(soon(t), vmOf(0), batch.HoldOrder{})
+	require.NoError(t, err)
+	require.Equal(t, 1, other.holdCount())
+	other.report = cut
+	var routes []*stream
+	for range 3 * mostDetours {
+		_, err = p.Hold(soon(t), vmOf(0), batch.HoldOrder{})
+		require.Error(t, err)
+		routes = append(routes, p.routes[vmOf(0).ID])
+	}
+	require.NotEqual(t, routes[0].offer, routes[1].offer)
+	for _, s := range routes[mostDetours:] {
+		require.Same(t, routes[mostDetours], s, "it is the VM that does not answer")
+	}
+}
+
 // Symptom: a relay that stops cuts off what it has under way.
 // Sequence: a planned stop of a relay, with orders under way and others to come.
 // Cause: the leader did not know that it was about to stop.
