--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -15,14 +15,8 @@
 	"github.com/rattanwall/rattanwall/internal/steady"
 )
 
-// Agents gives orders to instances. A *batch.RefusalError is certain; after any
-// other error the order may have been, or may yet be, carried out.
-type Agents interface {
-	Start(ctx context.Context, instance *batch.Instance, o batch.StartOrder) (time.Duration, error)
-	Stop(ctx context.Context, instance *batch.Instance, task batch.TaskID, run, fence int64) error
-	Pace(ctx context.Context, instance *batch.Instance, task batch.TaskID, run int64, percent int, fence int64) error
-	Hold(ctx context.Context, instance *batch.Instance, o batch.HoldOrder) (batch.Report, error)
-}
+// Agents gives orders to instances.
+type Agents = batch.Agents
 
 // Relays spread the Agents' work over other processes where the fleet is large.
 type Relays interface {
@@ -210,96 +204,6 @@
 	return l.term
 }
 
-// State returns what callers may be told of a job. leading is false when this
-// process does not lead; known is false when it has not heard of the job.
-func (l *Leader) State(id string) (state batch.State, known, leading bool) {
-	t := l.current()
-	if t == nil || !t.tenure.MayAct() {
-		return "", false, false
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	state, known = t.sched.State(id)
-	return state, known, true
-}
-
-// Waiting counts a queue's jobs of which nothing has started.
-func (l *Leader) Waiting(queue string) (n int, leading bool) {
-	t := l.current()
-	if t == nil || !t.tenure.MayAct() {
-		return 0, false
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.sched.Waiting(queue), true
-}
-
-// Dump returns the scheduler's state, or nil when this process does not lead.
-func (l *Leader) Dump() *scheduler.Dump {
-	t := l.current()
-	if t == nil {
-		return nil
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	d := t.sched.Dump(steady.Now())
-	return &d
-}
-
-// Figures are the state of a leader in counts.
-type Figures struct {
-	scheduler.Figures
-	// Confirmed is set while the lease can't have run out: nobody else leads.
-	Confirmed bool
-	// UnackedEnds counts the ends that VMs go on telling; OldestUnacked is since
-	// when the oldest is told.
-	UnackedEnds   int
-	OldestUnacked time.Duration
-	// StartWindow is how many starts may be under way, StartsWaiting how many wait for
-	// their turn.
-	StartWindow, StartsWaiting int
-	// Relays are the processes that carry orders, with how many VMs each serves.
-	Relays map[string]int
-}
-
-// Figures returns the state in counts; leading is false when this process does
-// not lead, or may not give orders any more.
-func (l *Leader) Figures() (f Figures, leading bool) {
-	t := l.current()
-	if t == nil || !t.tenure.MayAct() {
-		return f, false
-	}
-	return t.figures(), true
-}
-
-func (t *term) figures() Figures {
-	now := steady.Now()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	f := Figures{Figures: t.sched.Figures(now), Confirmed: t.tenure.Confirmed()}
-	for _, told := range t.told {
-		f.UnackedEnds += told.count
-		f.OldestUnacked = max(f.OldestUnacked, now-told.since)
-	}
-	f.StartWindow, f.StartsWaiting = t.starts.figures()
-	if t.Relays != nil {
-		f.Relays = t.Relays.Serving()
-	}
-	return f
-}
-
-// Explain says where a job stands; ok is false when this process does not lead or
-// does not know it.
-func (l *Leader) Explain(id string) (x scheduler.Explanation, ok bool) {
-	t := l.current()
-	if t == nil {
-		return x, false
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.sched.Explain(steady.Now(), id)
-}
-
 // run starts the loops of the tenure and waits for its end.
 func (t *term) run(ctx context.Context, revision int64) {
 	jobs := &follow.Follower{Store: t.Store, Prefix: jobsPrefix, Wait: jobsWatch, Handle: t.observeJobs, After: revision}
--- /dev/null
+++ b/internal/relay/recruit.go
@@ -0,0 +1,163 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/eventlog"
+	"github.com/rattanwall/rattanwall/internal/steady"
+)
+
+const (
+	// spareRoom is how much more room the relays have than there are VMs: one of
+	// them may be lost, and what it served finds a place at once.
+	spareRoom = 1.3
+	// redialAfter is the pause before a relay that was lost is tried again.
+	redialAfter = 2 * time.Second
+	// offerLasts is how long an offer is believed.
+	offerLasts = 3 * OfferEvery
+	// messageCost is the leader's processor time for a message to, and one from, a
+	// relay, besides what is in them.
+	messageCost = 50 * time.Microsecond
+	// messageShare is the share of the leader's processor that messages may take: it
+	// gives the pause between two messages of a stream. At 0.8 of a core and 22 relays
+	// that is 9 ms.
+	messageShare = 0.15
+	// leastPause bounds that pause from below: batches of a few orders each. mostPause
+	// bounds what it adds to a start: short tasks are to begin within 0.3 s.
+	leastPause = 4 * time.Millisecond
+	mostPause  = 50 * time.Millisecond
+)
+
+// wanted is how much room the relays have to have together.
+func (p *Pool) wanted() int {
+	if len(p.fleet) <= p.DirectVMs {
+		return 0
+	}
+	return int(spareRoom * float64(len(p.fleet)))
+}
+
+// recruit opens streams until the relays have the room that is wanted. p.mu is held.
+func (p *Pool) recruit() {
+	room := 0
+	zoneRoom := map[string]int{}
+	for _, s := range p.streams {
+		room += s.offer.VMs
+		zoneRoom[s.offer.Zone] += s.offer.VMs
+	}
+	for node, vms := range p.dialing {
+		room += vms
+		zoneRoom[p.offers[node].Zone] += vms
+	}
+	wanted := p.wanted()
+	for room < wanted {
+		o := p.bestOffer(zoneRoom)
+		if o == nil {
+			return
+		}
+		room += o.VMs
+		zoneRoom[o.Zone] += o.VMs
+		p.dialing[o.Node] = o.VMs
+		go p.open(p.leading, o.Offer, p.fence)
+	}
+}
+
+// bestOffer is that of the process with the most room, in the availability zone whose
+// VMs have the least of it; nil for none.
+func (p *Pool) bestOffer(zoneRoom map[string]int) *offered {
+	now := steady.Now()
+	perZone := map[string]int{}
+	for _, zone := range p.fleet {
+		perZone[zone]++
+	}
+	var best *offered
+	bestRoom := 0
+	for _, node := range sortedKeys(p.offers) {
+		o := p.offers[node]
+		if _, dialing := p.dialing[node]; dialing || p.streams[node] != nil || node == p.Node || now < o.notBefore || now-o.at > offerLasts {
+			continue
+		}
+		room := o.VMs
+		if zoneRoom[o.Zone] >= perZone[o.Zone] {
+			room /= 2
+		}
+		if best == nil || room > bestRoom {
+			best, bestRoom = o, room
+		}
+	}
+	return best
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// pauseOf is the pause between two messages of one stream of so many.
+func (p *Pool) pauseOf(streams int) time.Duration {
+	every := time.Duration(float64(streams) * float64(messageCost) / (messageShare * max(p.Processor, 0.01)))
+	return min(max(every, leastPause), mostPause)
+}
+
+// open opens a stream and serves it until it breaks.
+func (p *Pool) open(ctx context.Context, o Offer, fence int64) {
+	p.mu.Lock()
+	every := p.pauseOf(len(p.streams) + len(p.dialing))
+	p.mu.Unlock()
+	s, err := dial(ctx, o, hello{Node: p.Node, Fence: fence, Every: every}, &p.payloads)
+	p.mu.Lock()
+	if p.leading != ctx {
+		// Another tenure has begun.
+		p.mu.Unlock()
+		if s != nil {
+			_ = s.conn.Close()
+		}
+		return
+	}
+	delete(p.dialing, o.Node)
+	if err != nil {
+		p.failed(o.Node)
+		p.mu.Unlock()
+		if ctx.Err() == nil {
+			p.Log.Warn("relay_not_reached", err, eventlog.Fields{"node": o.Node, "address": o.Address})
+		}
+		return
+	}
+	p.streams[o.Node] = s
+	p.mu.Unlock()
+	p.Log.Event("relay_joined", eventlog.Fields{"node": o.Node, "zone": o.Zone, "vms": o.VMs, "every_ms": every.Milliseconds()})
+	err = s.serve(ctx)
+	p.lost(ctx, s, err)
+}
+
+// failed notes that a process could not be used. p.mu is held.
+func (p *Pool) failed(node string) {
+	if o := p.offers[node]; o != nil {
+		o.notBefore = steady.Now() + redialAfter
+	}
+}
+
+// lost gives what a broken stream has served to others.
+func (p *Pool) lost(ctx context.Context, s *stream, cause error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.leading != ctx || ctx.Err() != nil {
+		return
+	}
+	vms := p.loads[s]
+	for id, route := range p.routes {
+		if route == s {
+			p.unroute(id)
+		}
+	}
+	delete(p.loads, s)
+	delete(p.streams, s.offer.Node)
+	p.failed(s.offer.Node)
+	p.Log.Event("relay_lost", eventlog.Fields{"node": s.offer.Node, "vms": vms, "leaving": s.leaving, "error": cause.Error()})
+	p.recruit()
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -81,7 +81,7 @@
 	offer  Offer
 }
 
-func newProcess(t testing.TB, node, zone string, agents Agents) *process {
+func newProcess(t testing.TB, node, zone string, agents batch.Agents) *process {
 	p := &process{server: &Server{Agents: agents, Log: quiet()}, offer: Offer{Node: node, Zone: zone, VMs: 80}}
 	serveRelay(t, p)
 	return p
@@ -113,7 +113,7 @@
 }
 
 // newPool is the pool of a leader of a fleet of so many VMs in two availability zones.
-func newPool(t testing.TB, direct Agents, fleet int, relays ...*process) *Pool {
+func newPool(t testing.TB, direct batch.Agents, fleet int, relays ...*process) *Pool {
 	p := &Pool{Direct: direct, Node: "leader", DirectVMs: DirectVMs, Processor: 1, Log: quiet()}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -18,7 +18,7 @@
 
 // Server carries the orders of leaders out. It is the handler of Path.
 type Server struct {
-	Agents    Agents
+	Agents    batch.Agents
 	Instances Instances
 	Log       *eventlog.Log
 
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -18,14 +18,6 @@
 	"github.com/rattanwall/rattanwall/internal/batch"
 )
 
-// Agents gives orders to instances; see the leader's interface of the same name.
-type Agents interface {
-	Start(ctx context.Context, instance *batch.Instance, o batch.StartOrder) (time.Duration, error)
-	Stop(ctx context.Context, instance *batch.Instance, task batch.TaskID, run, fence int64) error
-	Pace(ctx context.Context, instance *batch.Instance, task batch.TaskID, run int64, percent int, fence int64) error
-	Hold(ctx context.Context, instance *batch.Instance, o batch.HoldOrder) (batch.Report, error)
-}
-
 // Instances returns the list of VMs.
 type Instances func(ctx context.Context) ([]batch.Instance, error)
 
