A process that has ended its work closes the streams that it serves

Cause: found by reading: a stream is taken over from its HTTP server, which does not close it at its end. The tests that kill a relay within one process therefore killed nothing of it.

Change: Server.Close, called when the supervisor tree ends; later streams are refused.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -216,6 +216,8 @@
 	case <-e.aborted:
 	}
 	cancel()
+	// The servers do not know of streams that were taken over from them.
+	e.relay.Close()
 	if err := <-ended; err != nil && !errors.Is(err, context.Canceled) {
 		e.log.Warn("supervisor_ended", err, nil)
 	}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -28,6 +28,7 @@
 	// current is the stream that is served; a later one ends it.
 	current *served
 	leaving bool
+	closed  bool
 	// payloads are those of jobs of which tasks were started, for this leader and the
 	// next.
 	payloads map[string]string
@@ -71,6 +72,9 @@
 // errSuperseded: a leader with a higher fencing token has opened a stream.
 var errSuperseded = errors.New("a later leader is served")
 
+// errClosed: the process has ended its work.
+var errClosed = errors.New("this process carries no orders any more")
+
 // serve carries out what comes on one stream until it ends.
 func (s *Server) serve(conn net.Conn, in *bufio.Reader) {
 	decoder := gob.NewDecoder(in)
@@ -101,6 +105,9 @@
 func (s *Server) admit(st *served) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closed {
+		return errClosed
+	}
 	if st.fence < s.fence {
 		return errSuperseded
 	}
@@ -163,6 +170,16 @@
 	}
 }
 
+// Close ends the stream that is served, and takes no further ones.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	if s.current != nil {
+		_ = s.current.conn.Close()
+	}
+}
+
 // Leave tells the leader that this process is about to stop, and waits until the calls
 // under way have their answers.
 func (s *Server) Leave() {
