--- a/internal/relay/bench_test.go
+++ b/internal/relay/bench_test.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"bytes"
 	"context"
+	"encoding/gob"
 	"fmt"
 	"sync"
 	"testing"
@@ -56,3 +58,32 @@
 	}
 	done.Wait()
 }
+
+// BenchmarkMessage encodes and decodes a message of a relay with the reports of forty VMs
+// with eleven runs each, in ns a message.
+func BenchmarkMessage(b *testing.B) {
+	var m results
+	last := lastReports{}
+	for round := range 2 {
+		m.Results = nil
+		for vm := range 40 {
+			rep := batch.Report{Running: make([]batch.RunStatus, 11)}
+			for i := range rep.Running {
+				rep.Running[i] = batch.RunStatus{
+					Task: batch.TaskID{Job: "5c0e7a21d94b36f8", Step: 1, Index: i}, Run: 33554432 + int64(i), Checkpoint: "00000bb87a21d94b",
+					Progress: 40 + round, Usage: float64(12 + i + round), HasUsage: true,
+				}
+			}
+			m.Results = append(m.Results, result{Call: uint64(vm), Clock: time.Hour, Report: last.shorten(vm, &rep)})
+		}
+	}
+	var buf bytes.Buffer
+	encoder, decoder := gob.NewEncoder(&buf), gob.NewDecoder(&buf)
+	b.ReportAllocs()
+	for range b.N {
+		require.NoError(b, encoder.Encode(&m))
+		b.ReportMetric(float64(buf.Len()), "bytes")
+		var got results
+		require.NoError(b, decoder.Decode(&got))
+	}
+}
