One relay reads the list; late paces are refused; a leaving relay is no room

Found by reading the change as a whole: - the relay that reads the list of VMs was the one with the most room, another one at nearly each look, and each has to read and tell the whole list first (110 KB at 1,100 VMs): it stays the same while it answers; - a relay that wakes from a suspension carried paces out that were seconds old, which undo what was ordered by another relay since: refused like starts; - a relay that is about to stop counted as room, so that its successor was recruited only when it was gone.

--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -38,16 +38,16 @@
 // to each of them.
 func Room(processor, linkMbps float64) int {
 	const (
-		perVM        = 0.001
-		bitsPerVM    = 8 * 8000
-		share        = 0.5
-		linkShare    = 0.7
-		least, most  = 4, 64
-		bitsPerMegab = 1e6
+		perVM       = 0.001
+		bitsPerVM   = 8 * 8000
+		share       = 0.5
+		linkShare   = 0.7
+		least, most = 4, 64
+		megabit     = 1e6
 	)
 	room := share * processor / perVM
 	if linkMbps > 0 {
-		room = min(room, linkShare*linkMbps*bitsPerMegab/bitsPerVM)
+		room = min(room, linkShare*linkMbps*megabit/bitsPerVM)
 	}
 	return int(min(max(room, least), most))
 }
@@ -81,6 +81,8 @@
 	// misses counts the holds in a row that a VM left without an answer.
 	misses map[string]int
 	loads  map[*stream]int
+	// lister is the relay that read the list of VMs last.
+	lister *stream
 
 	payloads packer
 }
@@ -100,7 +102,7 @@
 	p.leading, p.fence = ctx, fence
 	p.offers, p.streams, p.dialing = map[string]*offered{}, map[string]*stream{}, map[string]int{}
 	p.fleet, p.routes, p.loads = map[string]string{}, map[string]*stream{}, map[*stream]int{}
-	p.misses = map[string]int{}
+	p.misses, p.lister = map[string]int{}, nil
 }
 
 // Offered notes an offer. leading is false when this process does not lead.
--- a/internal/relay/recruit.go
+++ b/internal/relay/recruit.go
@@ -43,8 +43,10 @@
 	room := 0
 	zoneRoom := map[string]int{}
 	for _, s := range p.streams {
-		room += s.offer.VMs
-		zoneRoom[s.offer.Zone] += s.offer.VMs
+		if s.usable() {
+			room += s.offer.VMs
+			zoneRoom[s.offer.Zone] += s.offer.VMs
+		}
 	}
 	for node, vms := range p.dialing {
 		room += vms
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -314,10 +314,12 @@
 	st := &served{server: &Server{Agents: relayed, Log: quiet()}, kick: make(chan struct{}, 1), instances: map[int]*batch.Instance{1: {ID: "vm"}}, last: lastReports{}}
 	at := steady.Now()
 	st.take(t.Context(), &orders{SentAt: at})
-	late := orders{SentAt: at - staleAfter - 100*time.Millisecond, Starts: []startCall{{Head: callHead{Call: 3, VM: 1, Within: time.Second}}}}
+	head := callHead{Call: 3, VM: 1, Within: time.Second}
+	late := orders{SentAt: at - staleAfter - 100*time.Millisecond, Starts: []startCall{{Head: head}}, Paces: []paceCall{{Head: head}}}
 	st.take(t.Context(), &late)
-	require.Len(t, st.queue, 1)
+	require.Len(t, st.queue, 2)
 	require.Equal(t, batch.RefusedUnreached, st.queue[0].Refusal)
+	require.Equal(t, batch.RefusedUnreached, st.queue[1].Refusal, "a pace of then would undo a later one")
 	require.Empty(t, relayed.starts)
 }
 
@@ -398,6 +400,9 @@
 	draining.Draining = true
 	list = []batch.Instance{draining, *vmOf(3)}
 	require.Equal(t, list, read())
+	reader := p.lister
+	require.NoError(t, func() error { _, err := p.Hold(soon(t), vmOf(0), batch.HoldOrder{}); return err }())
+	require.Same(t, reader, p.reader(), "the same relay, however much others have to do")
 	list = []batch.Instance{}
 	require.Empty(t, read())
 	ra.server.Instances = func(context.Context) ([]batch.Instance, error) { return nil, errors.New("cut off") }
--- a/internal/relay/routes.go
+++ b/internal/relay/routes.go
@@ -193,9 +193,11 @@
 	if s := p.reader(); s != nil {
 		askCtx, cancel := context.WithTimeout(ctx, listWithin)
 		defer cancel()
-		if list, err := s.Instances(askCtx); err == nil {
+		list, err := s.Instances(askCtx)
+		if err == nil {
 			return list, nil
 		}
+		p.unread(s)
 	}
 	return p.List(ctx)
 }
@@ -203,12 +205,25 @@
 // listWithin is how long a relay has to read the list before this process reads it.
 const listWithin = 800 * time.Millisecond
 
-// reader is the relay that reads the list, or nil.
+// reader is the relay that reads the list, or nil. It stays the same one while it can:
+// another has to read and tell the whole list first.
 func (p *Pool) reader() *stream {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.leads() {
 		return nil
 	}
-	return p.roomiest("", nil)
+	if p.lister == nil || !p.lister.usable() {
+		p.lister = p.roomiest("", nil)
+	}
+	return p.lister
+}
+
+// unread has another relay read the list.
+func (p *Pool) unread(s *stream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.lister == s {
+		p.lister = p.roomiest("", s)
+	}
 }
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -36,8 +36,9 @@
 
 const (
 	// staleAfter is how much longer than the quickest message of its stream one may
-	// have been under way for its starts to be carried out. The leader has given
-	// them up by then, and a relay that wakes from a suspension has a queue of them.
+	// have been under way for its starts and paces to be carried out. The leader has
+	// given them up by then, and a relay that wakes from a suspension has a queue of
+	// them: a pace of then would undo one that was ordered by another way since.
 	staleAfter = 600 * time.Millisecond
 	// leaveWithin bounds the wait for calls under way at a planned stop: a hold
 	// takes a second at most.
@@ -256,7 +257,7 @@
 }
 
 // stale reports whether a message was under way for so long that the leader has given
-// its starts up.
+// its calls up.
 func (st *served) stale(sentAt time.Duration) bool {
 	took := steady.Now() - sentAt
 	if !st.seen || took < st.quickest {
@@ -295,19 +296,23 @@
 		})
 	}
 	for _, c := range m.Paces {
+		if stale {
+			st.refuse(c.Head.Call, "it was too long under way to this relay")
+			continue
+		}
 		st.begin(ctx, c.Head, func(ctx context.Context, vm *batch.Instance, _ *result) error {
 			return st.server.Agents.Pace(ctx, vm, c.Task, c.Run, c.Percent, c.Fence)
 		})
 	}
 	for _, c := range m.Starts {
 		if stale {
-			st.answer(result{Call: c.Head.Call, Refusal: batch.RefusedUnreached, Error: "it was too long under way to this relay"})
+			st.refuse(c.Head.Call, "it was too long under way to this relay")
 			continue
 		}
 		text, known := st.server.payload(c.Order.Task.Job)
 		if !known {
 			// A task must not be started with less than its job says.
-			st.answer(result{Call: c.Head.Call, Refusal: batch.RefusedUnreached, Error: "the stream has not told the job's payload"})
+			st.refuse(c.Head.Call, "the stream has not told the job's payload")
 			continue
 		}
 		c.Order.Payload = text
@@ -319,6 +324,11 @@
 	st.server.drop(st, m.Dropped)
 }
 
+// refuse answers a call that was certainly not made.
+func (st *served) refuse(call uint64, why string) {
+	st.answer(result{Call: call, Refusal: batch.RefusedUnreached, Error: why})
+}
+
 // told puts a report into a result. The differences follow each other in the order in
 // which the results are queued.
 func (st *served) told(r *result, vm int, rep *batch.Report) {
@@ -330,7 +340,7 @@
 func (st *served) begin(ctx context.Context, head callHead, do func(context.Context, *batch.Instance, *result) error) {
 	vm := st.instances[head.VM]
 	if vm == nil {
-		st.answer(result{Call: head.Call, Refusal: batch.RefusedUnreached, Error: "the stream has not named the VM"})
+		st.refuse(head.Call, "the stream has not named the VM")
 		return
 	}
 	st.beginAny(ctx, head, func(ctx context.Context, r *result) error { return do(ctx, vm, r) })
