Lost runs tell how long they lived, lost VMs how much was new there

Cause: run_lost told the time from the order to the conclusion that the VM had ended, 1.8 to 2.5 s, in which the wait for that conclusion hides a run of 10 ms. Whether a task ends its VMs or was on VMs that fail could not be told. Change: lived_ms and lived_at_most_ms of run_lost, new_runs of vm_gone; the scheduler is told of holds that fail. Tests: TestLostRunTellsHowLongItLived, TestAnswerEndsSilence. No decision changes.

--- a/internal/leader/holds.go
+++ b/internal/leader/holds.go
@@ -169,6 +169,7 @@
 		return false, nil
 	}
 	if err != nil {
+		t.sched.Unanswered(now, inst.ID)
 		if silent.failed(now, before.UnheardFor) {
 			t.log.Warn("vm_unanswered", err, standingFields(inst.ID, before))
 		}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -409,6 +409,12 @@
 	if d.Value != 0 {
 		f["value"] = d.Value
 	}
+	if d.Event == scheduler.EventRunLost {
+		f["lived_ms"], f["lived_at_most_ms"] = d.Lived.Milliseconds(), d.LivedAtMost.Milliseconds()
+	}
+	if d.NewRuns != 0 {
+		f["new_runs"] = d.NewRuns
+	}
 	if d.Unheard != 0 {
 		f["unheard_ms"] = d.Unheard.Milliseconds()
 	}
--- /dev/null
+++ b/internal/scheduler/lifetimes_test.go
@@ -0,0 +1,61 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Tasks were lost with VM after VM, and the log could not tell whether they had ended
+// the VMs or were there by chance: it had the time from the order to the conclusion,
+// two seconds each, not how long the runs had run.
+func TestLostRunTellsHowLongItLived(t *testing.T) {
+	f := newFixture(t, 1)
+	f.hearAll(nil)
+	f.submit("old", tasks(1, 1000))
+	f.plan()
+	f.confirm(f.last("old.0.0.0"))
+	f.advance(3 * time.Second)
+	f.hear("vm00", runs(f.last("old.0.0.0")))
+	f.submit("new", tasks(1, 1000))
+	f.plan()
+	f.confirm(f.last("new.0.0.0"))
+	f.advance(13 * time.Millisecond)
+	f.s.Unanswered(f.now, "vm00")
+	f.advance(2 * time.Second)
+	f.s.Unanswered(f.now, "vm00")
+	f.s.Gone(f.now, "vm00", "machine ended it")
+
+	lost := map[string]Decision{}
+	for _, d := range f.log {
+		switch d.Event {
+		case EventRunLost:
+			lost[d.Task.Job] = d
+		case EventVMGone:
+			require.Equal(t, 1, d.NewRuns)
+		}
+	}
+	require.Equal(t, 3*time.Second, lost["old"].Lived)
+	require.Equal(t, 3013*time.Millisecond, lost["old"].LivedAtMost)
+	require.Zero(t, lost["new"].Lived)
+	require.Equal(t, 13*time.Millisecond, lost["new"].LivedAtMost)
+}
+
+// A hold that failed by chance is no sign once the VM has answered again.
+func TestAnswerEndsSilence(t *testing.T) {
+	f := newFixture(t, 1)
+	f.hearAll(nil)
+	f.submit("j", tasks(1, 1000))
+	f.plan()
+	f.confirm(f.last("j.0.0.0"))
+	f.s.Unanswered(f.now, "vm00")
+	f.advance(time.Second)
+	f.hear("vm00", runs(f.last("j.0.0.0")))
+	f.advance(time.Second)
+	f.s.Gone(f.now, "vm00", "machine ended it")
+	last := f.log[len(f.log)-1]
+	require.Equal(t, EventRunLost, last.Event)
+	require.Equal(t, 2*time.Second, last.LivedAtMost)
+	require.Equal(t, time.Second, last.Lived)
+}
--- a/internal/scheduler/reports.go
+++ b/internal/scheduler/reports.go
@@ -24,7 +24,7 @@
 		s.changed = true
 	}
 	v.heardAt = now
-	v.unanswered = false
+	v.unanswered, v.unansweredAt = false, 0
 	v.missedAt = 0
 	if !rep.MoreEnded {
 		delete(s.silent, id)
@@ -73,6 +73,7 @@
 	if r == nil {
 		return nil
 	}
+	r.listedAt = now
 	r.follow(now, st.Progress)
 	r.usage, r.hasUsage = st.Usage, st.HasUsage
 	r.noteFullUse(now)
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -52,8 +52,9 @@
 	state  runState
 	// orderedAt is when the start was ordered.
 	orderedAt Time
-	// confirmedAt is when the VM was known to have the run.
-	confirmedAt Time
+	// confirmedAt is when the VM was known to have the run, listedAt when it last told
+	// that it still has it; 0 before.
+	confirmedAt, listedAt Time
 	// stopConfirmedAt is when the VM confirmed the stop; 0 before.
 	stopConfirmedAt Time
 	checkpoint      string
@@ -245,8 +246,10 @@
 	wait time.Duration
 	// closed VMs are being emptied for maintenance and take no new tasks.
 	closed bool
-	// unanswered is set while a hold has no answer.
-	unanswered bool
+	// unanswered is set while a hold has no answer, unansweredAt when the first hold
+	// failed since it was last heard; 0 for none.
+	unanswered   bool
+	unansweredAt Time
 	// leaseOver is when everything there has certainly ended, unless the lease is renewed.
 	leaseOver Time
 	// pacedAt is when the pace of a filler here was last changed; overSince when
@@ -373,6 +376,12 @@
 	Age time.Duration
 	// Value is a figure that goes with the reason.
 	Value float64
+	// Lived is how long a run that was lost is known to have run, LivedAtMost the longest
+	// that it can have: until its VM first left a hold without an answer. A run that ends
+	// its VM as it begins has lived for some milliseconds each time.
+	Lived, LivedAtMost time.Duration
+	// NewRuns counts the runs on a VM that is gone that had just begun there.
+	NewRuns int
 	// Unheard is how long the VM has not been heard, LeaseLeft how long a lease that
 	// this leader took may still last there; negative when it is over. Both are told
 	// where the end of a VM, or of what it runs, is concluded.
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -112,7 +112,7 @@
 // lifeDecision is a log line on a VM's life, with what is known of its lease. Value
 // is how many runs it had.
 func (v *vm) lifeDecision(now Time, event, reason string) Decision {
-	d := Decision{Event: event, VM: v.inst.ID, Reason: reason, Value: float64(len(v.runs)), Unheard: now - v.heardAt}
+	d := Decision{Event: event, VM: v.inst.ID, Reason: reason, Value: float64(len(v.runs)), NewRuns: v.newRuns(), Unheard: now - v.heardAt}
 	if v.leaseOver > 0 {
 		d.LeaseLeft = v.leaseOver - now
 	}
@@ -137,7 +137,10 @@
 func (s *Scheduler) dropRuns(now Time, v *vm, reason string) {
 	s.clearUnwanted(v)
 	for _, r := range v.ordered {
-		s.logf(Decision{Event: EventRunLost, Task: r.task.id(), VM: v.inst.ID, Run: r.number, Reason: reason, Age: now - r.orderedAt, Unheard: now - v.heardAt, LeaseLeft: v.leaseOver - now})
+		s.logf(Decision{
+			Event: EventRunLost, Task: r.task.id(), VM: v.inst.ID, Run: r.number, Reason: reason, Age: now - r.orderedAt,
+			Lived: r.lived(), LivedAtMost: r.livedAtMost(now), Unheard: now - v.heardAt, LeaseLeft: v.leaseOver - now,
+		})
 		s.lose(now, r)
 	}
 }
