Tests of tasks that crash each VM that starts them, failing

What callers saw: jobs that ran beside such a task lost their work with VM after VM, each two seconds, and the job itself was never given up. Tests: a fleet in virtual time whose VMs are ended by tasks, by racks or by power; jobs of each kind, take-overs, lost writes, innocent tasks beside a crash and on lost racks.

--- /dev/null
+++ b/internal/scheduler/crashes_test.go
@@ -0,0 +1,201 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+// Tasks were started again and again, every two seconds for the rest of the day, each
+// time on another VM, and each VM ended some 10 ms after it had begun the task. The log
+// had run_started for a task, then vm_unanswered with EOF of its VM 13 ms later, then
+// vm_gone and run_lost for all that ran there, and the same task's run_started again.
+// What ended with a VM was taken off "without blame for the tasks", and nothing counted
+// how many VMs had ended under one.
+
+// crashingJobs are a job of each kind whose first task ends its VMs.
+var crashingJobs = map[string][]batch.Step{
+	"plain":       {tasks(3, 1000)},
+	"second step": {tasks(2, 1000), {Tasks: 2, Need: batch.Resources{MilliCPU: 1000, MemoryMB: 10}, Estimate: time.Second, After: []int{0}}},
+	"lasting":     {{Tasks: 3, Need: batch.Resources{MilliCPU: 1000, MemoryMB: 10}, Lasting: true, MaxUnavailable: 1}},
+	"gang":        {{Tasks: 3, Need: batch.Resources{MilliCPU: 6000, MemoryMB: 10}, Estimate: time.Second, Gang: true}},
+	"speculative": {{Tasks: 3, Need: batch.Resources{MilliCPU: 1000, MemoryMB: 10}, Estimate: time.Second, Speculative: true}},
+	"filler":      {{Tasks: 3, Need: batch.Resources{MilliCPU: 1000, MemoryMB: 10}, Estimate: time.Second, Filler: true}},
+}
+
+// handCrashing hands in one of them, and returns the task that ends its VMs.
+func (c *crashFleet) handCrashing(kind string) batch.TaskID {
+	steps := crashingJobs[kind]
+	id := batch.TaskID{Job: "bad-" + kind, Step: len(steps) - 1}
+	if steps[0].Lasting {
+		c.lasts[id.Job] = 0
+	}
+	c.crashes[id] = true
+	c.hand(&batch.Job{ID: id.Job, Payload: "p", Steps: steps})
+	return id
+}
+
+// handOthers hands in harmless jobs now and then while time passes.
+func (c *crashFleet) handOthers(n int, every time.Duration) {
+	for range n {
+		id := fmt.Sprintf("good%d", c.others)
+		c.others++
+		c.lasts[id] = time.Duration(200+c.rng.IntN(4000)) * time.Millisecond
+		c.hand(&batch.Job{ID: id, Payload: "p", Steps: []batch.Step{tasks(1+c.rng.IntN(4), 1000)}})
+		c.play(every)
+	}
+}
+
+// requireOthersKept fails where one of the harmless jobs did not complete.
+func (c *crashFleet) requireOthersKept() {
+	for i := range c.others {
+		c.requireState(fmt.Sprintf("good%d", i), batch.Completed)
+	}
+}
+
+func TestTaskThatCrashesItsVMsIsGivenUp(t *testing.T) {
+	for kind := range crashingJobs {
+		for _, dark := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, dark %v", kind, dark), func(t *testing.T) {
+				for seed := range uint64(20) {
+					c := newCrashFleet(t, 12, seed)
+					c.darkDeaths = dark
+					c.play(2 * time.Second)
+					task := c.handCrashing(kind)
+					c.handOthers(40, 250*time.Millisecond)
+					c.play(50 * time.Second)
+					c.requireBounded()
+					c.requireState(task.Job, batch.Failed)
+					c.requireOthersKept()
+					require.GreaterOrEqual(t, len(c.crashed[task]), 2, "given up with too little evidence")
+				}
+			})
+		}
+	}
+}
+
+// Several such tasks that are started at the same moments end their VMs at the same
+// moments: that must not pass for the loss of a rack.
+func TestTasksThatCrashInStepAreGivenUp(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newCrashFleet(t, 24, seed)
+		c.play(2 * time.Second)
+		for kind := range crashingJobs {
+			c.handCrashing(kind)
+		}
+		c.play(40 * time.Second)
+		c.requireBounded()
+		for kind := range crashingJobs {
+			c.requireState("bad-"+kind, batch.Failed)
+		}
+	}
+}
+
+// The count of a leader that dies is its successor's: without it each take-over gives a
+// task its VMs anew.
+func TestCrashesAreCountedOverTakeOvers(t *testing.T) {
+	for kind := range crashingJobs {
+		t.Run(kind, func(t *testing.T) {
+			for seed := range uint64(40) {
+				c := newCrashFleet(t, 12, seed)
+				c.play(2 * time.Second)
+				task := c.handCrashing(kind)
+				for range 12 {
+					c.play(time.Duration(1000+c.rng.IntN(6000)) * time.Millisecond)
+					c.takeOver()
+				}
+				c.play(40 * time.Second)
+				c.requireBounded()
+				c.requireState(task.Job, batch.Failed)
+			}
+		})
+	}
+}
+
+// Writes whose answers are lost, and a store that is away, must not lose the count.
+func TestCrashesAreCountedOverLostWrites(t *testing.T) {
+	for seed := range uint64(40) {
+		c := newCrashFleet(t, 12, seed)
+		c.lost = func() bool { return c.rng.IntN(3) == 0 }
+		c.play(2 * time.Second)
+		task := c.handCrashing("plain")
+		for range 8 {
+			c.play(time.Duration(1000+c.rng.IntN(3000)) * time.Millisecond)
+			c.down = c.rng.IntN(3) == 0
+			c.play(time.Duration(500+c.rng.IntN(2000)) * time.Millisecond)
+			c.takeOver()
+			c.down = false
+		}
+		c.play(40 * time.Second)
+		c.requireBounded()
+		c.requireState(task.Job, batch.Failed)
+	}
+}
+
+// A task that is started beside one that ends its VMs is lost with each of them, and is
+// not to blame: placing puts what waits together to the same VM again and again.
+func TestTasksBesideACrashAreKept(t *testing.T) {
+	for seed := range uint64(40) {
+		c := newCrashFleet(t, 3, seed)
+		c.play(2 * time.Second)
+		for kind := range crashingJobs {
+			c.handCrashing(kind)
+		}
+		c.handOthers(12, 50*time.Millisecond)
+		for i := range 4 {
+			id := fmt.Sprintf("lasting%d", i)
+			c.lasts[id] = 0
+			c.hand(&batch.Job{ID: id, Payload: "p", Steps: []batch.Step{{Tasks: 2, Need: batch.Resources{MilliCPU: 500, MemoryMB: 10}, Lasting: true, MaxUnavailable: 1}}})
+		}
+		c.play(90 * time.Second)
+		c.requireBounded()
+		c.requireOthersKept()
+		for i := range 4 {
+			c.requireState(fmt.Sprintf("lasting%d", i), batch.Running)
+		}
+	}
+}
+
+// Racks and the power of all fail again and again, often while a task that was lost
+// before has just been started: nothing of that is the task's doing.
+func TestTasksOnLostVMsAreKept(t *testing.T) {
+	for name, strike := range map[string]func(*crashFleet){
+		"rack":  func(c *crashFleet) { c.killRack(fmt.Sprintf("r%d", c.rng.IntN(3))) },
+		"power": func(c *crashFleet) { c.killAll() },
+		"some": func(c *crashFleet) {
+			for _, id := range c.ids() {
+				if c.rng.IntN(4) == 0 {
+					c.kill(id)
+				}
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(24) {
+				c := newCrashFleet(t, 12, seed)
+				c.darkDeaths = seed%2 == 1
+				c.play(2 * time.Second)
+				c.lasts["lasting"] = 0
+				c.hand(&batch.Job{ID: "lasting", Payload: "p", Steps: []batch.Step{{Tasks: 6, Need: batch.Resources{MilliCPU: 1000, MemoryMB: 10}, Lasting: true, MaxUnavailable: 1}}})
+				c.hand(&batch.Job{ID: "gang", Payload: "p", Steps: []batch.Step{{Tasks: 6, Need: batch.Resources{MilliCPU: 1000, MemoryMB: 10}, Gang: true, Estimate: 8 * time.Second}}})
+				c.lasts["gang"] = 8 * time.Second
+				c.hand(&batch.Job{ID: "copies", Payload: "p", Steps: []batch.Step{{Tasks: 6, Need: batch.Resources{MilliCPU: 1000, MemoryMB: 10}, Speculative: true, Estimate: 4 * time.Second}}})
+				c.lasts["copies"] = 4 * time.Second
+				for range 10 {
+					c.handOthers(3, 20*time.Millisecond)
+					c.play(time.Duration(c.rng.IntN(3500)) * time.Millisecond)
+					strike(c)
+				}
+				c.play(60 * time.Second)
+				c.requireOthersKept()
+				c.requireState("gang", batch.Completed)
+				c.requireState("copies", batch.Completed)
+				c.requireState("lasting", batch.Running)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/scheduler/crashfleet_test.go
@@ -0,0 +1,371 @@
+package scheduler
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+// The times of a VM's end as a leader sees it, and of the fleet's steps.
+const (
+	fleetStep = 20 * time.Millisecond
+	// crashAfter is how long after its start a crashing task ends its VM.
+	crashAfter = 10 * time.Millisecond
+	// learnAfter is how long after its end the machine service says that a VM is gone,
+	// backAfter when its next life is listed.
+	learnAfter = 2100 * time.Millisecond
+	backAfter  = 3 * time.Second
+	hearEvery  = 600 * time.Millisecond
+	// mostCrashes of a task may be followed by fewer than mostAfter further starts.
+	mostCrashes, mostAfter = 3, 3
+)
+
+// fleetRun is a run on a VM of the fleet.
+type fleetRun struct {
+	number       int64
+	began, until Time
+}
+
+// progress is the share of its work that is done, in percent.
+func (r *fleetRun) progress(now Time) int {
+	if r.until == 0 {
+		return fullPace
+	}
+	return int(fullPace * (now - r.began) / max(r.until-r.began, 1))
+}
+
+// fleetVM is one life of a VM.
+type fleetVM struct {
+	inst   batch.Instance
+	runs   map[batch.TaskID]fleetRun
+	ended  []batch.RunEnd
+	seq    int64
+	hearAt Time
+	dieAt  Time
+	// culprit is the task that ends it.
+	culprit batch.TaskID
+}
+
+// crashFleet plays a leader's scheduler against VMs of which some are ended by the tasks
+// that they start.
+type crashFleet struct {
+	*fixture
+	rng    *rand.Rand
+	living map[string]*fleetVM
+	later  []message
+	lives  int
+	// others counts the harmless jobs.
+	others  int
+	crashes map[batch.TaskID]bool
+	// lasts is how long runs of a job take; a second where it is not given.
+	lasts map[string]time.Duration
+	// darkDeaths: VMs end without a sign, and holds time out.
+	darkDeaths bool
+	// records is what the store has, by job; lost says whether a write's answer is lost,
+	// down whether the store can't be written.
+	jobs    []*batch.Job
+	records map[string][]byte
+	lost    func() bool
+	down    bool
+	// starts and crashed are the moments of each task's starts and of the crashes that
+	// it brought about.
+	starts, crashed map[batch.TaskID][]Time
+	done            map[string]bool
+}
+
+func newCrashFleet(t *testing.T, vms int, seed uint64) *crashFleet {
+	c := &crashFleet{
+		fixture: newFixture(t, 0), rng: rand.New(rand.NewPCG(seed, 3)), living: map[string]*fleetVM{}, crashes: map[batch.TaskID]bool{},
+		lasts: map[string]time.Duration{}, records: map[string][]byte{}, starts: map[batch.TaskID][]Time{}, crashed: map[batch.TaskID][]Time{}, done: map[string]bool{},
+	}
+	c.s = c.newLeader()
+	for i := range vms {
+		c.addVM(i)
+	}
+	return c
+}
+
+func (c *crashFleet) newLeader() *Scheduler {
+	s := New(Settings{MaxLease: 10 * time.Second}, c.fence, func(d Decision) { c.log = append(c.log, d) })
+	s.Led(farAhead)
+	s.SetConfig(&batch.Config{Version: 1, Pools: map[string]batch.Pool{"pool": {Name: "pool"}}, Queues: []batch.Queue{
+		{Name: testQueue, Pool: "pool", Attempts: 3, Stretch: 2, Slack: time.Second},
+	}})
+	return s
+}
+
+// addVM begins a life at a place; four places share a rack.
+func (c *crashFleet) addVM(place int) {
+	inst := instance(place)
+	c.lives++
+	inst.ID = fmt.Sprintf("vm%02d-%03d", place, c.lives)
+	inst.Labels = []string{"a", fmt.Sprintf("r%d", place/4)}
+	c.living[inst.ID] = &fleetVM{inst: inst, runs: map[batch.TaskID]fleetRun{}, hearAt: c.now + time.Duration(c.rng.IntN(int(hearEvery)))}
+	c.list = append(c.list, inst)
+	c.s.SetInstances(c.now, c.list)
+}
+
+// ids are the living VMs in a fixed order.
+func (c *crashFleet) ids() []string {
+	var ids []string
+	for id := range c.living {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// kill ends a VM; the leader learns it as it would.
+func (c *crashFleet) kill(id string) {
+	v := c.living[id]
+	delete(c.living, id)
+	var place int
+	_, err := fmt.Sscanf(id, "vm%02d-", &place)
+	require.NoError(c.t, err)
+	c.breakGangs(v)
+	if !c.darkDeaths {
+		c.s.Unanswered(c.now, id)
+	}
+	c.after(1300*time.Millisecond, func() { c.s.Unanswered(c.now, id) })
+	c.after(learnAfter, func() {
+		c.list = slices.DeleteFunc(c.list, func(inst batch.Instance) bool { return inst.ID == v.inst.ID })
+		c.s.Gone(c.now, id, "machine ended it")
+		c.s.SetInstances(c.now, c.list)
+	})
+	c.after(backAfter, func() { c.addVM(place) })
+}
+
+// breakGangs ends the runs of gangs elsewhere that had a member on a VM that has ended.
+func (c *crashFleet) breakGangs(v *fleetVM) {
+	for _, task := range v.tasks() {
+		if !c.ofGang(task) {
+			continue
+		}
+		for _, id := range c.ids() {
+			other := c.living[id]
+			for _, member := range other.tasks() {
+				o := other.runs[member]
+				if member.Job == task.Job && o.number == v.runs[task].number {
+					other.end(member, o.number, batch.EndBroken)
+				}
+			}
+		}
+	}
+}
+
+func (c *crashFleet) ofGang(task batch.TaskID) bool {
+	for _, job := range c.jobs {
+		if job.ID == task.Job {
+			return job.Steps[task.Step].Gang
+		}
+	}
+	return false
+}
+
+// killRack ends all VMs of a rack at once.
+func (c *crashFleet) killRack(rack string) {
+	for _, id := range c.ids() {
+		if v := c.living[id]; v.inst.Rack() == rack {
+			c.kill(id)
+		}
+	}
+}
+
+// killAll ends all VMs at once.
+func (c *crashFleet) killAll() {
+	for _, id := range c.ids() {
+		c.kill(id)
+	}
+}
+
+func (c *crashFleet) after(d time.Duration, do func()) {
+	c.later = append(c.later, message{c.now + d, do})
+}
+
+func (c *crashFleet) hand(job *batch.Job) {
+	c.jobs = append(c.jobs, job)
+	c.s.Submit(c.now, Submission{Job: job, Queue: testQueue, Pool: "pool"})
+}
+
+// play lets time pass.
+func (c *crashFleet) play(d time.Duration) {
+	for until := c.now + d; c.now < until; {
+		c.advance(fleetStep)
+		c.step()
+	}
+}
+
+func (c *crashFleet) step() {
+	due := c.later
+	c.later = nil
+	for _, m := range due {
+		if m.at <= c.now {
+			m.do()
+		} else {
+			c.later = append(c.later, m)
+		}
+	}
+	for _, id := range c.ids() {
+		c.stepVM(id, c.living[id])
+	}
+	c.s.Tend(c.now)
+	for _, o := range c.plan() {
+		c.carryOut(o)
+	}
+	c.flush()
+}
+
+func (c *crashFleet) stepVM(id string, v *fleetVM) {
+	if v.dieAt > 0 && c.now >= v.dieAt {
+		c.crashed[v.culprit] = append(c.crashed[v.culprit], c.now)
+		c.kill(id)
+		return
+	}
+	for _, task := range v.tasks() {
+		if r := v.runs[task]; r.until > 0 && c.now >= r.until {
+			v.end(task, r.number, batch.EndDone)
+		}
+	}
+	if c.now < v.hearAt && len(v.ended) == 0 {
+		return
+	}
+	v.hearAt = c.now + hearEvery
+	order, ok := c.s.Hold(c.now, id, hearEvery)
+	require.True(c.t, ok, "unknown VM %s", id)
+	v.ended = slices.DeleteFunc(v.ended, func(e batch.RunEnd) bool { return e.Seq <= order.Acked })
+	rep := batch.Report{Clock: c.now + time.Hour, Ended: v.ended}
+	for _, task := range v.tasks() {
+		r := v.runs[task]
+		rep.Running = append(rep.Running, batch.RunStatus{Task: task, Run: r.number, Progress: r.progress(c.now)})
+	}
+	c.s.Heard(c.now, c.now, id, rep)
+}
+
+// tasks are those that run on the VM, in a fixed order.
+func (v *fleetVM) tasks() []batch.TaskID {
+	var ids []batch.TaskID
+	for id := range v.runs {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b batch.TaskID) int { return strings.Compare(a.String(), b.String()) })
+	return ids
+}
+
+func (v *fleetVM) end(task batch.TaskID, number int64, kind batch.EndKind) {
+	delete(v.runs, task)
+	v.seq++
+	v.ended = append(v.ended, batch.RunEnd{Seq: v.seq, Task: task, Run: number, Kind: kind})
+}
+
+func (c *crashFleet) carryOut(o Order) {
+	v := c.living[o.Instance.ID]
+	switch o.Kind {
+	case OrderStart:
+		if !c.s.Begin(c.now, o) {
+			return
+		}
+		if v == nil {
+			c.s.Started(c.now, c.now, o, 0, batch.RefusedUnreached, false)
+			return
+		}
+		c.starts[o.Task] = append(c.starts[o.Task], c.now)
+		lasts, given := c.lasts[o.Task.Job]
+		if !given {
+			lasts = time.Second
+		}
+		until := c.now + lasts
+		if lasts == 0 {
+			until = 0
+		}
+		v.runs[o.Task] = fleetRun{number: o.Run, began: c.now, until: until}
+		if c.crashes[o.Task] && v.dieAt == 0 {
+			v.dieAt, v.culprit = c.now+crashAfter, o.Task
+		}
+		c.confirm(o)
+	case OrderStop:
+		if v == nil {
+			return
+		}
+		if r, ok := v.runs[o.Task]; ok && r.number <= o.Run {
+			v.end(o.Task, r.number, batch.EndStopped)
+		}
+		c.s.Stopped(c.now, o)
+	case OrderPace, OrderAdvise, OrderMaintain:
+	}
+}
+
+// flush writes what is pending; an answer that is lost leaves the write done.
+func (c *crashFleet) flush() {
+	f := c.s.Pending()
+	if f == nil || c.down {
+		return
+	}
+	for i := range f.Records {
+		value, err := json.Marshal(f.Records[i].Progress)
+		require.NoError(c.t, err)
+		c.records[f.Records[i].Job] = value
+		c.done[f.Records[i].Job] = f.Records[i].Progress.State.Final()
+	}
+	if c.lost != nil && c.lost() {
+		return
+	}
+	for i := range f.Records {
+		c.s.RecordWritten(f.Records[i], 1)
+	}
+	c.s.Flushed(f)
+}
+
+// takeOver lets another leader begin, from what the store has. It has to hear the VMs
+// that its predecessor used, or to learn that they are gone.
+func (c *crashFleet) takeOver() {
+	used := c.s.Recorded(c.now)
+	c.fence++
+	c.s = c.newLeader()
+	c.s.SetInstances(c.now, c.list)
+	var expected []string
+	for id, inst := range used {
+		expected = append(expected, id)
+		c.s.AddUnlisted(c.now, inst)
+	}
+	c.s.Expect(expected, c.now+14*time.Second)
+	for _, job := range c.jobs {
+		sub := Submission{Job: job, Queue: testQueue, Pool: "pool", Existed: true}
+		if value := c.records[job.ID]; value != nil {
+			sub.Progress, sub.Record = &Progress{}, 1
+			require.NoError(c.t, json.Unmarshal(value, sub.Progress))
+		}
+		c.s.Submit(c.now, sub)
+	}
+}
+
+// requireBounded fails where a task was started too often after its third crash.
+func (c *crashFleet) requireBounded() {
+	for task, crashed := range c.crashed {
+		if len(crashed) < mostCrashes {
+			continue
+		}
+		third := crashed[mostCrashes-1]
+		after := 0
+		for _, at := range c.starts[task] {
+			if at > third {
+				after++
+			}
+		}
+		require.Less(c.t, after, mostAfter, "%s was started %d times after %d VMs had crashed under it", task, after, mostCrashes)
+	}
+}
+
+// requireState fails unless callers are told the state.
+func (c *crashFleet) requireState(job string, want batch.State) {
+	state, known := c.s.State(job)
+	require.True(c.t, known)
+	require.Equal(c.t, want, state, "job %s", job)
+}
