A task that ends the VMs that begin it is given up

What callers saw: jobs lost their work with VM after VM, each two seconds; the job whose task ended them was never given up. Cause: what ended with a VM was taken off without blame, and nothing counted how many VMs had ended under a task. Change: a VM that ends while a run on it is new (not known to have lived for a second) makes the run's task suspect. A suspect is started in a trial, on a VM where nothing else is new and nothing else is started meanwhile. Two VMs that end in trials by themselves, or four without many others, give the task up. Ends of three VMs and more at once count for nothing; what has lived or told its end is cleared. The count is in the record of progress, as soon as two holds have failed; trials are recorded before they are started. Why it holds: the count outlives leaders and lost writes; a trial tells a task from what was started beside it; other VMs that end at the same time tell it from a rack or power.

--- a/internal/scheduler/crashes_test.go
+++ b/internal/scheduler/crashes_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,6 +29,9 @@
 	"filler":      {{Tasks: 3, Need: batch.Resources{MilliCPU: 1000, MemoryMB: 10}, Estimate: time.Second, Filler: true}},
 }
 
+// crashingKinds are their names, in a fixed order.
+var crashingKinds = slices.Sorted(maps.Keys(crashingJobs))
+
 // handCrashing hands in one of them, and returns the task that ends its VMs.
 func (c *crashFleet) handCrashing(kind string) batch.TaskID {
 	steps := crashingJobs[kind]
@@ -58,10 +63,12 @@
 }
 
 func TestTaskThatCrashesItsVMsIsGivenUp(t *testing.T) {
-	for kind := range crashingJobs {
+	t.Parallel()
+	for _, kind := range crashingKinds {
 		for _, dark := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, dark %v", kind, dark), func(t *testing.T) {
-				for seed := range uint64(20) {
+				t.Parallel()
+				for seed := range 20 * *exploreScale {
 					c := newCrashFleet(t, 12, seed)
 					c.darkDeaths = dark
 					c.play(2 * time.Second)
@@ -81,15 +88,16 @@
 // Several such tasks that are started at the same moments end their VMs at the same
 // moments: that must not pass for the loss of a rack.
 func TestTasksThatCrashInStepAreGivenUp(t *testing.T) {
-	for seed := range uint64(20) {
+	t.Parallel()
+	for seed := range 20 * *exploreScale {
 		c := newCrashFleet(t, 24, seed)
 		c.play(2 * time.Second)
-		for kind := range crashingJobs {
+		for _, kind := range crashingKinds {
 			c.handCrashing(kind)
 		}
 		c.play(40 * time.Second)
 		c.requireBounded()
-		for kind := range crashingJobs {
+		for _, kind := range crashingKinds {
 			c.requireState("bad-"+kind, batch.Failed)
 		}
 	}
@@ -98,9 +106,11 @@
 // The count of a leader that dies is its successor's: without it each take-over gives a
 // task its VMs anew.
 func TestCrashesAreCountedOverTakeOvers(t *testing.T) {
-	for kind := range crashingJobs {
+	t.Parallel()
+	for _, kind := range crashingKinds {
 		t.Run(kind, func(t *testing.T) {
-			for seed := range uint64(40) {
+			t.Parallel()
+			for seed := range 40 * *exploreScale {
 				c := newCrashFleet(t, 12, seed)
 				c.play(2 * time.Second)
 				task := c.handCrashing(kind)
@@ -118,7 +128,8 @@
 
 // Writes whose answers are lost, and a store that is away, must not lose the count.
 func TestCrashesAreCountedOverLostWrites(t *testing.T) {
-	for seed := range uint64(40) {
+	t.Parallel()
+	for seed := range 40 * *exploreScale {
 		c := newCrashFleet(t, 12, seed)
 		c.lost = func() bool { return c.rng.IntN(3) == 0 }
 		c.play(2 * time.Second)
@@ -139,10 +150,11 @@
 // A task that is started beside one that ends its VMs is lost with each of them, and is
 // not to blame: placing puts what waits together to the same VM again and again.
 func TestTasksBesideACrashAreKept(t *testing.T) {
-	for seed := range uint64(40) {
+	t.Parallel()
+	for seed := range 40 * *exploreScale {
 		c := newCrashFleet(t, 3, seed)
 		c.play(2 * time.Second)
-		for kind := range crashingJobs {
+		for _, kind := range crashingKinds {
 			c.handCrashing(kind)
 		}
 		c.handOthers(12, 50*time.Millisecond)
@@ -163,6 +175,7 @@
 // Racks and the power of all fail again and again, often while a task that was lost
 // before has just been started: nothing of that is the task's doing.
 func TestTasksOnLostVMsAreKept(t *testing.T) {
+	t.Parallel()
 	for name, strike := range map[string]func(*crashFleet){
 		"rack":  func(c *crashFleet) { c.killRack(fmt.Sprintf("r%d", c.rng.IntN(3))) },
 		"power": func(c *crashFleet) { c.killAll() },
@@ -175,7 +188,8 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			for seed := range uint64(24) {
+			t.Parallel()
+			for seed := range 24 * *exploreScale {
 				c := newCrashFleet(t, 12, seed)
 				c.darkDeaths = seed%2 == 1
 				c.play(2 * time.Second)
--- a/internal/scheduler/crashfleet_test.go
+++ b/internal/scheduler/crashfleet_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -95,7 +96,6 @@
 
 func (c *crashFleet) newLeader() *Scheduler {
 	s := New(Settings{MaxLease: 10 * time.Second}, c.fence, func(d Decision) { c.log = append(c.log, d) })
-	s.Led(farAhead)
 	s.SetConfig(&batch.Config{Version: 1, Pools: map[string]batch.Pool{"pool": {Name: "pool"}}, Queues: []batch.Queue{
 		{Name: testQueue, Pool: "pool", Attempts: 3, Stretch: 2, Slack: time.Second},
 	}})
@@ -131,10 +131,7 @@
 	_, err := fmt.Sscanf(id, "vm%02d-", &place)
 	require.NoError(c.t, err)
 	c.breakGangs(v)
-	if !c.darkDeaths {
-		c.s.Unanswered(c.now, id)
-	}
-	c.after(1300*time.Millisecond, func() { c.s.Unanswered(c.now, id) })
+	c.holdsFail(id)
 	c.after(learnAfter, func() {
 		c.list = slices.DeleteFunc(c.list, func(inst batch.Instance) bool { return inst.ID == v.inst.ID })
 		c.s.Gone(c.now, id, "machine ended it")
@@ -143,6 +140,18 @@
 	c.after(backAfter, func() { c.addVM(place) })
 }
 
+// holdsFail tells the leader of the holds that a VM which has ended leaves unanswered:
+// at once, where its connections are reset, or each when it has waited.
+func (c *crashFleet) holdsFail(id string) {
+	first, pause := time.Duration(0), 100*time.Millisecond
+	if c.darkDeaths {
+		first, pause = 1300*time.Millisecond, 800*time.Millisecond
+	}
+	for at := first; at < learnAfter; at += pause {
+		c.after(at, func() { c.s.Unanswered(c.now, id) })
+	}
+}
+
 // breakGangs ends the runs of gangs elsewhere that had a member on a VM that has ended.
 func (c *crashFleet) breakGangs(v *fleetVM) {
 	for _, task := range v.tasks() {
@@ -216,6 +225,9 @@
 	for _, id := range c.ids() {
 		c.stepVM(id, c.living[id])
 	}
+	if !c.down {
+		c.s.Led(c.now)
+	}
 	c.s.Tend(c.now)
 	for _, o := range c.plan() {
 		c.carryOut(o)
@@ -229,9 +241,11 @@
 		c.kill(id)
 		return
 	}
-	for _, task := range v.tasks() {
-		if r := v.runs[task]; r.until > 0 && c.now >= r.until {
-			v.end(task, r.number, batch.EndDone)
+	if v.due(c.now) {
+		for _, task := range v.tasks() {
+			if r := v.runs[task]; r.until > 0 && c.now >= r.until {
+				v.end(task, r.number, batch.EndDone)
+			}
 		}
 	}
 	if c.now < v.hearAt && len(v.ended) == 0 {
@@ -255,10 +269,22 @@
 	for id := range v.runs {
 		ids = append(ids, id)
 	}
-	slices.SortFunc(ids, func(a, b batch.TaskID) int { return strings.Compare(a.String(), b.String()) })
+	slices.SortFunc(ids, func(a, b batch.TaskID) int {
+		return cmp.Or(strings.Compare(a.Job, b.Job), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+	})
 	return ids
 }
 
+// due reports whether a run is to end.
+func (v *fleetVM) due(now Time) bool {
+	for _, r := range v.runs {
+		if r.until > 0 && now >= r.until {
+			return true
+		}
+	}
+	return false
+}
+
 func (v *fleetVM) end(task batch.TaskID, number int64, kind batch.EndKind) {
 	delete(v.runs, task)
 	v.seq++
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -35,6 +35,9 @@
 		s.learn(now, r, e.Kind)
 	}
 	s.logUncounted(v, e, t)
+	if t != nil {
+		s.noteToldEnd(t, e)
+	}
 	if t == nil || t.step.occ.job.state.Final() {
 		if r != nil {
 			s.release(now, r)
@@ -59,6 +62,16 @@
 	}
 }
 
+// noteToldEnd clears a task of what its VM has told of a run: the VM has not ended under
+// it. One that ended by itself has done its work, or failed, without ending its VM.
+func (s *Scheduler) noteToldEnd(t *task, e *batch.RunEnd) {
+	if e.Kind == batch.EndDone || e.Kind == batch.EndFailed {
+		s.clearCrashes(t)
+		return
+	}
+	s.clearCrash(t, e.Run)
+}
+
 // logUncounted logs an end that does not count: without the line nobody could tell
 // afterwards that a task had ended well twice, and which run was taken.
 func (s *Scheduler) logUncounted(v *vm, e *batch.RunEnd, t *task) {
@@ -191,6 +204,7 @@
 		return
 	}
 	r.dead = true
+	s.endTrial(r)
 	v, t := r.vm, r.task
 	spec := t.step.spec
 	delete(v.runs, t.id())
@@ -252,9 +266,11 @@
 		return false
 	}
 	if r.state != stopping {
+		r.begun = true
 		return true
 	}
 	s.logf(Decision{Event: EventRunNotBegun, Task: o.Task, VM: v.inst.ID, Run: o.Run, Age: now - r.orderedAt})
+	s.clearCrash(r.task, r.number)
 	s.withdraw(now, r)
 	return false
 }
@@ -287,6 +303,7 @@
 			r.task.step.dropTicket(v.inst.ID)
 		}
 		r.task.notBefore = now + retryPause
+		s.clearCrash(r.task, r.number)
 		s.withdraw(now, r)
 	case r.state == starting:
 		r.confirm(now)
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -4,6 +4,8 @@
 const (
 	// EventAdviceNone: the adviser allowed none of the VMs it was asked about.
 	EventAdviceNone = "advice_none"
+	// EventCrashNoted: a VM ended, or may have, while a run was new there.
+	EventCrashNoted = "crash_noted"
 	// EventEndDeferred: an end is kept unacknowledged, since its job is not known yet.
 	EventEndDeferred = "end_deferred"
 	// EventEndSuperseded: a run ended as done, and another run of the task counts.
@@ -74,6 +76,7 @@
 // Events lists all of them.
 var Events = []string{
 	EventAdviceNone,
+	EventCrashNoted,
 	EventEndDeferred,
 	EventEndSuperseded,
 	EventEndUntracked,
--- a/internal/scheduler/leases.go
+++ b/internal/scheduler/leases.go
@@ -85,7 +85,7 @@
 
 // startable reports whether the task may be started as far as its earlier runs go.
 func (s *Scheduler) startable(now Time, t *task) bool {
-	return now >= t.notBefore && t.lostAt <= s.ledAt
+	return now >= t.notBefore && t.lostAt <= s.ledAt && t.crashesDurable()
 }
 
 // NewSince notes a revision of the store that was read DeposedWithin after the election
@@ -170,6 +170,9 @@
 		// Nothing can have begun there since.
 		v.lapsedLease, v.lapsedRun = v.leaseOver, s.nextRun
 	}
+	if len(v.runs) > 0 {
+		s.crashedUnder(now, v, false)
+	}
 	s.dropRuns(now, v, "lease over")
 }
 
--- a/internal/scheduler/lifetimes.go
+++ b/internal/scheduler/lifetimes.go
@@ -6,15 +6,6 @@
 // as it begins has done so by then.
 const newFor = time.Second
 
-// Unanswered notes that a hold of an instance has failed: the instance may have ended,
-// or the path to it.
-func (s *Scheduler) Unanswered(now Time, id string) {
-	v := s.vms[id]
-	if v != nil && v.unansweredAt == 0 {
-		v.unansweredAt = now
-	}
-}
-
 // lived is how long the run is known to have run.
 func (r *run) lived() time.Duration {
 	if r.confirmedAt == 0 {
@@ -44,3 +35,14 @@
 	}
 	return n
 }
+
+// noteAlive notes that a VM has the run still. One that has lived for newFor has not ended
+// its VM.
+func (s *Scheduler) noteAlive(now Time, r *run) {
+	r.listedAt = now
+	s.clearCrash(r.task, r.number)
+	if !r.isNew() {
+		s.clearCrashes(r.task)
+		s.endTrial(r)
+	}
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -112,6 +112,7 @@
 	obstaclePool
 	obstacleSuspected
 	obstaclePerVM
+	obstacleTrial
 	obstacleProcessor
 	obstacleReserve
 	obstacleMemory
@@ -121,7 +122,7 @@
 	obstacles
 )
 
-var obstacleNames = [obstacles]string{"none", "unheard", "draining", "pool", "suspected", "per_vm", "processor", "reserve", "memory", "leftover", "advice", "pressure"}
+var obstacleNames = [obstacles]string{"none", "unheard", "draining", "pool", "suspected", "per_vm", "trial", "processor", "reserve", "memory", "leftover", "advice", "pressure"}
 
 // mostUnacked is how many ends a VM may have to be acknowledged and get new work: it
 // tells 500 at a time, and a run whose end is beyond them is in doubt.
@@ -141,6 +142,8 @@
 		return obstacleSuspected
 	case spec.MaxPerVM > 0 && t.step.perVM[v] >= spec.MaxPerVM, v.runs[t.id()] != nil:
 		return obstaclePerVM
+	case v.onTrial(now, t):
+		return obstacleTrial
 	}
 	free := v.inst.Capacity.Sub(v.used)
 	switch {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -196,6 +196,8 @@
 	now Time
 	// failed holds the needs for which no VM was found in this pass.
 	failed []need
+	// suspects counts those that were looked at.
+	suspects int
 }
 
 // need is what makes a VM suitable.
@@ -245,6 +247,15 @@
 		if t.done || len(t.runs) > 0 || !s.startable(r.now, t) {
 			continue
 		}
+		if t.suspect() {
+			// What it starts is in no list of candidates.
+			if r.suspects < suspectsAtOnce {
+				r.suspects++
+				s.startSuspect(r.now, t)
+				list = nil
+			}
+			continue
+		}
 		var v *vm
 		if s.shared(t) {
 			if list == nil {
@@ -280,19 +291,14 @@
 			return
 		}
 	}
-	number := s.number()
 	var held []*run
-	for k := range st.tasks {
-		v := s.choose(r.now, &st.tasks[k])
-		if v == nil {
-			for _, h := range held {
-				s.withdraw(r.now, h)
-			}
-			return
-		}
-		h := &run{task: &st.tasks[k], vm: v, number: number, orderedAt: r.now, paced: 100}
-		s.hold(h)
-		held = append(held, h)
+	if st.suspect() {
+		held = s.holdSuspects(r.now, st)
+	} else {
+		held = s.holdGang(r.now, st, s.number(), s.choose)
+	}
+	if held == nil {
+		return
 	}
 	checkpoint := ""
 	for k := range st.tasks {
@@ -306,6 +312,24 @@
 	}
 }
 
+// holdGang takes room for all members of a gang, or returns nil.
+func (s *Scheduler) holdGang(now Time, st *step, number int64, choose func(Time, *task) *vm) []*run {
+	held := make([]*run, 0, len(st.tasks))
+	for k := range st.tasks {
+		v := choose(now, &st.tasks[k])
+		if v == nil {
+			for _, h := range held {
+				s.withdraw(now, h)
+			}
+			return nil
+		}
+		h := &run{task: &st.tasks[k], vm: v, number: number, orderedAt: now, paced: fullPace}
+		s.hold(h)
+		held = append(held, h)
+	}
+	return held
+}
+
 func (s *Scheduler) number() int64 {
 	s.nextRun++
 	return s.nextRun
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -36,6 +36,9 @@
 	// Failures lists failed runs, as pairs of task index and run number: an end
 	// that is told again must not count twice.
 	Failures [][2]int64 `json:"f,omitempty"`
+	// Crashes lists runs whose VM ended while they were new: task index, run number and
+	// crashKind.
+	Crashes [][3]int64 `json:"c,omitempty"`
 }
 
 // progress builds the record of a job.
@@ -90,6 +93,9 @@
 			for _, number := range t.failedRuns {
 				sp.Failures = append(sp.Failures, [2]int64{int64(k), number})
 			}
+			for _, c := range t.crashes {
+				sp.Crashes = append(sp.Crashes, [3]int64{int64(k), c.run, int64(c.kind)})
+			}
 		}
 	}
 	return p
@@ -145,6 +151,11 @@
 			t.failedRuns = append(t.failedRuns, f[1])
 		}
 	}
+	for _, c := range p.Crashes {
+		if c[0] >= 0 && c[0] < int64(len(st.tasks)) && !st.tasks[c[0]].done {
+			st.tasks[c[0]].setCrash(c[1], crashKind(c[2]))
+		}
+	}
 }
 
 // Record is a job's progress to be written.
@@ -190,6 +201,7 @@
 		return
 	}
 	j.record = revision
+	j.written = max(j.written, r.version)
 	if r.Progress.State.Final() {
 		j.durableState = r.Progress.State
 	}
--- a/internal/scheduler/reports.go
+++ b/internal/scheduler/reports.go
@@ -24,7 +24,7 @@
 		s.changed = true
 	}
 	v.heardAt = now
-	v.unanswered, v.unansweredAt = false, 0
+	v.unanswered, v.unansweredAt, v.unansweredHolds = false, 0, 0
 	v.missedAt = 0
 	if !rep.MoreEnded {
 		delete(s.silent, id)
@@ -73,7 +73,7 @@
 	if r == nil {
 		return nil
 	}
-	r.listedAt = now
+	s.noteAlive(now, r)
 	r.follow(now, st.Progress)
 	r.usage, r.hasUsage = st.Usage, st.HasUsage
 	r.noteFullUse(now)
@@ -97,7 +97,7 @@
 		s.stopUnwanted(v, st)
 		return nil
 	}
-	r := &run{task: t, vm: v, number: st.Run, state: running, orderedAt: now, confirmedAt: now, paced: unknownPace}
+	r := &run{task: t, vm: v, number: st.Run, state: running, orderedAt: now, confirmedAt: now, begun: true, paced: unknownPace}
 	s.hold(r)
 	t.step.occ.job.started = true
 	s.logf(Decision{Event: EventRunAdopted, Task: st.Task, VM: v.inst.ID, Run: st.Run})
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -72,6 +72,10 @@
 	// progressSince, when it was first told.
 	progressAt, progressSince Time
 	progressFrom              int
+	// begun is set once the start is given: before, the run has certainly not begun.
+	begun bool
+	// trial is set where nothing else was new on the VM when the run was started.
+	trial bool
 	// dead is set when the run no longer counts on its VM.
 	dead bool
 }
@@ -87,6 +91,16 @@
 	latestRun int64
 	// failedRuns are the numbers of the runs that failed.
 	failedRuns []int64
+	// crashes are runs whose VM ended while they were new; crashVersion is the version
+	// of the job that has them, suspectSince when the task began to wait for a trial.
+	// intended is the number of the run that the next trial is to have, which is recorded
+	// as doubted before it is started; 0 for none.
+	crashes      []crash
+	crashVersion int64
+	suspectSince Time
+	intended     int64
+	// keptOn is the VM that is kept for its trial.
+	keptOn *vm
 	// runs are the runs that have not ended; more than one only of a speculative step.
 	runs       []*run
 	checkpoint string
@@ -180,6 +194,8 @@
 	doneLow  int
 	// version counts changes of the durable part; a write covers the version that it was made from.
 	version int64
+	// written is the version that the store has.
+	written int64
 	// record is the store revision of the job's progress record, 0 for none.
 	record  int64
 	endedAt Time
@@ -247,9 +263,15 @@
 	// closed VMs are being emptied for maintenance and take no new tasks.
 	closed bool
 	// unanswered is set while a hold has no answer, unansweredAt when the first hold
-	// failed since it was last heard; 0 for none.
-	unanswered   bool
-	unansweredAt Time
+	// failed since it was last heard, 0 for none; unansweredHolds counts them.
+	unanswered      bool
+	unansweredAt    Time
+	unansweredHolds int
+	// trial is a suspect's run, beside which nothing is started while it is new; keptFor is the suspect
+	// that the VM is kept for until keptUntil.
+	trial     *run
+	keptFor   *task
+	keptUntil Time
 	// leaseOver is when everything there has certainly ended, unless the lease is renewed.
 	leaseOver Time
 	// pacedAt is when the pace of a filler here was last changed; overSince when
@@ -304,6 +326,10 @@
 	timed map[string]*job
 	dirty map[string]*job
 	waves map[int64]*wave
+	// ends are the VMs that ended of late.
+	ends []vmEnd
+	// trialTurn is where the next look for a VM for a trial begins.
+	trialTurn int
 	// machines is the machine service's list; nil before it was read.
 	machines map[string]batch.Machine
 	// silent are instances that an earlier leader may have given work to and
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -150,7 +150,8 @@
 
 // startCopy starts a second run of a task whose first may not end soon.
 func (s *Scheduler) startCopy(now Time, t *task, reason string) {
-	if len(t.runs) != 1 || t.done || t.step.occ.job.state.Final() {
+	if len(t.runs) != 1 || t.done || t.step.occ.job.state.Final() || len(t.crashes) > 0 {
+		// A task that may have ended its VM is not to end another meanwhile.
 		return
 	}
 	v := s.choose(now, t)
--- /dev/null
+++ b/internal/scheduler/trials.go
@@ -0,0 +1,219 @@
+package scheduler
+
+import "time"
+
+const (
+	// trialPatience is how long a suspect waits for a VM of its own: a VM that takes
+	// nothing new has nothing new after two reports. Then it is started beside others; a
+	// task whose turn has come may not wait for much longer.
+	trialPatience = 2200 * time.Millisecond
+	// reservedFor is how long a VM is kept for a suspect, which starts there as soon as
+	// nothing is new.
+	reservedFor = trialPatience + 300*time.Millisecond
+	// mostTrials is the share of the VMs that may be in use for trials at one time: the
+	// others go on taking what is new.
+	mostTrials = 0.25
+	// trialCandidates bounds the VMs that are compared for one trial, suspectsAtOnce the
+	// suspects that are looked at in one pass: a thousand VMs are many, and suspects few.
+	trialCandidates = 64
+	suspectsAtOnce  = 16
+)
+
+// trialUnit is what is on trial together: a gang, or a task.
+type trialUnit struct {
+	task *task
+	gang *step
+}
+
+func (t *task) unit() trialUnit {
+	if t.step.spec.Gang {
+		return trialUnit{gang: t.step}
+	}
+	return trialUnit{task: t}
+}
+
+// onTrial reports whether the VM is in use, or kept, for the trial of another task.
+func (v *vm) onTrial(now Time, t *task) bool {
+	if v.trial != nil && v.trial.task.unit() != t.unit() {
+		return true
+	}
+	return v.keptFor != nil && now < v.keptUntil && v.keptFor.unit() != t.unit()
+}
+
+// newOfOthers reports whether something is new on the VM beside the task.
+func (v *vm) newOfOthers(t *task) bool {
+	for _, r := range v.ordered {
+		if r.isNew() && r.task.unit() != t.unit() {
+			return true
+		}
+	}
+	return false
+}
+
+// endTrial opens the VM of a run for others, where the run was on trial.
+func (s *Scheduler) endTrial(r *run) {
+	if r.vm.trial != r {
+		return
+	}
+	r.vm.trial = nil
+	for _, o := range r.vm.ordered {
+		if o != r && o.task.unit() == r.task.unit() && o.isNew() {
+			// Another member of the gang.
+			r.vm.trial = o
+			return
+		}
+	}
+	s.changed = true
+}
+
+// trials counts the VMs that are in use or kept for trials.
+func (s *Scheduler) trials(now Time) int {
+	n := 0
+	for _, v := range s.order {
+		if v.trial != nil || (v.keptFor != nil && now < v.keptUntil) {
+			n++
+		}
+	}
+	return n
+}
+
+// startSuspect starts a suspect in a trial, or keeps a VM for it. Of the VMs on which
+// nothing is new it takes the one that runs least: all that is lost if it ends.
+func (s *Scheduler) startSuspect(now Time, t *task) {
+	s.settleDoubts(now, t)
+	if t.step.occ.job.state.Final() {
+		return
+	}
+	if t.suspectSince == 0 {
+		t.suspectSince = now
+	}
+	best, free := s.trialVM(now, t)
+	switch {
+	case free && s.intend(t):
+		s.startClosed(now, t, best, true)
+	case free:
+		s.keep(now, best, t)
+	case now-t.suspectSince > trialPatience && s.intend(t):
+		if v := s.choose(now, t); v != nil {
+			s.startClosed(now, t, v, false)
+		}
+	case best != nil && best.keptFor != t && float64(s.trials(now)) < max(1, mostTrials*float64(len(s.order))):
+		s.keep(now, best, t)
+	}
+}
+
+// suspect reports whether a member of the gang is.
+func (st *step) suspect() bool {
+	for k := range st.tasks {
+		if st.tasks[k].suspect() {
+			return true
+		}
+	}
+	return false
+}
+
+// holdSuspects takes room for a gang in a trial: on VMs where nothing else is new.
+func (s *Scheduler) holdSuspects(now Time, st *step) []*run {
+	first := &st.tasks[0]
+	for k := range st.tasks {
+		s.settleDoubts(now, &st.tasks[k])
+	}
+	if st.occ.job.state.Final() {
+		return nil
+	}
+	if first.suspectSince == 0 {
+		first.suspectSince = now
+	}
+	if first.intended == 0 {
+		number := s.number()
+		for k := range st.tasks {
+			s.intendRun(&st.tasks[k], number)
+		}
+		return nil
+	}
+	held := s.holdGang(now, st, first.intended, s.chooseForTrial)
+	trial := held != nil
+	if !trial && now-first.suspectSince > trialPatience {
+		held = s.holdGang(now, st, first.intended, s.choose)
+	}
+	for _, h := range held {
+		h.trial, h.vm.trial = trial, h
+		h.task.suspectSince, h.task.intended = 0, 0
+	}
+	return held
+}
+
+// chooseForTrial returns the best VM on which nothing else is new, or nil. Members of a
+// gang share VMs: keeping some for them one by one would keep them from each other.
+func (s *Scheduler) chooseForTrial(now Time, t *task) *vm {
+	if v, free := s.trialVM(now, t); free {
+		return v
+	}
+	return nil
+}
+
+// keep keeps a VM for a suspect.
+func (s *Scheduler) keep(now Time, v *vm, t *task) {
+	v.keptFor, v.keptUntil, t.keptOn = t, now+reservedFor, v
+}
+
+// trialVM returns the best VM for a trial of the task among some that have room, and
+// whether nothing else is new there. One that is kept for the task stays the choice.
+func (s *Scheduler) trialVM(now Time, t *task) (best *vm, free bool) {
+	if v := t.keptOn; v != nil && v.keptFor == t && now < v.keptUntil && s.fitsTrial(now, v, t) {
+		return v, !v.newOfOthers(t)
+	}
+	looked := 0
+	for i := range s.order {
+		if looked == trialCandidates {
+			break
+		}
+		v := s.order[(s.trialTurn+i)%len(s.order)]
+		if !s.fitsTrial(now, v, t) {
+			continue
+		}
+		looked++
+		isFree := !v.newOfOthers(t)
+		if best == nil || (isFree && !free) || (isFree == free && len(v.runs) < len(best.runs)) {
+			best, free = v, isFree
+		}
+	}
+	s.trialTurn++
+	return best, free
+}
+
+// fitsTrial reports whether the VM may be given the task.
+func (s *Scheduler) fitsTrial(now Time, v *vm, t *task) bool {
+	if !s.hasRoom(now, v, t.step.spec) || s.fits(now, v, t) != obstacleNone {
+		return false
+	}
+	_, ok := s.score(now, v, t.step.spec)
+	return ok
+}
+
+// startClosed starts a suspect on a VM that takes nothing else while the run is new. It is
+// a trial where nothing else is new there now.
+func (s *Scheduler) startClosed(now Time, t *task, v *vm, trial bool) {
+	r := &run{task: t, vm: v, number: t.intended, orderedAt: now, paced: fullPace, trial: trial}
+	t.suspectSince, t.intended, t.keptOn, v.keptFor = 0, 0, nil, nil
+	s.hold(r)
+	v.trial = r
+	s.orderStart(now, r)
+}
+
+// intend records a suspect's next run as doubted, and reports whether it may be started:
+// from the second crash on the store must have the record, or a leader that dies as the VM
+// ends takes the count with it.
+func (s *Scheduler) intend(t *task) bool {
+	if t.intended == 0 {
+		s.intendRun(t, s.number())
+	}
+	return t.crashesDurable()
+}
+
+func (s *Scheduler) intendRun(t *task, number int64) {
+	t.intended = number
+	t.setCrash(number, crashDoubted)
+	s.touchCrashes(t)
+	s.changed = true
+}
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -127,13 +127,14 @@
 		return
 	}
 	s.logf(v.lifeDecision(now, EventVMGone, reason))
+	s.crashedUnder(now, v, true)
 	s.dropRuns(now, v, reason)
 	delete(s.vms, id)
 	s.sortVMs()
 	s.changed = true
 }
 
-// dropRuns counts everything on v as ended, without blame for the tasks.
+// dropRuns counts everything on v as ended.
 func (s *Scheduler) dropRuns(now Time, v *vm, reason string) {
 	s.clearUnwanted(v)
 	for _, r := range v.ordered {
