Ends of VMs by other tasks don't hide a task that ends its own

Cause: the ends of VMs under other such tasks, at their first start, were taken for those of a rack: VMs that end within a second (a VM's end lies somewhere after its last answer) and ran no suspect. A task whose trials fell on such moments had two ends that counted for nothing and trials that told nothing. Change: a closed connection dates a VM's end to the last 0.2 s; a VM on which something had begun within 0.3 s before is no sign of a rack or power, a suspect that has run for longer no sign of a task. Why it holds: what is left to hide a trial are ends of VMs on which nothing had just begun.

--- a/internal/leader/holds.go
+++ b/internal/leader/holds.go
@@ -169,7 +169,8 @@
 		return false, nil
 	}
 	if err != nil {
-		t.sched.Unanswered(now, inst.ID)
+		// A hold that fails before it has waited was not left in silence.
+		t.sched.Unanswered(now, inst.ID, now-sentAt < order.Wait)
 		if silent.failed(now, before.UnheardFor) {
 			t.log.Warn("vm_unanswered", err, standingFields(inst.ID, before))
 		}
--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -17,8 +17,8 @@
 // A VM that ends while a run on it is new makes the run's task suspect. A suspect is
 // started again in a trial: on a VM where nothing else is new, and where nothing else is
 // started before the trial's run has lived for newFor. A VM that ends in a trial, and no
-// other VM with it that did not run a suspect, was ended by that task as far as one can
-// tell. What is known to have lived is cleared.
+// other VM with it but such as had just begun something, was ended by that task as far as
+// one can tell. What is known to have lived is cleared.
 
 // crashKind is what a VM's end says of a task that had just begun there.
 type crashKind int64
@@ -61,8 +61,13 @@
 	// doubtAfter is how many holds a VM has to leave unanswered in a row for its new
 	// runs to be recorded as doubted: one fails where a connection is reset.
 	doubtAfter = 2
-	// endedTogether is how far apart VMs may be seen to end that end together.
-	endedTogether = 200 * time.Millisecond
+	// endedTogether is how far apart VMs may be seen to end that end together, closedWithin
+	// how long before a connection is found closed the VM may have ended.
+	endedTogether = 100 * time.Millisecond
+	closedWithin  = 200 * time.Millisecond
+	// begunJustBefore is how long before a VM's end is noticed a run has to have begun
+	// there to be likely to have ended it: a hold may wait for 0.15 s before it is sent.
+	begunJustBefore = 300 * time.Millisecond
 	// endsKept is how long the ends of VMs are kept to be compared: longer than it takes
 	// to conclude that another VM has ended, by its lease at the latest.
 	endsKept = 15 * time.Second
@@ -73,19 +78,21 @@
 	id string
 	// It came after aliveAt, and was noticed at noticedAt.
 	aliveAt, noticedAt Time
-	// suspect is set where a suspect was new there.
-	suspect bool
+	// byTask is set where a task is likely to have ended it: it had begun just before.
+	byTask bool
 }
 
 // Unanswered notes that a hold of an instance has failed: the instance may have ended,
-// or the path to it.
-func (s *Scheduler) Unanswered(now Time, id string) {
+// or the path to it. closed is set where the other side closed or refused the connection:
+// then that was just now; a hold that is left in silence tells only that it was since the
+// last answer.
+func (s *Scheduler) Unanswered(now Time, id string, closed bool) {
 	v := s.vms[id]
 	if v == nil {
 		return
 	}
 	if v.unansweredAt == 0 {
-		v.unansweredAt = now
+		v.unansweredAt, v.closedAtOnce = now, closed
 	}
 	v.unansweredHolds++
 	if v.unansweredHolds == doubtAfter {
@@ -171,11 +178,6 @@
 	return mass > 1
 }
 
-// suspectApartFrom reports whether the task was suspect before a run.
-func (t *task) suspectApartFrom(number int64) bool {
-	return slices.ContainsFunc(t.crashes, func(c crash) bool { return c.run != number })
-}
-
 // crashedUnder takes in that a VM has ended, with what ran there. certain is false where
 // only its leases are over: it may be cut off.
 func (s *Scheduler) crashedUnder(now Time, v *vm, certain bool) {
@@ -258,19 +260,24 @@
 	if v.unansweredAt > 0 {
 		e.noticedAt = v.unansweredAt
 	}
+	if v.unansweredAt > 0 && v.closedAtOnce {
+		e.aliveAt = max(e.aliveAt, e.noticedAt-closedWithin)
+	}
 	for _, r := range v.ordered {
 		e.aliveAt = max(e.aliveAt, r.confirmedAt)
-		e.suspect = e.suspect || (r.mayHaveCrashed() && r.task.suspectApartFrom(r.number))
+		if r.confirmedAt > 0 && r.mayHaveCrashed() && e.noticedAt-r.confirmedAt < begunJustBefore {
+			e.byTask = true
+		}
 	}
 	return e
 }
 
-// endedWith counts the other VMs that ended, or stopped to answer, about when one did and
-// on which no suspect was new.
+// endedWith counts the other VMs that ended, or stopped to answer, about when one did, and
+// that no task is likely to have ended.
 func (s *Scheduler) endedWith(now Time, end *vmEnd) (others int) {
 	s.ends = slices.DeleteFunc(s.ends, func(e vmEnd) bool { return now-e.noticedAt > endsKept })
 	count := func(e *vmEnd) {
-		if e.id == end.id || e.suspect || e.aliveAt > end.noticedAt+endedTogether || e.noticedAt < end.aliveAt-endedTogether {
+		if e.id == end.id || e.byTask || e.aliveAt > end.noticedAt+endedTogether || e.noticedAt < end.aliveAt-endedTogether {
 			return
 		}
 		others++
@@ -292,12 +299,12 @@
 	return slices.ContainsFunc(s.ends, func(e vmEnd) bool { return e.id == id })
 }
 
-// storm reports whether as many VMs ended of late without a suspect as there are others
-// that answer: whatever ends them may have ended v as well.
+// storm reports whether as many VMs ended of late by no task as there are others that
+// answer: whatever ends them may have ended v as well.
 func (s *Scheduler) storm(now Time, v *vm) bool {
 	ended := 0
 	for i := range s.ends {
-		if !s.ends[i].suspect {
+		if !s.ends[i].byTask {
 			ended++
 		}
 	}
--- a/internal/scheduler/crashes_test.go
+++ b/internal/scheduler/crashes_test.go
@@ -85,6 +85,25 @@
 	}
 }
 
+// A task may end its VM some time after it began.
+func TestTaskThatCrashesItsVMsLaterIsGivenUp(t *testing.T) {
+	t.Parallel()
+	for _, kind := range crashingKinds {
+		for seed := range 5 * *exploreScale {
+			c := newCrashFleet(t, 12, seed)
+			c.crashAfter = 600 * time.Millisecond
+			c.darkDeaths = seed%2 == 1
+			c.play(2 * time.Second)
+			task := c.handCrashing(kind)
+			c.handOthers(40, 250*time.Millisecond)
+			c.play(50 * time.Second)
+			c.requireBounded()
+			c.requireState(task.Job, batch.Failed)
+			c.requireOthersKept()
+		}
+	}
+}
+
 // Several such tasks that are started at the same moments end their VMs at the same
 // moments: that must not pass for the loss of a rack.
 func TestTasksThatCrashInStepAreGivenUp(t *testing.T) {
@@ -103,6 +122,31 @@
 	}
 }
 
+// New tasks that end their VMs come each second, so that others' VMs end about when a
+// suspect's does. A leader counted such ends as those of a rack, or as shared, and started
+// a task six times: its trials told it nothing.
+func TestCrashesOfManyTasksAreToldApart(t *testing.T) {
+	t.Parallel()
+	for seed := range 10 * *exploreScale {
+		c := newCrashFleet(t, 48, seed)
+		c.play(2 * time.Second)
+		for i := range 25 {
+			id := batch.TaskID{Job: fmt.Sprintf("bad%d", i)}
+			c.crashes[id] = true
+			c.hand(&batch.Job{ID: id.Job, Payload: "p", Steps: []batch.Step{tasks(5, 1000)}})
+			for range 1 + c.rng.IntN(20) {
+				c.handOthers(1, 50*time.Millisecond)
+			}
+		}
+		c.play(30 * time.Second)
+		c.requireBounded()
+		c.requireOthersKept()
+		for i := range 25 {
+			c.requireState(fmt.Sprintf("bad%d", i), batch.Failed)
+		}
+	}
+}
+
 // The count of a leader that dies is its successor's: without it each take-over gives a
 // task its VMs anew.
 func TestCrashesAreCountedOverTakeOvers(t *testing.T) {
--- a/internal/scheduler/crashfleet_test.go
+++ b/internal/scheduler/crashfleet_test.go
@@ -18,8 +18,6 @@
 // The times of a VM's end as a leader sees it, and of the fleet's steps.
 const (
 	fleetStep = 20 * time.Millisecond
-	// crashAfter is how long after its start a crashing task ends its VM.
-	crashAfter = 10 * time.Millisecond
 	// learnAfter is how long after its end the machine service says that a VM is gone,
 	// backAfter when its next life is listed.
 	learnAfter = 2100 * time.Millisecond
@@ -60,12 +58,15 @@
 type crashFleet struct {
 	*fixture
 	rng    *rand.Rand
+	seed   uint64
 	living map[string]*fleetVM
 	later  []message
 	lives  int
 	// others counts the harmless jobs.
 	others  int
 	crashes map[batch.TaskID]bool
+	// crashAfter is how long after its start a crashing task ends its VM.
+	crashAfter time.Duration
 	// lasts is how long runs of a job take; a second where it is not given.
 	lasts map[string]time.Duration
 	// darkDeaths: VMs end without a sign, and holds time out.
@@ -84,7 +85,7 @@
 
 func newCrashFleet(t *testing.T, vms int, seed uint64) *crashFleet {
 	c := &crashFleet{
-		fixture: newFixture(t, 0), rng: rand.New(rand.NewPCG(seed, 3)), living: map[string]*fleetVM{}, crashes: map[batch.TaskID]bool{},
+		fixture: newFixture(t, 0), rng: rand.New(rand.NewPCG(seed, 3)), seed: seed, crashAfter: 10 * time.Millisecond, living: map[string]*fleetVM{}, crashes: map[batch.TaskID]bool{},
 		lasts: map[string]time.Duration{}, records: map[string][]byte{}, starts: map[batch.TaskID][]Time{}, crashed: map[batch.TaskID][]Time{}, done: map[string]bool{},
 	}
 	c.s = c.newLeader()
@@ -148,7 +149,7 @@
 		first, pause = 1300*time.Millisecond, 800*time.Millisecond
 	}
 	for at := first; at < learnAfter; at += pause {
-		c.after(at, func() { c.s.Unanswered(c.now, id) })
+		c.after(at, func() { c.s.Unanswered(c.now, id, !c.darkDeaths) })
 	}
 }
 
@@ -313,7 +314,7 @@
 		}
 		v.runs[o.Task] = fleetRun{number: o.Run, began: c.now, until: until}
 		if c.crashes[o.Task] && v.dieAt == 0 {
-			v.dieAt, v.culprit = c.now+crashAfter, o.Task
+			v.dieAt, v.culprit = c.now+c.crashAfter, o.Task
 		}
 		c.confirm(o)
 	case OrderStop:
@@ -393,5 +394,16 @@
 func (c *crashFleet) requireState(job string, want batch.State) {
 	state, known := c.s.State(job)
 	require.True(c.t, known)
-	require.Equal(c.t, want, state, "job %s", job)
+	require.Equal(c.t, want, state, "job %s, seed %d: %s", job, c.seed, c.crashesOf(job))
+}
+
+// crashesOf is what was noted of a job's crashes, for a failure's message.
+func (c *crashFleet) crashesOf(job string) string {
+	var b strings.Builder
+	for _, d := range c.log {
+		if d.Event == EventCrashNoted && d.Task.Job == job && d.Reason != crashKindNames[crashDoubted] {
+			fmt.Fprintf(&b, "\n%s run %s on %s: %s", d.Task, runName(d.Run), d.VM, d.Reason)
+		}
+	}
+	return b.String()
 }
--- a/internal/scheduler/lifetimes_test.go
+++ b/internal/scheduler/lifetimes_test.go
@@ -22,9 +22,9 @@
 	f.plan()
 	f.confirm(f.last("new.0.0.0"))
 	f.advance(13 * time.Millisecond)
-	f.s.Unanswered(f.now, "vm00")
+	f.s.Unanswered(f.now, "vm00", true)
 	f.advance(2 * time.Second)
-	f.s.Unanswered(f.now, "vm00")
+	f.s.Unanswered(f.now, "vm00", true)
 	f.s.Gone(f.now, "vm00", "machine ended it")
 
 	lost := map[string]Decision{}
@@ -49,7 +49,7 @@
 	f.submit("j", tasks(1, 1000))
 	f.plan()
 	f.confirm(f.last("j.0.0.0"))
-	f.s.Unanswered(f.now, "vm00")
+	f.s.Unanswered(f.now, "vm00", true)
 	f.advance(time.Second)
 	f.hear("vm00", runs(f.last("j.0.0.0")))
 	f.advance(time.Second)
