A VM that has ended does not end a second time

Cause: the entry of a VM that has ended is listed for 4.5 s more. After the VM was taken out it was taken on again, never heard, and taken out again 2 s later: one more end that no task had brought about. Those of several VMs came together, at the list's next reading, which is within half a second of the next starts: two of them made a trial's end one among many, which counts for nothing. Change: an end is noted once for each VM; one that answers again after its leases were over has not ended.

--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -181,10 +181,16 @@
 // crashedUnder takes in that a VM has ended, with what ran there. certain is false where
 // only its leases are over: it may be cut off.
 func (s *Scheduler) crashedUnder(now Time, v *vm, certain bool) {
+	if s.hasEnded(v.inst.ID) {
+		// Its entry outlived it for some seconds, and was taken for a VM that is not heard:
+		// that goes with it a second time, at a moment that has to do with neither.
+		return
+	}
 	end := v.end(now)
 	others := s.endedWith(now, &end)
 	storm := s.storm(now, v)
 	s.ends = append(s.ends, end)
+	v.endNoted = true
 	if v.inst.Draining || v.closed {
 		// It was to end.
 		return
@@ -286,7 +292,6 @@
 		count(&s.ends[i])
 	}
 	for _, v := range s.vms {
-		// The entry of a VM that has ended outlives it for some seconds.
 		if v.unansweredAt > 0 && !v.inst.Draining && !v.closed && !s.hasEnded(v.inst.ID) {
 			e := v.end(now)
 			count(&e)
@@ -295,6 +300,12 @@
 	return others
 }
 
+// takeEndBack forgets that a VM was taken to have ended: it answers again.
+func (s *Scheduler) takeEndBack(v *vm) {
+	v.endNoted = false
+	s.ends = slices.DeleteFunc(s.ends, func(e vmEnd) bool { return e.id == v.inst.ID })
+}
+
 func (s *Scheduler) hasEnded(id string) bool {
 	return slices.ContainsFunc(s.ends, func(e vmEnd) bool { return e.id == id })
 }
--- a/internal/scheduler/crashes_test.go
+++ b/internal/scheduler/crashes_test.go
@@ -19,6 +19,18 @@
 // What ended with a VM was taken off "without blame for the tasks", and nothing counted
 // how many VMs had ended under one.
 
+// crashSeeds are n seeds, and half as many of polled fleets.
+func crashSeeds(n uint64) []uint64 {
+	var seeds []uint64
+	for seed := range n * *exploreScale {
+		seeds = append(seeds, seed)
+	}
+	for seed := range n * *exploreScale / 2 {
+		seeds = append(seeds, firstPolled+seed)
+	}
+	return seeds
+}
+
 // crashingJobs are a job of each kind whose first task ends its VMs.
 var crashingJobs = map[string][]batch.Step{
 	"plain":       {tasks(3, 1000)},
@@ -68,7 +80,7 @@
 		for _, dark := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, dark %v", kind, dark), func(t *testing.T) {
 				t.Parallel()
-				for seed := range 20 * *exploreScale {
+				for _, seed := range crashSeeds(20) {
 					c := newCrashFleet(t, 12, seed)
 					c.darkDeaths = dark
 					c.play(2 * time.Second)
@@ -89,7 +101,7 @@
 func TestTaskThatCrashesItsVMsLaterIsGivenUp(t *testing.T) {
 	t.Parallel()
 	for _, kind := range crashingKinds {
-		for seed := range 5 * *exploreScale {
+		for _, seed := range crashSeeds(5) {
 			c := newCrashFleet(t, 12, seed)
 			c.crashAfter = 600 * time.Millisecond
 			c.darkDeaths = seed%2 == 1
@@ -108,7 +120,7 @@
 // moments: that must not pass for the loss of a rack.
 func TestTasksThatCrashInStepAreGivenUp(t *testing.T) {
 	t.Parallel()
-	for seed := range 20 * *exploreScale {
+	for _, seed := range crashSeeds(20) {
 		c := newCrashFleet(t, 24, seed)
 		c.play(2 * time.Second)
 		for _, kind := range crashingKinds {
@@ -127,7 +139,7 @@
 // a task six times: its trials told it nothing.
 func TestCrashesOfManyTasksAreToldApart(t *testing.T) {
 	t.Parallel()
-	for seed := range 10 * *exploreScale {
+	for _, seed := range crashSeeds(10) {
 		c := newCrashFleet(t, 48, seed)
 		c.play(2 * time.Second)
 		for i := range 25 {
@@ -154,7 +166,7 @@
 	for _, kind := range crashingKinds {
 		t.Run(kind, func(t *testing.T) {
 			t.Parallel()
-			for seed := range 40 * *exploreScale {
+			for _, seed := range crashSeeds(40) {
 				c := newCrashFleet(t, 12, seed)
 				c.play(2 * time.Second)
 				task := c.handCrashing(kind)
@@ -173,7 +185,7 @@
 // Writes whose answers are lost, and a store that is away, must not lose the count.
 func TestCrashesAreCountedOverLostWrites(t *testing.T) {
 	t.Parallel()
-	for seed := range 40 * *exploreScale {
+	for _, seed := range crashSeeds(40) {
 		c := newCrashFleet(t, 12, seed)
 		c.lost = func() bool { return c.rng.IntN(3) == 0 }
 		c.play(2 * time.Second)
@@ -195,7 +207,7 @@
 // not to blame: placing puts what waits together to the same VM again and again.
 func TestTasksBesideACrashAreKept(t *testing.T) {
 	t.Parallel()
-	for seed := range 40 * *exploreScale {
+	for _, seed := range crashSeeds(40) {
 		c := newCrashFleet(t, 3, seed)
 		c.play(2 * time.Second)
 		for _, kind := range crashingKinds {
@@ -233,7 +245,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			for seed := range 24 * *exploreScale {
+			for _, seed := range crashSeeds(24) {
 				c := newCrashFleet(t, 12, seed)
 				c.darkDeaths = seed%2 == 1
 				c.play(2 * time.Second)
--- a/internal/scheduler/crashfleet_test.go
+++ b/internal/scheduler/crashfleet_test.go
@@ -25,6 +25,8 @@
 	hearEvery  = 600 * time.Millisecond
 	// mostCrashes of a task may be followed by fewer than mostAfter further starts.
 	mostCrashes, mostAfter = 3, 3
+	// firstPolled is the first seed of polled fleets.
+	firstPolled = 100_000
 )
 
 // fleetRun is a run on a VM of the fleet.
@@ -69,6 +71,11 @@
 	crashAfter time.Duration
 	// lasts is how long runs of a job take; a second where it is not given.
 	lasts map[string]time.Duration
+	// polled: the leader learns which VMs live from the machine service, and the entries
+	// of those that have ended are listed for some seconds more.
+	polled bool
+	dead   map[string]Time
+	polls  Time
 	// darkDeaths: VMs end without a sign, and holds time out.
 	darkDeaths bool
 	// records is what the store has, by job; lost says whether a write's answer is lost,
@@ -85,7 +92,7 @@
 
 func newCrashFleet(t *testing.T, vms int, seed uint64) *crashFleet {
 	c := &crashFleet{
-		fixture: newFixture(t, 0), rng: rand.New(rand.NewPCG(seed, 3)), seed: seed, crashAfter: 10 * time.Millisecond, living: map[string]*fleetVM{}, crashes: map[batch.TaskID]bool{},
+		fixture: newFixture(t, 0), rng: rand.New(rand.NewPCG(seed, 3)), seed: seed, polled: seed >= firstPolled, dead: map[string]Time{}, crashAfter: 10 * time.Millisecond, living: map[string]*fleetVM{}, crashes: map[batch.TaskID]bool{},
 		lasts: map[string]time.Duration{}, records: map[string][]byte{}, starts: map[batch.TaskID][]Time{}, crashed: map[batch.TaskID][]Time{}, done: map[string]bool{},
 	}
 	c.s = c.newLeader()
@@ -132,13 +139,44 @@
 	_, err := fmt.Sscanf(id, "vm%02d-", &place)
 	require.NoError(c.t, err)
 	c.breakGangs(v)
+	c.after(backAfter, func() { c.addVM(place) })
 	c.holdsFail(id)
+	if c.polled {
+		c.dead[id] = c.now
+		c.after(entryLife, func() { c.unlist(id) })
+		return
+	}
 	c.after(learnAfter, func() {
-		c.list = slices.DeleteFunc(c.list, func(inst batch.Instance) bool { return inst.ID == v.inst.ID })
+		c.unlist(id)
 		c.s.Gone(c.now, id, "machine ended it")
 		c.s.SetInstances(c.now, c.list)
 	})
-	c.after(backAfter, func() { c.addVM(place) })
+}
+
+func (c *crashFleet) unlist(id string) {
+	c.list = slices.DeleteFunc(c.list, func(inst batch.Instance) bool { return inst.ID == id })
+	delete(c.dead, id)
+}
+
+// poll tells the leader what it looks at twice a second: the list of VMs, and which of
+// them live.
+func (c *crashFleet) poll() {
+	if !c.polled || c.now < c.polls {
+		return
+	}
+	c.polls = c.now + listedEvery
+	c.s.SetInstances(c.now, c.list)
+	for id := range c.dead {
+		c.s.Unanswered(c.now, id, true)
+	}
+	if !c.s.Doubtful(c.now) {
+		return
+	}
+	var lives []batch.Machine
+	for _, id := range c.ids() {
+		lives = append(lives, batch.Machine{Name: id, State: batch.MachineUp, Instance: id})
+	}
+	c.s.SetLives(c.now, c.now, lives)
 }
 
 // holdsFail tells the leader of the holds that a VM which has ended leaves unanswered:
@@ -223,6 +261,7 @@
 			c.later = append(c.later, m)
 		}
 	}
+	c.poll()
 	for _, id := range c.ids() {
 		c.stepVM(id, c.living[id])
 	}
--- a/internal/scheduler/reports.go
+++ b/internal/scheduler/reports.go
@@ -13,6 +13,9 @@
 		return
 	}
 	v.setClock(sentAt, now, rep.Clock)
+	if !v.heard || v.endNoted {
+		s.takeEndBack(v)
+	}
 	if !v.heard {
 		v.heard = true
 		// An earlier leader may have renewed the leases there until now.
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -267,6 +267,8 @@
 	unanswered      bool
 	unansweredAt    Time
 	unansweredHolds int
+	// endNoted is set where its leases ran out, so that it is taken to have ended.
+	endNoted bool
 	// closedAtOnce is set where the first of them found its connection closed.
 	closedAtOnce bool
 	// trial is a suspect's run, beside which nothing is started while it is new; keptFor is the suspect
