Suspects are asked advice for

What callers saw, by reading: a task of a queue with an adviser whose VM had ended while it was new would never start again, if the VMs that were allowed are gone. Cause: a suspect leaves the loop over a step's tasks before the place where the adviser is asked. Tests: TestSuspectIsAskedAdviceFor; TestEndOfAVMThatCameBackCounts beside it.

--- a/internal/scheduler/crashes_test.go
+++ b/internal/scheduler/crashes_test.go
@@ -269,3 +269,72 @@
 		})
 	}
 }
+
+// A suspect of a queue with an adviser waited for ever: the adviser was asked for other
+// tasks only, and the one VM that it had allowed was gone.
+func TestSuspectIsAskedAdviceFor(t *testing.T) {
+	f := newFixture(t, 3)
+	c := *f.s.config
+	c.Queues = []batch.Queue{{Name: testQueue, Pool: "pool", Attempts: 3, Stretch: 2, Slack: time.Second, Advice: &batch.Advice{ValidFor: time.Minute}}}
+	f.s.SetConfig(&c)
+	f.hearAll(nil)
+	f.submit("j", tasks(1, 1000))
+	advised := func() Order {
+		for _, o := range f.plan() {
+			if o.Kind == OrderAdvise {
+				return o
+			}
+		}
+		return Order{}
+	}
+	asked := advised()
+	require.NotEmpty(t, asked.Candidates)
+	f.s.Advised(f.now, f.now, asked, map[string]string{"vm00": "ticket"}, time.Minute, true)
+	f.plan()
+	f.confirm(f.last("j.0.0.0"))
+	f.s.Unanswered(f.now, "vm00", true)
+	f.s.Unanswered(f.now, "vm00", true)
+	f.s.Gone(f.now, "vm00", "machine ended it")
+	f.write()
+	f.list = f.list[1:]
+	f.s.SetInstances(f.now, f.list)
+	f.advance(time.Second)
+	f.hearAll(nil)
+	// The other two were refused; a new life of the first VM may be allowed.
+	fresh := instance(0)
+	fresh.ID = "vm00-again"
+	f.list = append(f.list, fresh)
+	f.s.SetInstances(f.now, f.list)
+	f.hear(fresh.ID, batch.Report{})
+	asked = advised()
+	require.Equal(t, []string{fresh.ID}, asked.Candidates)
+	f.s.Advised(f.now, f.now, asked, map[string]string{fresh.ID: "ticket"}, time.Minute, true)
+	f.plan()
+	require.Len(t, f.started["j.0.0.0"], 2)
+}
+
+// The leases of a VM that was cut off ran out, and it came back: then it ended under a
+// task, and that counts.
+func TestEndOfAVMThatCameBackCounts(t *testing.T) {
+	f := newFixture(t, 1)
+	f.hearAll(nil)
+	f.submit("j", tasks(1, 1000))
+	f.plan()
+	f.confirm(f.last("j.0.0.0"))
+	f.s.Unanswered(f.now, "vm00", false)
+	f.advance(9 * time.Second)
+	f.s.Tend(f.now)
+	f.hearAll(nil)
+	f.write()
+	f.plan()
+	second := f.last("j.0.0.0")
+	require.Len(t, f.started["j.0.0.0"], 2)
+	require.True(t, f.s.Begin(f.now, second))
+	f.confirm(second)
+	f.s.Unanswered(f.now, "vm00", true)
+	f.s.Gone(f.now, "vm00", "machine ended it")
+	last := f.log[len(f.log)-2]
+	require.Equal(t, EventCrashNoted, last.Event)
+	require.Equal(t, second.Run, last.Run)
+	require.Equal(t, crashKindNames[crashAlone], last.Reason)
+}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -254,6 +254,9 @@
 				s.startSuspect(r.now, t)
 				list = nil
 			}
+			if len(t.runs) == 0 && s.needsAdvice(st) {
+				s.askAdvice(r.now, st)
+			}
 			continue
 		}
 		var v *vm
