No start brings a VM that does not guard its capacity over it

What callers saw, by reading: a VM's capacity shrinks while it runs; starts that wait for their turn, or that are decided while the list of VMs can't be read, are given by what it had. A VM that does not guard its capacity begins them, beside what has no room. Cause: room was looked at when a start was decided, not when it was given, and never the list's age; nothing knew which VMs guard their capacity. Change: a start is looked at again as it is given; where the list is older than 2 s, or more is in use than there is, unguarded VMs get nothing new; a gang of which a member is not given is stopped. A changed capacity has a line (vm_resized) and wakes the plan. Tests: capacity_test.go; guarded VMs decide by themselves as before.

--- /dev/null
+++ b/internal/scheduler/capacity.go
@@ -0,0 +1,62 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+// The capacity of a VM may shrink while tasks run there, and grow again; its entry on the
+// list tells. A VM that guards its capacity refuses what does not fit. One that does not
+// begins it, and all that runs there suffers: the leader notices nothing. What was decided
+// before the list told is therefore looked at again before the order is given, and where
+// the list has not been read for some time, such VMs get nothing new.
+
+// listFresh is how old the list of VMs may be for work to be given to VMs that do not guard
+// their capacity: it is read twice a second, and a call or two may fail.
+const listFresh = 2 * time.Second
+
+// guarded reports whether the VM refuses what it has no room for.
+func (s *Scheduler) guarded(v *vm) bool {
+	if s.config == nil {
+		return true
+	}
+	pool, known := s.config.Pools[v.inst.Pool]
+	return !known || pool.GuardsCapacity
+}
+
+// mayOverfill reports whether a start might bring a VM that does not guard its capacity
+// over it: more is in use already, by runs that are being stopped as well, or what it has
+// is not known any more.
+func (s *Scheduler) mayOverfill(now Time, v *vm) bool {
+	return !s.guarded(v) && (now-s.listedAt > listFresh || exceeds(v.used, v.inst.Capacity))
+}
+
+func exceeds(used, capacity batch.Resources) bool {
+	return used.MilliCPU > capacity.MilliCPU || used.MemoryMB > capacity.MemoryMB || used.Accelerators > capacity.Accelerators
+}
+
+// noteCapacity takes a changed capacity into account.
+func (s *Scheduler) noteCapacity(v *vm, before batch.Resources) {
+	if v.inst.Capacity == before {
+		return
+	}
+	s.changed = true
+	v.tailsStale = true
+	s.logf(Decision{Event: EventVMResized, VM: v.inst.ID, Reason: "was " + before.String(), Value: float64(v.inst.Capacity.MilliCPU)})
+}
+
+// dropStart takes back a start that was ordered and is certainly not given. The other
+// members of a gang would wait for it in vain.
+func (s *Scheduler) dropStart(now Time, r *run, reason string) {
+	t := r.task
+	s.logf(Decision{Event: EventRunNotBegun, Task: t.id(), VM: r.vm.inst.ID, Run: r.number, Reason: reason, Age: now - r.orderedAt})
+	s.clearCrash(t, r.number)
+	s.withdraw(now, r)
+	if !t.step.spec.Gang {
+		return
+	}
+	for k := range t.step.tasks {
+		s.stopRuns(now, &t.step.tasks[k], "gang not begun")
+	}
+}
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -265,13 +265,16 @@
 	if r == nil || r.number != o.Run {
 		return false
 	}
-	if r.state != stopping {
+	switch {
+	case r.state == stopping:
+		s.dropStart(now, r, "stopped")
+	case s.mayOverfill(now, v):
+		// It had room when the start was decided.
+		s.dropStart(now, r, "no room")
+	default:
 		r.begun = true
 		return true
 	}
-	s.logf(Decision{Event: EventRunNotBegun, Task: o.Task, VM: v.inst.ID, Run: o.Run, Age: now - r.orderedAt})
-	s.clearCrash(r.task, r.number)
-	s.withdraw(now, r)
 	return false
 }
 
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -63,6 +63,8 @@
 	EventVMHeard = "vm_heard"
 	// EventVMListed: a VM came onto the store's list.
 	EventVMListed = "vm_listed"
+	// EventVMResized: a VM's capacity has changed.
+	EventVMResized = "vm_resized"
 	// EventVMSuspected: a VM gets no work for a while because of what ran there.
 	EventVMSuspected = "vm_suspected"
 	// EventVMUnlisted: a VM went off the store's list.
@@ -105,6 +107,7 @@
 	EventVMGone,
 	EventVMHeard,
 	EventVMListed,
+	EventVMResized,
 	EventVMSuspected,
 	EventVMUnlisted,
 	EventVMWaitedOut,
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -113,6 +113,7 @@
 	obstacleSuspected
 	obstaclePerVM
 	obstacleTrial
+	obstacleCapacity
 	obstacleProcessor
 	obstacleReserve
 	obstacleMemory
@@ -122,7 +123,7 @@
 	obstacles
 )
 
-var obstacleNames = [obstacles]string{"none", "unheard", "draining", "pool", "suspected", "per_vm", "trial", "processor", "reserve", "memory", "leftover", "advice", "pressure"}
+var obstacleNames = [obstacles]string{"none", "unheard", "draining", "pool", "suspected", "per_vm", "trial", "capacity", "processor", "reserve", "memory", "leftover", "advice", "pressure"}
 
 // mostUnacked is how many ends a VM may have to be acknowledged and get new work: it
 // tells 500 at a time, and a run whose end is beyond them is in doubt.
@@ -144,6 +145,8 @@
 		return obstaclePerVM
 	case v.onTrial(now, t):
 		return obstacleTrial
+	case s.mayOverfill(now, v):
+		return obstacleCapacity
 	}
 	free := v.inst.Capacity.Sub(v.used)
 	switch {
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -330,6 +330,8 @@
 	timed map[string]*job
 	dirty map[string]*job
 	waves map[int64]*wave
+	// listedAt is when the list of VMs was last read.
+	listedAt Time
 	// ends are the VMs that ended of late.
 	ends []vmEnd
 	// trialTurn is where the next look for a VM for a trial begins.
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -18,6 +18,7 @@
 
 // SetInstances takes the store's list over.
 func (s *Scheduler) SetInstances(now Time, list []batch.Instance) {
+	s.listedAt = now
 	listed := make(map[string]bool, len(list))
 	for i := range list {
 		listed[list[i].ID] = true
@@ -45,11 +46,13 @@
 	if inst.Draining && !v.inst.Draining {
 		s.logf(Decision{Event: EventVMDraining, VM: inst.ID, Age: inst.Remaining})
 	}
-	if !v.listed || inst.Draining != v.inst.Draining {
+	if !v.listed || inst.Draining != v.inst.Draining || inst.Stale != v.inst.Stale {
 		s.changed = true
 	}
+	before := v.inst.Capacity
 	v.listed = true
 	v.inst = inst
+	s.noteCapacity(v, before)
 }
 
 // AddUnlisted names an instance that earlier leaders used and that is off the
