A VM's entry that it has not written of late is not believed

Cause: only the list's age was looked at, not the entries'. Relays pass that on like any other change of an entry. Tests: TestListTellsWhatIsUnchanged, TestNothingStartsUnguardedWhileTheEntryIsStale.

--- a/internal/batch/vm.go
+++ b/internal/batch/vm.go
@@ -23,6 +23,9 @@
 	// Remaining is the least time that a draining instance has left; 0 is unknown.
 	Remaining time.Duration
 	Capacity  Resources
+	// Stale is set where the instance has not written for some time that it lives: what it
+	// said of itself may be out of date.
+	Stale bool
 	// Labels holds the VM's kind and its rack, in this order.
 	Labels []string
 }
--- a/internal/follow/list.go
+++ b/internal/follow/list.go
@@ -21,6 +21,10 @@
 	Decode func(durable.Item) (T, error)
 	// Unreadable is told of each entry that can't be decoded; it is left out.
 	Unreadable func(error)
+	// Unchanged, where set, is told of each value that is returned for how long its entry
+	// has been unchanged at most; for an entry that was there at the first look that is
+	// not known, and counts from long ago.
+	Unchanged func(value *T, since time.Duration)
 
 	mu      sync.Mutex
 	entries map[string]listEntry[T]
@@ -36,8 +40,13 @@
 	value    T
 	readable bool
 	revision int64
+	// changedAfter is the last look at which the entry had not changed yet, 0 for none.
+	changedAfter time.Duration
 }
 
+// longAgo is how long an entry counts as unchanged of which it is not known.
+const longAgo = time.Hour
+
 const (
 	// wholeEvery is how often the whole list is read all the same: nothing is to be
 	// missed for good.
@@ -70,11 +79,22 @@
 	for _, key := range l.order {
 		if e := l.entries[key]; e.readable {
 			list = append(list, e.value)
+			l.tellUnchanged(&list[len(list)-1], now, e.changedAfter)
 		}
 	}
 	return list, nil
 }
 
+func (l *List[T]) tellUnchanged(value *T, now, changedAfter time.Duration) {
+	switch {
+	case l.Unchanged == nil:
+	case changedAfter == 0:
+		l.Unchanged(value, longAgo)
+	default:
+		l.Unchanged(value, now-changedAfter)
+	}
+}
+
 // read reads the whole list.
 func (l *List[T]) read(ctx context.Context) error {
 	items, revision, err := l.Store.Range(ctx, l.Prefix)
@@ -135,5 +155,5 @@
 	if err != nil {
 		l.Unreadable(err)
 	}
-	return listEntry[T]{value: value, readable: err == nil, revision: item.Revision}
+	return listEntry[T]{value: value, readable: err == nil, revision: item.Revision, changedAfter: l.lookedAt}
 }
--- a/internal/follow/list_test.go
+++ b/internal/follow/list_test.go
@@ -93,3 +93,20 @@
 	_, err := l.Look(t.Context())
 	require.ErrorIs(t, err, durable.ErrUnknown)
 }
+
+// Whoever needs to know whether an entry is up to date is told how long it has not changed.
+// At the first look that is not known; later it counts from the look before the change.
+func TestListTellsWhatIsUnchanged(t *testing.T) {
+	s := &changing{items: []durable.Item{at("a", "1", 1), at("b", "1", 2)}, revision: 2}
+	l := newList(s)
+	since := map[string]time.Duration{}
+	l.Unchanged = func(value *string, d time.Duration) { since[(*value)[:1]] = d }
+	look(t, l)
+	require.Equal(t, map[string]time.Duration{"a": longAgo, "b": longAgo}, since)
+	time.Sleep(30 * time.Millisecond)
+	s.events, s.revision = []durable.Item{at("a", "2", 3)}, 3
+	look(t, l)
+	require.GreaterOrEqual(t, since["a"], 30*time.Millisecond, "it may have changed right after the look before")
+	require.Less(t, since["a"], time.Second)
+	require.Equal(t, longAgo, since["b"])
+}
--- a/internal/relay/listing.go
+++ b/internal/relay/listing.go
@@ -40,7 +40,7 @@
 
 func same(a, b *batch.Instance) bool {
 	return a.Pool == b.Pool && a.Address == b.Address && a.Zone == b.Zone && a.Draining == b.Draining &&
-		a.Remaining == b.Remaining && a.Capacity == b.Capacity && slices.Equal(a.Labels, b.Labels)
+		a.Remaining == b.Remaining && a.Stale == b.Stale && a.Capacity == b.Capacity && slices.Equal(a.Labels, b.Labels)
 }
 
 // restore returns the whole list, in the order of the IDs, and keeps it.
--- a/internal/scheduler/capacity.go
+++ b/internal/scheduler/capacity.go
@@ -10,7 +10,8 @@
 // list tells. A VM that guards its capacity refuses what does not fit. One that does not
 // begins it, and all that runs there suffers: the leader notices nothing. What was decided
 // before the list told is therefore looked at again before the order is given, and where
-// the list has not been read for some time, such VMs get nothing new.
+// the list has not been read, or the VM has not written there, for some time, such VMs get
+// nothing new.
 
 // listFresh is how old the list of VMs may be for work to be given to VMs that do not guard
 // their capacity: it is read twice a second, and a call or two may fail.
@@ -29,7 +30,7 @@
 // over it: more is in use already, by runs that are being stopped as well, or what it has
 // is not known any more.
 func (s *Scheduler) mayOverfill(now Time, v *vm) bool {
-	return !s.guarded(v) && (now-s.listedAt > listFresh || exceeds(v.used, v.inst.Capacity))
+	return !s.guarded(v) && (v.inst.Stale || now-s.listedAt > listFresh || exceeds(v.used, v.inst.Capacity))
 }
 
 func exceeds(used, capacity batch.Resources) bool {
--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -136,3 +136,19 @@
 	require.Len(t, f.stops, 1)
 	require.Equal(t, first.Run, f.stops[0].Run)
 }
+
+// A VM that has not written its entry for some time may have less than that says.
+func TestNothingStartsUnguardedWhileTheEntryIsStale(t *testing.T) {
+	f := newFixture(t, 1)
+	f.unguarded()
+	f.list[0].Stale = true
+	f.s.SetInstances(f.now, f.list)
+	f.hearAll(nil)
+	f.submit("j", tasks(1, 1000))
+	f.plan()
+	require.Empty(t, f.started["j.0.0.0"])
+	f.list[0].Stale = false
+	f.s.SetInstances(f.now, f.list)
+	f.plan()
+	require.Len(t, f.started["j.0.0.0"], 1)
+}
