The explorer plays tasks that end VMs and capacities that shrink; four faults that it found

That a VM is not heard proves nothing: such runs stay doubted, what the VM tells when it is heard clears them, its certain end concludes them. The record names the VM. - a task was started a sixth time over take-overs (lost writes): a new leader took VMs that it had never heard for VMs that ended together. Change: faults crashes and resizes in the explorer, with a machine service and connections that close; the judge counts starts after the third end in calm, what is given up without ends, and starts over what a VM has; two new deliberate breaks are found.

--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/rattanwall/rattanwall/internal/batch"
 )
@@ -41,6 +40,7 @@
 type crash struct {
 	run  int64
 	kind crashKind
+	vm   string
 }
 
 const (
@@ -52,36 +52,16 @@
 	// after the third; the fourth start leaves one for an end that a leader which died
 	// has not recorded.
 	crashesInAll = 4
-	// massVMs is how many other VMs have to end together with one for their end to have
-	// a cause of its own.
-	massVMs = 2
+	// crashesWithDoubts give it up where VMs were never heard of again.
+	crashesWithDoubts = 5
 	// crashesRecorded is from how many on a task is started again only once the store
 	// has them: a successor must not begin the count anew.
 	crashesRecorded = 2
 	// doubtAfter is how many holds a VM has to leave unanswered in a row for its new
 	// runs to be recorded as doubted: one fails where a connection is reset.
 	doubtAfter = 2
-	// endedTogether is how far apart VMs may be seen to end that end together, closedWithin
-	// how long before a connection is found closed the VM may have ended.
-	endedTogether = 100 * time.Millisecond
-	closedWithin  = 200 * time.Millisecond
-	// begunJustBefore is how long before a VM's end is noticed a run has to have begun
-	// there to be likely to have ended it: a hold may wait for 0.15 s before it is sent.
-	begunJustBefore = 300 * time.Millisecond
-	// endsKept is how long the ends of VMs are kept to be compared: longer than it takes
-	// to conclude that another VM has ended, by its lease at the latest.
-	endsKept = 15 * time.Second
 )
 
-// vmEnd is the end of a VM, or of its answers.
-type vmEnd struct {
-	id string
-	// It came after aliveAt, and was noticed at noticedAt.
-	aliveAt, noticedAt Time
-	// byTask is set where a task is likely to have ended it: it had begun just before.
-	byTask bool
-}
-
 // Unanswered notes that a hold of an instance has failed: the instance may have ended,
 // or the path to it. closed is set where the other side closed or refused the connection:
 // then that was just now; a hold that is left in silence tells only that it was since the
@@ -96,16 +76,16 @@
 	}
 	v.unansweredHolds++
 	if v.unansweredHolds == doubtAfter {
-		s.doubtNewRuns(v)
+		s.doubtNewRuns(now, v)
 	}
 }
 
 // doubtNewRuns records that what is new on a VM may have ended it. The record is written
 // long before the VM's end can be concluded, so that the count outlives this leader.
-func (s *Scheduler) doubtNewRuns(v *vm) {
+func (s *Scheduler) doubtNewRuns(now Time, v *vm) {
 	for _, r := range v.ordered {
 		if r.mayHaveCrashed() {
-			s.noteCrash(r, crashDoubted)
+			s.noteCrash(now, r, crashDoubted)
 		}
 	}
 }
@@ -117,24 +97,37 @@
 }
 
 // noteCrash records what the end of a run's VM says of its task.
-func (s *Scheduler) noteCrash(r *run, kind crashKind) {
+func (s *Scheduler) noteCrash(now Time, r *run, kind crashKind) {
 	t := r.task
 	if t.done || t.step.occ.job.state.Final() {
 		return
 	}
-	t.setCrash(r.number, kind)
+	t.setCrash(crash{run: r.number, kind: kind, vm: r.vm.inst.ID})
 	s.touchCrashes(t)
 	s.logf(Decision{Event: EventCrashNoted, Task: t.id(), VM: r.vm.inst.ID, Run: r.number, Reason: crashKindNames[kind], Value: float64(len(t.crashes))})
+	if kind == crashDoubted {
+		s.doubt(r.vm.inst.ID, t, r.number)
+		return
+	}
+	s.judgeCrashes(now, t)
 }
 
-func (t *task) setCrash(number int64, kind crashKind) {
+// crash returns what was noted of a run, or nil.
+func (t *task) crash(number int64) *crash {
 	for i := range t.crashes {
 		if t.crashes[i].run == number {
-			t.crashes[i].kind = kind
-			return
+			return &t.crashes[i]
 		}
 	}
-	t.crashes = append(t.crashes, crash{run: number, kind: kind})
+	return nil
+}
+
+func (t *task) setCrash(c crash) {
+	if known := t.crash(c.run); known != nil {
+		*known = c
+		return
+	}
+	t.crashes = append(t.crashes, c)
 }
 
 func (s *Scheduler) touchCrashes(t *task) {
@@ -178,42 +171,46 @@
 	return mass > 1
 }
 
-// crashedUnder takes in that a VM has ended, with what ran there. certain is false where
-// only its leases are over: it may be cut off.
-func (s *Scheduler) crashedUnder(now Time, v *vm, certain bool) {
+// crashedUnder takes in that a VM has certainly ended, with what ran there.
+func (s *Scheduler) crashedUnder(now Time, v *vm) {
 	if s.hasEnded(v.inst.ID) {
 		// Its entry outlived it for some seconds, and was taken for a VM that is not heard:
 		// that goes with it a second time, at a moment that has to do with neither.
 		return
 	}
+	if !v.heard {
+		// Another leader used it. When it ended is not known.
+		s.concludeDoubts(now, v.inst.ID, crashShared)
+		return
+	}
 	end := v.end(now)
 	others := s.endedWith(now, &end)
 	storm := s.storm(now, v)
 	s.ends = append(s.ends, end)
-	v.endNoted = true
 	if v.inst.Draining || v.closed {
 		// It was to end.
+		s.clearDoubts(v.inst.ID)
 		return
 	}
+	kind := crashShared
+	if others >= massVMs {
+		kind = crashMass
+	}
 	for _, r := range v.ordered {
-		if !r.mayHaveCrashed() {
-			continue
-		}
-		kind := crashShared
 		switch {
-		case others >= massVMs:
-			kind = crashMass
-		case certain && r.trial && r.confirmedAt > 0 && others == 0 && !storm:
-			kind = crashAlone
+		case !r.mayHaveCrashed():
+		case kind == crashShared && r.trial && r.confirmedAt > 0 && others == 0 && !storm:
+			s.noteCrash(now, r, crashAlone)
+		default:
+			s.noteCrash(now, r, kind)
 		}
-		s.noteCrash(r, kind)
-		s.judgeCrashes(now, r.task)
 	}
+	s.concludeDoubts(now, v.inst.ID, kind)
 }
 
 // judgeCrashes gives a task up that has ended its VMs.
 func (s *Scheduler) judgeCrashes(now Time, t *task) {
-	alone, counted := 0, 0
+	alone, counted, doubted := 0, 0, 0
 	for _, c := range t.crashes {
 		switch c.kind {
 		case crashAlone:
@@ -221,112 +218,81 @@
 			counted++
 		case crashShared:
 			counted++
-		case crashDoubted, crashMass:
+		case crashDoubted:
+			if c.run != t.intended && !t.hasRun(c.run) {
+				doubted++
+			}
+		case crashMass:
 		}
 	}
-	if alone < crashesAlone && counted < crashesInAll {
+	if alone < crashesAlone && counted < crashesInAll && counted+doubted < crashesWithDoubts {
 		return
 	}
 	s.finish(now, t.step.occ.job, batch.Failed, "VMs ended as they began "+t.id().String())
 }
 
-// settleDoubts concludes of a task that is to be started again that the VMs of its earlier
-// runs have ended: a leader that died had doubted them, and nothing was heard of them.
-func (s *Scheduler) settleDoubts(now Time, t *task) {
-	settled := false
-	for i := range t.crashes {
-		c := &t.crashes[i]
-		if c.kind == crashDoubted && c.run != t.intended && !t.hasRun(c.run) {
-			c.kind = crashShared
-			settled = true
-		}
-	}
-	if settled {
-		s.touchCrashes(t)
-		s.judgeCrashes(now, t)
-	}
-}
+// A doubt outlives the run: its leases ran out, or another leader took over. doubts has
+// those of each VM. What the VM tells when it is heard clears them, its certain end
+// concludes them; that it is not heard proves nothing.
 
-func (t *task) hasRun(number int64) bool {
-	return slices.ContainsFunc(t.runs, func(r *run) bool { return r.number == number })
-}
-
-// crashesDurable reports whether the store has the task's crashes, as far as it must.
-func (t *task) crashesDurable() bool {
-	crashes := len(t.crashes)
-	if t.intended != 0 {
-		crashes--
+// doubt notes that a run's VM may have ended under it.
+func (s *Scheduler) doubt(vmID string, t *task, number int64) {
+	if s.doubts[vmID] == nil {
+		s.doubts[vmID] = map[*task]int64{}
 	}
-	return crashes < crashesRecorded || t.step.occ.job.written >= t.crashVersion
+	s.doubts[vmID][t] = number
 }
 
-// end describes the VM's end if it has ended.
-func (v *vm) end(now Time) vmEnd {
-	e := vmEnd{id: v.inst.ID, aliveAt: v.heardAt, noticedAt: now}
-	if v.unansweredAt > 0 {
-		e.noticedAt = v.unansweredAt
-	}
-	if v.unansweredAt > 0 && v.closedAtOnce {
-		e.aliveAt = max(e.aliveAt, e.noticedAt-closedWithin)
-	}
-	for _, r := range v.ordered {
-		e.aliveAt = max(e.aliveAt, r.confirmedAt)
-		if r.confirmedAt > 0 && r.mayHaveCrashed() && e.noticedAt-r.confirmedAt < begunJustBefore {
-			e.byTask = true
+// restoreDoubts takes over the doubts of an earlier leader.
+func (s *Scheduler) restoreDoubts(o *occurrence) {
+	for i := range o.steps {
+		for k := range o.steps[i].tasks {
+			t := &o.steps[i].tasks[k]
+			for _, c := range t.crashes {
+				if c.kind == crashDoubted && c.vm != "" {
+					s.doubt(c.vm, t, c.run)
+				}
+			}
 		}
 	}
-	return e
 }
 
-// endedWith counts the other VMs that ended, or stopped to answer, about when one did, and
-// that no task is likely to have ended.
-func (s *Scheduler) endedWith(now Time, end *vmEnd) (others int) {
-	s.ends = slices.DeleteFunc(s.ends, func(e vmEnd) bool { return now-e.noticedAt > endsKept })
-	count := func(e *vmEnd) {
-		if e.id == end.id || e.byTask || e.aliveAt > end.noticedAt+endedTogether || e.noticedAt < end.aliveAt-endedTogether {
-			return
+// clearDoubts takes the doubts about a VM back that lives: what it has not listed, nor
+// told the end of, has never begun there. Runs that are under way stay in doubt.
+func (s *Scheduler) clearDoubts(vmID string) {
+	for t, number := range s.doubts[vmID] {
+		if !t.hasRun(number) {
+			s.clearCrash(t, number)
+			delete(s.doubts[vmID], t)
 		}
-		others++
-	}
-	for i := range s.ends {
-		count(&s.ends[i])
 	}
-	for _, v := range s.vms {
-		if v.unansweredAt > 0 && !v.inst.Draining && !v.closed && !s.hasEnded(v.inst.ID) {
-			e := v.end(now)
-			count(&e)
-		}
+	if len(s.doubts[vmID]) == 0 {
+		delete(s.doubts, vmID)
 	}
-	return others
 }
 
-// takeEndBack forgets that a VM was taken to have ended: it answers again.
-func (s *Scheduler) takeEndBack(v *vm) {
-	v.endNoted = false
-	s.ends = slices.DeleteFunc(s.ends, func(e vmEnd) bool { return e.id == v.inst.ID })
+// concludeDoubts takes in that a VM has ended that runs were doubted on.
+func (s *Scheduler) concludeDoubts(now Time, vmID string, kind crashKind) {
+	doubts := s.doubts[vmID]
+	delete(s.doubts, vmID)
+	for t, number := range doubts {
+		if c := t.crash(number); c != nil && c.kind == crashDoubted && !t.step.occ.job.state.Final() {
+			c.kind = kind
+			s.touchCrashes(t)
+			s.judgeCrashes(now, t)
+		}
+	}
 }
 
-func (s *Scheduler) hasEnded(id string) bool {
-	return slices.ContainsFunc(s.ends, func(e vmEnd) bool { return e.id == id })
+func (t *task) hasRun(number int64) bool {
+	return slices.ContainsFunc(t.runs, func(r *run) bool { return r.number == number })
 }
 
-// storm reports whether as many VMs ended of late by no task as there are others that
-// answer: whatever ends them may have ended v as well.
-func (s *Scheduler) storm(now Time, v *vm) bool {
-	ended := 0
-	for i := range s.ends {
-		if !s.ends[i].byTask {
-			ended++
-		}
-	}
-	if ended < massVMs {
-		return false
-	}
-	living := 0
-	for _, o := range s.vms {
-		if o != v && o.heard && !o.silent(now) && o.unansweredAt == 0 {
-			living++
-		}
+// crashesDurable reports whether the store has the task's crashes, as far as it must.
+func (t *task) crashesDurable() bool {
+	crashes := len(t.crashes)
+	if t.intended != 0 {
+		crashes--
 	}
-	return ended >= living
+	return crashes < crashesRecorded || t.step.occ.job.written >= t.crashVersion
 }
--- a/internal/scheduler/explore_judge_test.go
+++ b/internal/scheduler/explore_judge_test.go
@@ -15,6 +15,9 @@
 	failed []int64
 	// noted is set once an end `done` was acknowledged, before its VM's lease lapsed.
 	noted bool
+	// crashes counts the VMs that the task has ended, afterThird its starts since the
+	// third while nothing else went wrong.
+	crashes, afterThird int
 }
 
 type modelStart struct {
@@ -60,9 +63,45 @@
 		w.fail(o.Task, "%s run %s started on %s after its end was acknowledged", o.Task, runName(o.Run), v.id)
 	}
 	h.starts = append(h.starts, modelStart{run: o.Run, tick: w.tick, vm: v.id})
+	w.judgeCrashes(v, o, h)
+	w.judgeSize(v, o)
 	w.judgeAttempts(o.Task, h)
 }
 
+// judgeCrashes looks at the start of a task that ends its VMs.
+func (w *world) judgeCrashes(v *modelVM, o Order, h *history) {
+	if h.crashes < mostCrashes || !w.calm || w.now < w.calmAt+stableFor {
+		return
+	}
+	if h.afterThird++; h.afterThird >= mostAfter {
+		w.fail(o.Task, "%s run %s started on %s after it had ended %d VMs", o.Task, runName(o.Run), v.id, h.crashes)
+	}
+}
+
+// judgeSize looks whether a VM that begins all it is told to has room for one run more.
+func (w *world) judgeSize(v *modelVM, o Order) {
+	if !w.faults.resizes || w.late {
+		return
+	}
+	if used := int64(len(v.running)+1) * taskSize; used > w.sizeThatCounts(v) {
+		w.fail(o.Task, "%s run %s started on %s, which has %dm, beside %d others", o.Task, runName(o.Run), v.id, v.milliCPU, len(v.running))
+	}
+}
+
+// judgeGivenUp looks at the record of a job that a leader gives up.
+func (w *world) judgeGivenUp(id string, p *Progress) {
+	j := w.jobs[id]
+	if p.State != batch.Failed || j.attempts < manyAttempts {
+		return
+	}
+	for task, h := range w.tasks {
+		if task.Job == id && h.crashes >= crashesAlone {
+			return
+		}
+	}
+	w.fail(batch.TaskID{Job: id}, "job %s is given up, and no task of it has ended %d VMs", id, crashesAlone)
+}
+
 // wouldBreak says what the acknowledgement of an end would break: whoever notes
 // that a run is done must not have started the task again meanwhile, unless the
 // VM's lease lapsed before it was noted.
--- a/internal/scheduler/explore_test.go
+++ b/internal/scheduler/explore_test.go
@@ -33,6 +33,10 @@
 	// revoked: the key is taken from leaders that have just renewed it, and that are cut
 	// off from the store and left with some of the VMs.
 	revoked bool
+	// crashes: some tasks end each VM that begins them.
+	crashes bool
+	// resizes: VMs do not guard their capacity, which shrinks and grows.
+	resizes bool
 	// asks: new leaders ask their predecessors how long leases may last.
 	asks bool
 }
@@ -59,6 +63,10 @@
 	concludes bool
 	// hasty: a predecessor that is asked goes on.
 	hasty bool
+	// forgetsCrashes: nobody counts the VMs that ended under a task.
+	forgetsCrashes bool
+	// overfills: a VM's capacity is taken for what it was at first.
+	overfills bool
 }
 
 // exploreScale runs more seeds of everything, for a hunt: -explore.scale 10.
@@ -145,6 +153,10 @@
 		{"jobs learned late", faults{late: true}, 120},
 		{"timed jobs", faults{timed: true}, 120},
 		{"attempts", faults{attempts: true}, 120},
+		{"tasks that end their VMs", faults{crashes: true}, 120},
+		{"tasks that end their VMs, VMs off the list", faults{crashes: true, list: true, alone: true, asks: true}, 120},
+		{"capacities that shrink", faults{resizes: true}, 120},
+		{"capacities that shrink, VMs off the list", faults{resizes: true, list: true, alone: true, asks: true, crashes: true}, 120},
 		{"keys taken away", faults{alone: true, revoked: true}, 120},
 		{"predecessors asked", faults{alone: true, asks: true}, 160},
 		{"predecessors asked, VMs off the list", faults{alone: true, list: true, revoked: true, asks: true}, 160},
@@ -205,6 +217,8 @@
 		"takes jobs up without the lead":     {breaks: breaks{unconfirmed: true}, faults: faults{alone: true}},
 		"gives up VMs without the lead":      {breaks: breaks{concludes: true}, faults: faults{alone: true}},
 		"a predecessor goes on":              {breaks: breaks{hasty: true}, faults: faults{alone: true, asks: true}},
+		"does not count crashes":             {breaks: breaks{forgetsCrashes: true}, faults: faults{crashes: true}},
+		"overlooks that capacities shrink":   {breaks: breaks{overfills: true}, faults: faults{resizes: true}},
 		"knows no VMs that are off the list": {breaks: breaks{unrecorded: true}, faults: faults{list: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -159,6 +159,7 @@
 	}
 	if j.pending != nil {
 		j.pending.apply(o)
+		s.restoreDoubts(o)
 	}
 	for i := range o.steps {
 		if o.steps[i].left == 0 {
--- a/internal/scheduler/leases.go
+++ b/internal/scheduler/leases.go
@@ -170,9 +170,7 @@
 		// Nothing can have begun there since.
 		v.lapsedLease, v.lapsedRun = v.leaseOver, s.nextRun
 	}
-	if len(v.runs) > 0 {
-		s.crashedUnder(now, v, false)
-	}
+	s.doubtNewRuns(now, v)
 	s.dropRuns(now, v, "lease over")
 }
 
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -36,9 +36,18 @@
 	// Failures lists failed runs, as pairs of task index and run number: an end
 	// that is told again must not count twice.
 	Failures [][2]int64 `json:"f,omitempty"`
-	// Crashes lists runs whose VM ended while they were new: task index, run number and
-	// crashKind.
-	Crashes [][3]int64 `json:"c,omitempty"`
+	// Crashes lists runs whose VM ended, or may have, while they were new.
+	Crashes []CrashProgress `json:"c,omitempty"`
+}
+
+// CrashProgress is what is known of the end of a VM under a new run.
+type CrashProgress struct {
+	Task int   `json:"t"`
+	Run  int64 `json:"r"`
+	// Kind is a crashKind.
+	Kind int64 `json:"k,omitempty"`
+	// VM is the instance, "" for a run that was yet to be placed.
+	VM string `json:"v,omitempty"`
 }
 
 // progress builds the record of a job.
@@ -94,7 +103,7 @@
 				sp.Failures = append(sp.Failures, [2]int64{int64(k), number})
 			}
 			for _, c := range t.crashes {
-				sp.Crashes = append(sp.Crashes, [3]int64{int64(k), c.run, int64(c.kind)})
+				sp.Crashes = append(sp.Crashes, CrashProgress{Task: k, Run: c.run, Kind: int64(c.kind), VM: c.vm})
 			}
 		}
 	}
@@ -152,8 +161,8 @@
 		}
 	}
 	for _, c := range p.Crashes {
-		if c[0] >= 0 && c[0] < int64(len(st.tasks)) && !st.tasks[c[0]].done {
-			st.tasks[c[0]].setCrash(c[1], crashKind(c[2]))
+		if c.Task >= 0 && c.Task < len(st.tasks) && !st.tasks[c.Task].done {
+			st.tasks[c.Task].setCrash(crash{run: c.Run, kind: crashKind(c.Kind), vm: c.VM})
 		}
 	}
 }
--- a/internal/scheduler/reports.go
+++ b/internal/scheduler/reports.go
@@ -13,9 +13,6 @@
 		return
 	}
 	v.setClock(sentAt, now, rep.Clock)
-	if !v.heard || v.endNoted {
-		s.takeEndBack(v)
-	}
 	if !v.heard {
 		v.heard = true
 		// An earlier leader may have renewed the leases there until now.
@@ -46,6 +43,9 @@
 			s.missing(now, sentAt, r)
 		}
 	}
+	if !rep.MoreEnded {
+		s.clearDoubts(id)
+	}
 	v.tailsStale = true
 	s.observeTails(now, v)
 	s.images.solve(now)
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -267,8 +267,6 @@
 	unanswered      bool
 	unansweredAt    Time
 	unansweredHolds int
-	// endNoted is set where its leases ran out, so that it is taken to have ended.
-	endNoted bool
 	// closedAtOnce is set where the first of them found its connection closed.
 	closedAtOnce bool
 	// trial is a suspect's run, beside which nothing is started while it is new; keptFor is the suspect
@@ -332,8 +330,10 @@
 	waves map[int64]*wave
 	// listedAt is when the list of VMs was last read.
 	listedAt Time
-	// ends are the VMs that ended of late.
-	ends []vmEnd
+	// ends are the VMs that ended of late, doubts the runs that may have ended a VM, by
+	// its ID.
+	ends   []vmEnd
+	doubts map[string]map[*task]int64
 	// trialTurn is where the next look for a VM for a trial begins.
 	trialTurn int
 	// machines is the machine service's list; nil before it was read.
@@ -390,7 +390,7 @@
 	}
 	return &Scheduler{
 		settings: settings, policy: policy, fence: fence, nextRun: fence << runBits, vms: map[string]*vm{}, jobs: map[string]*job{},
-		timed: map[string]*job{}, dirty: map[string]*job{}, waves: map[int64]*wave{}, silent: map[string]Time{}, lapsed: map[string]int64{}, untoldSince: map[string]Time{}, absent: map[string]Time{}, images: newImages(), meanWork: map[string]float64{}, logf: log,
+		timed: map[string]*job{}, dirty: map[string]*job{}, waves: map[int64]*wave{}, silent: map[string]Time{}, doubts: map[string]map[*task]int64{}, lapsed: map[string]int64{}, untoldSince: map[string]Time{}, absent: map[string]Time{}, images: newImages(), meanWork: map[string]float64{}, logf: log,
 	}
 }
 
--- /dev/null
+++ b/internal/scheduler/vmends.go
@@ -0,0 +1,99 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+)
+
+// VMs that end together have a cause of their own: a rack, a switch, power. To tell such an
+// end from one that a task has brought about, the ends of late are compared.
+
+const (
+	// massVMs is how many other VMs have to end together with one for their end to have
+	// a cause of its own.
+	massVMs = 2
+	// endedTogether is how far apart VMs may be seen to end that end together, closedWithin
+	// how long before a connection is found closed the VM may have ended.
+	endedTogether = 100 * time.Millisecond
+	closedWithin  = 200 * time.Millisecond
+	// begunJustBefore is how long before a VM's end is noticed a run has to have begun
+	// there to be likely to have ended it: a hold may wait for 0.15 s before it is sent.
+	begunJustBefore = 300 * time.Millisecond
+	// endsKept is how long the ends of VMs are kept to be compared: longer than it takes
+	// to conclude that another VM has ended, by its lease at the latest.
+	endsKept = 15 * time.Second
+)
+
+// vmEnd is the end of a VM, or of its answers.
+type vmEnd struct {
+	id string
+	// It came after aliveAt, and was noticed at noticedAt.
+	aliveAt, noticedAt Time
+	// byTask is set where a task is likely to have ended it: it had begun just before.
+	byTask bool
+}
+
+// end describes the VM's end if it has ended.
+func (v *vm) end(now Time) vmEnd {
+	e := vmEnd{id: v.inst.ID, aliveAt: v.heardAt, noticedAt: now}
+	if v.unansweredAt > 0 {
+		e.noticedAt = v.unansweredAt
+	}
+	if v.unansweredAt > 0 && v.closedAtOnce {
+		e.aliveAt = max(e.aliveAt, e.noticedAt-closedWithin)
+	}
+	for _, r := range v.ordered {
+		e.aliveAt = max(e.aliveAt, r.confirmedAt)
+		if r.confirmedAt > 0 && r.mayHaveCrashed() && e.noticedAt-r.confirmedAt < begunJustBefore {
+			e.byTask = true
+		}
+	}
+	return e
+}
+
+// endedWith counts the other VMs that ended, or stopped to answer, about when one did, and
+// that no task is likely to have ended.
+func (s *Scheduler) endedWith(now Time, end *vmEnd) (others int) {
+	s.ends = slices.DeleteFunc(s.ends, func(e vmEnd) bool { return now-e.noticedAt > endsKept })
+	count := func(e *vmEnd) {
+		if e.id == end.id || e.byTask || e.aliveAt > end.noticedAt+endedTogether || e.noticedAt < end.aliveAt-endedTogether {
+			return
+		}
+		others++
+	}
+	for i := range s.ends {
+		count(&s.ends[i])
+	}
+	for _, v := range s.vms {
+		if v.heard && v.unansweredAt > 0 && !v.inst.Draining && !v.closed && !s.hasEnded(v.inst.ID) {
+			e := v.end(now)
+			count(&e)
+		}
+	}
+	return others
+}
+
+func (s *Scheduler) hasEnded(id string) bool {
+	return slices.ContainsFunc(s.ends, func(e vmEnd) bool { return e.id == id })
+}
+
+// storm reports whether as many VMs ended of late by no task as there are others that
+// answer: whatever ends them may have ended v as well.
+func (s *Scheduler) storm(now Time, v *vm) bool {
+	ended := 0
+	for i := range s.ends {
+		if !s.ends[i].byTask {
+			ended++
+		}
+	}
+	if ended < massVMs {
+		return false
+	}
+	living := 0
+	for _, o := range s.vms {
+		if o != v && o.heard && !o.silent(now) && o.unansweredAt == 0 {
+			living++
+		}
+	}
+	return ended >= living
+}
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -122,6 +122,10 @@
 	return d
 }
 
+// reasonUnlisted: an instance is taken out that has left the list and runs nothing for
+// certain. It may live.
+const reasonUnlisted = "unlisted"
+
 // Gone takes an instance out whose life has certainly ended, or that runs nothing.
 func (s *Scheduler) Gone(now Time, id, reason string) {
 	delete(s.silent, id)
@@ -130,7 +134,9 @@
 		return
 	}
 	s.logf(v.lifeDecision(now, EventVMGone, reason))
-	s.crashedUnder(now, v, true)
+	if reason != reasonUnlisted {
+		s.crashedUnder(now, v)
+	}
 	s.dropRuns(now, v, reason)
 	delete(s.vms, id)
 	s.sortVMs()
@@ -205,7 +211,7 @@
 	}
 	if !v.listed && len(v.runs) == 0 && now-v.unlistedAt > forgetAfter && now > v.leaseOver && !s.awaited(id) {
 		lapsed := v.lapsedRun
-		s.Gone(now, id, "unlisted")
+		s.Gone(now, id, reasonUnlisted)
 		if lapsed > 0 {
 			s.keepLapsed(id, lapsed)
 		}
