Entries count as stale only where they are written all the time

What callers saw, by thought: where the VMs' entries change only when what they say changes, all of them would have counted as stale for ever, and unguarded VMs would get nothing. Change: for how long entries are unchanged is told once one of them has changed twice. Test: TestListTellsWhatIsUnchanged.

--- a/internal/follow/list.go
+++ b/internal/follow/list.go
@@ -23,7 +23,8 @@
 	Unreadable func(error)
 	// Unchanged, where set, is told of each value that is returned for how long its entry
 	// has been unchanged at most; for an entry that was there at the first look that is
-	// not known, and counts from long ago.
+	// not known, and counts from long ago. It is not told before an entry has changed
+	// twice: where those who live do not write all the time, it would mean nothing.
 	Unchanged func(value *T, since time.Duration)
 
 	mu      sync.Mutex
@@ -31,6 +32,8 @@
 	// order holds the keys in the order in which they came.
 	order []string
 	after int64
+	// changesOften is set once an entry has changed twice.
+	changesOften bool
 	// readAt is when the whole list was read, changedAt when a change was last told,
 	// lookedAt when the list was last looked at.
 	readAt, changedAt, lookedAt time.Duration
@@ -42,6 +45,8 @@
 	revision int64
 	// changedAfter is the last look at which the entry had not changed yet, 0 for none.
 	changedAfter time.Duration
+	// changes counts its changes since it was first read.
+	changes int
 }
 
 // longAgo is how long an entry counts as unchanged of which it is not known.
@@ -87,7 +92,7 @@
 
 func (l *List[T]) tellUnchanged(value *T, now, changedAfter time.Duration) {
 	switch {
-	case l.Unchanged == nil:
+	case l.Unchanged == nil, !l.changesOften:
 	case changedAfter == 0:
 		l.Unchanged(value, longAgo)
 	default:
@@ -108,7 +113,7 @@
 		if known, ok := before[key]; ok && known.revision == items[i].Revision {
 			l.entries[key] = known
 		} else {
-			l.entries[key] = l.decode(&items[i])
+			l.entries[key] = l.decode(&items[i], known, ok)
 		}
 		l.order = append(l.order, key)
 	}
@@ -133,7 +138,7 @@
 			if !listed {
 				l.order = append(l.order, item.Key)
 			}
-			l.entries[item.Key] = l.decode(item)
+			l.entries[item.Key] = l.decode(item, known, listed)
 		}
 	}
 	l.after, l.changedAt = revision, steady.Now()
@@ -150,10 +155,15 @@
 	}
 }
 
-func (l *List[T]) decode(item *durable.Item) listEntry[T] {
+func (l *List[T]) decode(item *durable.Item, before listEntry[T], listed bool) listEntry[T] {
 	value, err := l.Decode(*item)
 	if err != nil {
 		l.Unreadable(err)
 	}
-	return listEntry[T]{value: value, readable: err == nil, revision: item.Revision, changedAfter: l.lookedAt}
+	changes := 0
+	if listed {
+		changes = before.changes + 1
+	}
+	l.changesOften = l.changesOften || changes > 1
+	return listEntry[T]{value: value, readable: err == nil, revision: item.Revision, changedAfter: l.lookedAt, changes: changes}
 }
