Experiment: tasks that end their VMs, VMs that shrink

Change: faults 'crashing' and 'shrunk', scenario crashing-48 (a tenth of the jobs, two spells of shrunk VMs, a take-over). Jobs with such a task are not owed. Test: TestCrashingJobsAreGivenUp.

--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -44,6 +44,8 @@
 	slow    float64
 	failing bool
 	lost    bool
+	// full is what it has when it has not shrunk, where it ever has.
+	full batch.Resources
 }
 
 // run is a run on a VM.
--- a/internal/experiment/load.go
+++ b/internal/experiment/load.go
@@ -48,6 +48,8 @@
 	ended     time.Duration
 	failed    bool
 	cancelled bool
+	// crashes is set where the first task ends each VM that begins it.
+	crashes   bool
 	objective time.Duration
 }
 
--- a/internal/experiment/play.go
+++ b/internal/experiment/play.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"runtime"
 	"slices"
 	"time"
@@ -48,8 +49,12 @@
 	// WastedS is work that was not kept, in processor seconds.
 	WastedS float64 `json:"wasted_s"`
 	// PaceOrders and Starts count orders.
-	PaceOrders int `json:"pace_orders"`
-	Starts     int `json:"starts"`
+	// CrashingJobs counts the jobs with a task that ends its VMs, Crashes the VMs that
+	// such tasks ended.
+	CrashingJobs int `json:"crashing_jobs,omitempty"`
+	Crashes      int `json:"crashes,omitempty"`
+	PaceOrders   int `json:"pace_orders"`
+	Starts       int `json:"starts"`
 	// NsPerDecision and AllocsPerDecision are the processor time and allocations of the
 	// scheduler for each start, all its calls counted; allocations, those of the model
 	// included, are told where one play runs at a time.
@@ -75,6 +80,7 @@
 	leaderAt time.Duration
 	absent   bool
 	lostAt   map[string]time.Duration
+	crashing crashing
 
 	earned, owed [kinds]float64
 	harm         map[batch.TaskID]time.Duration
@@ -96,6 +102,7 @@
 	p := &player{
 		s: s, f: newFleet(s, w, seed), variant: v, arrivals: w.jobs, store: map[string]*scheduler.Progress{}, lostAt: map[string]time.Duration{},
 		harm: map[batch.TaskID]time.Duration{}, spans: map[*job]*span{}, waits: map[*job]time.Duration{}, faults: append([]Fault(nil), s.Faults...),
+		crashing: crashing{random: rand.New(rand.NewPCG(seed, 29))},
 	}
 	p.elect()
 	end := seconds(s.LeadS + s.LoadS + s.AfterS)
@@ -158,6 +165,7 @@
 	p.arrive()
 	p.beginFaults()
 	p.heal()
+	p.crash()
 	if p.absent && p.now >= p.leaderAt {
 		p.absent = false
 		p.elect()
@@ -179,6 +187,7 @@
 		j := p.arrivals[0]
 		p.arrivals = p.arrivals[1:]
 		p.f.jobs[j.spec.ID] = j
+		p.mark(j)
 		p.known = append(p.known, j)
 		p.submit(j, false)
 	}
@@ -231,6 +240,9 @@
 			p.waits[j] = p.now - j.at + 1
 		}
 		p.sched.Started(p.now+startsWithin, p.now, o, p.now+time.Hour, refusal, false)
+		if refusal == "" {
+			p.began(o)
+		}
 	case scheduler.OrderStop:
 		p.f.stop(o)
 		p.sched.Stopped(p.now, o)
@@ -268,6 +280,8 @@
 			rest = append(rest, f)
 		case f.Kind == FaultTakeover:
 			p.takeOver(f)
+		case f.Kind == FaultCrashing:
+			p.crashing.share, p.crashing.until = f.Share, p.now+seconds(f.ForS)
 		default:
 			p.befall(f)
 		}
@@ -297,7 +311,9 @@
 			v.failing = true
 		case FaultLost:
 			p.lose(v)
-		case FaultTakeover:
+		case FaultShrunk:
+			p.resize(v, f.Times)
+		case FaultTakeover, FaultCrashing:
 		}
 		if f.ForS > 0 {
 			p.recoveries = append(p.recoveries, recovery{at: p.now + seconds(f.ForS), vm: v})
@@ -310,6 +326,9 @@
 	for _, r := range p.recoveries {
 		if p.now >= r.at {
 			r.vm.slow, r.vm.failing = 1, false
+			if r.vm.full != (batch.Resources{}) {
+				p.resize(r.vm, 1)
+			}
 		}
 	}
 	p.recoveries = slices.DeleteFunc(p.recoveries, func(r recovery) bool { return p.now >= r.at })
--- a/internal/experiment/play_test.go
+++ b/internal/experiment/play_test.go
@@ -186,3 +186,16 @@
 	require.Greater(t, now["fillers"], before["fillers"]+0.03)
 	require.Greater(t, now["serving"], before["serving"]-0.01)
 }
+
+// Jobs of which a task ends its VMs cost others the work that is lost with each VM: three
+// or four VMs a job, and not one each two seconds for as long as the load lasts.
+func TestCrashingJobsAreGivenUp(t *testing.T) {
+	s, err := Find("crashing-48")
+	require.NoError(t, err)
+	for seed := range uint64(2) {
+		out := play(t, &s, Variants()[0], seed)
+		t.Logf("%d jobs ended %d VMs; service %.3f, kinds %v", out.CrashingJobs, out.Crashes, out.Service, out.Kinds)
+		require.Positive(t, out.CrashingJobs)
+		require.LessOrEqual(t, out.Crashes, 5*out.CrashingJobs)
+	}
+}
