--- a/internal/scheduler/capacity.go
+++ b/internal/scheduler/capacity.go
@@ -17,11 +17,17 @@
 // their capacity: it is read twice a second, and a call or two may fail.
 const listFresh = 2 * time.Second
 
+// notePools notes whether there are VMs that do not guard their capacity: mostly there are
+// none, and no VM need be looked at.
+func (s *Scheduler) notePools() {
+	s.unguarded = false
+	for _, pool := range s.config.Pools {
+		s.unguarded = s.unguarded || !pool.GuardsCapacity
+	}
+}
+
 // guarded reports whether the VM refuses what it has no room for.
 func (s *Scheduler) guarded(v *vm) bool {
-	if s.config == nil {
-		return true
-	}
 	pool, known := s.config.Pools[v.inst.Pool]
 	return !known || pool.GuardsCapacity
 }
@@ -30,7 +36,7 @@
 // over it: more is in use already, by runs that are being stopped as well, or what it has
 // is not known any more.
 func (s *Scheduler) mayOverfill(now Time, v *vm) bool {
-	return !s.guarded(v) && (v.inst.Stale || now-s.listedAt > listFresh || exceeds(v.used, v.inst.Capacity))
+	return s.unguarded && !s.guarded(v) && (v.inst.Stale || now-s.listedAt > listFresh || exceeds(v.used, v.inst.Capacity))
 }
 
 func exceeds(used, capacity batch.Resources) bool {
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -96,6 +96,7 @@
 // SetConfig installs a configuration; the caller makes sure that it is newer.
 func (s *Scheduler) SetConfig(c *batch.Config) {
 	s.config = c
+	s.notePools()
 	for _, j := range s.jobs {
 		s.applyConfig(j)
 	}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -328,6 +328,8 @@
 	timed map[string]*job
 	dirty map[string]*job
 	waves map[int64]*wave
+	// unguarded is set where a pool has VMs that do not guard their capacity.
+	unguarded bool
 	// listedAt is when the list of VMs was last read.
 	listedAt Time
 	// ends are the VMs that ended of late, doubts the runs that may have ended a VM, by
