Nothing of a job that is given up is started; a suspect that fills does not starve

What callers saw, by reading: a job was given up while its step was being started, and the tasks after the one that was judged began all the same, stopped by nobody; a suspect that fills waited for ever where every VM is pressed; doubts about VMs that are never heard again kept their jobs in memory. Tests: TestNothingOfAJobThatIsGivenUpIsStarted, TestSuspectFillerDoesNotStarve; both fail before.

--- a/internal/scheduler/crashes_test.go
+++ b/internal/scheduler/crashes_test.go
@@ -369,3 +369,42 @@
 	f.plan()
 	require.Len(t, f.started["j.0.0.0"], 1, "no VM is left")
 }
+
+// A job was given up while its step was being started, and the tasks after the one that was
+// judged were started all the same: nobody stopped them.
+func TestNothingOfAJobThatIsGivenUpIsStarted(t *testing.T) {
+	f := newFixture(t, 2)
+	f.hearAll(nil)
+	f.submit("j", tasks(3, 100))
+	first := &f.s.jobs["j"].occs[0].steps[0].tasks[0]
+	for n := range int64(crashesInAll) {
+		first.setCrash(crash{run: n + 1, kind: crashShared, vm: "gone"})
+	}
+	require.Empty(t, f.plan())
+	require.Equal(t, batch.Failed, f.s.jobs["j"].state)
+	require.Empty(t, f.started)
+}
+
+// A suspect that fills waited for ever in a fleet where every VM is pressed, where others
+// start beside what serves after a while.
+func TestSuspectFillerDoesNotStarve(t *testing.T) {
+	f := newFixture(t, 1)
+	f.hearAll(nil)
+	serving := batch.Step{Tasks: 1, Need: batch.Resources{MilliCPU: 10_000, MemoryMB: 10}, Lasting: true, Image: "s", TailTarget: 20 * time.Millisecond}
+	f.submit("serving", serving)
+	f.plan()
+	at := f.last("serving.0.0.0")
+	f.confirm(at)
+	filler := tasks(1, 9000)
+	filler.Filler, filler.Image = true, "f"
+	f.submit("j", filler)
+	f.s.jobs["j"].occs[0].steps[0].tasks[0].setCrash(crash{run: 1, kind: crashShared, vm: "gone"})
+	for f.now < time.Minute && len(f.started["j.0.0.0"]) == 0 {
+		f.advance(200 * time.Millisecond)
+		rep := runs(at)
+		rep.Running[0].Progress, rep.Running[0].Usage, rep.Running[0].HasUsage = fullPace, 15, true
+		f.hear("vm00", rep)
+		f.plan()
+	}
+	require.Len(t, f.started["j.0.0.0"], 1)
+}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -254,6 +254,10 @@
 				s.startSuspect(r.now, t)
 				list = nil
 			}
+			if j.state.Final() {
+				// It was given up: what is left of it must not be started.
+				return
+			}
 			if len(t.runs) == 0 && s.needsAdvice(st) {
 				s.askAdvice(r.now, st)
 			}
--- a/internal/scheduler/trials.go
+++ b/internal/scheduler/trials.go
@@ -94,7 +94,11 @@
 	case free:
 		s.keep(now, best, t)
 	case now-t.suspectSince > trialPatience && s.intend(t):
-		if v := s.choose(now, t); v != nil {
+		v := s.choose(now, t)
+		if v == nil && s.starves(now, t) {
+			v = s.leastPressed(now, t)
+		}
+		if v != nil {
 			s.startClosed(now, t, v, false)
 		}
 	case best != nil && best.keptFor != t && float64(s.trials(now)) < max(1, mostTrials*float64(len(s.order))):
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -134,7 +134,10 @@
 		return
 	}
 	s.logf(v.lifeDecision(now, EventVMGone, reason))
-	if reason != reasonUnlisted {
+	if reason == reasonUnlisted {
+		// What was in doubt there stays so.
+		delete(s.doubts, id)
+	} else {
 		s.crashedUnder(now, v)
 	}
 	s.dropRuns(now, v, reason)
