Ends of VMs by ID; one place records a crash, one starts a run

Read again: whether a VM's end is noted was looked up in a list, for each VM that does not answer, at each end: where a thousand lose power at once that is a thousand million comparisons of names. The record of a doubted run stood three times, the start of a run twice, and a flag beside what implies it. Change: the ends are kept by ID; recordCrash serves noteCrash and both kinds of trial; startClosed goes through start; a confirmed run has begun. No decision changes. Checks: tests of the package, vet, linters.

--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -92,9 +92,7 @@
 
 // mayHaveCrashed reports whether the run may have ended its VM: it may have begun, and is
 // new.
-func (r *run) mayHaveCrashed() bool {
-	return (r.begun || r.confirmedAt > 0) && r.isNew()
-}
+func (r *run) mayHaveCrashed() bool { return r.begun && r.isNew() }
 
 // noteCrash records what the end of a run's VM says of its task.
 func (s *Scheduler) noteCrash(now Time, r *run, kind crashKind) {
@@ -102,14 +100,20 @@
 	if t.done || t.step.occ.job.state.Final() {
 		return
 	}
-	t.setCrash(crash{run: r.number, kind: kind, vm: r.vm.inst.ID})
-	s.touchCrashes(t)
+	s.recordCrash(r, kind)
 	s.logf(Decision{Event: EventCrashNoted, Task: t.id(), VM: r.vm.inst.ID, Run: r.number, Reason: crashKindNames[kind], Value: float64(len(t.crashes))})
+	if kind != crashDoubted {
+		s.judgeCrashes(now, t)
+	}
+}
+
+// recordCrash has the job's record tell of a run's VM.
+func (s *Scheduler) recordCrash(r *run, kind crashKind) {
+	r.task.setCrash(crash{run: r.number, kind: kind, vm: r.vm.inst.ID})
+	s.touchCrashes(r.task)
 	if kind == crashDoubted {
-		s.doubt(r.vm.inst.ID, t, r.number)
-		return
+		s.doubt(r.vm.inst.ID, r.task, r.number)
 	}
-	s.judgeCrashes(now, t)
 }
 
 // crash returns what was noted of a run, or nil.
@@ -184,9 +188,9 @@
 		return
 	}
 	end := v.end(now)
-	others := s.endedWith(now, &end)
+	others := s.endedWith(now, v, &end)
 	storm := s.storm(now, v)
-	s.ends = append(s.ends, end)
+	s.ends[v.inst.ID] = end
 	if v.inst.Draining || v.closed {
 		// It was to end.
 		s.clearDoubts(v.inst.ID)
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -319,7 +319,7 @@
 // confirm notes that the VM has the run. Only then has its job begun: an order may
 // wait for its turn.
 func (r *run) confirm(now Time) {
-	r.state = running
+	r.state, r.begun = running, true
 	r.confirmedAt = now
 	r.task.step.occ.job.started = true
 }
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -342,10 +342,11 @@
 	return s.nextRun
 }
 
-func (s *Scheduler) start(now Time, t *task, v *vm, number int64) {
-	r := &run{task: t, vm: v, number: number, orderedAt: now, paced: 100}
+func (s *Scheduler) start(now Time, t *task, v *vm, number int64) *run {
+	r := &run{task: t, vm: v, number: number, orderedAt: now, paced: fullPace}
 	s.hold(r)
 	s.orderStart(now, r)
+	return r
 }
 
 func (s *Scheduler) orderStart(now Time, r *run) {
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -332,9 +332,9 @@
 	unguarded bool
 	// listedAt is when the list of VMs was last read.
 	listedAt Time
-	// ends are the VMs that ended of late, doubts the runs that may have ended a VM, by
-	// its ID.
-	ends   []vmEnd
+	// ends are the VMs that ended of late, doubts the runs that may have ended a VM, both
+	// by its ID.
+	ends   map[string]vmEnd
 	doubts map[string]map[*task]int64
 	// trialTurn is where the next look for a VM for a trial begins.
 	trialTurn int
@@ -392,7 +392,7 @@
 	}
 	return &Scheduler{
 		settings: settings, policy: policy, fence: fence, nextRun: fence << runBits, vms: map[string]*vm{}, jobs: map[string]*job{},
-		timed: map[string]*job{}, dirty: map[string]*job{}, waves: map[int64]*wave{}, silent: map[string]Time{}, doubts: map[string]map[*task]int64{}, lapsed: map[string]int64{}, untoldSince: map[string]Time{}, absent: map[string]Time{}, images: newImages(), meanWork: map[string]float64{}, logf: log,
+		timed: map[string]*job{}, dirty: map[string]*job{}, waves: map[int64]*wave{}, silent: map[string]Time{}, ends: map[string]vmEnd{}, doubts: map[string]map[*task]int64{}, lapsed: map[string]int64{}, untoldSince: map[string]Time{}, absent: map[string]Time{}, images: newImages(), meanWork: map[string]float64{}, logf: log,
 	}
 }
 
--- a/internal/scheduler/trials.go
+++ b/internal/scheduler/trials.go
@@ -143,9 +143,7 @@
 	for _, h := range held {
 		h.trial, h.vm.trial = trial, h
 		h.task.suspectSince, h.task.intended = 0, 0
-		h.task.setCrash(crash{run: h.number, kind: crashDoubted, vm: h.vm.inst.ID})
-		s.touchCrashes(h.task)
-		s.doubt(h.vm.inst.ID, h.task, h.number)
+		s.recordCrash(h, crashDoubted)
 	}
 	return held
 }
@@ -201,14 +199,10 @@
 // startClosed starts a suspect on a VM that takes nothing else while the run is new. It is
 // a trial where nothing else is new there now.
 func (s *Scheduler) startClosed(now Time, t *task, v *vm, trial bool) {
-	r := &run{task: t, vm: v, number: t.intended, orderedAt: now, paced: fullPace, trial: trial}
+	r := s.start(now, t, v, t.intended)
+	r.trial, v.trial = trial, r
 	t.suspectSince, t.intended, t.keptOn, v.keptFor = 0, 0, nil, nil
-	t.setCrash(crash{run: r.number, kind: crashDoubted, vm: v.inst.ID})
-	s.touchCrashes(t)
-	s.doubt(v.inst.ID, t, r.number)
-	s.hold(r)
-	v.trial = r
-	s.orderStart(now, r)
+	s.recordCrash(r, crashDoubted)
 }
 
 // intend records a suspect's next run as doubted, and reports whether it may be started:
--- a/internal/scheduler/vmends.go
+++ b/internal/scheduler/vmends.go
@@ -1,7 +1,7 @@
 package scheduler
 
 import (
-	"slices"
+	"maps"
 	"time"
 )
 
@@ -26,7 +26,6 @@
 
 // vmEnd is the end of a VM, or of its answers.
 type vmEnd struct {
-	id string
 	// It came after aliveAt, and was noticed at noticedAt.
 	aliveAt, noticedAt Time
 	// byTask is set where a task is likely to have ended it: it had begun just before.
@@ -35,7 +34,7 @@
 
 // end describes the VM's end if it has ended.
 func (v *vm) end(now Time) vmEnd {
-	e := vmEnd{id: v.inst.ID, aliveAt: v.heardAt, noticedAt: now}
+	e := vmEnd{aliveAt: v.heardAt, noticedAt: now}
 	if v.unansweredAt > 0 {
 		e.noticedAt = v.unansweredAt
 	}
@@ -51,38 +50,42 @@
 	return e
 }
 
-// endedWith counts the other VMs that ended, or stopped to answer, about when one did, and
-// that no task is likely to have ended.
-func (s *Scheduler) endedWith(now Time, end *vmEnd) (others int) {
-	s.ends = slices.DeleteFunc(s.ends, func(e vmEnd) bool { return now-e.noticedAt > endsKept })
-	count := func(e *vmEnd) {
-		if e.id == end.id || e.byTask || e.aliveAt > end.noticedAt+endedTogether || e.noticedAt < end.aliveAt-endedTogether {
-			return
+// together reports whether two VMs may have ended at the same moment.
+func (e *vmEnd) together(other *vmEnd) bool {
+	return e.aliveAt <= other.noticedAt+endedTogether && e.noticedAt >= other.aliveAt-endedTogether
+}
+
+// endedWith counts the VMs other than v that ended, or stopped to answer, about when it
+// did, and that no task is likely to have ended. v's own end is not noted yet.
+func (s *Scheduler) endedWith(now Time, v *vm, end *vmEnd) (others int) {
+	maps.DeleteFunc(s.ends, func(_ string, e vmEnd) bool { return now-e.noticedAt > endsKept })
+	for _, e := range s.ends {
+		if !e.byTask && e.together(end) {
+			others++
 		}
-		others++
 	}
-	for i := range s.ends {
-		count(&s.ends[i])
-	}
-	for _, v := range s.vms {
-		if v.heard && v.unansweredAt > 0 && !v.inst.Draining && !v.closed && !s.hasEnded(v.inst.ID) {
-			e := v.end(now)
-			count(&e)
+	for id, other := range s.vms {
+		if other == v || !other.heard || other.unansweredAt == 0 || other.inst.Draining || other.closed || s.hasEnded(id) {
+			continue
+		}
+		if e := other.end(now); !e.byTask && e.together(end) {
+			others++
 		}
 	}
 	return others
 }
 
 func (s *Scheduler) hasEnded(id string) bool {
-	return slices.ContainsFunc(s.ends, func(e vmEnd) bool { return e.id == id })
+	_, ended := s.ends[id]
+	return ended
 }
 
 // storm reports whether as many VMs ended of late by no task as there are others that
 // answer: whatever ends them may have ended v as well.
 func (s *Scheduler) storm(now Time, v *vm) bool {
 	ended := 0
-	for i := range s.ends {
-		if !s.ends[i].byTask {
+	for _, e := range s.ends {
+		if !e.byTask {
 			ended++
 		}
 	}
