The bound of a relay's room stands once; a comment is with its fields again

Change: edge takes relay.MostRoom for its own copy of 64. Outcome's comment on PaceOrders had come to stand above other fields. Nothing else changes.

--- a/internal/edge/offers.go
+++ b/internal/edge/offers.go
@@ -24,8 +24,6 @@
 	// leader has those with the most first.
 	offerSpread = 20 * time.Millisecond
 	smallOffer  = 150 * time.Millisecond
-	// fullOffer is the room from which a process does not wait.
-	fullOffer = 64
 )
 
 // offers tells each leader that this process can carry orders for it.
@@ -51,7 +49,7 @@
 
 // Serve implements suture.Service.
 func (o *offers) Serve(ctx context.Context) error {
-	small := float64(max(0, fullOffer-o.offer.VMs)) / fullOffer
+	small := float64(max(0, relay.MostRoom-o.offer.VMs)) / relay.MostRoom
 	delay := rand.N(offerSpread) + time.Duration(small*float64(smallOffer))
 	next := time.NewTimer(delay)
 	defer next.Stop()
--- a/internal/experiment/play.go
+++ b/internal/experiment/play.go
@@ -48,13 +48,13 @@
 	Used float64 `json:"used"`
 	// WastedS is work that was not kept, in processor seconds.
 	WastedS float64 `json:"wasted_s"`
-	// PaceOrders and Starts count orders.
 	// CrashingJobs counts the jobs with a task that ends its VMs, Crashes the VMs that
 	// such tasks ended.
 	CrashingJobs int `json:"crashing_jobs,omitempty"`
 	Crashes      int `json:"crashes,omitempty"`
-	PaceOrders   int `json:"pace_orders"`
-	Starts       int `json:"starts"`
+	// PaceOrders and Starts count orders.
+	PaceOrders int `json:"pace_orders"`
+	Starts     int `json:"starts"`
 	// NsPerDecision and AllocsPerDecision are the processor time and allocations of the
 	// scheduler for each start, all its calls counted; allocations, those of the model
 	// included, are told where one play runs at a time.
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -32,24 +32,27 @@
 // readyPoll is how often a new leader looks whether enough relays are there.
 const readyPoll = 10 * time.Millisecond
 
+// MostRoom bounds the VMs of one relay.
+const MostRoom = 64
+
 // Room returns how many VMs a process can serve with half of its processor, a share of
 // a core, and 0.7 of its link: a VM takes some 1 ms of a core a second (2.5 starts and
 // a hold), and 8 KB/s. More relays than that cost the leader: it sends each job's payload
 // to each of them.
 func Room(processor, linkMbps float64) int {
 	const (
-		perVM       = 0.001
-		bitsPerVM   = 8 * 8000
-		share       = 0.5
-		linkShare   = 0.7
-		least, most = 4, 64
-		megabit     = 1e6
+		perVM     = 0.001
+		bitsPerVM = 8 * 8000
+		share     = 0.5
+		linkShare = 0.7
+		least     = 4
+		megabit   = 1e6
 	)
 	room := share * processor / perVM
 	if linkMbps > 0 {
 		room = min(room, linkShare*linkMbps*megabit/bitsPerVM)
 	}
-	return int(min(max(room, least), most))
+	return int(min(max(room, least), MostRoom))
 }
 
 // Pool gives a leader's orders to instances, through relays where the fleet is large.
