--- a/internal/scheduler/crashes_test.go
+++ b/internal/scheduler/crashes_test.go
@@ -74,6 +74,19 @@
 	}
 }
 
+// playCrashing plays a job of a kind that ends its VMs among others: it has to be given up
+// in time, and all others kept. It returns the task.
+func (c *crashFleet) playCrashing(kind string) batch.TaskID {
+	c.play(2 * time.Second)
+	task := c.handCrashing(kind)
+	c.handOthers(40, 250*time.Millisecond)
+	c.play(50 * time.Second)
+	c.requireBounded()
+	c.requireState(task.Job, batch.Failed)
+	c.requireOthersKept()
+	return task
+}
+
 func TestTaskThatCrashesItsVMsIsGivenUp(t *testing.T) {
 	t.Parallel()
 	for _, kind := range crashingKinds {
@@ -83,13 +96,7 @@
 				for _, seed := range crashSeeds(20) {
 					c := newCrashFleet(t, 12, seed)
 					c.darkDeaths = dark
-					c.play(2 * time.Second)
-					task := c.handCrashing(kind)
-					c.handOthers(40, 250*time.Millisecond)
-					c.play(50 * time.Second)
-					c.requireBounded()
-					c.requireState(task.Job, batch.Failed)
-					c.requireOthersKept()
+					task := c.playCrashing(kind)
 					require.GreaterOrEqual(t, len(c.crashed[task]), 2, "given up with too little evidence")
 				}
 			})
@@ -105,13 +112,7 @@
 			c := newCrashFleet(t, 12, seed)
 			c.crashAfter = 600 * time.Millisecond
 			c.darkDeaths = seed%2 == 1
-			c.play(2 * time.Second)
-			task := c.handCrashing(kind)
-			c.handOthers(40, 250*time.Millisecond)
-			c.play(50 * time.Second)
-			c.requireBounded()
-			c.requireState(task.Job, batch.Failed)
-			c.requireOthersKept()
+			c.playCrashing(kind)
 		}
 	}
 }
