Lines and counters tell which start of a VM they are about

What is fetched of the metrics is cut after some kilobytes, and the runtime's memory figures fill them. Change: the start's time is read from entries and reports, also through relays; vm_heard, vm_restarted and run_lost tell it with the highest acknowledged end; a count of VMs that get no work since an end of theirs is never acknowledged; no memory figures of the runtime. No decision depends on any of it yet.

--- a/internal/batch/vm.go
+++ b/internal/batch/vm.go
@@ -10,10 +10,15 @@
 // Resources is an amount of each thing that a VM has only so much of.
 type Resources = model.Resources
 
-// Instance is one life of a VM. After a restart the VM has another instance ID,
-// runs nothing and has seen no fencing token.
+// Instance is a VM as its entry on the list describes it. A VM may start again under its
+// ID: it then runs nothing, has seen no fencing token, and counts its ends and its time
+// anew. Orders name the ID and reach whichever start is there.
 type Instance struct {
-	ID      string
+	ID string
+	// Born tells the starts of a VM apart: the time of day of the start, in milliseconds
+	// since 1970; 0 where it is not told. Clocks of the time of day jump, so that a later
+	// start need not have the higher value.
+	Born    int64
 	Pool    string
 	Address string
 	// Zone is the availability zone.
@@ -95,6 +100,8 @@
 
 // Report is an instance's own account of what it runs.
 type Report struct {
+	// Born is that of the start which reports, 0 where it is not told.
+	Born    int64
 	Clock   time.Duration
 	Running []RunStatus
 	Ended   []RunEnd
--- a/internal/edge/figures.go
+++ b/internal/edge/figures.go
@@ -78,6 +78,7 @@
 		{"leased", f.Leased},
 		{"leased_silent", f.LeasedSilent},
 		{"waited_for", f.Waited},
+		{"withheld", f.Withheld},
 	} {
 		gauge(c.vms, float64(v.count), v.state)
 	}
--- a/internal/edge/metrics_test.go
+++ b/internal/edge/metrics_test.go
@@ -129,7 +129,7 @@
 	m := newMetrics(func() (leader.Figures, bool) {
 		return leader.Figures{
 			Figures: scheduler.Figures{
-				Fence: 706, VMs: 48, Unlisted: 16, Unheard: 1, Silent: 3, Leased: 47, LeasedSilent: 2, LongestLease: 7500 * time.Millisecond, Waited: 4, Runs: 243,
+				Fence: 706, VMs: 48, Unlisted: 16, Unheard: 1, Silent: 3, Leased: 47, LeasedSilent: 2, LongestLease: 7500 * time.Millisecond, Waited: 4, Withheld: 2, Runs: 243,
 			},
 			UnackedEnds: 9, OldestUnacked: 1500 * time.Millisecond,
 		}, leading
@@ -140,10 +140,11 @@
 	m.end(scheduler.EndAfterDone)
 	m.end(scheduler.EndUnknownJob)
 	text := scrape(t, m)
+	require.NotContains(t, text, "go_memstats")
 	for _, line := range []string{
 		`leads 1`, `confirmed 0`, `fence 706`, `runs 243`, `longest_lease_seconds 7.5`, `unacknowledged_ends 9`, `unacknowledged_end_age_seconds 1.5`,
 		`vms{state="known"} 48`, `vms{state="unlisted"} 16`, `vms{state="unheard"} 1`, `vms{state="silent"} 3`, `vms{state="leased"} 47`,
-		`vms{state="leased_silent"} 2`, `vms{state="waited_for"} 4`, `given_up_total{reason="lease over",what="run"} 1`,
+		`vms{state="leased_silent"} 2`, `vms{state="waited_for"} 4`, `vms{state="withheld"} 2`, `given_up_total{reason="lease over",what="run"} 1`,
 		`given_up_total{reason="another instance answers",what="vm"} 1`, `given_up_total{reason="other",what="vm"} 1`,
 		`ends_total{standing="task_done"} 1`, `ends_total{standing="unknown_job"} 1`,
 	} {
--- a/internal/edge/operations.go
+++ b/internal/edge/operations.go
@@ -60,7 +60,9 @@
 		}, []string{"standing"}),
 	}
 	m.registry.MustRegister(
-		m.requests, m.latency, m.decisions, m.startWait, m.runTime, m.givenUp, m.ends, newFigures(read), collectors.NewGoCollector(),
+		m.requests, m.latency, m.decisions, m.startWait, m.runTime, m.givenUp, m.ends, newFigures(read),
+		// Readers cut long answers off, and these stand before the product's own.
+		collectors.NewGoCollector(collectors.WithGoCollectorMemStatsMetricsDisabled()),
 	)
 	return m
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -418,6 +418,9 @@
 	if d.Unheard != 0 {
 		f["unheard_ms"] = d.Unheard.Milliseconds()
 	}
+	if d.Born != 0 {
+		f["born"], f["acked"] = d.Born, d.Acked
+	}
 	if d.LeaseLeft != 0 {
 		f["lease_left_ms"] = d.LeaseLeft.Milliseconds()
 	}
--- a/internal/relay/listing.go
+++ b/internal/relay/listing.go
@@ -39,7 +39,7 @@
 }
 
 func same(a, b *batch.Instance) bool {
-	return a.Pool == b.Pool && a.Address == b.Address && a.Zone == b.Zone && a.Draining == b.Draining &&
+	return a.Born == b.Born && a.Pool == b.Pool && a.Address == b.Address && a.Zone == b.Zone && a.Draining == b.Draining &&
 		a.Remaining == b.Remaining && a.Stale == b.Stale && a.Capacity == b.Capacity && slices.Equal(a.Labels, b.Labels)
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -197,6 +197,7 @@
 		// Members of a gang have one number.
 		{Clock: 4, Running: []batch.RunStatus{{Task: task(4), Run: 9}, {Task: task(3), Run: 9, Checkpoint: "x"}}, MoreEnded: true},
 		{Clock: 5, Running: []batch.RunStatus{}},
+		{Clock: 1, Born: 1790000000123, Running: []batch.RunStatus{}},
 	}
 	next := 0
 	relayed := &vms{report: func(string) (batch.Report, error) {
@@ -400,6 +401,10 @@
 	draining.Draining = true
 	list = []batch.Instance{draining, *vmOf(3)}
 	require.Equal(t, list, read())
+	restarted := draining
+	restarted.Born = 1790000000123
+	list = []batch.Instance{restarted, *vmOf(3)}
+	require.Equal(t, list, read(), "a VM that differs in its start only")
 	reader := p.lister
 	require.NoError(t, func() error { _, err := p.Hold(soon(t), vmOf(0), batch.HoldOrder{}); return err }())
 	require.Same(t, reader, p.reader(), "the same relay, however much others have to do")
--- a/internal/relay/report.go
+++ b/internal/relay/report.go
@@ -7,6 +7,7 @@
 // takes some 12 bytes instead of 60, which counts where the leader's link is narrow.
 type report struct {
 	VM      int
+	Born    int64
 	Running []row
 	Ended   []batch.RunEnd
 	More    bool
@@ -35,7 +36,7 @@
 	for i := range l[vm] {
 		before[l[vm][i].Run] = i + 1
 	}
-	short := &report{VM: vm, Ended: rep.Ended, More: rep.MoreEnded, Running: make([]row, len(rep.Running))}
+	short := &report{VM: vm, Born: rep.Born, Ended: rep.Ended, More: rep.MoreEnded, Running: make([]row, len(rep.Running))}
 	for i := range rep.Running {
 		r := &rep.Running[i]
 		out := row{Progress: r.Progress, Usage: r.Usage, HasUsage: r.HasUsage, Checkpoint: r.Checkpoint}
@@ -61,7 +62,7 @@
 // row that this side does not have.
 func (l lastReports) restore(short *report) (rep batch.Report, ok bool) {
 	before := l[short.VM]
-	rep = batch.Report{Ended: short.Ended, MoreEnded: short.More, Running: make([]batch.RunStatus, len(short.Running))}
+	rep = batch.Report{Born: short.Born, Ended: short.Ended, MoreEnded: short.More, Running: make([]batch.RunStatus, len(short.Running))}
 	for i := range short.Running {
 		in := &short.Running[i]
 		out := batch.RunStatus{Task: in.Task, Run: in.Run, Checkpoint: in.Checkpoint, Progress: in.Progress, Usage: in.Usage, HasUsage: in.HasUsage}
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -65,6 +65,8 @@
 	EventVMListed = "vm_listed"
 	// EventVMResized: a VM's capacity has changed.
 	EventVMResized = "vm_resized"
+	// EventVMRestarted: a VM has started again under its ID.
+	EventVMRestarted = "vm_restarted"
 	// EventVMSuspected: a VM gets no work for a while because of what ran there.
 	EventVMSuspected = "vm_suspected"
 	// EventVMUnlisted: a VM went off the store's list.
@@ -108,6 +110,7 @@
 	EventVMHeard,
 	EventVMListed,
 	EventVMResized,
+	EventVMRestarted,
 	EventVMSuspected,
 	EventVMUnlisted,
 	EventVMWaitedOut,
--- a/internal/scheduler/figures.go
+++ b/internal/scheduler/figures.go
@@ -27,6 +27,9 @@
 	LongestLease time.Duration
 	// Waited counts the VMs of earlier leaders that old jobs' tasks wait for.
 	Waited int
+	// Withheld counts the VMs that get no work since an end of theirs is never
+	// acknowledged.
+	Withheld int
 	// Runs are those that count.
 	Runs int
 }
@@ -44,6 +47,9 @@
 		if !x.Listed {
 			f.Unlisted++
 		}
+		if v.ackLimit > 0 {
+			f.Withheld++
+		}
 		if !x.Heard {
 			f.Unheard++
 		}
--- a/internal/scheduler/reports.go
+++ b/internal/scheduler/reports.go
@@ -18,8 +18,12 @@
 		// An earlier leader may have renewed the leases there until now.
 		v.leaseOver = max(v.leaseOver, now+leaseOver(s.settings.Lease()))
 		s.changed = true
-		s.logf(Decision{Event: EventVMHeard, VM: id, Value: float64(len(rep.Running))})
+		s.logf(Decision{Event: EventVMHeard, VM: id, Value: float64(len(rep.Running)), Born: rep.Born})
 	}
+	if rep.Born != 0 && v.born != 0 && rep.Born != v.born {
+		s.logf(Decision{Event: EventVMRestarted, VM: id, Born: rep.Born, Acked: v.acked(), Unheard: now - v.heardAt, Value: float64(len(v.runs))})
+	}
+	v.born = rep.Born
 	if now-v.heardAt > heardAgain {
 		s.changed = true
 	}
@@ -129,7 +133,7 @@
 	if !confirmed && !stopped {
 		return
 	}
-	s.logf(Decision{Event: EventRunLost, Task: r.task.id(), VM: r.vm.inst.ID, Run: r.number, Reason: "not listed", Age: now - r.orderedAt})
+	s.logf(Decision{Event: EventRunLost, Task: r.task.id(), VM: r.vm.inst.ID, Run: r.number, Reason: "not listed", Age: now - r.orderedAt, Born: r.vm.born, Acked: r.vm.acked()})
 	s.lose(now, r)
 }
 
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -220,7 +220,9 @@
 	heard   bool
 	heardAt Time
 	clock   clock
-	runs    map[batch.TaskID]*run
+	// born is which start of the VM told the last report.
+	born int64
+	runs map[batch.TaskID]*run
 	// ordered holds runs in the order in which they were taken on: what is decided for
 	// one after the other must not follow the order of a map, or equal inputs would give
 	// other plans. It is replaced, not changed, when a run goes, so that loops may end runs.
@@ -420,6 +422,9 @@
 	// this leader took may still last there; negative when it is over. Both are told
 	// where the end of a VM, or of what it runs, is concluded.
 	Unheard, LeaseLeft time.Duration
+	// Born is which start of the VM it is about, Acked the highest end that was
+	// acknowledged to it. Told where a VM is heard or started again, or a run is not listed.
+	Born, Acked int64
 }
 
 // OrderKind is what an order asks of an instance.
