--- a/internal/scheduler/crashfleet_test.go
+++ b/internal/scheduler/crashfleet_test.go
@@ -51,6 +51,8 @@
 	seq    int64
 	hearAt Time
 	dieAt  Time
+	// bornAt is when it began, where VMs start again under their IDs.
+	bornAt Time
 	// culprit is the task that ends it.
 	culprit batch.TaskID
 }
@@ -78,6 +80,9 @@
 	polls  Time
 	// darkDeaths: VMs end without a sign, and holds time out.
 	darkDeaths bool
+	// restarts: VMs start again under their IDs. judge looks at what they see.
+	restarts bool
+	judge    *restartJudge
 	// records is what the store has, by job; lost says whether a write's answer is lost,
 	// down whether the store can't be written.
 	jobs    []*batch.Job
@@ -139,6 +144,10 @@
 	_, err := fmt.Sscanf(id, "vm%02d-", &place)
 	require.NoError(c.t, err)
 	c.breakGangs(v)
+	if c.restarts {
+		c.restart(v)
+		return
+	}
 	c.after(backAfter, func() { c.addVM(place) })
 	c.holdsFail(id)
 	if c.polled {
@@ -284,7 +293,7 @@
 	if v.due(c.now) {
 		for _, task := range v.tasks() {
 			if r := v.runs[task]; r.until > 0 && c.now >= r.until {
-				v.end(task, r.number, batch.EndDone)
+				v.end(task, r.number, c.judge.endOf(task))
 			}
 		}
 	}
@@ -293,9 +302,18 @@
 	}
 	v.hearAt = c.now + hearEvery
 	order, ok := c.s.Hold(c.now, id, hearEvery)
+	if !ok && c.restarts {
+		// It was given up, and is not listed anew yet.
+		return
+	}
 	require.True(c.t, ok, "unknown VM %s", id)
+	for _, e := range v.ended {
+		if e.Seq <= order.Acked {
+			c.judge.acknowledged(e)
+		}
+	}
 	v.ended = slices.DeleteFunc(v.ended, func(e batch.RunEnd) bool { return e.Seq <= order.Acked })
-	rep := batch.Report{Clock: c.now + time.Hour, Ended: v.ended}
+	rep := batch.Report{Born: v.inst.Born, Clock: v.clock(c.now), Ended: v.ended}
 	for _, task := range v.tasks() {
 		r := v.runs[task]
 		rep.Running = append(rep.Running, batch.RunStatus{Task: task, Run: r.number, Progress: r.progress(c.now)})
@@ -303,6 +321,13 @@
 	c.s.Heard(c.now, c.now, id, rep)
 }
 
+func (v *fleetVM) clock(now Time) time.Duration {
+	if v.bornAt > 0 {
+		return now - v.bornAt + time.Millisecond
+	}
+	return now + time.Hour
+}
+
 // tasks are those that run on the VM, in a fixed order.
 func (v *fleetVM) tasks() []batch.TaskID {
 	var ids []batch.TaskID
@@ -343,6 +368,7 @@
 			return
 		}
 		c.starts[o.Task] = append(c.starts[o.Task], c.now)
+		c.judge.started(c, o.Task)
 		lasts, given := c.lasts[o.Task.Job]
 		if !given {
 			lasts = time.Second
@@ -355,7 +381,7 @@
 		if c.crashes[o.Task] && v.dieAt == 0 {
 			v.dieAt, v.culprit = c.now+c.crashAfter, o.Task
 		}
-		c.confirm(o)
+		c.s.Started(c.now, c.now, o, v.clock(c.now), "", false)
 	case OrderStop:
 		if v == nil {
 			return
--- a/internal/scheduler/explore_leader_test.go
+++ b/internal/scheduler/explore_leader_test.go
@@ -216,7 +216,7 @@
 		if list := w.list(); w.record(l, list, nil) {
 			l.s.SetInstances(w.now, list)
 		}
-		if w.faults.crashes && l.s.Doubtful(w.now) {
+		if (w.faults.crashes || w.faults.restarts) && l.s.Doubtful(w.now) {
 			l.s.SetLives(w.now, w.now, w.machines())
 		}
 	}
@@ -310,7 +310,7 @@
 		if !w.calm && w.rng.IntN(1000) < 5 {
 			l.cut[v.id] = w.now + w.upTo(12*time.Second)
 		}
-		if !l.holding[v.id] {
+		if !l.holding[v.id] && v.next == nil {
 			w.hold(l, v)
 		}
 	}
@@ -394,7 +394,7 @@
 	sentAt := w.now
 	var report batch.Report
 	fenced := false
-	w.call(l, v, func() { report, fenced = w.held(v, order) }, func() {
+	w.call(l, v, func(v *modelVM) { report, fenced = w.held(v, order) }, func() {
 		l.holding[v.id] = false
 		if fenced {
 			w.fenced(l)
@@ -403,13 +403,13 @@
 		l.s.Heard(w.now, sentAt, v.id, report)
 	}, func() {
 		l.holding[v.id] = false
-		l.s.Unanswered(w.now, v.id, v.dead)
+		l.s.Unanswered(w.now, v.id, v.dead && !v.dark)
 	})
 }
 
 func (w *world) carryOut(l *modelLeader, o Order) {
 	for _, v := range w.vms {
-		if v.id != o.Instance.ID {
+		if v.id != o.Instance.ID || v.next != nil {
 			continue
 		}
 		switch o.Kind {
@@ -428,12 +428,16 @@
 	}
 	sentAt := w.now
 	refusal := batch.Refusal("")
-	w.call(l, v, func() { refusal = w.started(v, o) }, func() {
+	clock := time.Duration(0)
+	w.call(l, v, func(v *modelVM) { refusal, clock = w.started(v, o), v.clock(w.now) }, func() {
 		if refusal == batch.RefusedFence {
 			w.fenced(l)
 			return
 		}
-		l.s.Started(w.now, sentAt, o, v.clock(w.now), refusal, false)
+		if !w.faults.restarts {
+			clock = v.clock(w.now)
+		}
+		l.s.Started(w.now, sentAt, o, clock, refusal, false)
 	}, func() {
 		if w.breaks.forgetUnknown {
 			l.s.Started(w.now, sentAt, o, 0, batch.RefusedBusy, false)
@@ -448,7 +452,7 @@
 		return
 	}
 	known := true
-	w.call(l, v, func() { known = w.stopped(v, l.fence, o) }, func() {
+	w.call(l, v, func(v *modelVM) { known = w.stopped(v, l.fence, o) }, func() {
 		if !known {
 			w.fenced(l)
 			return
--- a/internal/scheduler/explore_model_test.go
+++ b/internal/scheduler/explore_model_test.go
@@ -42,8 +42,10 @@
 	jobs       map[string]*modelJob
 	tasks      map[batch.TaskID]*history
 	messages   []message
-	// moved counts the lives that began at another address than the last.
-	moved int
+	// moved counts the lives that began at another address than the last, births those
+	// that tell when they began.
+	moved  int
+	births int64
 	// calm is set for the end of a seed, at calmAt: nothing is lost, late or cut off any
 	// more. late is set while a VM carries an order out that is seconds old.
 	calm, late bool
@@ -123,12 +125,13 @@
 func (w *world) travel() time.Duration { return time.Millisecond + w.upTo(30*time.Millisecond) }
 
 // call carries a message to a VM and its answer back: lost on either way, late,
-// or carried out seconds after without an answer. Another life at the VM's address
-// tells that it is another.
-func (w *world) call(l *modelLeader, v *modelVM, do, answer, silence func()) {
+// or carried out seconds after without an answer. Another VM at the address
+// tells that it is another; another start of the same VM takes the message.
+func (w *world) call(l *modelLeader, v *modelVM, do func(*modelVM), answer, silence func()) {
+	v = v.current()
 	arrive := func() bool {
 		if !v.dead {
-			do()
+			do(v)
 		}
 		return !v.dead
 	}
@@ -138,9 +141,11 @@
 	switch {
 	case !w.reaches(l, v) || (!w.calm && w.chance(4)):
 		lost()
-	case v.dead:
+	case v.dead && v.dark:
+		lost()
+	case v.dead, w.faults.restarts && l.s.vms[v.id] != nil && l.s.vms[v.id].inst.Address != v.address:
 		for _, other := range w.vms {
-			if !other.dead && other.address == v.address && w.reaches(l, other) {
+			if !other.dead && other != v && other.address == v.address && w.reaches(l, other) {
 				w.after(2*w.travel(), func() { w.deliver(l, func() { w.gone(l, v) }) })
 				return
 			}
@@ -233,6 +238,9 @@
 	if w.faults.list && w.rng.IntN(1000) < 20 {
 		w.disturbVM()
 	}
+	if w.faults.restarts && w.rng.IntN(1000) < 10 {
+		w.dieTogether()
+	}
 	if w.faults.resizes && w.rng.IntN(1000) < 15 {
 		w.resizeVM()
 	}
--- a/internal/scheduler/explore_test.go
+++ b/internal/scheduler/explore_test.go
@@ -39,6 +39,8 @@
 	resizes bool
 	// asks: new leaders ask their predecessors how long leases may last.
 	asks bool
+	// restarts: VMs start again under the IDs that they had, many at once.
+	restarts bool
 }
 
 // breaks leave a safeguard out; each has to be found.
@@ -138,15 +140,18 @@
 	return strings.Join(shown[max(0, len(shown)-traceLines):], "\n")
 }
 
+// exploreProfile is some seeds of some faults.
+type exploreProfile struct {
+	name   string
+	faults faults
+	seeds  uint64
+}
+
 // No task runs in two places, and none starts after its end was acknowledged or
 // is acknowledged later, whatever happens to leaders, messages, clocks and VMs; and
 // once nothing happens any more, all that can end has ended.
 func TestExploreOwnership(t *testing.T) {
-	for _, c := range []struct {
-		name   string
-		faults faults
-		seeds  uint64
-	}{
+	for _, c := range []exploreProfile{
 		{"leaders and messages", faults{}, 120},
 		{"leaders alone with some VMs", faults{alone: true}, 120},
 		{"VMs off the list", faults{list: true}, 160},
@@ -163,26 +168,45 @@
 		{"all, predecessors asked", faults{alone: true, list: true, late: true, timed: true, attempts: true, revoked: true, asks: true}, 160},
 		{"all", faults{alone: true, list: true, late: true, timed: true, attempts: true, revoked: true}, 120},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			seeds := c.seeds * *exploreScale
-			if testing.Short() {
-				seeds /= 10
-			}
-			starts, changes, cautious, full := 0, 0, 0, 0
-			for _, o := range exploreSeeds(seeds, c.faults, breaks{}) {
-				if o.broken != "" {
-					t.Fatalf("seed %d: %s\n%s", o.seed, o.broken, replay(o.seed, c.faults, breaks{}))
-				}
-				starts += o.starts
-				changes += o.changes
-				cautious += min(o.overcautious, 1)
-				if o.full {
-					full++
-				}
-			}
-			t.Logf("%d seeds: %d starts, %d leaders, nothing broken; %d with ends withheld though their lease had lapsed, %d with all VMs withheld", seeds, starts, changes, cautious, full)
-			require.Greater(t, starts, int(seeds)*20)
-		})
+		t.Run(c.name, c.run)
+	}
+}
+
+func (c exploreProfile) run(t *testing.T) {
+	seeds := c.seeds * *exploreScale
+	if testing.Short() {
+		seeds /= 10
+	}
+	starts, changes, cautious, full := 0, 0, 0, 0
+	for _, o := range exploreSeeds(seeds, c.faults, breaks{}) {
+		if o.broken != "" {
+			t.Fatalf("seed %d: %s\n%s", o.seed, o.broken, replay(o.seed, c.faults, breaks{}))
+		}
+		starts += o.starts
+		changes += o.changes
+		cautious += min(o.overcautious, 1)
+		if o.full {
+			full++
+		}
+	}
+	t.Logf("%d seeds: %d starts, %d leaders, nothing broken; %d with ends withheld though their lease had lapsed, %d with all VMs withheld", seeds, starts, changes, cautious, full)
+	require.Greater(t, starts, int(seeds)*20)
+}
+
+// The same where VMs start again under the IDs that they had: of all that is kept per VM it
+// has to be clear which start was meant.
+func TestExploreRestarts(t *testing.T) {
+	for _, c := range []exploreProfile{
+		{"restarts", faults{restarts: true}, 160},
+		{"restarts, attempts, timed jobs", faults{restarts: true, attempts: true, timed: true}, 160},
+		{"restarts, VMs off the list", faults{restarts: true, list: true}, 160},
+		{"restarts, leaders alone with some VMs", faults{restarts: true, alone: true, revoked: true}, 160},
+		{"restarts, tasks that end their VMs", faults{restarts: true, crashes: true}, 160},
+		{"restarts, capacities that shrink", faults{restarts: true, resizes: true, list: true}, 120},
+		{"restarts, predecessors asked", faults{restarts: true, alone: true, list: true, revoked: true, asks: true}, 160},
+		{"all with restarts", faults{alone: true, list: true, late: true, timed: true, attempts: true, revoked: true, asks: true, restarts: true}, 160},
+	} {
+		t.Run(c.name, c.run)
 	}
 }
 
--- a/internal/scheduler/explore_vm_test.go
+++ b/internal/scheduler/explore_vm_test.go
@@ -38,12 +38,19 @@
 // modelVM is one life of a VM.
 type modelVM struct {
 	id, address string
-	zone        int
-	fence       int64
-	running     []modelRun
-	last        map[batch.TaskID]int64
-	ended       []*modelEnd
-	seq         int64
+	// born tells the starts under an ID apart, bornAt is when this one began. before and
+	// next are the starts before and after it under the same ID.
+	born         int64
+	bornAt       Time
+	before, next *modelVM
+	// dark: what is sent to it after its end is left in silence.
+	dark    bool
+	zone    int
+	fence   int64
+	running []modelRun
+	last    map[batch.TaskID]int64
+	ended   []*modelEnd
+	seq     int64
 	// lease is on the VM's clock, which runs at rate.
 	lease time.Duration
 	rate  float64
@@ -106,9 +113,31 @@
 const stableFor = 3 * time.Second
 
 func (v *modelVM) clock(now Time) time.Duration {
+	if v.born != 0 {
+		return time.Millisecond + time.Duration(float64(now-v.bornAt)*v.rate)
+	}
 	return time.Hour + time.Duration(float64(now)*v.rate)
 }
 
+// current is the last start under the VM's ID.
+func (v *modelVM) current() *modelVM {
+	for v.next != nil {
+		v = v.next
+	}
+	return v
+}
+
+// extend prolongs the lease: never beyond the longest that VMs grant.
+func (w *world) extend(v *modelVM, until time.Duration) {
+	if v.born != 0 {
+		until = min(until, v.clock(w.now)+longestHold)
+	}
+	v.lease = max(v.lease, until)
+}
+
+// longestHold is the longest lease that VMs grant.
+const longestHold = 10 * time.Second
+
 // run returns the number of the run of a task, or 0.
 func (v *modelVM) run(task batch.TaskID) int64 {
 	for _, r := range v.running {
@@ -121,7 +150,7 @@
 
 func (w *world) instance(v *modelVM) batch.Instance {
 	return batch.Instance{
-		ID: v.id, Pool: "pool", Address: v.address, Zone: fmt.Sprint(v.zone), Draining: v.announced,
+		ID: v.id, Born: v.born, Pool: "pool", Address: v.address, Zone: fmt.Sprint(v.zone), Draining: v.announced,
 		Stale:    w.now-v.wroteAt > 2*beatEvery,
 		Capacity: batch.Resources{MilliCPU: v.shown, MemoryMB: 2000},
 	}
@@ -143,14 +172,45 @@
 		rate = slowClock
 	}
 	v := &modelVM{
-		id: fmt.Sprintf("vm%d", len(w.vms)), address: address, zone: zone, rate: rate,
+		id: fmt.Sprintf("vm%d", len(w.vms)), address: address, zone: zone, rate: rate, bornAt: w.now,
 		last: map[batch.TaskID]int64{}, beatAt: w.now, milliCPU: fullSize, shown: fullSize,
 	}
+	if w.faults.restarts {
+		v.born = w.birth()
+	}
 	w.vms = append(w.vms, v)
 	w.tracef("%s begins at %s in zone %d", v.id, address, zone)
 	w.beat(v)
 }
 
+// birth draws the time of day of a start by a clock that jumps: a later one may be less.
+func (w *world) birth() int64 {
+	w.births++
+	return (w.wall()+w.upTo(8*time.Second).Milliseconds())<<10 + w.births
+}
+
+// restart begins a new start under the ID of a VM that has ended. It may be behind the same
+// cut, and of another size.
+func (w *world) restart(old *modelVM, address string) {
+	w.addVM(address, old.zone)
+	v := w.vms[len(w.vms)-1]
+	v.id, v.before, old.next = old.id, old, v
+	if w.chance(50) {
+		v.cutUntil, v.storelessUntil = old.cutUntil, old.storelessUntil
+	}
+	w.tracef("%s is that start, born %d", v.id, v.born)
+	if v.listed {
+		w.unlistBefore(v)
+	}
+}
+
+// unlistBefore takes the entries of earlier starts off: they have the same key.
+func (w *world) unlistBefore(v *modelVM) {
+	for old := v.before; old != nil; old = old.before {
+		old.listed = false
+	}
+}
+
 func (w *world) living() []*modelVM {
 	var out []*modelVM
 	for _, v := range w.vms {
@@ -188,7 +248,7 @@
 			w.die(v, true)
 		}
 	}
-	if v.listed && w.now-v.lastBeat > entryLife && w.faults.list && w.now >= w.store.downUntil {
+	if v.listed && w.now-v.lastBeat > entryLife && (w.faults.list || w.faults.restarts) && w.now >= w.store.downUntil {
 		v.listed = false
 		w.tracef("entry of %s goes", v.id)
 	}
@@ -207,6 +267,7 @@
 		w.tracef("entry of %s is there", v.id)
 	}
 	v.listed = true
+	w.unlistBefore(v)
 	if !w.breaks.overfills {
 		v.shown = v.milliCPU
 	}
@@ -242,9 +303,27 @@
 		w.moved++
 		address = fmt.Sprintf("10.0.1.%d:1", w.moved)
 	}
+	if w.faults.restarts && w.chance(70) {
+		v.dark = w.chance(50)
+		longest := time.Second
+		if w.chance(30) {
+			longest = 10 * time.Second
+		}
+		w.after(500*time.Millisecond+w.upTo(longest), func() { w.restart(v, address) })
+		return
+	}
 	w.after(500*time.Millisecond+w.upTo(4*time.Second), func() { w.addVM(address, v.zone) })
 }
 
+// dieTogether ends many VMs at once.
+func (w *world) dieTogether() {
+	for _, v := range w.living() {
+		if !v.draining && w.chance(40) {
+			w.die(v, false)
+		}
+	}
+}
+
 // held is the VM's side of a hold.
 func (w *world) held(v *modelVM, o batch.HoldOrder) (batch.Report, bool) {
 	w.lapse(v)
@@ -252,12 +331,12 @@
 		return batch.Report{}, true
 	}
 	v.fence = max(v.fence, o.Fence)
-	v.lease = max(v.lease, o.LeaseUntil)
+	w.extend(v, o.LeaseUntil)
 	for len(v.ended) > 0 && v.ended[0].Seq <= o.Acked {
 		w.acknowledged(v, v.ended[0])
 		v.ended = v.ended[1:]
 	}
-	rep := batch.Report{Clock: v.clock(w.now)}
+	rep := batch.Report{Born: v.born, Clock: v.clock(w.now)}
 	for _, e := range v.ended {
 		rep.Ended = append(rep.Ended, e.RunEnd)
 	}
@@ -313,7 +392,7 @@
 		return batch.RefusedLate
 	}
 	v.fence = max(v.fence, o.Start.Fence)
-	v.lease = max(v.lease, o.Start.LeaseUntil)
+	w.extend(v, o.Start.LeaseUntil)
 	there := v.run(o.Task)
 	if there == o.Run {
 		return ""
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -24,7 +24,11 @@
 	paces   []Order
 }
 
-const testQueue = "q"
+const (
+	testQueue = "q"
+	// testAttempts is how often a task of its jobs may fail.
+	testAttempts = 3
+)
 
 // farAhead is a moment after the end of every test: the fixture's leader leads for
 // certain.
@@ -35,7 +39,7 @@
 	f.s = New(Settings{MaxLease: 10 * time.Second}, f.fence, func(d Decision) { f.log = append(f.log, d) })
 	f.s.Led(farAhead)
 	f.s.SetConfig(&batch.Config{Version: 1, Queues: []batch.Queue{
-		{Name: testQueue, Pool: "pool", Attempts: 3, Stretch: 2, Slack: time.Second},
+		{Name: testQueue, Pool: "pool", Attempts: testAttempts, Stretch: 2, Slack: time.Second},
 	}})
 	for i := range vms {
 		f.list = append(f.list, instance(i))
--- /dev/null
+++ b/internal/scheduler/restarts_test.go
@@ -0,0 +1,326 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+// restartJudge looks at what VMs see that start again under their IDs.
+type restartJudge struct {
+	// failFirst is how many runs of each task of a job fail.
+	failFirst map[string]int
+	ran       map[batch.TaskID]int
+	// done are the tasks whose end was acknowledged, failed counts their failed ends that were.
+	done   map[batch.TaskID]bool
+	failed map[batch.TaskID]int
+	broken []string
+}
+
+func newRestartJudge() *restartJudge {
+	return &restartJudge{failFirst: map[string]int{}, ran: map[batch.TaskID]int{}, done: map[batch.TaskID]bool{}, failed: map[batch.TaskID]int{}}
+}
+
+// endOf is how the next run of a task ends.
+func (j *restartJudge) endOf(task batch.TaskID) batch.EndKind {
+	if j == nil {
+		return batch.EndDone
+	}
+	if j.ran[task]++; j.ran[task] <= j.failFirst[task.Job] {
+		return batch.EndFailed
+	}
+	return batch.EndDone
+}
+
+func (j *restartJudge) acknowledged(e batch.RunEnd) {
+	if j == nil {
+		return
+	}
+	switch e.Kind {
+	case batch.EndDone:
+		j.done[e.Task] = true
+	case batch.EndFailed:
+		j.failed[e.Task]++
+	case batch.EndStopped, batch.EndLapsed, batch.EndBroken, batch.EndAlone:
+	}
+}
+
+// started judges a start of a task on a VM.
+func (j *restartJudge) started(c *crashFleet, task batch.TaskID) {
+	if j == nil {
+		return
+	}
+	spec := &c.jobOf(task).Steps[task.Step]
+	if spec.Speculative {
+		return
+	}
+	for _, id := range c.ids() {
+		if _, there := c.living[id].runs[task]; there {
+			j.broken = append(j.broken, fmt.Sprintf("%v: %s started while it runs on %s", c.now, task, id))
+		}
+	}
+	if spec.Lasting {
+		return
+	}
+	if j.done[task] {
+		j.broken = append(j.broken, fmt.Sprintf("%v: %s started after its end was acknowledged", c.now, task))
+	}
+	if j.failed[task] >= testAttempts {
+		j.broken = append(j.broken, fmt.Sprintf("%v: %s started after %d failed ends were acknowledged", c.now, task, j.failed[task]))
+	}
+}
+
+func (c *crashFleet) jobOf(task batch.TaskID) *batch.Job {
+	return c.jobs[slices.IndexFunc(c.jobs, func(job *batch.Job) bool { return job.ID == task.Job })]
+}
+
+// newRestartFleet returns a fleet whose VMs start again under their IDs.
+func newRestartFleet(t *testing.T, vms int, seed uint64) *crashFleet {
+	c := newCrashFleet(t, 0, seed)
+	c.polled, c.restarts, c.judge = false, true, newRestartJudge()
+	for i := range vms {
+		c.addVM(i)
+	}
+	for _, id := range c.ids() {
+		v := c.living[id]
+		v.bornAt, v.inst.Born = c.now, c.birth()
+		c.relist(v)
+	}
+	return c
+}
+
+// birth is the time of day of a start, by a clock that jumps.
+func (c *crashFleet) birth() int64 {
+	c.lives++
+	return (1_000_000+c.now.Milliseconds()+int64(c.rng.IntN(5000)))<<10 + int64(c.lives)
+}
+
+// relist brings a VM's entry up to date.
+func (c *crashFleet) relist(v *fleetVM) {
+	for i := range c.list {
+		if c.list[i].ID == v.inst.ID {
+			c.list[i] = v.inst
+		}
+	}
+	c.s.SetInstances(c.now, c.list)
+}
+
+// holdTimeout is how long a hold waits for a VM that has ended without a sign.
+const holdTimeout = 1300 * time.Millisecond
+
+// restart begins a new start under the ID of a VM that has just ended.
+func (c *crashFleet) restart(old *fleetVM) {
+	down := 500*time.Millisecond + time.Duration(c.rng.IntN(1000))*time.Millisecond
+	first := time.Duration(0)
+	if c.darkDeaths {
+		first = holdTimeout
+	}
+	id := old.inst.ID
+	fail := func() {
+		if _, ok := c.s.Hold(c.now, id, hearEvery); ok {
+			c.s.Unanswered(c.now, id, !c.darkDeaths)
+		}
+	}
+	for at := first; at <= max(first, down); at += 100 * time.Millisecond {
+		c.after(at, fail)
+	}
+	c.after(down, func() {
+		v := &fleetVM{inst: old.inst, runs: map[batch.TaskID]fleetRun{}, bornAt: c.now, hearAt: c.now + max(0, first-down) + 100*time.Millisecond}
+		v.inst.Born = c.birth()
+		c.living[id] = v
+		c.after(time.Duration(c.rng.IntN(800))*time.Millisecond, func() {
+			if c.living[id] == v {
+				c.relist(v)
+			}
+		})
+	})
+}
+
+// restartJobs are a job of each kind that runs long enough to be under way at a restart.
+var restartJobs = map[string][]batch.Step{
+	"plain":       {tasks(3, 1000)},
+	"second step": {tasks(2, 1000), {Tasks: 2, Need: batch.Resources{MilliCPU: 1000, MemoryMB: 10}, Estimate: time.Second, After: []int{0}}},
+	"lasting":     {{Tasks: 3, Need: batch.Resources{MilliCPU: 500, MemoryMB: 10}, Lasting: true, MaxUnavailable: 1}},
+	"gang":        {{Tasks: 3, Need: batch.Resources{MilliCPU: 2000, MemoryMB: 10}, Estimate: time.Second, Gang: true}},
+	"speculative": {{Tasks: 3, Need: batch.Resources{MilliCPU: 1000, MemoryMB: 10}, Estimate: time.Second, Speculative: true}},
+	"filler":      {{Tasks: 3, Need: batch.Resources{MilliCPU: 1000, MemoryMB: 10}, Estimate: time.Second, Filler: true}},
+}
+
+// playRestarts plays jobs of one kind while a third of the VMs starts again every few
+// seconds. takeOvers lets leaders follow each other meanwhile.
+func playRestarts(t *testing.T, kind string, seed uint64, takeOvers bool) *crashFleet {
+	c := newRestartFleet(t, 12, seed)
+	c.darkDeaths = seed%2 == 1
+	if seed%3 == 2 {
+		c.lost = func() bool { return c.rng.IntN(4) == 0 }
+	}
+	c.play(2 * time.Second)
+	for i := range 12 {
+		for k := range 6 {
+			id := fmt.Sprintf("%s-%d-%d", kind, i, k)
+			c.lasts[id] = time.Duration(200+c.rng.IntN(1500)) * time.Millisecond
+			if kind == "lasting" {
+				c.lasts[id] = 0
+				if k > 0 {
+					continue
+				}
+			} else if kind != "speculative" && c.rng.IntN(3) == 0 {
+				c.judge.failFirst[id] = 1 + c.rng.IntN(4)
+			}
+			c.hand(&batch.Job{ID: id, Payload: "p", Steps: restartJobs[kind]})
+			c.play(300 * time.Millisecond)
+		}
+		for _, id := range c.ids() {
+			if c.rng.IntN(3) == 0 {
+				c.kill(id)
+			}
+		}
+		if takeOvers && c.rng.IntN(2) == 0 {
+			c.play(time.Duration(c.rng.IntN(1500)) * time.Millisecond)
+			c.takeOver()
+		}
+	}
+	c.lost = nil
+	c.play(40 * time.Second)
+	return c
+}
+
+// requireKept fails where a rule was broken, or work that could be done was not.
+func (c *crashFleet) requireKept() {
+	require.Empty(c.t, c.judge.broken[:min(len(c.judge.broken), 3)], "seed %d", c.seed)
+	for _, job := range c.jobs {
+		if job.Steps[0].Lasting {
+			c.requireAtWork(job)
+			continue
+		}
+		want := batch.Completed
+		if c.judge.failFirst[job.ID] >= testAttempts {
+			want = batch.Failed
+		}
+		state, _ := c.s.State(job.ID)
+		if want == batch.Completed && state == batch.Failed {
+			// Failed runs that were lost with their VMs have been made again.
+			require.GreaterOrEqual(c.t, c.judge.failFirst[job.ID], 1, "job %s, seed %d", job.ID, c.seed)
+			continue
+		}
+		if want == batch.Failed && state == batch.Completed {
+			continue
+		}
+		require.Equal(c.t, want, state, "job %s, seed %d", job.ID, c.seed)
+	}
+}
+
+// requireAtWork fails unless each task of a lasting job runs on a VM.
+func (c *crashFleet) requireAtWork(job *batch.Job) {
+	for k := range job.Steps[0].Tasks {
+		task := batch.TaskID{Job: job.ID, Index: k}
+		require.True(c.t, slices.ContainsFunc(c.ids(), func(id string) bool {
+			_, there := c.living[id].runs[task]
+			return there
+		}), "%s does not run, seed %d", task, c.seed)
+	}
+}
+
+// Of each kind of job nothing runs twice, beyond its attempts or not at all, however often
+// VMs start again under their IDs.
+func TestRestartsKeepEachKindOfJob(t *testing.T) {
+	t.Parallel()
+	for _, kind := range crashingKinds {
+		for _, takeOvers := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, take-overs %v", kind, takeOvers), func(t *testing.T) {
+				t.Parallel()
+				for seed := range 12 * *exploreScale {
+					playRestarts(t, kind, seed, takeOvers).requireKept()
+				}
+			})
+		}
+	}
+}
+
+// beforeRestart returns a fixture whose one VM has told three ends in its first start, all of
+// them acknowledged, and then starts again while its last hold is still under way.
+func beforeRestart(t *testing.T) *fixture {
+	f := newFixture(t, 1)
+	f.list[0].Born = 1
+	f.s.SetInstances(f.now, f.list)
+	f.hear("vm00", batch.Report{Born: 1})
+	f.submit("first", tasks(3, 100))
+	f.plan()
+	var ends []batch.RunEnd
+	for k := range 3 {
+		o := f.last(fmt.Sprintf("first.0.0.%d", k))
+		f.confirm(o)
+		ends = append(ends, ended(int64(k+1), o, batch.EndDone))
+	}
+	f.hear("vm00", batch.Report{Born: 1, Ended: ends})
+	f.write()
+	require.EqualValues(t, 3, f.acked("vm00"))
+	f.s.Heard(f.now, f.now, "vm00", batch.Report{Born: 1, Clock: f.now + time.Hour})
+	f.advance(500 * time.Millisecond)
+	return f
+}
+
+// runOnNewStart gives the VM a task while nobody has heard its new start, and lets the hold
+// to the old one fail.
+func (f *fixture) runOnNewStart(job string) Order {
+	_, ok := f.s.Hold(f.now, "vm00", time.Second)
+	require.True(f.t, ok)
+	f.submit(job, tasks(1, 100))
+	f.plan()
+	o := f.last(job + ".0.0.0")
+	require.True(f.t, f.s.Begin(f.now, o))
+	f.s.Started(f.now, f.now, o, 50*time.Millisecond, "", false)
+	f.advance(time.Second)
+	f.s.Unanswered(f.now, "vm00", false)
+	return o
+}
+
+// An end that a VM's new start has not told is acknowledged by the count of the one before:
+// the VM forgets it, and the task runs again.
+func TestEndsOfANewStartAreNotAcknowledgedUntold(t *testing.T) {
+	f := beforeRestart(t)
+	f.runOnNewStart("second")
+	require.Zero(t, f.acked("vm00"))
+}
+
+// Failures that a VM's new start tells are not counted, since the one before has told as
+// many ends: the task is started beyond its attempts.
+func TestFailuresOfANewStartAreCounted(t *testing.T) {
+	f := beforeRestart(t)
+	o := f.runOnNewStart("second")
+	f.list[0].Born = 2
+	f.s.SetInstances(f.now, f.list)
+	for n := int64(1); n <= testAttempts; n++ {
+		f.s.Heard(f.now, f.now, "vm00", batch.Report{Born: 2, Clock: time.Second + time.Duration(n), Ended: []batch.RunEnd{ended(n, o, batch.EndFailed)}})
+		f.advance(time.Second)
+		f.plan()
+		if n < testAttempts {
+			o = f.last("second.0.0.0")
+			require.True(t, f.s.Begin(f.now, o))
+			f.s.Started(f.now, f.now, o, 50*time.Millisecond, "", false)
+		}
+	}
+	f.write()
+	state, _ := f.s.State("second")
+	require.Equal(t, batch.Failed, state)
+}
+
+// An end that is never acknowledged closes its VM to new work; the VM's next start has
+// nothing to do with it. Otherwise each restart takes some VMs away for good, until nothing
+// can be placed any more.
+func TestWithheldEndClosesOneStartOnly(t *testing.T) {
+	f := beforeRestart(t)
+	v := f.s.vms["vm00"]
+	v.ackLimit = 4
+	f.list[0].Born = 2
+	f.s.SetInstances(f.now, f.list)
+	f.s.Heard(f.now, f.now, "vm00", batch.Report{Born: 2, Clock: time.Second})
+	f.submit("second", tasks(1, 100))
+	f.plan()
+	require.Len(t, f.started["second.0.0.0"], 1)
+}
