Holds that were long under way to a relay acknowledge nothing

A relay that wakes from a suspension sends the holds of its queue. Their VMs may have started again meanwhile, and take the acknowledgement for one of their own ends: these are forgotten untold, and their tasks run again. Cause: only starts and paces were looked at for their age. Evidence: TestHoldsThatWereLongUnderWayAcknowledgeNothing failed before (8 acknowledged). The lease is still renewed: VMs behind a relay that is slow must stay heard, and a leader counts the lease as longer, never as shorter.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -25,6 +26,7 @@
 	mu     sync.Mutex
 	starts []batch.StartOrder
 	holds  map[string]int
+	acked  []int64
 	report func(id string) (batch.Report, error)
 	stop   error
 	// slow delays each answer.
@@ -49,19 +51,27 @@
 	return nil
 }
 
-func (v *vms) Hold(_ context.Context, vm *batch.Instance, _ batch.HoldOrder) (batch.Report, error) {
+func (v *vms) Hold(_ context.Context, vm *batch.Instance, o batch.HoldOrder) (batch.Report, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.holds == nil {
 		v.holds = map[string]int{}
 	}
 	v.holds[vm.ID]++
+	v.acked = append(v.acked, o.Acked)
 	if v.report == nil {
 		return batch.Report{Clock: time.Hour}, nil
 	}
 	return v.report(vm.ID)
 }
 
+// ackedBy is what each hold has acknowledged.
+func (v *vms) ackedBy() []int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.Clone(v.acked)
+}
+
 func (v *vms) holdCount() int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -432,3 +442,17 @@
 	require.Equal(t, 55, Room(0.11, 10))
 	require.Equal(t, 64, Room(0.4, 0))
 }
+
+// A relay that wakes from a suspension has holds in its queue whose VMs may have started
+// again since: an acknowledgement meant for the start before makes them forget ends that
+// nobody has been told.
+func TestHoldsThatWereLongUnderWayAcknowledgeNothing(t *testing.T) {
+	relayed := &vms{}
+	st := &served{server: &Server{Agents: relayed, Log: quiet()}, kick: make(chan struct{}, 1), instances: map[int]*batch.Instance{1: {ID: "vm"}}, last: lastReports{}}
+	at := steady.Now()
+	head := callHead{Call: 3, VM: 1, Within: time.Second}
+	st.take(t.Context(), &orders{SentAt: at, Holds: []holdCall{{Head: head, Order: batch.HoldOrder{Acked: 7, LeaseUntil: time.Hour}}}})
+	st.take(t.Context(), &orders{SentAt: at - staleAfter - 100*time.Millisecond, Holds: []holdCall{{Head: head, Order: batch.HoldOrder{Acked: 8, LeaseUntil: time.Hour}}}})
+	require.Eventually(t, func() bool { return relayed.holdCount() == 2 }, time.Second, time.Millisecond)
+	require.ElementsMatch(t, []int64{7, 0}, relayed.ackedBy())
+}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -280,6 +280,10 @@
 		})
 	}
 	for _, c := range m.Holds {
+		if stale {
+			// The VM may have started again since, and count its ends anew.
+			c.Order.Acked = 0
+		}
 		st.begin(ctx, c.Head, func(ctx context.Context, vm *batch.Instance, r *result) error {
 			rep, err := st.server.Agents.Hold(ctx, vm, c.Order)
 			if err == nil {
