What is kept of a VM is that of one start

Callers saw tasks run again after acknowledged ends, started beyond their attempts, and never started though there was room. Cause: a VM that started again under its ID was taken for the one before, with its highest end, its clock and lease, what was withheld, doubted or lapsed there. Class: state of one incarnation is applied to the next, since the key names both. Change: a vm is one start, told apart by born. A report of another start replaces it; runs whose order may have been carried out by either are settled with the new one, a stop of theirs is ordered again, all others are lost with the old one. Nothing is acknowledged after a hold without an answer, or half a second after a report. A start gets work when its own entry is listed and the lead was confirmed since it was heard. A run that no report has listed counts until the longest lease that VMs grant is over. Doubts, ends of VMs and lapsed leases are kept by start, in the store as well; the end of an earlier start is judged 2 s after the later one is heard, when it is known what ended with it. Holds follow a VM to its new address; another VM that answers at the old one ends the old start only.

--- a/internal/edge/figures.go
+++ b/internal/edge/figures.go
@@ -101,6 +101,7 @@
 	"unlisted":                 true,
 	"maintenance":              true,
 	"machine ended it":         true,
+	"started again":            true,
 }
 
 const otherReason = "other"
--- a/internal/leader/cutoff_test.go
+++ b/internal/leader/cutoff_test.go
@@ -226,3 +226,17 @@
 	require.True(t, known)
 	require.Equal(t, batch.Cancelled, state)
 }
+
+// A VM that had started again under its ID at another address was held at the old one for
+// as long as its leader led, and got nothing.
+func TestHoldFollowsItsVMToAnotherAddress(t *testing.T) {
+	te := newTerm(t, nil, 0)
+	te.Agents = &heldAgents{}
+	inst := batch.Instance{ID: "vm", Address: "10.0.0.1:1", Born: 1}
+	te.sched.SetInstances(steady.Now(), []batch.Instance{inst})
+	moved := inst
+	moved.Address, moved.Born = "10.0.0.2:1", 2
+	te.sched.SetInstances(steady.Now(), []batch.Instance{moved})
+	_, _ = te.holdOnce(t.Context(), &inst, 0, &silence{})
+	require.Equal(t, "10.0.0.2:1", inst.Address)
+}
--- a/internal/leader/holds.go
+++ b/internal/leader/holds.go
@@ -138,6 +138,10 @@
 		return false, nil
 	}
 	t.mu.Lock()
+	if present, ok := t.sched.Instance(inst.ID); ok {
+		// A VM that has started again under its ID may be at another address.
+		*inst = present
+	}
 	order, known := t.sched.Hold(sentAt, inst.ID, wait)
 	closed := t.closed
 	if !known && ctx.Err() == nil {
@@ -156,7 +160,7 @@
 	now := steady.Now()
 	switch refusalOf(err) {
 	case batch.RefusedGone:
-		t.replaced(now, inst.ID)
+		t.replaced(now, inst)
 		return false, nil
 	case batch.RefusedFence:
 		t.fenced(inst.ID)
@@ -182,27 +186,28 @@
 		t.log.Event("vm_answers", f)
 		*silent = silence{}
 	}
-	t.noteEnds(now, inst.ID, report.Ended)
+	t.noteEnds(now, inst.ID, &report)
 	t.sched.Heard(now, sentAt, inst.ID, report)
 	t.awake()
 	return true, nil
 }
 
-// replaced takes a VM out whose address another life answers at.
-func (t *term) replaced(now time.Duration, id string) {
+// replaced takes a VM out at whose address another one answers.
+func (t *term) replaced(now time.Duration, inst *batch.Instance) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if x, ok := t.sched.Standing(now, id); ok {
-		t.log.Event("vm_replaced", standingFields(id, x))
+	if x, ok := t.sched.Standing(now, inst.ID); ok {
+		t.log.Event("vm_replaced", standingFields(inst.ID, x))
 	}
-	t.sched.Gone(now, id, "another instance answers")
+	t.sched.Replaced(now, inst)
 	t.awake()
 }
 
 // toldEnds are the ends that a VM goes on telling since they are not acknowledged.
 type toldEnds struct {
 	count int
-	// oldest is the sequence of the first, told since.
+	// born is the start of the VM that tells them, oldest the sequence of the first, told since.
+	born   int64
 	oldest int64
 	since  time.Duration
 	// late is set once a line has told that it takes long.
@@ -215,7 +220,8 @@
 
 // noteEnds counts the ends of a report before it is taken over, and tells of those
 // that stay unacknowledged. The caller holds the lock.
-func (t *term) noteEnds(now time.Duration, id string, ends []batch.RunEnd) {
+func (t *term) noteEnds(now time.Duration, id string, report *batch.Report) {
+	ends := report.Ended
 	if len(ends) == 0 {
 		delete(t.told, id)
 		return
@@ -225,13 +231,13 @@
 		if ends[i].Seq < first.Seq {
 			first = &ends[i]
 		}
-		if standing := t.sched.EndStanding(id, &ends[i]); standing != scheduler.EndAgain && t.ObserveEnd != nil {
+		if standing := t.sched.EndStanding(id, report.Born, &ends[i]); standing != scheduler.EndAgain && t.ObserveEnd != nil {
 			t.ObserveEnd(standing)
 		}
 	}
 	told := t.told[id]
-	if told.oldest != first.Seq {
-		told = toldEnds{oldest: first.Seq, since: now}
+	if told.oldest != first.Seq || told.born != report.Born {
+		told = toldEnds{born: report.Born, oldest: first.Seq, since: now}
 	}
 	told.count = len(ends)
 	if age := now - told.since; age > endsLate && !told.late {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -118,7 +118,7 @@
 	sched    *scheduler.Scheduler
 	recorded instances
 	// lapsed is what the store has under lapsedKey.
-	lapsed map[string]int64
+	lapsed map[string]scheduler.Lapsed
 	// lapsedRead is set once that is known.
 	lapsedRead bool
 	// instancesRevision is that of the record of instances.
--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -77,7 +77,7 @@
 	if try == 0 {
 		return t.sched.Begin(steady.Now(), o)
 	}
-	return t.sched.Wanted(o)
+	return t.sched.Wanted(steady.Now(), o)
 }
 
 // start gives a start order until its outcome is known, a few times. A refusal
@@ -132,7 +132,7 @@
 	}
 	now := steady.Now()
 	if refusal == batch.RefusedGone {
-		t.replaced(now, o.Instance.ID)
+		t.replaced(now, &o.Instance)
 		return
 	}
 	t.mu.Lock()
--- a/internal/leader/rebuild.go
+++ b/internal/leader/rebuild.go
@@ -178,7 +178,7 @@
 		return
 	}
 	item, err := t.Store.Get(ctx, lapsedKey)
-	var lapsed map[string]int64
+	var lapsed map[string]scheduler.Lapsed
 	if err == nil && item != nil {
 		err = json.Unmarshal(item.Value, &lapsed)
 	}
--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -40,7 +40,7 @@
 type crash struct {
 	run  int64
 	kind crashKind
-	vm   string
+	vm   vmStart
 }
 
 const (
@@ -109,10 +109,10 @@
 
 // recordCrash has the job's record tell of a run's VM.
 func (s *Scheduler) recordCrash(r *run, kind crashKind) {
-	r.task.setCrash(crash{run: r.number, kind: kind, vm: r.vm.inst.ID})
+	r.task.setCrash(crash{run: r.number, kind: kind, vm: r.vm.thisStart()})
 	s.touchCrashes(r.task)
 	if kind == crashDoubted {
-		s.doubt(r.vm.inst.ID, r.task, r.number)
+		s.doubt(r.vm.thisStart(), r.task, r.number)
 	}
 }
 
@@ -177,23 +177,24 @@
 
 // crashedUnder takes in that a VM has certainly ended, with what ran there.
 func (s *Scheduler) crashedUnder(now Time, v *vm) {
-	if s.hasEnded(v.inst.ID) {
+	start := v.thisStart()
+	if s.hasEnded(start) {
 		// Its entry outlived it for some seconds, and was taken for a VM that is not heard:
 		// that goes with it a second time, at a moment that has to do with neither.
 		return
 	}
 	if !v.heard {
-		// Another leader used it. When it ended is not known.
-		s.concludeDoubts(now, v.inst.ID, crashShared)
+		// Another leader used it. When it ended, and which start it was, is not known.
+		s.concludeEarlierDoubts(now, v)
 		return
 	}
 	end := v.end(now)
-	others := s.endedWith(now, v, &end)
-	storm := s.storm(now, v)
-	s.ends[v.inst.ID] = end
+	others := s.endedWith(now, start, &end)
+	storm := s.storm(now, start)
+	s.ends[start] = end
 	if v.inst.Draining || v.closed {
 		// It was to end.
-		s.clearDoubts(v.inst.ID)
+		s.clearDoubts(start)
 		return
 	}
 	kind := crashShared
@@ -209,7 +210,7 @@
 			s.noteCrash(now, r, kind)
 		}
 	}
-	s.concludeDoubts(now, v.inst.ID, kind)
+	s.concludeDoubts(now, start, kind)
 }
 
 // judgeCrashes gives a task up that has ended its VMs.
@@ -240,11 +241,19 @@
 // concludes them; that it is not heard proves nothing.
 
 // doubt notes that a run's VM may have ended under it.
-func (s *Scheduler) doubt(vmID string, t *task, number int64) {
-	if s.doubts[vmID] == nil {
-		s.doubts[vmID] = map[*task]int64{}
+func (s *Scheduler) doubt(start vmStart, t *task, number int64) {
+	if s.doubts[start] == nil {
+		s.doubts[start] = map[*task]int64{}
+	}
+	s.doubts[start][t] = number
+}
+
+// undoubt takes the doubt about a task on a VM back.
+func (s *Scheduler) undoubt(start vmStart, t *task) {
+	delete(s.doubts[start], t)
+	if len(s.doubts[start]) == 0 {
+		delete(s.doubts, start)
 	}
-	s.doubts[vmID][t] = number
 }
 
 // restoreDoubts takes over the doubts of an earlier leader.
@@ -253,7 +262,7 @@
 		for k := range o.steps[i].tasks {
 			t := &o.steps[i].tasks[k]
 			for _, c := range t.crashes {
-				if c.kind == crashDoubted && c.vm != "" {
+				if c.kind == crashDoubted && c.vm.id != "" {
 					s.doubt(c.vm, t, c.run)
 				}
 			}
@@ -263,31 +272,34 @@
 
 // clearDoubts takes the doubts about a VM back that lives: what it has not listed, nor
 // told the end of, has never begun there. Runs that are under way stay in doubt.
-func (s *Scheduler) clearDoubts(vmID string) {
-	for t, number := range s.doubts[vmID] {
+func (s *Scheduler) clearDoubts(start vmStart) {
+	for t, number := range s.doubts[start] {
 		if !t.hasRun(number) {
 			s.clearCrash(t, number)
-			delete(s.doubts[vmID], t)
+			s.undoubt(start, t)
 		}
 	}
-	if len(s.doubts[vmID]) == 0 {
-		delete(s.doubts, vmID)
-	}
 }
 
 // concludeDoubts takes in that a VM has ended that runs were doubted on.
-func (s *Scheduler) concludeDoubts(now Time, vmID string, kind crashKind) {
-	doubts := s.doubts[vmID]
-	delete(s.doubts, vmID)
+func (s *Scheduler) concludeDoubts(now Time, start vmStart, kind crashKind) {
+	doubts := s.doubts[start]
+	delete(s.doubts, start)
 	for t, number := range doubts {
 		if c := t.crash(number); c != nil && c.kind == crashDoubted && !t.step.occ.job.state.Final() {
-			c.kind = kind
-			s.touchCrashes(t)
-			s.judgeCrashes(now, t)
+			s.setCrashKind(now, t, c, kind)
 		}
 	}
 }
 
+// setCrashKind judges a crash that was in doubt.
+func (s *Scheduler) setCrashKind(now Time, t *task, c *crash, kind crashKind) {
+	c.kind = kind
+	s.touchCrashes(t)
+	s.logf(Decision{Event: EventCrashNoted, Task: t.id(), VM: c.vm.id, Run: c.run, Reason: crashKindNames[kind], Value: float64(len(t.crashes)), Born: c.vm.born})
+	s.judgeCrashes(now, t)
+}
+
 func (t *task) hasRun(number int64) bool {
 	return slices.ContainsFunc(t.runs, func(r *run) bool { return r.number == number })
 }
--- a/internal/scheduler/dump.go
+++ b/internal/scheduler/dump.go
@@ -21,7 +21,9 @@
 
 // VMDump is one instance.
 type VMDump struct {
-	ID          string          `json:"id"`
+	ID string `json:"id"`
+	// Born tells the starts of the VM apart; 0 where it is not told.
+	Born        int64           `json:"born,omitempty"`
 	Zone        string          `json:"zone"`
 	Listed      bool            `json:"listed"`
 	Draining    bool            `json:"draining"`
@@ -47,7 +49,7 @@
 	d.WaitingTasks = s.waitingTasks()
 	for _, v := range s.order {
 		x := VMDump{
-			ID: v.inst.ID, Zone: v.inst.Zone, Listed: v.listed, Draining: v.inst.Draining, Closed: v.closed,
+			ID: v.inst.ID, Born: v.born, Zone: v.inst.Zone, Listed: v.listed, Draining: v.inst.Draining, Closed: v.closed,
 			HeardAgoMS: (now - v.heardAt).Milliseconds(), Runs: len(v.runs), Capacity: v.inst.Capacity, Used: v.used,
 			FillerCPU: v.fillerCPU, AvoidForMS: max(0, v.health.avoidUntil-now).Milliseconds(),
 			LeaseLeftMS: max(0, v.leaseOver-now).Milliseconds(),
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -271,8 +271,10 @@
 	case s.mayOverfill(now, v):
 		// It had room when the start was decided.
 		s.dropStart(now, r, "no room")
+	case !v.entryIsOfThisStart():
+		s.dropStart(now, r, reasonRestarted)
 	default:
-		r.begun = true
+		r.begun, r.begunAt = true, now
 		return true
 	}
 	return false
@@ -282,13 +284,15 @@
 // the run, a refusal when it certainly has not and never will, and anything else
 // when that is not known: then the run is stopped, since only a confirmed stop
 // keeps a late start from happening.
+// clockValue is the VM's clock, 0 where it was not told.
 func (s *Scheduler) Started(now, sentAt Time, o Order, clockValue time.Duration, refusal batch.Refusal, unknown bool) {
 	v := s.vms[o.Instance.ID]
 	if v == nil {
 		return
 	}
-	if clockValue > 0 {
-		v.setClock(sentAt, now, clockValue)
+	if clockValue > 0 && v.clock.gotAt <= sentAt && clockValue < v.clock.value {
+		// Another start has answered: nothing more is given to it before it has reported.
+		v.clockWentBack = true
 	}
 	r := v.runs[o.Task]
 	if r == nil || r.number != o.Run {
@@ -321,6 +325,9 @@
 func (r *run) confirm(now Time) {
 	r.state, r.begun = running, true
 	r.confirmedAt = now
+	if r.begunAt == 0 {
+		r.begunAt = now
+	}
 	r.task.step.occ.job.started = true
 }
 
--- a/internal/scheduler/figures.go
+++ b/internal/scheduler/figures.go
@@ -115,9 +115,10 @@
 	EndNotOpen EndStanding = "not_open"
 )
 
-// EndStanding tells how an end stands; ask before the report is taken over.
-func (s *Scheduler) EndStanding(vm string, e *batch.RunEnd) EndStanding {
-	if v := s.vms[vm]; v != nil && e.Seq <= v.seen {
+// EndStanding tells how an end stands that a start of a VM tells; ask before the report is
+// taken over.
+func (s *Scheduler) EndStanding(vm string, born int64, e *batch.RunEnd) EndStanding {
+	if v := s.vms[vm]; v != nil && v.mayBe(born) && e.Seq <= v.seen {
 		return EndAgain
 	}
 	j := s.jobs[e.Task.Job]
--- a/internal/scheduler/leases.go
+++ b/internal/scheduler/leases.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"encoding/json"
 	"maps"
 	"time"
 )
@@ -23,9 +24,10 @@
 }
 
 // SilentFor is how long after its election a leader has to wait for an instance that
-// it does not hear, where an earlier one may have renewed leases for so long since.
+// it does not hear, where an earlier one may have renewed leases for so long since. A VM
+// that has started again may have taken an order of its for the longest lease that it grants.
 func (s Settings) SilentFor(renewedSince time.Duration) time.Duration {
-	return renewedSince + leaseOver(s.Lease())
+	return renewedSince + leaseOver(s.MaxLease)
 }
 
 // drainingLease is the lease of an instance that leaves: what it held can be started
@@ -85,7 +87,7 @@
 
 // startable reports whether the task may be started as far as its earlier runs go.
 func (s *Scheduler) startable(now Time, t *task) bool {
-	return now >= t.notBefore && t.lostAt <= s.ledAt && t.crashesDurable()
+	return now >= t.notBefore && t.lostAt <= s.ledAt && t.crashesDurable() && !s.awaitsJudgement(t)
 }
 
 // NewSince notes a revision of the store that was read DeposedWithin after the election
@@ -112,7 +114,7 @@
 func (s *Scheduler) LeasesOver() map[string]Time {
 	over := make(map[string]Time, len(s.vms))
 	for id, v := range s.vms {
-		over[id] = v.leaseOver
+		over[id] = s.leasesOver(v)
 	}
 	for id, until := range s.silent {
 		over[id] = max(over[id], until)
@@ -124,40 +126,70 @@
 // hundred are replaced.
 const mostLapsed = 1000
 
-// LapsedRuns returns, for each instance whose leases were all over at some moment, the
-// highest number that a run had by then. A successor needs it to tell the ends that
-// such an instance tells later from those of runs that count.
-func (s *Scheduler) LapsedRuns() map[string]int64 {
+// Lapsed says that all leases on a VM were over at some moment.
+type Lapsed struct {
+	// Run is the highest number that a run had by then.
+	Run int64 `json:"run"`
+	// Born is the start of the VM that it holds for, 0 for any: no start was heard.
+	Born int64 `json:"born,omitempty"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler. A bare number is a run, for any start.
+func (l *Lapsed) UnmarshalJSON(raw []byte) error {
+	if err := json.Unmarshal(raw, &l.Run); err == nil {
+		l.Born = 0
+		return nil
+	}
+	type plain Lapsed
+	return json.Unmarshal(raw, (*plain)(l))
+}
+
+// LapsedRuns returns what is known of VMs whose leases were all over at some moment. A
+// successor needs it to tell the ends that such a VM tells later from those of runs that
+// count.
+func (s *Scheduler) LapsedRuns() map[string]Lapsed {
 	all := maps.Clone(s.lapsed)
 	for id, v := range s.vms {
 		if v.lapsedRun > 0 {
-			all[id] = v.lapsedRun
+			all[id] = Lapsed{Run: v.lapsedRun, Born: v.born}
 		}
 	}
 	return all
 }
 
 // RestoreLapsed takes over what an earlier leader returned from LapsedRuns.
-func (s *Scheduler) RestoreLapsed(lapsed map[string]int64) {
-	for id, number := range lapsed {
-		if v := s.vms[id]; v != nil {
-			v.lapsedRun = max(v.lapsedRun, number)
-		} else {
-			s.keepLapsed(id, number)
+func (s *Scheduler) RestoreLapsed(lapsed map[string]Lapsed) {
+	for id, l := range lapsed {
+		s.keepLapsed(id, l)
+		if v := s.vms[id]; v != nil && v.heard {
+			s.recallLapsed(v)
 		}
 	}
 }
 
-// keepLapsed keeps the lapsedRun of an instance that is not known any more, instead of
+// recallLapsed takes what was kept of a VM that is heard. What was known of another start
+// of it does not hold.
+func (s *Scheduler) recallLapsed(v *vm) {
+	l, kept := s.lapsed[v.inst.ID]
+	if !kept {
+		return
+	}
+	delete(s.lapsed, v.inst.ID)
+	if v.mayBe(l.Born) {
+		v.lapsedRun = max(v.lapsedRun, l.Run)
+	}
+}
+
+// keepLapsed keeps the lapsedRun of an instance that is not known, or not heard, instead of
 // the oldest one where there are too many.
-func (s *Scheduler) keepLapsed(id string, number int64) {
-	s.lapsed[id] = number
+func (s *Scheduler) keepLapsed(id string, l Lapsed) {
+	s.lapsed[id] = l
 	if len(s.lapsed) <= mostLapsed {
 		return
 	}
 	oldest := id
 	for other, n := range s.lapsed {
-		if n < s.lapsed[oldest] || (n == s.lapsed[oldest] && other < oldest) {
+		if n.Run < s.lapsed[oldest].Run || (n.Run == s.lapsed[oldest].Run && other < oldest) {
 			oldest = other
 		}
 	}
@@ -171,7 +203,12 @@
 		v.lapsedLease, v.lapsedRun = v.leaseOver, s.nextRun
 	}
 	s.doubtNewRuns(now, v)
-	s.dropRuns(now, v, "lease over")
+	s.clearUnwanted(v)
+	for _, r := range v.ordered {
+		if now > s.overAt(r) {
+			s.dropRun(now, r, "lease over")
+		}
+	}
 }
 
 // waitOutSilent stops waiting for the instances of earlier leaders that have
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -108,6 +108,7 @@
 const (
 	obstacleNone obstacle = iota
 	obstacleUnheard
+	obstacleRestarted
 	obstacleDraining
 	obstaclePool
 	obstacleSuspected
@@ -123,7 +124,7 @@
 	obstacles
 )
 
-var obstacleNames = [obstacles]string{"none", "unheard", "draining", "pool", "suspected", "per_vm", "trial", "capacity", "processor", "reserve", "memory", "leftover", "advice", "pressure"}
+var obstacleNames = [obstacles]string{"none", "unheard", "restarted", "draining", "pool", "suspected", "per_vm", "trial", "capacity", "processor", "reserve", "memory", "leftover", "advice", "pressure"}
 
 // mostUnacked is how many ends a VM may have to be acknowledged and get new work: it
 // tells 500 at a time, and a run whose end is beyond them is in doubt.
@@ -135,8 +136,11 @@
 	switch {
 	case v.inst.Pool != t.step.occ.job.pool || !v.inst.HasLabel(spec.Label):
 		return obstaclePool
-	case !v.heard || !v.listed || v.silent(now) || len(v.strangers) > 0:
+	case !v.heard || !v.listed || v.silent(now) || v.unansweredAt > 0 || len(v.strangers) > 0:
 		return obstacleUnheard
+	case !v.entryIsOfThisStart(), v.clockWentBack, v.restartedAt > s.ledAt:
+		// A successor may have heard the start before, whose fencing token this one has not seen.
+		return obstacleRestarted
 	case v.inst.Draining || v.closed || v.ackLimit > 0 || v.seen-v.durable > mostUnacked:
 		return obstacleDraining
 	case s.policy.Quarantine && !v.health.usable(now, spec):
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -46,8 +46,9 @@
 	Run  int64 `json:"r"`
 	// Kind is a crashKind.
 	Kind int64 `json:"k,omitempty"`
-	// VM is the instance, "" for a run that was yet to be placed.
-	VM string `json:"v,omitempty"`
+	// VM is the instance, "" for a run that was yet to be placed, Born which start of it.
+	VM   string `json:"v,omitempty"`
+	Born int64  `json:"b,omitempty"`
 }
 
 // progress builds the record of a job.
@@ -103,7 +104,7 @@
 				sp.Failures = append(sp.Failures, [2]int64{int64(k), number})
 			}
 			for _, c := range t.crashes {
-				sp.Crashes = append(sp.Crashes, CrashProgress{Task: k, Run: c.run, Kind: int64(c.kind), VM: c.vm})
+				sp.Crashes = append(sp.Crashes, CrashProgress{Task: k, Run: c.run, Kind: int64(c.kind), VM: c.vm.id, Born: c.vm.born})
 			}
 		}
 	}
@@ -162,7 +163,7 @@
 	}
 	for _, c := range p.Crashes {
 		if c.Task >= 0 && c.Task < len(st.tasks) && !st.tasks[c.Task].done {
-			st.tasks[c.Task].setCrash(crash{run: c.Run, kind: crashKind(c.Kind), vm: c.VM})
+			st.tasks[c.Task].setCrash(crash{run: c.Run, kind: crashKind(c.Kind), vm: vmStart{c.VM, c.Born}})
 		}
 	}
 }
--- a/internal/scheduler/reports.go
+++ b/internal/scheduler/reports.go
@@ -12,18 +12,23 @@
 	if v == nil {
 		return
 	}
+	if !v.mayBe(rep.Born) {
+		v = s.restarted(now, sentAt, v, &rep)
+	}
+	if rep.Born != 0 {
+		v.born = rep.Born
+	}
 	v.setClock(sentAt, now, rep.Clock)
+	v.clockWentBack = false
 	if !v.heard {
 		v.heard = true
-		// An earlier leader may have renewed the leases there until now.
-		v.leaseOver = max(v.leaseOver, now+leaseOver(s.settings.Lease()))
+		// An earlier leader may have renewed the leases there until now, or have given orders
+		// that were meant for the start before.
+		v.leaseOver = max(v.leaseOver, now+leaseOver(s.settings.firstLease(rep.Clock)))
+		s.recallLapsed(v)
 		s.changed = true
 		s.logf(Decision{Event: EventVMHeard, VM: id, Value: float64(len(rep.Running)), Born: rep.Born})
 	}
-	if rep.Born != 0 && v.born != 0 && rep.Born != v.born {
-		s.logf(Decision{Event: EventVMRestarted, VM: id, Born: rep.Born, Acked: v.acked(), Unheard: now - v.heardAt, Value: float64(len(v.runs))})
-	}
-	v.born = rep.Born
 	if now-v.heardAt > heardAgain {
 		s.changed = true
 	}
@@ -47,8 +52,9 @@
 			s.missing(now, sentAt, r)
 		}
 	}
+	s.concludeEarlierDoubts(now, v)
 	if !rep.MoreEnded {
-		s.clearDoubts(id)
+		s.clearDoubts(v.thisStart())
 	}
 	v.tailsStale = true
 	s.observeTails(now, v)
@@ -134,6 +140,11 @@
 		return
 	}
 	s.logf(Decision{Event: EventRunLost, Task: r.task.id(), VM: r.vm.inst.ID, Run: r.number, Reason: "not listed", Age: now - r.orderedAt, Born: r.vm.born, Acked: r.vm.acked()})
+	if r.earlier != nil {
+		// The VM's start before had it, if any.
+		s.undoubt(r.vm.thisStart(), r.task)
+		s.doubtEarlier(now, r, r.earlier)
+	}
 	s.lose(now, r)
 }
 
--- /dev/null
+++ b/internal/scheduler/restarts.go
@@ -0,0 +1,157 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+// A VM may start again under its ID. All that it holds and counts is then that of the new
+// start: what it runs, the numbers of its ends, its clock, the fencing token that it has
+// seen. A vm is therefore one start. Orders name the ID only, and reach whichever start is
+// there: between the end of one and the first report of the next they may be carried out by
+// either, so that what was ordered in that time is settled with the next one.
+
+// vmStart names one start of a VM; born is 0 where it is not told.
+type vmStart struct {
+	id   string
+	born int64
+}
+
+// thisStart is which start of its VM v is: the one that has reported, or else that of the
+// entry on the list.
+func (v *vm) thisStart() vmStart {
+	if v.born != 0 {
+		return vmStart{v.inst.ID, v.born}
+	}
+	return vmStart{v.inst.ID, v.inst.Born}
+}
+
+// mayBe reports whether a report with the given birth may come from this start.
+func (v *vm) mayBe(born int64) bool { return born == 0 || v.born == 0 || v.born == born }
+
+// mayRestart reports whether the VM may start again under its ID: those that may tell their
+// births.
+func (v *vm) mayRestart() bool { return v.born != 0 }
+
+// entryIsOfThisStart reports whether the entry on the list is that of the start that
+// reports. Pool, labels and capacity of another one say nothing of it.
+func (v *vm) entryIsOfThisStart() bool { return v.mayBe(v.inst.Born) }
+
+const (
+	// orderTravel bounds the time from a try of a start to its arrival: it is given up after
+	// half a second, and a relay carries out none that was under way for longer than 0.6 s.
+	orderTravel = 1100 * time.Millisecond
+	// learnedWithin bounds the time from a start of a VM until what is sent there is meant for
+	// it: before, nothing is sent to a VM that has left a hold without an answer.
+	learnedWithin = 2 * time.Second
+)
+
+// firstLease is the longest lease that there may be on a VM that is heard for the first
+// time, by its clock. On one that has started of late, orders that were meant for the
+// start before may have been granted the longest one that VMs grant.
+func (s Settings) firstLease(clock time.Duration) time.Duration {
+	if clock < learnedWithin+orderTravel+s.MaxLease {
+		return s.MaxLease
+	}
+	return s.Lease()
+}
+
+// overAt is when the run has certainly ended, unless its lease is renewed. A run that no
+// report has listed may be on a later start of the VM, which took the order's deadline for
+// one on its own clock, and granted as much of it as it does at most.
+func (s *Scheduler) overAt(r *run) Time {
+	if !r.vm.mayRestart() || !r.begun || r.listedAt > 0 {
+		return r.vm.leaseOver
+	}
+	return max(r.vm.leaseOver, r.begunAt+orderTravel+leaseOver(s.settings.MaxLease))
+}
+
+// leasesOver is when everything on the VM has certainly ended, unless a lease is renewed.
+func (s *Scheduler) leasesOver(v *vm) Time {
+	over := v.leaseOver
+	for _, r := range v.ordered {
+		over = max(over, s.overAt(r))
+	}
+	return over
+}
+
+// reasonRestarted: a VM has started again under its ID.
+const reasonRestarted = "started again"
+
+// restarted takes in that a later start of a VM has reported, and returns it.
+func (s *Scheduler) restarted(now, sentAt Time, old *vm, rep *batch.Report) *vm {
+	v := newVM(now, old.inst)
+	v.born, v.restartedAt = rep.Born, now
+	v.listed, v.unlistedAt, v.wait = old.listed, old.unlistedAt, old.wait
+	s.vms[v.inst.ID] = v
+	s.sortVMs()
+	s.changed = true
+	d := old.lifeDecision(now, EventVMRestarted, "")
+	d.Born, d.Acked = rep.Born, old.acked()
+	s.logf(d)
+	end := s.noteEarlierEnd(now, old)
+	told := toldRuns(rep)
+	for _, r := range old.ordered {
+		if s.mayBeOn(sentAt, r, rep, told) {
+			s.moveRun(now, r, v, end)
+		} else {
+			s.doubtEarlier(now, r, end)
+		}
+	}
+	s.dropRuns(now, old, reasonRestarted)
+	return v
+}
+
+// runKey names a run of a task.
+type runKey struct {
+	task   batch.TaskID
+	number int64
+}
+
+// toldRuns are the runs that a report tells of.
+func toldRuns(rep *batch.Report) map[runKey]bool {
+	told := make(map[runKey]bool, len(rep.Running)+len(rep.Ended))
+	for i := range rep.Running {
+		told[runKey{rep.Running[i].Task, rep.Running[i].Run}] = true
+	}
+	for i := range rep.Ended {
+		told[runKey{rep.Ended[i].Task, rep.Ended[i].Run}] = true
+	}
+	return told
+}
+
+// mayBeOn reports whether a run that was ordered from an earlier start may be on the one
+// that reports: its order was given, and neither has the earlier one listed it, nor was it
+// confirmed before a report was asked for that does not tell of it.
+func (s *Scheduler) mayBeOn(sentAt Time, r *run, rep *batch.Report, told map[runKey]bool) bool {
+	if told[runKey{r.task.id(), r.number}] {
+		return true
+	}
+	if !r.begun || r.listedAt > 0 {
+		return false
+	}
+	return rep.MoreEnded || r.confirmedAt == 0 || r.confirmedAt >= sentAt
+}
+
+// moveRun has a run count on a later start of its VM. A stop is ordered again: the later
+// start knows nothing of the first.
+func (s *Scheduler) moveRun(now Time, r *run, to *vm, end *earlierEnd) {
+	t := r.task
+	s.withdraw(now, r)
+	moved := &run{
+		task: t, vm: to, number: r.number, state: r.state, orderedAt: r.orderedAt, confirmedAt: r.confirmedAt,
+		begun: r.begun, begunAt: r.begunAt, checkpoint: r.checkpoint, paced: unknownPace, trial: r.trial, earlier: end,
+	}
+	s.hold(moved)
+	if r.trial {
+		to.trial = moved
+	}
+	if c := t.crash(r.number); c != nil && c.kind == crashDoubted {
+		s.undoubt(r.vm.thisStart(), t)
+		s.recordCrash(moved, crashDoubted)
+	}
+	if moved.state == stopping {
+		s.orderStop(to, t.id(), moved.number)
+	}
+}
--- a/internal/scheduler/restarts_test.go
+++ b/internal/scheduler/restarts_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
@@ -180,6 +181,7 @@
 				c.kill(id)
 			}
 		}
+		c.play(2500 * time.Millisecond)
 		if takeOvers && c.rng.IntN(2) == 0 {
 			c.play(time.Duration(c.rng.IntN(1500)) * time.Millisecond)
 			c.takeOver()
@@ -324,3 +326,156 @@
 	f.plan()
 	require.Len(t, f.started["second.0.0.0"], 1)
 }
+
+// A task that ends its VMs goes on doing so if the VMs' next starts, under the same IDs, are
+// taken for a sign that they live.
+func TestTaskThatCrashesVMsThatStartAgainIsGivenUp(t *testing.T) {
+	t.Parallel()
+	for _, kind := range crashingKinds {
+		for _, dark := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, dark %v", kind, dark), func(t *testing.T) {
+				t.Parallel()
+				for seed := range 20 * *exploreScale {
+					c := newRestartFleet(t, 12, seed)
+					c.darkDeaths = dark
+					c.playCrashing(kind)
+				}
+			})
+		}
+	}
+}
+
+// bornFixture is a fixture whose VMs tell that they were born at 1.
+func bornFixture(t *testing.T, vms int) *fixture {
+	f := newFixture(t, vms)
+	f.reborn(1)
+	for _, inst := range f.list {
+		f.hear(inst.ID, batch.Report{Born: 1})
+	}
+	return f
+}
+
+// reborn lists all VMs with another birth.
+func (f *fixture) reborn(born int64) {
+	for i := range f.list {
+		f.list[i].Born = born
+	}
+	f.s.SetInstances(f.now, f.list)
+}
+
+// A start that was ordered before its VM started again may be on the VM's new start: it must
+// not be given elsewhere before that has said that it is not.
+func TestStartUnderWayIsSettledWithTheNextStartOfItsVM(t *testing.T) {
+	f := bornFixture(t, 1)
+	f.submit("j", tasks(1, 100))
+	f.plan()
+	o := f.last("j.0.0.0")
+	require.True(t, f.s.Begin(f.now, o))
+	f.advance(100 * time.Millisecond)
+	f.s.Heard(f.now, f.now, "vm00", batch.Report{Born: 2, Clock: 10 * time.Millisecond})
+	f.reborn(2)
+	f.plan()
+	require.Len(t, f.started["j.0.0.0"], 1, "started again while the order is under way")
+	f.s.Started(f.now, f.now, o, 0, "", true)
+	f.plan()
+	require.Len(t, f.stops, 1)
+	f.s.Stopped(f.now, f.stops[0])
+	f.advance(100 * time.Millisecond)
+	f.s.Heard(f.now, f.now, "vm00", batch.Report{Born: 2, Clock: 110 * time.Millisecond})
+	f.advance(time.Second)
+	f.s.Heard(f.now, f.now, "vm00", batch.Report{Born: 2, Clock: 1110 * time.Millisecond})
+	f.s.Tend(f.now)
+	f.plan()
+	require.Len(t, f.started["j.0.0.0"], 2, "never started again")
+}
+
+// A start that went to a VM's next start unknown to anybody may run there for the longest
+// lease that VMs grant: its deadline was meant for another clock.
+func TestLeaseOfAStartThatWasNeverHeardIsWaitedOut(t *testing.T) {
+	f := bornFixture(t, 2)
+	f.submit("j", tasks(1, 100))
+	f.plan()
+	o := f.last("j.0.0.0")
+	other := f.list[0].ID
+	if other == o.Instance.ID {
+		other = f.list[1].ID
+	}
+	f.advance(200 * time.Millisecond)
+	require.True(t, f.s.Begin(f.now, o))
+	given := f.now
+	f.s.Started(f.now, f.now, o, 0, "", true)
+	for f.now < given+f.s.settings.MaxLease {
+		f.advance(100 * time.Millisecond)
+		f.hear(other, batch.Report{Born: 1})
+		f.s.Tend(f.now)
+		f.plan()
+		require.Len(t, f.started["j.0.0.0"], 1, "started again %v after the order", f.now-given)
+	}
+}
+
+// Another VM answers at the address that a VM had before it started again elsewhere: that
+// says nothing of the new start, and what runs there goes on.
+func TestAnotherVMAtAnOldAddressEndsNoLaterStart(t *testing.T) {
+	f := bornFixture(t, 1)
+	old, _ := f.s.Instance("vm00")
+	f.list[0].Address = "10.0.9.9:1"
+	f.reborn(2)
+	f.s.Heard(f.now, f.now, "vm00", batch.Report{Born: 2, Clock: time.Second})
+	f.s.Replaced(f.now, &old)
+	require.Contains(t, f.s.Instances(), "vm00")
+	present, _ := f.s.Instance("vm00")
+	f.s.Replaced(f.now, &present)
+	require.NotContains(t, f.s.Instances(), "vm00")
+}
+
+// A VM may be of another kind and size after it has started again: until its new entry is
+// there, nobody knows what it may be given.
+func TestNewStartGetsNoWorkByTheEntryOfAnother(t *testing.T) {
+	f := bornFixture(t, 1)
+	f.advance(time.Second)
+	f.s.Heard(f.now, f.now, "vm00", batch.Report{Born: 2, Clock: time.Second})
+	f.submit("j", tasks(1, 100))
+	f.plan()
+	require.Empty(t, f.started)
+	f.reborn(2)
+	f.plan()
+	require.Len(t, f.started["j.0.0.0"], 1)
+}
+
+// A successor that has heard a VM relies on the fencing token that it showed. The VM's next
+// start has not seen it, and takes orders of the leader before.
+func TestNewStartGetsNoWorkBeforeTheLeadIsConfirmed(t *testing.T) {
+	f := bornFixture(t, 1)
+	f.s.ledAt = f.now
+	f.advance(time.Second)
+	f.s.Heard(f.now, f.now, "vm00", batch.Report{Born: 2, Clock: time.Second})
+	f.reborn(2)
+	f.submit("j", tasks(1, 100))
+	f.plan()
+	require.Empty(t, f.started)
+	f.s.Led(f.now)
+	f.plan()
+	require.Len(t, f.started["j.0.0.0"], 1)
+}
+
+// Runs that were given up when all leases on a VM were over may be acknowledged; a later
+// start of it has runs and leases of its own.
+func TestLapsedRunsAreThoseOfOneStart(t *testing.T) {
+	f := bornFixture(t, 1)
+	f.s.vms["vm00"].lapsedRun = 9
+	next := newFixture(t, 1)
+	next.s.RestoreLapsed(f.s.LapsedRuns())
+	next.hear("vm00", batch.Report{Born: 2})
+	require.Zero(t, next.s.vms["vm00"].lapsedRun)
+	same := newFixture(t, 1)
+	same.s.RestoreLapsed(f.s.LapsedRuns())
+	same.hear("vm00", batch.Report{Born: 1})
+	require.EqualValues(t, 9, same.s.vms["vm00"].lapsedRun)
+}
+
+// What earlier versions kept of lapsed leases is a bare number.
+func TestLapsedIsReadAsItWasWritten(t *testing.T) {
+	var read map[string]Lapsed
+	require.NoError(t, json.Unmarshal([]byte(`{"a":7,"b":{"run":8,"born":3}}`), &read))
+	require.Equal(t, map[string]Lapsed{"a": {Run: 7}, "b": {Run: 8, Born: 3}}, read)
+}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -72,10 +72,14 @@
 	// progressSince, when it was first told.
 	progressAt, progressSince Time
 	progressFrom              int
-	// begun is set once the start is given: before, the run has certainly not begun.
-	begun bool
+	// begun is set once the start is given, the last time at begunAt: before, the run has
+	// certainly not begun.
+	begun   bool
+	begunAt Time
 	// trial is set where nothing else was new on the VM when the run was started.
 	trial bool
+	// earlier is the end of its VM's start before, which may have had the run; nil for none.
+	earlier *earlierEnd
 	// dead is set when the run no longer counts on its VM.
 	dead bool
 }
@@ -208,9 +212,14 @@
 	held bool
 }
 
-// vm is one instance that the leader knows.
+// vm is one start of a VM that the leader knows; see restarts.go.
 type vm struct {
-	inst batch.Instance
+	// inst is the entry on the list. It may be that of another start: born is the birth of
+	// the one that reports, 0 before it is told, and restartedAt when it was first heard, 0
+	// for the first that this leader has known of.
+	inst        batch.Instance
+	born        int64
+	restartedAt Time
 	// listed is set while the store's list has the instance.
 	listed bool
 	// unlistedAt is when it left the list.
@@ -220,9 +229,7 @@
 	heard   bool
 	heardAt Time
 	clock   clock
-	// born is which start of the VM told the last report.
-	born int64
-	runs map[batch.TaskID]*run
+	runs    map[batch.TaskID]*run
 	// ordered holds runs in the order in which they were taken on: what is decided for
 	// one after the other must not follow the order of a map, or equal inputs would give
 	// other plans. It is replaced, not changed, when a run goes, so that loops may end runs.
@@ -258,6 +265,9 @@
 	unwanted []unwanted
 	// health rates failures of late; see health.go.
 	health health
+	// clockWentBack is set when a start was answered with a clock before the one that was
+	// reported, until the next report.
+	clockWentBack bool
 	// leaseUntil is the end of the lease on the instance's clock.
 	leaseUntil time.Duration
 	// wait is how long the last hold waits for an end.
@@ -334,10 +344,11 @@
 	unguarded bool
 	// listedAt is when the list of VMs was last read.
 	listedAt Time
-	// ends are the VMs that ended of late, doubts the runs that may have ended a VM, both
-	// by its ID.
-	ends   map[string]vmEnd
-	doubts map[string]map[*task]int64
+	// ends are the VMs that ended of late, doubts the runs that may have ended a VM.
+	// earlier are the ends of starts of which later ones report.
+	ends    map[vmStart]vmEnd
+	doubts  map[vmStart]map[*task]int64
+	earlier []*earlierEnd
 	// trialTurn is where the next look for a VM for a trial begins.
 	trialTurn int
 	// machines is the machine service's list; nil before it was read.
@@ -345,8 +356,8 @@
 	// silent are instances that an earlier leader may have given work to and
 	// that have not been heard, with the moment when they need not be waited for.
 	silent map[string]Time
-	// lapsed is the lapsedRun of instances that were forgotten and may come back.
-	lapsed map[string]int64
+	// lapsed is what was known of the leases of VMs that were forgotten and may come back.
+	lapsed map[string]Lapsed
 	// untoldSince are the jobs that VMs tell of and that are not known, with the moment
 	// when they were first told of; absent those that the store does not have.
 	untoldSince map[string]Time
@@ -394,7 +405,7 @@
 	}
 	return &Scheduler{
 		settings: settings, policy: policy, fence: fence, nextRun: fence << runBits, vms: map[string]*vm{}, jobs: map[string]*job{},
-		timed: map[string]*job{}, dirty: map[string]*job{}, waves: map[int64]*wave{}, silent: map[string]Time{}, ends: map[string]vmEnd{}, doubts: map[string]map[*task]int64{}, lapsed: map[string]int64{}, untoldSince: map[string]Time{}, absent: map[string]Time{}, images: newImages(), meanWork: map[string]float64{}, logf: log,
+		timed: map[string]*job{}, dirty: map[string]*job{}, waves: map[int64]*wave{}, silent: map[string]Time{}, ends: map[vmStart]vmEnd{}, doubts: map[vmStart]map[*task]int64{}, lapsed: map[string]Lapsed{}, untoldSince: map[string]Time{}, absent: map[string]Time{}, images: newImages(), meanWork: map[string]float64{}, logf: log,
 	}
 }
 
--- a/internal/scheduler/stops.go
+++ b/internal/scheduler/stops.go
@@ -1,14 +1,18 @@
 package scheduler
 
 // Wanted reports whether the run of a start that was ordered is to be: it counts, and
-// was not ordered to stop.
-func (s *Scheduler) Wanted(o Order) bool {
+// was not ordered to stop. The start is then given again, now.
+func (s *Scheduler) Wanted(now Time, o Order) bool {
 	v := s.vms[o.Instance.ID]
 	if v == nil {
 		return false
 	}
 	r := v.runs[o.Task]
-	return r != nil && r.number == o.Run && r.state != stopping
+	if r == nil || r.number != o.Run || r.state == stopping {
+		return false
+	}
+	r.begunAt = now
+	return true
 }
 
 // Stopping reports whether the run of a stop that was ordered still counts, and its
--- a/internal/scheduler/vmends.go
+++ b/internal/scheduler/vmends.go
@@ -55,17 +55,17 @@
 	return e.aliveAt <= other.noticedAt+endedTogether && e.noticedAt >= other.aliveAt-endedTogether
 }
 
-// endedWith counts the VMs other than v that ended, or stopped to answer, about when it
-// did, and that no task is likely to have ended. v's own end is not noted yet.
-func (s *Scheduler) endedWith(now Time, v *vm, end *vmEnd) (others int) {
-	maps.DeleteFunc(s.ends, func(_ string, e vmEnd) bool { return now-e.noticedAt > endsKept })
-	for _, e := range s.ends {
-		if !e.byTask && e.together(end) {
+// endedWith counts the VMs other than the one that ended, or stopped to answer, about when
+// it did, and that no task is likely to have ended.
+func (s *Scheduler) endedWith(now Time, ended vmStart, end *vmEnd) (others int) {
+	maps.DeleteFunc(s.ends, func(_ vmStart, e vmEnd) bool { return now-e.noticedAt > endsKept })
+	for start, e := range s.ends {
+		if start.id != ended.id && !e.byTask && e.together(end) {
 			others++
 		}
 	}
-	for id, other := range s.vms {
-		if other == v || !other.heard || other.unansweredAt == 0 || other.inst.Draining || other.closed || s.hasEnded(id) {
+	for _, other := range s.vms {
+		if other.inst.ID == ended.id || !other.heard || other.unansweredAt == 0 || other.inst.Draining || other.closed || s.hasEnded(other.thisStart()) {
 			continue
 		}
 		if e := other.end(now); !e.byTask && e.together(end) {
@@ -75,17 +75,17 @@
 	return others
 }
 
-func (s *Scheduler) hasEnded(id string) bool {
-	_, ended := s.ends[id]
+func (s *Scheduler) hasEnded(start vmStart) bool {
+	_, ended := s.ends[start]
 	return ended
 }
 
 // storm reports whether as many VMs ended of late by no task as there are others that
-// answer: whatever ends them may have ended v as well.
-func (s *Scheduler) storm(now Time, v *vm) bool {
+// answer: whatever ends them may have ended this one as well.
+func (s *Scheduler) storm(now Time, of vmStart) bool {
 	ended := 0
-	for _, e := range s.ends {
-		if !e.byTask {
+	for start, e := range s.ends {
+		if start != of && !e.byTask {
 			ended++
 		}
 	}
@@ -94,7 +94,7 @@
 	}
 	living := 0
 	for _, o := range s.vms {
-		if o != v && o.heard && !o.silent(now) && o.unansweredAt == 0 {
+		if o.inst.ID != of.id && o.heard && !o.silent(now) && o.unansweredAt == 0 {
 			living++
 		}
 	}
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -46,7 +46,7 @@
 	if inst.Draining && !v.inst.Draining {
 		s.logf(Decision{Event: EventVMDraining, VM: inst.ID, Age: inst.Remaining})
 	}
-	if !v.listed || inst.Draining != v.inst.Draining || inst.Stale != v.inst.Stale {
+	if !v.listed || inst.Born != v.inst.Born || inst.Draining != v.inst.Draining || inst.Stale != v.inst.Stale {
 		s.changed = true
 	}
 	before := v.inst.Capacity
@@ -65,13 +65,16 @@
 }
 
 func (s *Scheduler) addVM(now Time, inst batch.Instance) *vm {
-	v := &vm{inst: inst, runs: map[batch.TaskID]*run{}, blindCap: fullPace, heardAt: now, lapsedRun: s.lapsed[inst.ID]}
-	delete(s.lapsed, inst.ID)
+	v := newVM(now, inst)
 	s.vms[inst.ID] = v
 	s.sortVMs()
 	return v
 }
 
+func newVM(now Time, inst batch.Instance) *vm {
+	return &vm{inst: inst, runs: map[batch.TaskID]*run{}, blindCap: fullPace, heardAt: now}
+}
+
 // sortVMs keeps the VMs in a fixed order, so that equal inputs give equal plans.
 func (s *Scheduler) sortVMs() {
 	s.order = s.order[:0]
@@ -96,13 +99,25 @@
 func (s *Scheduler) Recorded(now Time) map[string]batch.Instance {
 	out := make(map[string]batch.Instance, len(s.vms))
 	for id, v := range s.vms {
-		if v.listed || len(v.runs) > 0 || now <= v.leaseOver || s.awaited(id) {
+		if v.listed || len(v.runs) > 0 || now <= s.leasesOver(v) || s.awaited(id) {
 			out[id] = v.inst
 		}
 	}
 	return out
 }
 
+// Instance returns a VM as orders are given to it; its Born is that of the start that
+// reports. ok is false where it is not known.
+func (s *Scheduler) Instance(id string) (inst batch.Instance, ok bool) {
+	v := s.vms[id]
+	if v == nil {
+		return inst, false
+	}
+	inst = v.inst
+	inst.Born = v.born
+	return inst, true
+}
+
 // Instances returns the instances to be held, by ID.
 func (s *Scheduler) Instances() map[string]batch.Instance {
 	out := make(map[string]batch.Instance, len(s.vms))
@@ -126,6 +141,14 @@
 // certain. It may live.
 const reasonUnlisted = "unlisted"
 
+// Replaced takes a VM out at whose address another VM answers: the start that was there, as
+// Instance told it, has ended. A later one may be elsewhere.
+func (s *Scheduler) Replaced(now Time, inst *batch.Instance) {
+	if v := s.vms[inst.ID]; v != nil && v.mayBe(inst.Born) && v.inst.Address == inst.Address {
+		s.Gone(now, inst.ID, "another instance answers")
+	}
+}
+
 // Gone takes an instance out whose life has certainly ended, or that runs nothing.
 func (s *Scheduler) Gone(now Time, id, reason string) {
 	delete(s.silent, id)
@@ -136,7 +159,7 @@
 	s.logf(v.lifeDecision(now, EventVMGone, reason))
 	if reason == reasonUnlisted {
 		// What was in doubt there stays so.
-		delete(s.doubts, id)
+		delete(s.doubts, v.thisStart())
 	} else {
 		s.crashedUnder(now, v)
 	}
@@ -150,17 +173,28 @@
 func (s *Scheduler) dropRuns(now Time, v *vm, reason string) {
 	s.clearUnwanted(v)
 	for _, r := range v.ordered {
-		s.logf(Decision{
-			Event: EventRunLost, Task: r.task.id(), VM: v.inst.ID, Run: r.number, Reason: reason, Age: now - r.orderedAt,
-			Lived: r.lived(), LivedAtMost: r.livedAtMost(now), Unheard: now - v.heardAt, LeaseLeft: v.leaseOver - now,
-		})
-		s.lose(now, r)
+		s.dropRun(now, r, reason)
 	}
 }
 
+// dropRun counts a run as ended whose end nobody has told.
+func (s *Scheduler) dropRun(now Time, r *run, reason string) {
+	s.logf(Decision{
+		Event: EventRunLost, Task: r.task.id(), VM: r.vm.inst.ID, Run: r.number, Reason: reason, Age: now - r.orderedAt,
+		Lived: r.lived(), LivedAtMost: r.livedAtMost(now), Unheard: now - r.vm.heardAt, LeaseLeft: s.overAt(r) - now,
+	})
+	s.lose(now, r)
+}
+
+// ackWithin is how long after a report its ends may be acknowledged. A later start of the
+// VM that takes the acknowledgement for its own forgets ends that it has not told; within
+// this time it can't have begun and ended a run.
+const ackWithin = 500 * time.Millisecond
+
 // Hold returns the order that renews an instance's lease, given that it is sent
 // now. While the last hold has no answer the lease is not renewed: it must be
-// able to run out, so that what ran there may be started elsewhere.
+// able to run out, so that what ran there may be started elsewhere; and nothing is
+// acknowledged, since another start of the VM may answer.
 func (s *Scheduler) Hold(now Time, id string, wait time.Duration) (batch.HoldOrder, bool) {
 	v := s.vms[id]
 	if v == nil {
@@ -168,6 +202,9 @@
 	}
 	v.wait = wait
 	o := batch.HoldOrder{Fence: s.fence, Acked: v.acked(), Wait: wait}
+	if v.mayRestart() && (v.unanswered || now-v.heardAt > ackWithin) {
+		o.Acked = 0
+	}
 	if v.clock.known && !v.unanswered {
 		o.LeaseUntil = v.renew(now, s.settings.leaseFor(v))
 	}
@@ -188,6 +225,7 @@
 	s.logInterference(now)
 	s.waitOutSilent(now)
 	s.forgetAbsent(now)
+	s.judgeEarlierEnds(now)
 	for _, v := range slices.Clone(s.order) {
 		s.tendVM(now, v.inst.ID, v)
 	}
@@ -209,14 +247,14 @@
 	if v.heard && now > v.leaseOver {
 		s.lapse(now, v)
 	}
-	if v.inst.Draining && v.listed && s.policy.Evacuate {
+	if v.inst.Draining && v.listed && v.entryIsOfThisStart() && s.policy.Evacuate {
 		s.emptyDraining(now, v)
 	}
-	if !v.listed && len(v.runs) == 0 && now-v.unlistedAt > forgetAfter && now > v.leaseOver && !s.awaited(id) {
+	if !v.listed && len(v.runs) == 0 && now-v.unlistedAt > forgetAfter && now > s.leasesOver(v) && !s.awaited(id) {
 		lapsed := v.lapsedRun
 		s.Gone(now, id, reasonUnlisted)
 		if lapsed > 0 {
-			s.keepLapsed(id, lapsed)
+			s.keepLapsed(id, Lapsed{Run: lapsed, Born: v.born})
 		}
 	}
 }
