An adviser's leave holds for one start of a VM

A VM's next start refuses the ticket of the one before, and where the one before was not allowed the next was never asked about. Cause: tickets and refusals were kept by ID. Evidence: TestAdviceHoldsForOneStart failed before (nothing is asked again).

--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -26,6 +26,8 @@
 type ticket struct {
 	text    string
 	expires Time
+	// born is the start of the VM that it was asked for.
+	born int64
 }
 
 // advice is what is known of a step's VMs, by instance ID.
@@ -34,8 +36,10 @@
 	asking  bool
 	askAt   Time
 	tickets map[string]ticket
-	// refused are the VMs that the adviser did not allow.
-	refused map[string]bool
+	// refused are the VMs that the adviser did not allow, with their starts.
+	refused map[string]int64
+	// asked are the starts of the VMs that are asked about.
+	asked map[string]int64
 }
 
 // advised reports whether the VM may run the step now, and its ticket.
@@ -44,7 +48,7 @@
 		return "", false
 	}
 	t, ok := st.advice.tickets[v.inst.ID]
-	return t.text, ok && now < t.expires
+	return t.text, ok && now < t.expires && v.mayBe(t.born)
 }
 
 // needsAdvice reports whether the step's queue has an adviser.
@@ -54,13 +58,17 @@
 func (s *Scheduler) askAdvice(now Time, st *step) {
 	a := st.advice
 	if a == nil {
-		a = &advice{tickets: map[string]ticket{}, refused: map[string]bool{}}
+		a = &advice{tickets: map[string]ticket{}, refused: map[string]int64{}}
 		st.advice = a
 	}
 	if a.asking || now < a.askAt {
 		return
 	}
 	ids := s.askAbout(now, st)
+	a.asked = make(map[string]int64, len(ids))
+	for _, id := range ids {
+		a.asked[id] = s.vms[id].born
+	}
 	if len(ids) == 0 {
 		a.askAt = now + askAgain
 		return
@@ -83,10 +91,12 @@
 	var list []candidate
 	t := &st.tasks[0]
 	for _, v := range s.order {
-		if o := s.fits(now, v, t); a.refused[v.inst.ID] || (o != obstacleNone && o != obstacleAdvice) {
+		born, refused := a.refused[v.inst.ID]
+		if o := s.fits(now, v, t); (refused && v.mayBe(born)) || (o != obstacleNone && o != obstacleAdvice) {
 			continue
 		}
-		_, good := a.tickets[v.inst.ID]
+		old, known := a.tickets[v.inst.ID]
+		good := known && v.mayBe(old.born)
 		score, _ := s.score(now, v, st.spec)
 		list = append(list, candidate{v.inst.ID, good, score})
 	}
@@ -128,9 +138,9 @@
 	}
 	for _, id := range o.Candidates {
 		if text, allowed := good[id]; allowed {
-			a.tickets[id] = ticket{text: text, expires: askedAt + validFor - ticketMargin}
+			a.tickets[id] = ticket{text: text, expires: askedAt + validFor - ticketMargin, born: a.asked[id]}
 		} else {
-			a.refused[id] = true
+			a.refused[id] = a.asked[id]
 		}
 	}
 }
--- /dev/null
+++ b/internal/scheduler/restarts_advice_test.go
@@ -0,0 +1,33 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+// An adviser's leave holds for one start of a VM; the next one refuses the ticket, and may be
+// allowed where the one before was not.
+func TestAdviceHoldsForOneStart(t *testing.T) {
+	f := bornFixture(t, 2)
+	f.s.SetConfig(&batch.Config{Version: 2, Queues: []batch.Queue{
+		{Name: testQueue, Pool: "pool", Attempts: 3, Stretch: 2, Advice: &batch.Advice{ValidFor: time.Minute}},
+	}})
+	f.submit("j", tasks(2, 6000))
+	ask := f.plan()[0]
+	f.s.Advised(f.now, f.now, ask, map[string]string{"vm01": "leave"}, time.Minute, true)
+	f.plan()
+	require.Len(t, f.started, 1)
+	f.advance(200 * time.Millisecond)
+	for _, inst := range f.list {
+		f.s.Heard(f.now, f.now, inst.ID, batch.Report{Born: 2, Clock: time.Second})
+	}
+	f.reborn(2)
+	orders := f.plan()
+	require.Len(t, orders, 1)
+	require.Equal(t, OrderAdvise, orders[0].Kind)
+	require.ElementsMatch(t, []string{"vm00", "vm01"}, orders[0].Candidates)
+}
