Experiment: VMs that start again under their IDs

A kind of fault, restarted, and a scenario, restarts-48: a third of 48 VMs starts again four times, one of them before a take-over. A test bounds the starts at one and a half times those without.

--- a/internal/experiment/crashing.go
+++ b/internal/experiment/crashing.go
@@ -71,7 +71,7 @@
 
 // revive begins another life of a VM.
 func (p *player) revive(v *vm) {
-	next := &vm{inst: v.inst, runs: map[batch.TaskID]*run{}, slow: 1, heardAt: p.now}
+	next := &vm{inst: v.inst, runs: map[batch.TaskID]*run{}, slow: 1, bornAt: -oldStart, heardAt: p.now}
 	next.inst.ID += "+"
 	p.f.vms = append(p.f.vms, next)
 	p.f.byID[next.inst.ID] = next
--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -44,6 +44,11 @@
 	slow    float64
 	failing bool
 	lost    bool
+	// down is set between two starts under the VM's ID; born tells them apart, 0 where none
+	// start again, and the present one began at bornAt.
+	down   bool
+	born   int64
+	bornAt time.Duration
 	// full is what it has when it has not shrunk, where it ever has.
 	full batch.Resources
 }
@@ -94,7 +99,10 @@
 				Labels:   []string{"a", fmt.Sprintf("r%d", i/s.Fleet.RackOf)},
 				Capacity: batch.Resources{MilliCPU: int64(1000 * s.Fleet.Cores * size), MemoryMB: int64(1000 * s.Fleet.MemoryGB * size)},
 			},
-			runs: map[batch.TaskID]*run{}, slow: 1, heardAt: -every * time.Duration(i) / time.Duration(s.Fleet.VMs),
+			runs: map[batch.TaskID]*run{}, slow: 1, bornAt: -oldStart, heardAt: -every * time.Duration(i) / time.Duration(s.Fleet.VMs),
+		}
+		if s.restarts() {
+			v.born, v.inst.Born = 1, 1
 		}
 		f.vms = append(f.vms, v)
 		f.byID[v.inst.ID] = v
@@ -115,7 +123,7 @@
 // start carries a start out, or refuses it.
 func (f *fleet) start(now time.Duration, o scheduler.Order) batch.Refusal {
 	v := f.byID[o.Instance.ID]
-	if v == nil || v.lost {
+	if v == nil || v.lost || v.down {
 		return batch.RefusedUnreached
 	}
 	j := f.jobs[o.Task.Job]
@@ -200,7 +208,7 @@
 
 // step lets a VM's runs work for a while.
 func (f *fleet) step(now, dt time.Duration, v *vm) {
-	if v.lost {
+	if v.lost || v.down {
 		return
 	}
 	capacity := float64(v.inst.Capacity.MilliCPU)
@@ -290,7 +298,7 @@
 		v.ends = v.ends[1:]
 	}
 	v.heardAt, v.told = now, len(v.ends)
-	rep := batch.Report{Clock: now + time.Hour, Ended: append([]batch.RunEnd(nil), v.ends...)}
+	rep := batch.Report{Born: v.born, Clock: v.clock(now), Ended: append([]batch.RunEnd(nil), v.ends...)}
 	for _, r := range v.list {
 		rep.Running = append(rep.Running, f.status(now, r))
 	}
--- a/internal/experiment/play.go
+++ b/internal/experiment/play.go
@@ -52,6 +52,8 @@
 	// such tasks ended.
 	CrashingJobs int `json:"crashing_jobs,omitempty"`
 	Crashes      int `json:"crashes,omitempty"`
+	// Restarts counts the VMs that started again under their IDs.
+	Restarts int `json:"restarts,omitempty"`
 	// PaceOrders and Starts count orders.
 	PaceOrders int `json:"pace_orders"`
 	Starts     int `json:"starts"`
@@ -76,6 +78,8 @@
 	store      map[string]*scheduler.Progress
 	faults     []Fault
 	recoveries []recovery
+	// relist are the VMs whose entries are still those of the start before.
+	relist []recovery
 	// leaderAt is when the next leader takes over, absent is set until then.
 	leaderAt time.Duration
 	absent   bool
@@ -166,6 +170,7 @@
 	p.beginFaults()
 	p.heal()
 	p.crash()
+	p.relistVMs()
 	if p.absent && p.now >= p.leaderAt {
 		p.absent = false
 		p.elect()
@@ -208,6 +213,9 @@
 			p.giveUp(v)
 			continue
 		}
+		if v.down {
+			continue
+		}
 		if p.now-v.heardAt >= every || len(v.ends) > v.told {
 			hold, ok := p.sched.Hold(p.now, v.inst.ID, every)
 			if ok {
@@ -239,7 +247,7 @@
 		if j := p.f.jobs[o.Task.Job]; refusal == "" && p.waits[j] == 0 {
 			p.waits[j] = p.now - j.at + 1
 		}
-		p.sched.Started(p.now+startsWithin, p.now, o, p.now+time.Hour, refusal, false)
+		p.sched.Started(p.now+startsWithin, p.now, o, p.f.byID[o.Instance.ID].clock(p.now), refusal, false)
 		if refusal == "" {
 			p.began(o)
 		}
@@ -311,6 +319,8 @@
 			v.failing = true
 		case FaultLost:
 			p.lose(v)
+		case FaultRestarted:
+			p.endStart(v)
 		case FaultShrunk:
 			p.resize(v, f.Times)
 		case FaultTakeover, FaultCrashing:
@@ -326,6 +336,9 @@
 	for _, r := range p.recoveries {
 		if p.now >= r.at {
 			r.vm.slow, r.vm.failing = 1, false
+			if r.vm.down {
+				p.startAgain(r.vm)
+			}
 			if r.vm.full != (batch.Resources{}) {
 				p.resize(r.vm, 1)
 			}
--- a/internal/experiment/play_test.go
+++ b/internal/experiment/play_test.go
@@ -199,3 +199,19 @@
 		require.LessOrEqual(t, out.Crashes, 5*out.CrashingJobs)
 	}
 }
+
+// VMs that start again under their IDs cost what ran on them, and nothing more: a leader that
+// takes a new start for the one before loses ends, and runs tasks again for as long as the
+// load lasts.
+func TestRestartsCostWhatRanThere(t *testing.T) {
+	s, err := Find("restarts-48")
+	require.NoError(t, err)
+	calm := s
+	calm.Faults = nil
+	for seed := range uint64(2) {
+		out, quiet := play(t, &s, Variants()[0], seed), play(t, &calm, Variants()[0], seed)
+		t.Logf("%d restarts; service %.3f, without %.3f; starts %d, without %d; kinds %v", out.Restarts, out.Service, quiet.Service, out.Starts, quiet.Starts, out.Kinds)
+		require.Positive(t, out.Restarts)
+		require.Less(t, float64(out.Starts), 1.5*float64(quiet.Starts))
+	}
+}
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -154,6 +154,8 @@
 	FaultCrashing FaultKind = "crashing"
 	// FaultShrunk: VMs have a part of their capacity only, one in Times.
 	FaultShrunk FaultKind = "shrunk"
+	// FaultRestarted: VMs end, and start again under their IDs when the fault is over.
+	FaultRestarted FaultKind = "restarted"
 )
 
 // Fault befalls a share of the VMs, or the leader, for a while.
@@ -282,9 +284,9 @@
 	for i, f := range s.Faults {
 		at := fmt.Sprintf("faults[%d].", i)
 		switch f.Kind {
-		case FaultSlow, FaultStalled, FaultFailing, FaultLost, FaultTakeover, FaultCrashing, FaultShrunk:
+		case FaultSlow, FaultStalled, FaultFailing, FaultLost, FaultTakeover, FaultCrashing, FaultShrunk, FaultRestarted:
 		default:
-			d.Fault(at+"kind", fmt.Sprintf("use %s, %s, %s, %s, %s, %s or %s", FaultSlow, FaultStalled, FaultFailing, FaultLost, FaultTakeover, FaultCrashing, FaultShrunk))
+			d.Fault(at+"kind", fmt.Sprintf("use %s, %s, %s, %s, %s, %s, %s or %s", FaultSlow, FaultStalled, FaultFailing, FaultLost, FaultTakeover, FaultCrashing, FaultShrunk, FaultRestarted))
 		}
 		if f.AtS < 0 || f.AtS > maxSeconds || f.ForS < 0 || f.ForS > maxSeconds {
 			d.Fault(at+"at_s", fmt.Sprintf("give times from 0 to %d", maxSeconds))
