What another VM answers at an old address ends no later start of a VM

Callers would have waited for ever: a VM had started again under its ID at another address, and another VM answered at the old one. Cause: the hold loop ended, and was not begun anew since the VM was still known; a start that was refused there counted as under way for good.

--- a/internal/leader/holds.go
+++ b/internal/leader/holds.go
@@ -160,8 +160,9 @@
 	now := steady.Now()
 	switch refusalOf(err) {
 	case batch.RefusedGone:
+		// A later start of the VM may be known at another address.
 		t.replaced(now, inst)
-		return false, nil
+		return true, err
 	case batch.RefusedFence:
 		t.fenced(inst.ID)
 		return false, nil
--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -133,7 +133,6 @@
 	now := steady.Now()
 	if refusal == batch.RefusedGone {
 		t.replaced(now, &o.Instance)
-		return
 	}
 	t.mu.Lock()
 	t.sched.Started(now, sentAt, o, clock, refusal, unanswered)
--- a/internal/leader/sight_test.go
+++ b/internal/leader/sight_test.go
@@ -22,8 +22,8 @@
 type oneVM struct {
 	report batch.Report
 	err    error
-	// failed is called at each start and stop; may be nil.
-	failed func()
+	// failed is called at each start and stop, held at each hold; may be nil.
+	failed, held func()
 }
 
 func (a *oneVM) Start(context.Context, *batch.Instance, batch.StartOrder) (time.Duration, error) {
@@ -45,6 +45,9 @@
 }
 
 func (a *oneVM) Hold(context.Context, *batch.Instance, batch.HoldOrder) (batch.Report, error) {
+	if a.held != nil {
+		a.held()
+	}
 	return a.report, a.err
 }
 
--- a/internal/scheduler/leases.go
+++ b/internal/scheduler/leases.go
@@ -201,9 +201,9 @@
 	if v.lapsedLease != v.leaseOver {
 		// Nothing can have begun there since.
 		v.lapsedLease, v.lapsedRun = v.leaseOver, s.nextRun
+		s.doubtNewRuns(now, v)
+		s.clearUnwanted(v)
 	}
-	s.doubtNewRuns(now, v)
-	s.clearUnwanted(v)
 	for _, r := range v.ordered {
 		if now > s.overAt(r) {
 			s.dropRun(now, r, "lease over")
--- a/internal/scheduler/lives.go
+++ b/internal/scheduler/lives.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rattanwall/rattanwall/internal/batch"
@@ -51,12 +52,20 @@
 			v.missedAt = 0
 		case v.missedAt == 0:
 			v.missedAt = askedAt
-		case askedAt-v.missedAt >= missedFor:
+		case askedAt-v.missedAt >= missedFor && !v.startsUnderWay(now):
 			s.Gone(now, id, "machine ended it")
 		}
 	}
 }
 
+// startsUnderWay reports whether a start may arrive that was ordered from the VM: if its
+// machine has just begun another under the same ID, that one takes it.
+func (v *vm) startsUnderWay(now Time) bool {
+	return v.mayRestart() && slices.ContainsFunc(v.ordered, func(r *run) bool {
+		return r.begun && r.confirmedAt == 0 && now-r.begunAt < orderTravel
+	})
+}
+
 // believable reports whether a list names enough of the instances that certainly live.
 func (s *Scheduler) believable(now Time, up map[string]bool) bool {
 	living, named := 0, 0
