A hold loop ends with its VM

The commit before let it go on for one hold more where the VM is gone, which TestLinesOnASilentVMTellTheAgeAndTheLease rightly refuses; it goes on only where a later start of the VM is known.

--- a/internal/leader/holds.go
+++ b/internal/leader/holds.go
@@ -160,9 +160,7 @@
 	now := steady.Now()
 	switch refusalOf(err) {
 	case batch.RefusedGone:
-		// A later start of the VM may be known at another address.
-		t.replaced(now, inst)
-		return true, err
+		return t.replaced(now, inst), err
 	case batch.RefusedFence:
 		t.fenced(inst.ID)
 		return false, nil
@@ -193,8 +191,9 @@
 	return true, nil
 }
 
-// replaced takes a VM out at whose address another one answers.
-func (t *term) replaced(now time.Duration, inst *batch.Instance) {
+// replaced takes a VM out at whose address another one answers, and reports whether the VM is
+// known all the same: a later start of it, at another address.
+func (t *term) replaced(now time.Duration, inst *batch.Instance) (known bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if x, ok := t.sched.Standing(now, inst.ID); ok {
@@ -202,6 +201,8 @@
 	}
 	t.sched.Replaced(now, inst)
 	t.awake()
+	_, known = t.sched.Instance(inst.ID)
+	return known
 }
 
 // toldEnds are the ends that a VM goes on telling since they are not acknowledged.
