--- a/internal/leader/holds.go
+++ b/internal/leader/holds.go
@@ -160,7 +160,10 @@
 	now := steady.Now()
 	switch refusalOf(err) {
 	case batch.RefusedGone:
-		return t.replaced(now, inst), err
+		if t.replaced(now, inst) {
+			return true, err
+		}
+		return false, nil
 	case batch.RefusedFence:
 		t.fenced(inst.ID)
 		return false, nil
