--- a/internal/scheduler/explore_leader_test.go
+++ b/internal/scheduler/explore_leader_test.go
@@ -96,7 +96,7 @@
 		fence: w.fence, zone: zone, renewedAt: w.now, wallOffset: w.upTo(3*time.Second) - 1500*time.Millisecond,
 		holding: map[string]bool{}, cut: map[string]Time{},
 	}
-	l.s = New(Settings{MaxLease: 10 * time.Second}, l.fence, w.decisions(l))
+	l.s = New(Settings{MaxLease: longestHold}, l.fence, w.decisions(l))
 	w.store.holder, w.store.keyUntil = l, w.now+keyLife
 	w.leaders = append(w.leaders, l)
 	w.tracef("leader %d elected in zone %d", l.fence, zone)
@@ -390,6 +390,9 @@
 	if w.breaks.ackEarly {
 		order.Acked = l.s.vms[v.id].seen
 	}
+	if w.breaks.blindAcks {
+		order.Acked = l.s.vms[v.id].acked()
+	}
 	l.holding[v.id] = true
 	sentAt := w.now
 	var report batch.Report
@@ -400,6 +403,9 @@
 			w.fenced(l)
 			return
 		}
+		if w.breaks.sameStart {
+			report.Born = 0
+		}
 		l.s.Heard(w.now, sentAt, v.id, report)
 	}, func() {
 		l.holding[v.id] = false
--- a/internal/scheduler/explore_test.go
+++ b/internal/scheduler/explore_test.go
@@ -69,6 +69,10 @@
 	forgetsCrashes bool
 	// overfills: a VM's capacity is taken for what it was at first.
 	overfills bool
+	// blindAcks: ends are acknowledged after holds that had no answer.
+	blindAcks bool
+	// sameStart: a VM's next start is taken for the one before.
+	sameStart bool
 }
 
 // exploreScale runs more seeds of everything, for a hunt: -explore.scale 10.
@@ -243,6 +247,8 @@
 		"a predecessor goes on":              {breaks: breaks{hasty: true}, faults: faults{alone: true, asks: true}},
 		"does not count crashes":             {breaks: breaks{forgetsCrashes: true}, faults: faults{crashes: true}},
 		"overlooks that capacities shrink":   {breaks: breaks{overfills: true}, faults: faults{resizes: true}},
+		"acknowledges after silence":         {breaks: breaks{blindAcks: true}, faults: faults{restarts: true}},
+		"takes a new start for the old":      {breaks: breaks{sameStart: true}, faults: faults{restarts: true}},
 		"knows no VMs that are off the list": {breaks: breaks{unrecorded: true}, faults: faults{list: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
