Doubts are concluded in one place

The end of an earlier start judged its doubts in a loop of its own, the same as that of a VM's certain end but for a verdict that differs by run. One function serves both; behaviour is as it was. Run: the scheduler's tests, the explorer among them, pass (20.5 s); vet, staticcheck and golangci-lint are clean.

--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -283,11 +283,16 @@
 
 // concludeDoubts takes in that a VM has ended that runs were doubted on.
 func (s *Scheduler) concludeDoubts(now Time, start vmStart, kind crashKind) {
+	s.concludeDoubtsBy(now, start, func(int64) crashKind { return kind })
+}
+
+// concludeDoubtsBy does the same where the end says something else of each run.
+func (s *Scheduler) concludeDoubtsBy(now Time, start vmStart, verdictOn func(number int64) crashKind) {
 	doubts := s.doubts[start]
 	delete(s.doubts, start)
 	for t, number := range doubts {
 		if c := t.crash(number); c != nil && c.kind == crashDoubted && !t.step.occ.job.state.Final() {
-			s.setCrashKind(now, t, c, kind)
+			s.setCrashKind(now, t, c, verdictOn(number))
 		}
 	}
 }
--- a/internal/scheduler/earlierends.go
+++ b/internal/scheduler/earlierends.go
@@ -113,11 +113,5 @@
 	if others >= massVMs {
 		e.kind = crashMass
 	}
-	doubts := s.doubts[e.start]
-	delete(s.doubts, e.start)
-	for t, number := range doubts {
-		if c := t.crash(number); c != nil && c.kind == crashDoubted && !t.step.occ.job.state.Final() {
-			s.setCrashKind(now, t, c, e.verdictOn(number))
-		}
-	}
+	s.concludeDoubtsBy(now, e.start, e.verdictOn)
 }
