A planned stop answers each connection that it took

Cause: net/http's serve loop reads a request, then looks whether the server shuts down, and if so closes the connection without an answer. Shutdown waits for connections that have sent nothing yet, so it waits for a request and cuts it off. What was suspected before (a connection that is not counted yet, hence two shutdowns) is refuted: Shutdown waits for the accept loop, which counts each connection.

Change: package graceful. A stop closes the listener, waits until every connection that was taken has been answered, and shuts the server down then. Both ways of running a process use it. The second shutdown and its pause are gone.

A client that sends nothing holds a stop up for the time of headers (5 s), as before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -21,8 +21,8 @@
 	"github.com/rattanwall/rattanwall/internal/entry"
 	"github.com/rattanwall/rattanwall/internal/eventlog"
 	"github.com/rattanwall/rattanwall/internal/follow"
+	"github.com/rattanwall/rattanwall/internal/graceful"
 	"github.com/rattanwall/rattanwall/internal/leader"
-	"github.com/rattanwall/rattanwall/internal/pause"
 	"github.com/rattanwall/rattanwall/internal/relay"
 	"github.com/rattanwall/rattanwall/internal/scheduler"
 	"github.com/rattanwall/rattanwall/internal/scheduling"
@@ -115,7 +115,7 @@
 	waves    map[int64]batch.Wave
 	draining atomic.Bool
 	aborted  chan struct{}
-	servers  []*http.Server
+	servers  []*graceful.Server
 	metrics  *metrics
 	operator *follow.Follower
 	peers    *peers
@@ -181,7 +181,11 @@
 func wallMS() int64 { return time.Now().UnixMilli() }
 
 func (e *Edge) serve(address string, handler http.Handler) {
-	e.servers = append(e.servers, &http.Server{
+	e.servers = append(e.servers, newServer(address, handler))
+}
+
+func newServer(address string, handler http.Handler) *graceful.Server {
+	return graceful.New(&http.Server{
 		Addr: address, Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 	})
 }
@@ -285,40 +289,24 @@
 	e.election.Resign(context.Background())
 	go e.relay.Leave()
 	time.Sleep(noticeTime)
-	for _, s := range e.servers {
-		s.SetKeepAlivesEnabled(false)
-	}
 	limit := began.Add(e.settings.Grace - leaveMargin)
 	ctx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
-	e.shutdown(ctx)
-	// A connection that was taken just as its listener closed is not known to the
-	// first pass yet; its request would end with the process.
-	pause.For(ctx, lateConnections)
-	e.shutdown(ctx)
-}
-
-// lateConnections is how long a connection may take from being accepted until its
-// server counts it: a few scheduling rounds on a busy machine.
-const lateConnections = 100 * time.Millisecond
-
-// shutdown waits until every server has answered what it has read.
-func (e *Edge) shutdown(ctx context.Context) {
 	for _, s := range e.servers {
-		if err := s.Shutdown(ctx); err != nil {
-			e.log.Warn("requests_cut_off", err, eventlog.Fields{"listener": s.Addr})
+		if err := s.Stop(ctx); err != nil {
+			e.log.Warn("requests_cut_off", err, eventlog.Fields{"listener": s.Addr()})
 		}
 	}
 }
 
 // httpService runs a server under the supervisor.
-type httpService struct{ server *http.Server }
+type httpService struct{ server *graceful.Server }
 
 // Serve implements suture.Service.
 func (s httpService) Serve(ctx context.Context) error {
-	ln, err := net.Listen("tcp", s.server.Addr)
+	ln, err := net.Listen("tcp", s.server.Addr())
 	if err != nil {
-		return errors.Wrapf(err, "listen on %s", s.server.Addr)
+		return errors.Wrapf(err, "listen on %s", s.server.Addr())
 	}
 	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
 	defer stop()
@@ -331,4 +319,4 @@
 }
 
 // String names the service in the supervisor's events.
-func (s httpService) String() string { return "server " + s.server.Addr }
+func (s httpService) String() string { return "server " + s.server.Addr() }
--- a/internal/edge/metrics_test.go
+++ b/internal/edge/metrics_test.go
@@ -18,6 +18,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/rattanwall/rattanwall/internal/eventlog"
+	"github.com/rattanwall/rattanwall/internal/graceful"
 	"github.com/rattanwall/rattanwall/internal/leader"
 	"github.com/rattanwall/rattanwall/internal/ports"
 	"github.com/rattanwall/rattanwall/internal/scheduler"
@@ -90,7 +91,7 @@
 	require.ErrorIs(t, e.metricsService().Serve(t.Context()), suture.ErrDoNotRestart)
 	require.Eventually(t, func() bool { return log.count("metrics_not_served") == 1 }, 5*time.Second, 10*time.Millisecond)
 
-	e.servers = []*http.Server{{Addr: taken.Addr().String()}}
+	e.servers = []*graceful.Server{newServer(taken.Addr().String(), nil)}
 	require.False(t, e.metricsApart())
 	e.settings.Metrics = ""
 	require.False(t, e.metricsApart())
--- a/internal/edge/operations.go
+++ b/internal/edge/operations.go
@@ -161,7 +161,7 @@
 		return false
 	}
 	for _, s := range e.servers {
-		if _, other, _ := net.SplitHostPort(s.Addr); other == port {
+		if _, other, _ := net.SplitHostPort(s.Addr()); other == port {
 			return false
 		}
 	}
@@ -172,10 +172,8 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", e.metrics.handler())
 	return optionalService{
-		httpService: httpService{&http.Server{
-			Addr: e.settings.Metrics, Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		}},
-		log: e.log,
+		httpService: httpService{newServer(e.settings.Metrics, mux)},
+		log:         e.log,
 	}
 }
 
@@ -192,6 +190,6 @@
 	if err == nil || ctx.Err() != nil {
 		return err
 	}
-	s.log.Warn("metrics_not_served", err, eventlog.Fields{"listener": s.server.Addr})
+	s.log.Warn("metrics_not_served", err, eventlog.Fields{"listener": s.server.Addr()})
 	return suture.ErrDoNotRestart
 }
--- /dev/null
+++ b/internal/graceful/graceful_test.go
@@ -0,0 +1,187 @@
+package graceful
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// held makes a server whose handler waits until the channel is closed.
+func held(hold chan struct{}) *Server {
+	return New(&http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		<-hold
+		w.WriteHeader(http.StatusTeapot)
+	})})
+}
+
+// serve starts a server on loopback.
+func serve(t *testing.T, s *Server) (address string, ended chan error) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ended = make(chan error, 1)
+	go func() { ended <- s.Serve(ln) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return ln.Addr().String(), ended
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	require.NoError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+	return conn
+}
+
+func ask(t *testing.T, conn net.Conn) {
+	t.Helper()
+	_, err := fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+}
+
+func requireAnswer(t *testing.T, conn net.Conn) *http.Response {
+	t.Helper()
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, http.StatusTeapot, resp.StatusCode)
+	return resp
+}
+
+// stop begins a stop and returns once the listener is closed.
+func stop(t *testing.T, s *Server, address string, limit time.Duration) chan error {
+	t.Helper()
+	done := make(chan error, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	t.Cleanup(cancel)
+	go func() { done <- s.Stop(ctx) }()
+	require.Eventually(t, func() bool {
+		conn, err := net.Dial("tcp", address)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err != nil
+	}, 5*time.Second, time.Millisecond)
+	return done
+}
+
+func open(hold chan struct{}) chan struct{} {
+	close(hold)
+	return hold
+}
+
+func TestRequestUnderWayIsAnswered(t *testing.T) {
+	hold := make(chan struct{})
+	s := held(hold)
+	address, ended := serve(t, s)
+	conn := dial(t, address)
+	ask(t, conn)
+	require.Eventually(t, s.awaits, time.Second, time.Millisecond)
+	done := stop(t, s, address, 5*time.Second)
+	select {
+	case err := <-done:
+		require.Fail(t, "the stop does not wait", "%v", err)
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(hold)
+	require.True(t, requireAnswer(t, conn).Close)
+	require.NoError(t, <-done)
+	require.ErrorIs(t, <-ended, http.ErrServerClosed)
+}
+
+// A connection that was made before the stop sends its first request during it.
+func TestFirstRequestDuringTheStopIsAnswered(t *testing.T) {
+	s := held(open(make(chan struct{})))
+	address, _ := serve(t, s)
+	conn := dial(t, address)
+	require.Eventually(t, s.awaits, time.Second, time.Millisecond)
+	done := stop(t, s, address, 5*time.Second)
+	ask(t, conn)
+	require.True(t, requireAnswer(t, conn).Close)
+	require.NoError(t, <-done)
+}
+
+// Many connections are made and used as the stop begins: each that was taken is
+// answered, and one that was not read was refused or reset.
+func TestNoRequestIsReadAndLeftAtTheStop(t *testing.T) {
+	for range 20 {
+		s := held(open(make(chan struct{})))
+		var read, answered int
+		var mu sync.Mutex
+		s.http.ConnState = func(c net.Conn, state http.ConnState) {
+			s.observe(c, state)
+			if state == http.StateActive {
+				mu.Lock()
+				read++
+				mu.Unlock()
+			}
+		}
+		address, _ := serve(t, s)
+		var callers sync.WaitGroup
+		for range 8 {
+			callers.Go(func() {
+				for range 30 {
+					conn, err := net.Dial("tcp", address)
+					if err != nil {
+						return
+					}
+					_, _ = fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+					resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+					if err == nil {
+						_ = resp.Body.Close()
+						mu.Lock()
+						answered++
+						mu.Unlock()
+					}
+					_ = conn.Close()
+				}
+			})
+		}
+		time.Sleep(3 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		require.NoError(t, s.Stop(ctx))
+		cancel()
+		callers.Wait()
+		require.Equal(t, read, answered)
+	}
+}
+
+// A client that sends nothing holds the stop up for no longer than the time for headers.
+func TestSilentConnectionHoldsTheStopUpForABoundedTime(t *testing.T) {
+	s := held(open(make(chan struct{})))
+	address, _ := serve(t, s)
+	dial(t, address)
+	require.Eventually(t, s.awaits, time.Second, time.Millisecond)
+	began := time.Now()
+	require.NoError(t, s.Stop(t.Context()))
+	require.Less(t, time.Since(began), 3*time.Second)
+}
+
+func TestStopEndsWithItsContext(t *testing.T) {
+	hold := make(chan struct{})
+	defer close(hold)
+	s := held(hold)
+	address, _ := serve(t, s)
+	ask(t, dial(t, address))
+	require.Eventually(t, s.awaits, time.Second, time.Millisecond)
+	require.ErrorIs(t, <-stop(t, s, address, 50*time.Millisecond), context.DeadlineExceeded)
+}
+
+func TestListenerAfterTheStopIsRefused(t *testing.T) {
+	s := held(nil)
+	_, ended := serve(t, s)
+	require.NoError(t, s.Stop(t.Context()))
+	require.ErrorIs(t, <-ended, http.ErrServerClosed)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.ErrorIs(t, s.Serve(ln), http.ErrServerClosed)
+	require.Error(t, ln.Close(), "closed by Serve")
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -194,7 +194,9 @@
 	}
 	<-done
 	for _, s := range n.servers {
-		s.shutdown(limit)
+		if err := s.stop(limit); err != nil {
+			n.log.WithError(err).WithField("listener", s.purpose).Warn("planned stop: requests were cut off")
+		}
 	}
 	ctx, stop := context.WithTimeout(context.Background(), leaveTimeout)
 	defer stop()
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -17,6 +17,7 @@
 	"github.com/rattanwall/rattanwall/internal/admin"
 	"github.com/rattanwall/rattanwall/internal/cluster"
 	"github.com/rattanwall/rattanwall/internal/config"
+	"github.com/rattanwall/rattanwall/internal/graceful"
 	pb "github.com/rattanwall/rattanwall/internal/peer"
 	"github.com/rattanwall/rattanwall/internal/vms"
 )
@@ -43,11 +44,11 @@
 type server struct {
 	purpose  Purpose
 	listener net.Listener
-	http     *http.Server
+	http     *graceful.Server
 }
 
 func newServer(p Purpose, ln net.Listener) *server {
-	return &server{purpose: p, listener: ln, http: &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}}
+	return &server{purpose: p, listener: ln, http: graceful.New(&http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout})}
 }
 
 // Serve implements suture.Service.
@@ -63,11 +64,11 @@
 	return errors.Wrapf(err, "serve %s", s.purpose)
 }
 
-// shutdown closes the listener and waits for the requests under way.
-func (s *server) shutdown(limit time.Time) {
+// stop closes the listener and waits for the requests under way.
+func (s *server) stop(limit time.Time) error {
 	ctx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
-	_ = s.http.Shutdown(ctx)
+	return s.http.Stop(ctx)
 }
 
 func (n *Node) setHandlers() {
@@ -79,7 +80,7 @@
 		Peers: peers, Operations: n.operations(),
 	}
 	for _, s := range n.servers {
-		s.http.Handler = handlers[s.purpose]
+		s.http.SetHandler(handlers[s.purpose])
 	}
 }
 
