--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -188,7 +188,8 @@
 
 // ackWithin is how long after a report its ends may be acknowledged. A later start of the
 // VM that takes the acknowledgement for its own forgets ends that it has not told; within
-// this time it can't have begun and ended a run.
+// this time it can't have begun and ended a run. The client of the VMs sees to it that the
+// acknowledgement is not held up on its way for longer.
 const ackWithin = 500 * time.Millisecond
 
 // Hold returns the order that renews an instance's lease, given that it is sent
