Narrow links: compressed streams, payloads from other relays, more relays

Cause: on links of 2 Mbit/s bytes bind, at two places. The leader wrote each payload to each relay, 115 to 260 KB of the 500 that its link takes in two seconds once there are relays enough; and the seven relays of 18 processes wrote up to 340 KB of starts each, while ten had nothing to do.

Change: where the leader's link has up to 5 Mbit/s, streams are compressed if the relay confirms it, and a payload is sent to one relay, from which the others have it; where they can't, the start is refused for certain and the leader sends the payload with the next. A VM counts as 20 KB/s of a relay's link instead of 8. Wide links and small fleets work as before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -129,8 +129,8 @@
 // New puts the process together.
 func New(s Settings, p Platform, log *eventlog.Log) *Edge {
 	e := &Edge{settings: s, platform: p, log: log, waves: map[int64]batch.Wave{}, aborted: make(chan struct{})}
-	e.relays = &relay.Pool{Direct: p.Agents, List: relay.Instances(p.Instances), Node: s.Node, DirectVMs: s.DirectVMs, Processor: s.Processor, Log: log}
-	e.relay = &relay.Server{Agents: p.Agents, Instances: relay.Instances(p.Instances), Log: log}
+	e.relays = &relay.Pool{Direct: p.Agents, List: relay.Instances(p.Instances), Node: s.Node, DirectVMs: s.DirectVMs, Processor: s.Processor, LinkMbps: s.LinkMbps, Log: log}
+	e.relay = &relay.Server{Agents: p.Agents, Instances: relay.Instances(p.Instances), Client: p.PeerClient, Log: log}
 	e.leader = &leader.Leader{
 		Store: p.Store, Agents: e.relays, Relays: e.relays, Adviser: p.Adviser, Instances: e.relays.Instances, Config: e.config.Load,
 		Settings: s.Bounds, Log: log, WallMS: wallMS,
@@ -161,6 +161,7 @@
 	peers := http.NewServeMux()
 	peers.Handle("/", scheduling.NewSchedulingServer(local))
 	peers.Handle("GET "+relay.Path, e.relay)
+	peers.HandleFunc("GET "+relay.PayloadPath, e.relay.ServePayload)
 	e.serve(s.Peers, peers)
 	if s.Operations != "" {
 		e.serve(s.Operations, e.operations())
--- a/internal/relay/pack.go
+++ b/internal/relay/pack.go
@@ -12,6 +12,8 @@
 type packer struct {
 	mu     sync.Mutex
 	packed map[string][]byte
+	// holders are the relays from which others have a job's payload.
+	holders map[string]*stream
 }
 
 // mostPacked bounds the payloads that are kept compressed: those of the jobs of ten
@@ -25,6 +27,39 @@
 	if packed, ok := p.packed[job]; ok {
 		return packed, nil
 	}
+	packed, err := pack(text)
+	if err != nil {
+		return nil, err
+	}
+	if p.packed == nil || len(p.packed) >= mostPacked {
+		p.packed = map[string][]byte{}
+	}
+	p.packed[job] = packed
+	return packed, nil
+}
+
+// holder returns the address of the relay from which others have the job's payload, or ""
+// when that is s: the first one asked for, or the next where that is not usable.
+func (p *packer) holder(job string, s *stream) string {
+	p.mu.Lock()
+	held := p.holders[job]
+	p.mu.Unlock()
+	if held == s {
+		return ""
+	}
+	if held != nil && held.usable() {
+		return held.offer.Address
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.holders == nil || len(p.holders) >= mostPacked {
+		p.holders = map[string]*stream{}
+	}
+	p.holders[job] = s
+	return ""
+}
+
+func pack(text string) ([]byte, error) {
 	var b bytes.Buffer
 	w, err := flate.NewWriter(&b, flate.HuffmanOnly)
 	if err != nil {
@@ -36,10 +71,6 @@
 	if err := w.Close(); err != nil {
 		return nil, err
 	}
-	if p.packed == nil || len(p.packed) >= mostPacked {
-		p.packed = map[string][]byte{}
-	}
-	p.packed[job] = b.Bytes()
 	return b.Bytes(), nil
 }
 
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -37,12 +37,13 @@
 
 // Room returns how many VMs a process can serve with half of its processor, a share of
 // a core, and 0.7 of its link: a VM takes some 1 ms of a core a second (2.5 starts and
-// a hold), and 8 KB/s. More relays than that cost the leader: it sends each job's payload
-// to each of them.
+// a hold), and up to 20 KB/s (5 starts with payloads of 2.4 KB, holds, and what the leader
+// is told). More relays than that cost the leader: it sends each a message every few
+// milliseconds.
 func Room(processor, linkMbps float64) int {
 	const (
 		perVM     = 0.001
-		bitsPerVM = 8 * 8000
+		bitsPerVM = 8 * 20000
 		share     = 0.5
 		linkShare = 0.7
 		least     = 4
@@ -68,7 +69,10 @@
 	DirectVMs int
 	// Processor is the share of a core that this process has.
 	Processor float64
-	Log       *eventlog.Log
+	// LinkMbps is the bandwidth of this process's link in megabits a second, 0 where it is
+	// not told.
+	LinkMbps float64
+	Log      *eventlog.Log
 
 	mu sync.Mutex
 	// leading is the context of the tenure, nil while this process does not lead.
--- a/internal/relay/recruit.go
+++ b/internal/relay/recruit.go
@@ -111,7 +111,7 @@
 	p.mu.Lock()
 	every := p.pauseOf(len(p.streams) + len(p.dialing))
 	p.mu.Unlock()
-	s, err := dial(ctx, o, hello{Node: p.Node, Fence: fence, Every: every}, &p.payloads)
+	s, err := dial(ctx, o, hello{Node: p.Node, Fence: fence, Every: every}, narrow(p.LinkMbps), &p.payloads)
 	p.mu.Lock()
 	if p.leading != ctx {
 		// Another tenure has begun.
@@ -132,7 +132,7 @@
 	}
 	p.streams[o.Node] = s
 	p.mu.Unlock()
-	p.Log.Event("relay_joined", eventlog.Fields{"node": o.Node, "zone": o.Zone, "vms": o.VMs, "every_ms": every.Milliseconds()})
+	p.Log.Event("relay_joined", eventlog.Fields{"node": o.Node, "zone": o.Zone, "vms": o.VMs, "every_ms": every.Milliseconds(), "packed": s.coder.packed != nil})
 	err = s.serve(ctx)
 	p.lost(ctx, s, err)
 }
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -20,7 +20,9 @@
 type Server struct {
 	Agents    batch.Agents
 	Instances Instances
-	Log       *eventlog.Log
+	// Client has payloads from other relays.
+	Client *http.Client
+	Log    *eventlog.Log
 
 	mu sync.Mutex
 	// fence is the highest fencing token of a leader that opened a stream.
@@ -29,9 +31,8 @@
 	current *served
 	leaving bool
 	closed  bool
-	// payloads are those of jobs of which tasks were started, for this leader and the
-	// next.
-	payloads map[string]string
+	// payloads are those of jobs of which tasks were started.
+	payloads keptPayloads
 }
 
 const (
@@ -62,12 +63,16 @@
 		StatusCode: http.StatusSwitchingProtocols, ProtoMajor: 1, ProtoMinor: 1,
 		Header: http.Header{"Upgrade": {protocol}, "Connection": {"Upgrade"}},
 	}
+	packed := r.Header.Get("Accept-Encoding") == packing
+	if packed {
+		switching.Header.Set("Content-Encoding", packing)
+	}
 	_ = conn.SetDeadline(time.Now().Add(silentAfter))
 	if err := switching.Write(conn); err != nil {
 		s.Log.Warn("relay_not_taken_over", err, nil)
 		return
 	}
-	s.serve(conn, buffered.Reader)
+	s.serve(conn, buffered.Reader, packed)
 }
 
 // errSuperseded: a leader with a higher fencing token has opened a stream.
@@ -77,18 +82,23 @@
 var errClosed = errors.New("this process carries no orders any more")
 
 // serve carries out what comes on one stream until it ends.
-func (s *Server) serve(conn net.Conn, in *bufio.Reader) {
-	decoder := gob.NewDecoder(in)
+func (s *Server) serve(conn net.Conn, in *bufio.Reader, packed bool) {
+	decoder := newDecoder(in, packed)
 	var h hello
 	_ = conn.SetReadDeadline(time.Now().Add(silentAfter))
 	if err := decoder.Decode(&h); err != nil {
 		s.Log.Warn("relay_not_opened", err, nil)
 		return
 	}
+	coder, err := newCoder(conn, packed)
+	if err != nil {
+		s.Log.Warn("relay_not_opened", err, nil)
+		return
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	st := &served{
-		server: s, conn: conn, every: h.Every, kick: make(chan struct{}, 1), cancel: cancel, fence: h.Fence,
+		server: s, conn: conn, coder: coder, every: h.Every, kick: make(chan struct{}, 1), cancel: cancel, fence: h.Fence,
 		instances: map[int]*batch.Instance{}, last: lastReports{}, listed: lastListing{},
 	}
 	if err := s.admit(st); err != nil {
@@ -97,7 +107,7 @@
 	}
 	s.Log.Event("relay_opened", eventlog.Fields{"leader": h.Node, "fence": h.Fence})
 	go st.write(ctx)
-	err := st.read(ctx, decoder)
+	err = st.read(ctx, decoder)
 	s.remove(st)
 	s.Log.Event("relay_closed", eventlog.Fields{"leader": h.Node, "fence": h.Fence, "error": err.Error()})
 }
@@ -118,39 +128,11 @@
 	}
 	s.current = st
 	st.leaving = s.leaving
-	st.greeting = make([]kept, 0, len(s.payloads))
-	for job, text := range s.payloads {
-		st.greeting = append(st.greeting, kept{Job: job, Hash: hashOf(text)})
-	}
+	st.greeting = s.payloads.greeting()
 	st.wake()
 	return nil
 }
 
-// keep notes the payloads that a message tells.
-func (s *Server) keep(list []payload) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.payloads == nil {
-		s.payloads = map[string]string{}
-	}
-	for _, p := range list {
-		text, err := unpack(p.Packed)
-		if err != nil {
-			// Starts of the job are refused: its payload is not known.
-			s.Log.Warn("payload_unreadable", err, eventlog.Fields{"job": p.Job})
-			continue
-		}
-		s.payloads[p.Job] = text
-	}
-}
-
-func (s *Server) payload(job string) (text string, known bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	text, known = s.payloads[job]
-	return text, known
-}
-
 // drop forgets payloads, if the stream that says so is the one that is served.
 func (s *Server) drop(st *served, jobs []string) {
 	s.mu.Lock()
@@ -158,9 +140,7 @@
 	if s.current != st {
 		return
 	}
-	for _, job := range jobs {
-		delete(s.payloads, job)
-	}
+	s.payloads.drop(jobs)
 }
 
 func (s *Server) remove(st *served) {
@@ -202,6 +182,7 @@
 type served struct {
 	server *Server
 	conn   net.Conn
+	coder  *coder
 	fence  int64
 	every  time.Duration
 	kick   chan struct{}
@@ -273,7 +254,7 @@
 	for _, n := range m.Named {
 		st.instances[n.Number] = &batch.Instance{ID: n.ID, Address: n.Address}
 	}
-	st.server.keep(m.Payloads)
+	st.server.keep(ctx, m.Payloads)
 	for _, c := range m.Stops {
 		st.begin(ctx, c.Head, func(ctx context.Context, vm *batch.Instance, _ *result) error {
 			return st.server.Agents.Stop(ctx, vm, c.Task, c.Run, c.Fence)
@@ -313,19 +294,43 @@
 			st.refuse(c.Head.Call, "it was too long under way to this relay")
 			continue
 		}
-		text, known := st.server.payload(c.Order.Task.Job)
+		st.start(ctx, c)
+	}
+	st.server.drop(st, m.Dropped)
+}
+
+// start begins a start, once its payload is there.
+func (st *served) start(ctx context.Context, c startCall) {
+	job := c.Order.Task.Job
+	text, known, awaited := st.server.payloads.get(job)
+	if !known && awaited == nil {
+		// A task must not be started with less than its job says.
+		st.lacks(c.Head.Call)
+		return
+	}
+	st.begin(ctx, c.Head, func(ctx context.Context, vm *batch.Instance, r *result) (err error) {
 		if !known {
-			// A task must not be started with less than its job says.
-			st.refuse(c.Head.Call, "the stream has not told the job's payload")
-			continue
+			select {
+			case <-awaited:
+			case <-ctx.Done():
+			}
+			if text, known, _ = st.server.payloads.get(job); !known {
+				r.NoPayload = true
+				return &batch.RefusalError{Reason: batch.RefusedUnreached, Cause: errNoPayload}
+			}
 		}
 		c.Order.Payload = text
-		st.begin(ctx, c.Head, func(ctx context.Context, vm *batch.Instance, r *result) (err error) {
-			r.Clock, err = st.server.Agents.Start(ctx, vm, c.Order)
-			return err
-		})
-	}
-	st.server.drop(st, m.Dropped)
+		r.Clock, err = st.server.Agents.Start(ctx, vm, c.Order)
+		return err
+	})
+}
+
+// errNoPayload: the relay does not have the payload of a start.
+var errNoPayload = errors.New("the relay does not have the job's payload")
+
+// lacks answers a start without a payload.
+func (st *served) lacks(call uint64) {
+	st.answer(result{Call: call, Refusal: batch.RefusedUnreached, NoPayload: true, Error: errNoPayload.Error()})
 }
 
 // refuse answers a call that was certainly not made.
@@ -397,8 +402,6 @@
 
 // write sends the outcomes, a batch at a time.
 func (st *served) write(ctx context.Context) {
-	writer := bufio.NewWriterSize(st.conn, bufferBytes)
-	encoder := gob.NewEncoder(writer)
 	pace := newPacer(st.every)
 	defer pace.stop()
 	for pace.wait(ctx, st.kick) {
@@ -407,7 +410,7 @@
 		st.greeting, st.queue = nil, nil
 		st.mu.Unlock()
 		_ = st.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if encoder.Encode(&m) != nil || writer.Flush() != nil {
+		if st.coder.write(&m) != nil {
 			// The reader tells why the stream ended.
 			_ = st.conn.Close()
 			return
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -34,8 +34,7 @@
 type stream struct {
 	offer   Offer
 	conn    net.Conn
-	writer  *bufio.Writer
-	encoder *gob.Encoder
+	coder   *coder
 	decoder *gob.Decoder
 	packer  *packer
 	every   time.Duration
@@ -70,10 +69,12 @@
 	// hashes are those of payloads that the relay had before this stream, until they
 	// are used.
 	hashes map[string]uint64
+	// whole are the jobs whose payloads the relay could not have from another one.
+	whole map[string]bool
 }
 
 func newPayloadTable(list []kept) payloadTable {
-	t := payloadTable{used: map[string]uint64{}, hashes: map[string]uint64{}}
+	t := payloadTable{used: map[string]uint64{}, hashes: map[string]uint64{}, whole: map[string]bool{}}
 	for _, k := range list {
 		t.used[k.Job], t.hashes[k.Job] = 0, k.Hash
 	}
@@ -105,8 +106,8 @@
 	return true, dropped
 }
 
-// dial opens a stream to the relay that made the offer.
-func dial(ctx context.Context, offer Offer, h hello, payloads *packer) (*stream, error) {
+// dial opens a stream to the relay that made the offer, compressed if both sides would.
+func dial(ctx context.Context, offer Offer, h hello, pack bool, payloads *packer) (*stream, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	var dialer net.Dialer
@@ -116,53 +117,65 @@
 	}
 	deadline, _ := ctx.Deadline()
 	_ = conn.SetDeadline(deadline)
-	in, err := upgrade(conn, offer.Address)
-	writer := bufio.NewWriterSize(conn, bufferBytes)
-	encoder := gob.NewEncoder(writer)
-	if err == nil {
-		err = encoder.Encode(&h)
+	s, err := open(conn, offer, h, pack, payloads)
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
 	}
-	if err == nil {
-		err = writer.Flush()
+	_ = conn.SetDeadline(time.Time{})
+	return s, nil
+}
+
+// open makes a stream of a connection.
+func open(conn net.Conn, offer Offer, h hello, pack bool, payloads *packer) (*stream, error) {
+	in, pack, err := upgrade(conn, offer.Address, pack)
+	if err != nil {
+		return nil, err
 	}
 	buffered := &bufferedConn{Conn: conn, in: in}
-	decoder := gob.NewDecoder(buffered)
-	var greeting results
-	if err == nil {
-		err = decoder.Decode(&greeting)
-	}
+	coder, err := newCoder(conn, pack)
 	if err != nil {
-		_ = conn.Close()
 		return nil, err
 	}
-	_ = conn.SetDeadline(time.Time{})
+	if err := coder.write(&h); err != nil {
+		return nil, err
+	}
+	decoder := newDecoder(buffered, pack)
+	var greeting results
+	if err := decoder.Decode(&greeting); err != nil {
+		return nil, err
+	}
 	return &stream{
-		offer: offer, conn: buffered, writer: writer, encoder: encoder, decoder: decoder, packer: payloads, every: h.Every, kick: make(chan struct{}, 1),
+		offer: offer, conn: buffered, coder: coder, decoder: decoder, packer: payloads, every: h.Every, kick: make(chan struct{}, 1),
 		waiting: map[uint64]*waiter{}, numbers: map[string]int{}, payloads: newPayloadTable(greeting.Kept), leaving: greeting.Leaving, last: lastReports{}, listed: lastListing{},
 	}, nil
 }
 
-// upgrade asks the other side to go on with the stream on this connection.
-func upgrade(conn net.Conn, address string) (*bufio.Reader, error) {
+// upgrade asks the other side to go on with the stream on this connection, and whether it
+// would have it compressed.
+func upgrade(conn net.Conn, address string, pack bool) (in *bufio.Reader, packed bool, err error) {
 	req, err := http.NewRequest(http.MethodGet, "http://"+address+Path, http.NoBody)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	req.Header.Set("Upgrade", protocol)
 	req.Header.Set("Connection", "Upgrade")
+	if pack {
+		req.Header.Set("Accept-Encoding", packing)
+	}
 	if err := req.Write(conn); err != nil {
-		return nil, err
+		return nil, false, err
 	}
-	in := bufio.NewReaderSize(conn, bufferBytes)
+	in = bufio.NewReaderSize(conn, bufferBytes)
 	resp, err := http.ReadResponse(in, req)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	_ = resp.Body.Close()
 	if resp.StatusCode != http.StatusSwitchingProtocols {
-		return nil, errors.Newf("the process at %s answers %s", address, resp.Status)
+		return nil, false, errors.Newf("the process at %s answers %s", address, resp.Status)
 	}
-	return in, nil
+	return in, pack && resp.Header.Get("Content-Encoding") == packing, nil
 }
 
 // bufferedConn reads on from what was read ahead during the upgrade.
@@ -201,7 +214,7 @@
 		m := s.takeOut()
 		m.SentAt = steady.Now()
 		_ = s.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if s.encoder.Encode(&m) != nil || s.writer.Flush() != nil {
+		if s.coder.write(&m) != nil {
 			// The reader tells why the stream ended.
 			_ = s.conn.Close()
 			return
@@ -353,10 +366,18 @@
 	if err != nil {
 		return 0, errors.Mark(err, errNotWritten)
 	}
+	from := ""
+	if s.coder.packed != nil {
+		from = s.packer.holder(o.Task.Job, s)
+	}
 	w, err := s.call(ctx, vm, func(out *orders, head callHead) {
 		fresh, dropped := s.payloads.use(o.Task.Job, o.Payload)
-		if fresh {
-			out.keep(o.Task.Job, packed)
+		switch {
+		case fresh && from != "" && !s.payloads.whole[o.Task.Job]:
+			out.keep(payload{Job: o.Task.Job, From: from, Hash: hashOf(o.Payload)})
+		case fresh:
+			delete(s.payloads.whole, o.Task.Job)
+			out.keep(payload{Job: o.Task.Job, Packed: packed})
 		}
 		if dropped != "" {
 			out.drop(dropped)
@@ -367,9 +388,24 @@
 	if w == nil {
 		return 0, err
 	}
+	if w.result.NoPayload {
+		s.lacks(o.Task.Job)
+	}
 	return w.result.Clock, err
 }
 
+// lacks notes that the relay could not have a payload: the next start brings it.
+func (s *stream) lacks(job string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.payloads.used, job)
+	delete(s.payloads.hashes, job)
+	if len(s.payloads.whole) >= mostPayloads {
+		clear(s.payloads.whole)
+	}
+	s.payloads.whole[job] = true
+}
+
 // Stop ends a run.
 func (s *stream) Stop(ctx context.Context, vm *batch.Instance, task batch.TaskID, run, fence int64) error {
 	_, err := s.call(ctx, vm, func(out *orders, head callHead) {
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -68,14 +68,14 @@
 
 // keep has the relay keep a job's payload. One that the same message was to drop is
 // there still.
-func (o *orders) keep(job string, packed []byte) {
+func (o *orders) keep(p payload) {
 	for i, other := range o.Dropped {
-		if other == job {
+		if other == p.Job {
 			o.Dropped = slices.Delete(o.Dropped, i, i+1)
 			return
 		}
 	}
-	o.Payloads = append(o.Payloads, payload{Job: job, Packed: packed})
+	o.Payloads = append(o.Payloads, p)
 }
 
 // drop has the relay forget a job's payload, once it has taken this message's starts.
@@ -92,6 +92,10 @@
 	Job string
 	// Packed is the text, compressed.
 	Packed []byte
+	// From is the address of the process that has it, instead of Packed; Hash is that of
+	// the text then.
+	From string
+	Hash uint64
 }
 
 // callHead is common to all calls.
@@ -152,6 +156,8 @@
 type result struct {
 	Call    uint64
 	Refusal batch.Refusal
+	// NoPayload is set with the refusal of a start whose payload the relay does not have.
+	NoPayload bool
 	// Error is the text of an error; with a refusal, its cause.
 	Error string
 	Clock time.Duration
