A relay that gives no payload to others holds none for a while

Cause, by reading: a holder that the leader reaches and other relays don't (a cut between zones) would cost each job a refused start, 0.4 s late, at each relay. Change: after one such start that relay holds no payload for 5 s; claims of a holder are made in one step. Test: of eight jobs at three relays that give nothing, at most three see a refused start (each did before).

--- a/internal/relay/pack.go
+++ b/internal/relay/pack.go
@@ -10,6 +10,7 @@
 
 // packer compresses payloads, each once for all relays.
 type packer struct {
+	// mu is taken before that of a stream.
 	mu     sync.Mutex
 	packed map[string][]byte
 	// holders are the relays from which others have a job's payload.
@@ -38,20 +39,20 @@
 	return packed, nil
 }
 
-// holder returns the address of the relay from which others have the job's payload, or ""
-// when that is s: the first one asked for, or the next where that is not usable.
+// holder returns the address of the relay from which s is to have the job's payload, or ""
+// where it comes from the leader: s is the first that needs it, or the one before can't give it.
 func (p *packer) holder(job string, s *stream) string {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	held := p.holders[job]
-	p.mu.Unlock()
-	if held == s {
+	switch {
+	case held == s:
 		return ""
-	}
-	if held != nil && held.usable() {
+	case held != nil && held.gives():
 		return held.offer.Address
+	case !s.gives():
+		return ""
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	if p.holders == nil || len(p.holders) >= mostPacked {
 		p.holders = map[string]*stream{}
 	}
@@ -59,6 +60,17 @@
 	return ""
 }
 
+// withheld notes that a relay could not have a payload from its holder: for a while that one
+// holds none.
+func (p *packer) withheld(job string, from string) {
+	p.mu.Lock()
+	held := p.holders[job]
+	p.mu.Unlock()
+	if held != nil && held.offer.Address == from {
+		held.distrust()
+	}
+}
+
 func pack(text string) ([]byte, error) {
 	var b bytes.Buffer
 	w, err := flate.NewWriter(&b, flate.HuffmanOnly)
--- a/internal/relay/payloads_test.go
+++ b/internal/relay/payloads_test.go
@@ -94,6 +94,25 @@
 	}
 }
 
+// A relay that the leader reaches and others don't costs a refused start once, not with each
+// job.
+func TestRelayThatDoesNotGiveHoldsNoFurtherPayloads(t *testing.T) {
+	var relays []*process
+	for i := range 3 {
+		relays = append(relays, newProcess(t, fmt.Sprint("r", i), "a", &vms{}))
+		relays[i].keepsToItself.Store(true)
+	}
+	p := narrowPool(t, relays...)
+	refused := 0
+	for n := range 8 {
+		if len(startAll(t, p, fmt.Sprint("job", n), "text", 1)) > 0 {
+			refused++
+		}
+	}
+	require.Positive(t, refused)
+	require.LessOrEqual(t, refused, 3, "each relay is tried once")
+}
+
 // An ID may have been another job's once: its payload is not taken for the job's.
 func TestPayloadOfAnotherJobOfThatIDIsNotTaken(t *testing.T) {
 	holder := newProcess(t, "holder", "a", &vms{})
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -50,6 +50,8 @@
 	listed   lastListing
 	leaving  bool
 	closed   bool
+	// distrustedUntil is until when the relay is not to give payloads to others.
+	distrustedUntil time.Duration
 }
 
 // waiter is a call under way.
@@ -308,6 +310,24 @@
 	return !s.closed && !s.leaving
 }
 
+// distrusted is how long a relay holds no payloads for others after one could not have one
+// from it: as long as cuts between zones mostly last.
+const distrusted = 5 * time.Second
+
+// distrust notes that another relay could not have a payload from this one.
+func (s *stream) distrust() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.distrustedUntil = steady.Now() + distrusted
+}
+
+// gives reports whether other relays may be told to have payloads from this one.
+func (s *stream) gives() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.closed && !s.leaving && steady.Now() >= s.distrustedUntil
+}
+
 // call queues a call to a VM and waits for its outcome. add puts it into the next message.
 func (s *stream) call(ctx context.Context, vm *batch.Instance, add func(out *orders, head callHead)) (*waiter, error) {
 	return s.callAny(ctx, func(out *orders, head callHead) {
@@ -390,6 +410,7 @@
 	}
 	if w.result.NoPayload {
 		s.lacks(o.Task.Job)
+		s.packer.withheld(o.Task.Job, from)
 	}
 	return w.result.Clock, err
 }
