--- a/internal/relay/pack.go
+++ b/internal/relay/pack.go
@@ -13,7 +13,7 @@
 	// mu is taken before that of a stream.
 	mu     sync.Mutex
 	packed map[string][]byte
-	// holders are the relays from which others have a job's payload.
+	// holders are the relays from which others fetch a job's payload.
 	holders map[string]*stream
 }
 
@@ -39,8 +39,8 @@
 	return packed, nil
 }
 
-// holder returns the address of the relay from which s is to have the job's payload, or ""
-// where it comes from the leader: s is the first that needs it, or the one before can't give it.
+// holder returns the address of the relay from which s is to fetch the job's payload, or ""
+// where the leader sends it: s is the first that needs it, or the one before can't give it.
 func (p *packer) holder(job string, s *stream) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -60,8 +60,8 @@
 	return ""
 }
 
-// withheld notes that a relay could not have a payload from its holder: for a while that one
-// holds none.
+// withheld notes that a relay could not fetch a payload from its holder: for a while that
+// one holds none.
 func (p *packer) withheld(job string, from string) {
 	p.mu.Lock()
 	held := p.holders[job]
--- a/internal/relay/payloads.go
+++ b/internal/relay/payloads.go
@@ -14,7 +14,7 @@
 )
 
 // On a narrow link most of what a leader writes is payloads, each once to each relay. There
-// a leader sends a payload to one relay, and the others have it from that one, the holder.
+// a leader sends a payload to one relay, the holder, and the others fetch it from there.
 // Where they can't, the start is refused, and the leader sends them the payload itself.
 
 const (
@@ -34,8 +34,7 @@
 type keptPayloads struct {
 	mu    sync.Mutex
 	texts map[string]string
-	// awaited are closed once a payload that is being had from another relay has come, or
-	// does not come.
+	// awaited are closed once the fetch of a payload from another relay is over.
 	awaited map[string]chan struct{}
 	// changed is closed when a payload has come.
 	changed chan struct{}
@@ -73,7 +72,7 @@
 	}
 }
 
-// get returns a job's payload, or, where it is being had from another relay, what is closed
+// get returns a job's payload, or, while it is fetched from another relay, what is closed
 // when that is over.
 func (k *keptPayloads) get(job string) (text string, known bool, awaited <-chan struct{}) {
 	k.mu.Lock()
@@ -103,7 +102,7 @@
 	}
 }
 
-// expect notes that a payload is being had; what it returns is to be called when that is over.
+// expect notes that a payload is being fetched; over is to be called when that has ended.
 func (k *keptPayloads) expect(job string) (over func()) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -124,7 +123,7 @@
 	}
 }
 
-// keep notes the payloads that a message tells, and has those that another relay holds.
+// keep notes the payloads that a message tells, and fetches those that another relay holds.
 func (s *Server) keep(ctx context.Context, list []payload) {
 	for _, p := range list {
 		if p.From != "" {
@@ -148,7 +147,7 @@
 // errOtherPayload: the holder has a payload of that ID, and it is not the job's.
 var errOtherPayload = errors.New("the holder has another payload under that ID")
 
-// fetch has a payload from its holder.
+// fetch fetches a payload from its holder.
 func (s *Server) fetch(ctx context.Context, p payload) {
 	ctx, cancel := context.WithTimeout(ctx, fetchWithin)
 	defer cancel()
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -20,7 +20,7 @@
 type Server struct {
 	Agents    batch.Agents
 	Instances Instances
-	// Client has payloads from other relays.
+	// Client fetches payloads from other relays.
 	Client *http.Client
 	Log    *eventlog.Log
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -71,7 +71,7 @@
 	// hashes are those of payloads that the relay had before this stream, until they
 	// are used.
 	hashes map[string]uint64
-	// whole are the jobs whose payloads the relay could not have from another one.
+	// whole are the jobs whose payloads the relay could not fetch from another one.
 	whole map[string]bool
 }
 
@@ -310,18 +310,18 @@
 	return !s.closed && !s.leaving
 }
 
-// distrusted is how long a relay holds no payloads for others after one could not have one
-// from it: as long as cuts between zones mostly last.
+// distrusted is how long a relay holds no payloads for others after one of them could not
+// fetch one: as long as cuts between zones mostly last.
 const distrusted = 5 * time.Second
 
-// distrust notes that another relay could not have a payload from this one.
+// distrust notes that another relay could not fetch a payload from this one.
 func (s *stream) distrust() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.distrustedUntil = steady.Now() + distrusted
 }
 
-// gives reports whether other relays may be told to have payloads from this one.
+// gives reports whether other relays may be told to fetch payloads from this one.
 func (s *stream) gives() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -415,7 +415,7 @@
 	return w.result.Clock, err
 }
 
-// lacks notes that the relay could not have a payload: the next start brings it.
+// lacks notes that the relay could not fetch a payload: the next start brings it.
 func (s *stream) lacks(job string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
