One place records a run in doubt, for whichever start of its VM

Change: recordCrash takes the start. No decision changes: the scheduler's tests pass, and all values are those of before.

--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -100,19 +100,19 @@
 	if t.done || t.step.occ.job.state.Final() {
 		return
 	}
-	s.recordCrash(r, kind)
+	s.recordCrash(r, r.vm.thisStart(), kind)
 	s.logf(Decision{Event: EventCrashNoted, Task: t.id(), VM: r.vm.inst.ID, Run: r.number, Reason: crashKindNames[kind], Value: float64(len(t.crashes))})
 	if kind != crashDoubted {
 		s.judgeCrashes(now, t)
 	}
 }
 
-// recordCrash has the job's record tell of a run's VM.
-func (s *Scheduler) recordCrash(r *run, kind crashKind) {
-	r.task.setCrash(crash{run: r.number, kind: kind, vm: r.vm.thisStart()})
+// recordCrash has the job's record tell of a run and the start of a VM that it was on.
+func (s *Scheduler) recordCrash(r *run, start vmStart, kind crashKind) {
+	r.task.setCrash(crash{run: r.number, kind: kind, vm: start})
 	s.touchCrashes(r.task)
 	if kind == crashDoubted {
-		s.doubt(r.vm.thisStart(), r.task, r.number)
+		s.doubt(start, r.task, r.number)
 	}
 }
 
--- a/internal/scheduler/earlierends.go
+++ b/internal/scheduler/earlierends.go
@@ -65,9 +65,7 @@
 		s.noteCrash(now, r, e.verdictOn(r.number))
 		return
 	}
-	r.task.setCrash(crash{run: r.number, kind: crashDoubted, vm: e.start})
-	s.touchCrashes(r.task)
-	s.doubt(e.start, r.task, r.number)
+	s.recordCrash(r, e.start, crashDoubted)
 }
 
 // concludeEarlierDoubts takes in that starts of a VM have ended on which runs were doubted,
--- a/internal/scheduler/restarts.go
+++ b/internal/scheduler/restarts.go
@@ -149,7 +149,7 @@
 	}
 	if c := t.crash(r.number); c != nil && c.kind == crashDoubted {
 		s.undoubt(r.vm.thisStart(), t)
-		s.recordCrash(moved, crashDoubted)
+		s.recordCrash(moved, to.thisStart(), crashDoubted)
 	}
 	if moved.state == stopping {
 		s.orderStop(to, t.id(), moved.number)
--- a/internal/scheduler/trials.go
+++ b/internal/scheduler/trials.go
@@ -143,7 +143,7 @@
 	for _, h := range held {
 		h.trial, h.vm.trial = trial, h
 		h.task.suspectSince, h.task.intended = 0, 0
-		s.recordCrash(h, crashDoubted)
+		s.recordCrash(h, h.vm.thisStart(), crashDoubted)
 	}
 	return held
 }
@@ -202,7 +202,7 @@
 	r := s.start(now, t, v, t.intended)
 	r.trial, v.trial = trial, r
 	t.suspectSince, t.intended, t.keptOn, v.keptFor = 0, 0, nil, nil
-	s.recordCrash(r, crashDoubted)
+	s.recordCrash(r, r.vm.thisStart(), crashDoubted)
 }
 
 // intend records a suspect's next run as doubted, and reports whether it may be started:
