One error says that a relay lacks a payload

Cause: two places built the answer to a start without a payload, with NoPayload set beside the refusal. Change: the error itself is the refusal, and what turns errors into results sets the mark. The same text, reason and moments as before. Checked: the package's tests, three times, race detector.

--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -305,7 +305,9 @@
 	text, known, awaited := st.server.payloads.get(job)
 	if !known && awaited == nil {
 		// A task must not be started with less than its job says.
-		st.lacks(c.Head.Call)
+		r := result{Call: c.Head.Call}
+		r.fail(errNoPayload)
+		st.answer(r)
 		return
 	}
 	st.begin(ctx, c.Head, func(ctx context.Context, vm *batch.Instance, r *result) (err error) {
@@ -315,8 +317,7 @@
 			case <-ctx.Done():
 			}
 			if text, known, _ = st.server.payloads.get(job); !known {
-				r.NoPayload = true
-				return &batch.RefusalError{Reason: batch.RefusedUnreached, Cause: errNoPayload}
+				return errNoPayload
 			}
 		}
 		c.Order.Payload = text
@@ -325,13 +326,8 @@
 	})
 }
 
-// errNoPayload: the relay does not have the payload of a start.
-var errNoPayload = errors.New("the relay does not have the job's payload")
-
-// lacks answers a start without a payload.
-func (st *served) lacks(call uint64) {
-	st.answer(result{Call: call, Refusal: batch.RefusedUnreached, NoPayload: true, Error: errNoPayload.Error()})
-}
+// errNoPayload: the relay does not have the payload of a start, which it has not given.
+var errNoPayload = &batch.RefusalError{Reason: batch.RefusedUnreached, Cause: errors.New("the relay does not have the job's payload")}
 
 // refuse answers a call that was certainly not made.
 func (st *served) refuse(call uint64, why string) {
@@ -382,6 +378,7 @@
 		return
 	}
 	r.Refusal = refusal.Reason
+	r.NoPayload = refusal == errNoPayload
 	if refusal.Cause != nil {
 		r.Error = refusal.Cause.Error()
 	}
