Scheduler's tests: one loop over kinds of jobs, one set-up of a maintenance

Three tests ran each kind of job with and without something by the same two loops, and two waves began alike.

--- a/internal/scheduler/crashes_test.go
+++ b/internal/scheduler/crashes_test.go
@@ -89,16 +89,23 @@
 
 func TestTaskThatCrashesItsVMsIsGivenUp(t *testing.T) {
 	t.Parallel()
+	eachKind(t, "dark", func(t *testing.T, kind string, dark bool) {
+		for _, seed := range crashSeeds(20) {
+			c := newCrashFleet(t, 12, seed)
+			c.darkDeaths = dark
+			task := c.playCrashing(kind)
+			require.GreaterOrEqual(t, len(c.crashed[task]), 2, "given up with too little evidence")
+		}
+	})
+}
+
+// eachKind runs a test for each kind of job, without and with what is named, beside each other.
+func eachKind(t *testing.T, named string, test func(t *testing.T, kind string, with bool)) {
 	for _, kind := range crashingKinds {
-		for _, dark := range []bool{false, true} {
-			t.Run(fmt.Sprintf("%s, dark %v", kind, dark), func(t *testing.T) {
+		for _, with := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, %s %v", kind, named, with), func(t *testing.T) {
 				t.Parallel()
-				for _, seed := range crashSeeds(20) {
-					c := newCrashFleet(t, 12, seed)
-					c.darkDeaths = dark
-					task := c.playCrashing(kind)
-					require.GreaterOrEqual(t, len(c.crashed[task]), 2, "given up with too little evidence")
-				}
+				test(t, kind, with)
 			})
 		}
 	}
--- a/internal/scheduler/restarts_test.go
+++ b/internal/scheduler/restarts_test.go
@@ -232,16 +232,11 @@
 // VMs start again under their IDs.
 func TestRestartsKeepEachKindOfJob(t *testing.T) {
 	t.Parallel()
-	for _, kind := range crashingKinds {
-		for _, takeOvers := range []bool{false, true} {
-			t.Run(fmt.Sprintf("%s, take-overs %v", kind, takeOvers), func(t *testing.T) {
-				t.Parallel()
-				for seed := range 12 * *exploreScale {
-					playRestarts(t, kind, seed, takeOvers).requireKept()
-				}
-			})
+	eachKind(t, "take-overs", func(t *testing.T, kind string, takeOvers bool) {
+		for seed := range 12 * *exploreScale {
+			playRestarts(t, kind, seed, takeOvers).requireKept()
 		}
-	}
+	})
 }
 
 // beforeRestart returns a fixture whose one VM has told three ends in its first start, all of
@@ -331,18 +326,13 @@
 // taken for a sign that they live.
 func TestTaskThatCrashesVMsThatStartAgainIsGivenUp(t *testing.T) {
 	t.Parallel()
-	for _, kind := range crashingKinds {
-		for _, dark := range []bool{false, true} {
-			t.Run(fmt.Sprintf("%s, dark %v", kind, dark), func(t *testing.T) {
-				t.Parallel()
-				for seed := range 20 * *exploreScale {
-					c := newRestartFleet(t, 12, seed)
-					c.darkDeaths = dark
-					c.playCrashing(kind)
-				}
-			})
+	eachKind(t, "dark", func(t *testing.T, kind string, dark bool) {
+		for seed := range 20 * *exploreScale {
+			c := newRestartFleet(t, 12, seed)
+			c.darkDeaths = dark
+			c.playCrashing(kind)
 		}
-	}
+	})
 }
 
 // bornFixture is a fixture whose VMs tell that they were born at 1.
--- a/internal/scheduler/restarts_waves_test.go
+++ b/internal/scheduler/restarts_waves_test.go
@@ -12,11 +12,7 @@
 // A machine that comes back from its maintenance with its VM under the same ID counted as
 // down for ever, and the wave stood still.
 func TestMachineThatIsBackUnderItsIDIsNotDown(t *testing.T) {
-	f := newFixture(t, 2)
-	f.hearAll(nil)
-	machines := withWave(f, 2, 1)
-	first := untilMaintained(f, nil)
-	f.s.Maintained(f.now, first, true, "")
+	f, machines, first := firstMaintained(t)
 	down := append([]batch.Machine(nil), machines...)
 	for i := range down {
 		if down[i].Name == first.Machine {
--- a/internal/scheduler/waves_test.go
+++ b/internal/scheduler/waves_test.go
@@ -67,15 +67,22 @@
 	require.False(t, f.s.vms[o.Instance.ID].closed, "it gets work again")
 }
 
-// What happened: a wave stood still.
-// Sequence: as above; the machine counts as down until it has another instance, and
-// it never gets one.
-func TestWaveGoesOnAfterMaintenanceThatWasDoneBefore(t *testing.T) {
+// firstMaintained is a fixture of two machines in a wave, whose first maintenance, which it
+// returns, was accepted.
+func firstMaintained(t *testing.T) (*fixture, []batch.Machine, Order) {
 	f := newFixture(t, 2)
 	f.hearAll(nil)
 	machines := withWave(f, 2, 1)
 	first := untilMaintained(f, nil)
 	f.s.Maintained(f.now, first, true, "")
+	return f, machines, first
+}
+
+// What happened: a wave stood still.
+// Sequence: as above; the machine counts as down until it has another instance, and
+// it never gets one.
+func TestWaveGoesOnAfterMaintenanceThatWasDoneBefore(t *testing.T) {
+	f, machines, first := firstMaintained(t)
 	f.advance(2 * time.Second)
 	f.s.SetMachines(f.now, f.now, machines)
 	second := untilMaintained(f, nil)
