--- a/internal/scheduler/explore_test.go
+++ b/internal/scheduler/explore_test.go
@@ -130,19 +130,29 @@
 // taskName finds the task in a line of a trace.
 var taskName = regexp.MustCompile(`\bj\d+\.\d+\.\d+\.\d+\b`)
 
-// replay returns what a seed that broke shows of it.
+// replay returns the last lines of what a seed that broke shows of it.
 func replay(seed uint64, f faults, b breaks) string {
+	lines := strings.Split(traceOf(seed, f, b, ""), "\n")
+	return strings.Join(lines[max(0, len(lines)-traceLines):], "\n")
+}
+
+// traceOf returns what a seed shows of a task, of a job, or of what broke where about is "",
+// with all that tells of no task.
+func traceOf(seed uint64, f faults, b breaks, about string) string {
 	var lines []string
 	w := explore(seed, f, b, func(line string) { lines = append(lines, line) })
-	task := w.brokenTask.String()
+	if about == "" && w.brokenTask.Job != "" {
+		about = w.brokenTask.String()
+	}
 	var shown []string
 	for _, line := range lines {
 		ofTask := taskName.FindString(line)
-		if w.brokenTask.Job == "" || ofTask == task || (ofTask == "" && !strings.Contains(line, "job_")) {
+		of := about == "" || ofTask == about || strings.HasPrefix(ofTask, about+".")
+		if of || (ofTask == "" && !strings.Contains(line, "job_")) {
 			shown = append(shown, line)
 		}
 	}
-	return strings.Join(shown[max(0, len(shown)-traceLines):], "\n")
+	return strings.Join(shown, "\n")
 }
 
 // exploreProfile is some seeds of some faults.
