An end of a VM is judged once it is known which others ended with it

What callers saw: an accepted job is given up "VMs ended as they began ...", and no task of it has ended a VM.

(1) The end of a VM at whose address another one answers, or that the machine service names, was judged at once: holds to the VMs that had ended with it failed 0.3 to 0.6 s later, so that the run on trial counted as alone. (2) VMs that the leader had not heard were left out, though the machine service said that they had ended. (3) Ends in a storm counted as much as any.

Ends of VMs that were not heard count among the others, as by a task where one is in doubt there. What ends in a storm is of a kind of its own and counts half; a trial tells something in a storm only where the VM ended just as the run began.

--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -34,9 +34,13 @@
 	crashAlone
 	// crashMass: so many VMs ended together that a cause of their own is likelier.
 	crashMass
+	// crashStorm: the VM ended while VMs ended one after the other by no task.
+	crashStorm
 )
 
-var crashKindNames = map[crashKind]string{crashDoubted: "doubted", crashShared: "shared", crashAlone: "alone", crashMass: "with many others"}
+var crashKindNames = map[crashKind]string{
+	crashDoubted: "doubted", crashShared: "shared", crashAlone: "alone", crashMass: "with many others", crashStorm: "in a storm",
+}
 
 // crash is a run whose VM ended, or may have ended, while it was new.
 type crash struct {
@@ -54,6 +58,8 @@
 	// after the third; the fourth start leaves one for an end that a leader which died
 	// has not recorded.
 	crashesInAll = 4
+	// stormWeight is how many ends in a storm count as one of the others.
+	stormWeight = 2
 	// crashesWithDoubts give it up where VMs were never heard of again.
 	crashesWithDoubts = 5
 	// crashesRecorded is from how many on a task is started again only once the store
@@ -187,37 +193,24 @@
 	}
 	if !v.heard {
 		// Another leader used it. When it ended, and which start it was, is not known.
+		if !v.staleAtFirst {
+			end := v.end(now)
+			end.byTask = len(s.doubts[start]) > 0
+			s.ends[start] = end
+		}
 		s.concludeEarlierDoubts(now, v)
 		return
 	}
-	end := v.end(now)
-	others := s.endedWith(now, start, &end)
-	storm := s.storm(now, start)
-	s.ends[start] = end
-	if v.inst.Draining || v.closed {
-		// It was to end.
-		s.clearDoubts(start)
-		return
-	}
-	kind := crashShared
-	if others >= massVMs {
-		kind = crashMass
-	}
+	e := s.noteEnd(now, v)
 	for _, r := range v.ordered {
-		switch {
-		case !r.mayHaveCrashed():
-		case kind == crashShared && r.trial && r.confirmedAt > 0 && others == 0 && !storm:
-			s.noteCrash(now, r, crashAlone)
-		default:
-			s.noteCrash(now, r, kind)
-		}
+		s.doubtEarlier(now, r, e)
 	}
-	s.concludeDoubts(now, start, kind)
+	s.judgeEnds(now)
 }
 
 // judgeCrashes gives a task up that has ended its VMs.
 func (s *Scheduler) judgeCrashes(now Time, t *task) {
-	alone, counted, doubted := 0, 0, 0
+	alone, counted, doubted, inStorms := 0, 0, 0, 0
 	for _, c := range t.crashes {
 		switch c.kind {
 		case crashAlone:
@@ -229,9 +222,12 @@
 			if c.run != t.intended && !t.hasRun(c.run) {
 				doubted++
 			}
+		case crashStorm:
+			inStorms++
 		case crashMass:
 		}
 	}
+	counted += inStorms / stormWeight
 	if alone < crashesAlone && counted < crashesInAll && counted+doubted < crashesWithDoubts {
 		return
 	}
--- /dev/null
+++ b/internal/scheduler/judgedends.go
@@ -0,0 +1,142 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// That a VM has ended may be known within milliseconds: its next start reports, or another
+// one answers at its address. What its end says of the tasks that had just begun there is
+// judged later, when it is known which other VMs ended with it. Until then the tasks are in
+// doubt.
+
+// judgedAfter is how long after it was noticed the end of a VM is judged: by then holds to
+// VMs that ended with it have failed.
+const judgedAfter = 2 * time.Second
+
+// judgedEnd is the end of a start of a VM and what it says of the runs that were new there.
+type judgedEnd struct {
+	start vmStart
+	end   vmEnd
+	// judgeAt is when it is judged at the latest.
+	judgeAt Time
+	// trials are the runs that were on trial there, with whether the VM ended just after they
+	// had begun.
+	trials map[int64]bool
+	// judged is set once kind and others hold.
+	judged bool
+	kind   crashKind
+	others int
+}
+
+// verdictOn is what the end says of a run. In a storm a trial tells only where the VM ended
+// just as its run began.
+func (e *judgedEnd) verdictOn(number int64) crashKind {
+	justBegun, trial := e.trials[number]
+	if trial && e.others == 0 && (justBegun || e.kind != crashStorm) {
+		return crashAlone
+	}
+	return e.kind
+}
+
+// noteEnd takes in that a start of a VM that was heard has ended, nil where that says nothing
+// of what ran there: it was to end, or its end was noted before.
+func (s *Scheduler) noteEnd(now Time, v *vm) *judgedEnd {
+	start := v.thisStart()
+	if s.hasEnded(start) {
+		return nil
+	}
+	end := v.end(now)
+	s.ends[start] = end
+	if v.inst.Draining || v.closed {
+		s.clearDoubts(start)
+		return nil
+	}
+	e := &judgedEnd{start: start, end: end, judgeAt: end.noticedAt + judgedAfter, trials: map[int64]bool{}}
+	s.judgedEnds = append(s.judgedEnds, e)
+	return e
+}
+
+// doubtEarlier puts a run in doubt that may have ended its VM's earlier start.
+func (s *Scheduler) doubtEarlier(now Time, r *run, e *judgedEnd) {
+	if e == nil || !r.mayHaveCrashed() {
+		return
+	}
+	justBegun := e.end.closed && e.end.noticedAt-r.confirmedAt < begunJustBefore
+	if r.confirmedAt > 0 && r.trial {
+		e.trials[r.number] = justBegun
+	}
+	if e.judged {
+		s.noteCrash(now, r, e.verdictOn(r.number))
+		return
+	}
+	s.recordCrash(r, e.start, crashDoubted)
+}
+
+// concludeEarlierDoubts takes in that starts of a VM have ended on which runs were doubted,
+// by another leader, so that nobody can tell when: those before the one that reports, or
+// all where none does.
+func (s *Scheduler) concludeEarlierDoubts(now Time, v *vm) {
+	var ended []vmStart
+	for start := range s.doubts {
+		if start.id == v.inst.ID && (!v.heard || !v.mayBe(start.born)) && !s.toBeJudged(start) {
+			ended = append(ended, start)
+		}
+	}
+	slices.SortFunc(ended, func(a, b vmStart) int { return cmp.Compare(a.born, b.born) })
+	for _, start := range ended {
+		s.concludeDoubts(now, start, crashShared)
+	}
+}
+
+func (s *Scheduler) toBeJudged(start vmStart) bool {
+	return slices.ContainsFunc(s.judgedEnds, func(e *judgedEnd) bool { return e.start == start && !e.judged })
+}
+
+// awaitsJudgement reports whether the task's next start has to wait until it is known what
+// the ends of its VMs say of it. After a first one it is started again at once.
+func (s *Scheduler) awaitsJudgement(t *task) bool {
+	return len(t.crashes) > 1 && slices.ContainsFunc(t.crashes, func(c crash) bool {
+		return c.kind == crashDoubted && c.run != t.intended && s.toBeJudged(c.vm)
+	})
+}
+
+// judgeEnds judges the ends whose time has come, and those of which it is known already
+// whether many VMs ended together: what was new there need not wait.
+func (s *Scheduler) judgeEnds(now Time) {
+	if len(s.judgedEnds) == 0 {
+		return
+	}
+	for _, e := range s.judgedEnds {
+		if e.judged {
+			continue
+		}
+		e.others = s.endedWith(now, e.start, &e.end)
+		if e.others >= massVMs || now >= e.judgeAt || s.outlived(e) {
+			s.judgeEnd(now, e)
+		}
+	}
+	s.judgedEnds = slices.DeleteFunc(s.judgedEnds, func(e *judgedEnd) bool { return now-e.judgeAt > endsKept })
+}
+
+// outlived reports whether all other VMs have been heard since the end.
+func (s *Scheduler) outlived(e *judgedEnd) bool {
+	for _, v := range s.order {
+		if v.inst.ID != e.start.id && v.heardAt <= e.end.noticedAt && !s.hasEnded(v.thisStart()) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Scheduler) judgeEnd(now Time, e *judgedEnd) {
+	e.judged, e.kind = true, crashShared
+	switch {
+	case e.others >= massVMs:
+		e.kind = crashMass
+	case s.storm(now, e.start):
+		e.kind = crashStorm
+	}
+	s.concludeDoubtsBy(now, e.start, e.verdictOn)
+}
--- /dev/null
+++ b/internal/scheduler/judgedends_test.go
@@ -0,0 +1,138 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+// taskOf is the first task of a job of the fixture's.
+func (f *fixture) taskOf(job string) *task { return &f.s.jobs[job].occs[0].steps[0].tasks[0] }
+
+// suspect has a job's first task be one that a VM has ended under before.
+func (f *fixture) suspect(job string) {
+	f.taskOf(job).setCrash(crash{run: 1, kind: crashShared, vm: vmStart{id: "earlier"}})
+}
+
+// startOf gives a task's start and confirms it, and returns the VM.
+func (f *fixture) startOf(task string) string {
+	for range 10 {
+		if len(f.started[task]) > 0 {
+			break
+		}
+		f.write()
+		f.advance(planEvery)
+		f.plan()
+	}
+	o := f.last(task)
+	require.True(f.t, f.s.Begin(f.now, o))
+	f.confirm(o)
+	return o.Instance.ID
+}
+
+// endsNow has holds to VMs fail as their processes have ended.
+func (f *fixture) endsNow(vms ...string) {
+	for _, id := range vms {
+		f.s.Unanswered(f.now, id, true)
+	}
+}
+
+// othersOf are the fixture's VMs but one.
+func (f *fixture) othersOf(vm string) []string {
+	var others []string
+	for _, inst := range f.list {
+		if inst.ID != vm {
+			others = append(others, inst.ID)
+		}
+	}
+	return others
+}
+
+// kinds are what is noted of a task's VMs, but for those of suspect.
+func (f *fixture) kinds(job string) []crashKind {
+	var kinds []crashKind
+	for _, c := range f.taskOf(job).crashes {
+		if c.vm.id != "earlier" {
+			kinds = append(kinds, c.kind)
+		}
+	}
+	return kinds
+}
+
+// Guards against a job that is given up for the loss of a rack: the VM of its trial was known
+// to have ended before holds to the others had failed.
+func TestEndIsComparedWithThoseThatAreSeenLater(t *testing.T) {
+	f := newFixture(t, 5)
+	f.hearAll(nil)
+	f.submit("j", tasks(1, 1000))
+	f.suspect("j")
+	vm := f.startOf("j.0.0.0")
+	f.advance(100 * time.Millisecond)
+	f.endsNow(vm)
+	f.s.Gone(f.now, vm, "another instance answers")
+	require.NotContains(t, f.kinds("j"), crashAlone, "judged before the others could be seen to have ended")
+	f.advance(600 * time.Millisecond)
+	for _, other := range f.othersOf(vm)[:massVMs] {
+		f.s.Unanswered(f.now, other, false)
+	}
+	f.s.Tend(f.now)
+	require.Equal(t, []crashKind{crashMass}, f.kinds("j"))
+}
+
+// Guards against waits that serve nothing: an end is judged as soon as all others are heard.
+func TestEndIsJudgedOnceAllOthersAreHeard(t *testing.T) {
+	f := newFixture(t, 3)
+	f.hearAll(nil)
+	f.submit("j", tasks(1, 1000))
+	f.suspect("j")
+	vm := f.startOf("j.0.0.0")
+	f.advance(50 * time.Millisecond)
+	f.endsNow(vm)
+	f.s.Gone(f.now, vm, "another instance answers")
+	f.advance(50 * time.Millisecond)
+	for _, other := range f.othersOf(vm) {
+		f.hear(other, batch.Report{})
+	}
+	f.s.Tend(f.now)
+	require.Equal(t, []crashKind{crashAlone}, f.kinds("j"))
+}
+
+// Guards against a job that is given up though nothing of it has ended a VM: VMs that this
+// leader had not heard ended one after the other, and so did those of the job.
+func TestUnheardVMsThatEndAreAStorm(t *testing.T) {
+	f := newFixture(t, 6)
+	for _, inst := range f.list[:3] {
+		f.hear(inst.ID, batch.Report{})
+	}
+	f.s.Gone(f.now, "vm03", "machine ended it")
+	f.s.Gone(f.now, "vm04", "machine ended it")
+	f.s.Gone(f.now, "vm05", "machine ended it")
+	f.advance(5 * time.Second)
+	for _, inst := range f.list[:3] {
+		f.hear(inst.ID, batch.Report{})
+	}
+	f.submit("j", tasks(1, 1000))
+	vm := f.startOf("j.0.0.0")
+	f.advance(700 * time.Millisecond)
+	f.endsNow(vm)
+	f.advance(judgedAfter)
+	f.s.Gone(f.now, vm, "machine ended it")
+	require.Equal(t, []crashKind{crashStorm}, f.kinds("j"))
+}
+
+// Guards against both: four ends in storms do not give a job up, twice as many do.
+func TestEndsInStormsCountHalf(t *testing.T) {
+	f := newFixture(t, 2)
+	f.hearAll(nil)
+	f.submit("j", tasks(1, 1000))
+	first := f.taskOf("j")
+	for n := range int64(stormWeight * crashesInAll) {
+		require.Equal(t, batch.Queued, f.s.jobs["j"].state, "given up after %d", n)
+		first.setCrash(crash{run: n + 1, kind: crashStorm, vm: vmStart{id: "gone"}})
+		f.s.judgeCrashes(f.now, first)
+	}
+	require.Equal(t, batch.Failed, f.s.jobs["j"].state)
+}
--- a/internal/scheduler/restarts.go
+++ b/internal/scheduler/restarts.go
@@ -90,7 +90,7 @@
 	d := old.lifeDecision(now, EventVMRestarted, "")
 	d.Born, d.Acked = rep.Born, old.acked()
 	s.logf(d)
-	end := s.noteEarlierEnd(now, old)
+	end := s.noteEnd(now, old)
 	told := toldRuns(rep)
 	for _, r := range old.ordered {
 		if s.mayBeOn(sentAt, r, rep, told) {
@@ -136,7 +136,7 @@
 
 // moveRun has a run count on a later start of its VM. A stop is ordered again: the later
 // start knows nothing of the first.
-func (s *Scheduler) moveRun(now Time, r *run, to *vm, end *earlierEnd) {
+func (s *Scheduler) moveRun(now Time, r *run, to *vm, end *judgedEnd) {
 	t := r.task
 	s.withdraw(now, r)
 	moved := &run{
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -79,7 +79,7 @@
 	// trial is set where nothing else was new on the VM when the run was started.
 	trial bool
 	// earlier is the end of its VM's start before, which may have had the run; nil for none.
-	earlier *earlierEnd
+	earlier *judgedEnd
 	// dead is set when the run no longer counts on its VM.
 	dead bool
 }
@@ -222,6 +222,8 @@
 	restartedAt Time
 	// listed is set while the store's list has the instance.
 	listed bool
+	// staleAtFirst is set where its entry had not been written for long when it was first seen.
+	staleAtFirst bool
 	// unlistedAt is when it left the list.
 	unlistedAt Time
 	// heard is set once the instance has seen this leader's fencing token and
@@ -345,10 +347,10 @@
 	// listedAt is when the list of VMs was last read.
 	listedAt Time
 	// ends are the VMs that ended of late, doubts the runs that may have ended a VM.
-	// earlier are the ends of starts of which later ones report.
-	ends    map[vmStart]vmEnd
-	doubts  map[vmStart]map[*task]int64
-	earlier []*earlierEnd
+	// judgedEnds are the ends of VMs that are being judged, or were of late.
+	ends       map[vmStart]vmEnd
+	doubts     map[vmStart]map[*task]int64
+	judgedEnds []*judgedEnd
 	// trialTurn is where the next look for a VM for a trial begins.
 	trialTurn int
 	// machines is the machine service's list; nil before it was read.
--- a/internal/scheduler/vmends.go
+++ b/internal/scheduler/vmends.go
@@ -30,6 +30,8 @@
 	aliveAt, noticedAt Time
 	// byTask is set where a task is likely to have ended it: it had begun just before.
 	byTask bool
+	// closed is set where noticedAt is when it ended, but for a moment: a connection was closed.
+	closed bool
 }
 
 // end describes the VM's end if it has ended.
@@ -39,7 +41,7 @@
 		e.noticedAt = v.unansweredAt
 	}
 	if v.unansweredAt > 0 && v.closedAtOnce {
-		e.aliveAt = max(e.aliveAt, e.noticedAt-closedWithin)
+		e.aliveAt, e.closed = max(e.aliveAt, e.noticedAt-closedWithin), true
 	}
 	for _, r := range v.ordered {
 		e.aliveAt = max(e.aliveAt, r.confirmedAt)
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -70,7 +70,7 @@
 }
 
 func newVM(now Time, inst batch.Instance) *vm {
-	return &vm{inst: inst, runs: map[batch.TaskID]*run{}, blindCap: fullPace, heardAt: now}
+	return &vm{inst: inst, staleAtFirst: inst.Stale, runs: map[batch.TaskID]*run{}, blindCap: fullPace, heardAt: now}
 }
 
 // sortVMs keeps the VMs in a fixed order, so that equal inputs give equal plans.
@@ -218,7 +218,7 @@
 	s.logInterference(now)
 	s.waitOutSilent(now)
 	s.forgetAbsent(now)
-	s.judgeEarlierEnds(now)
+	s.judgeEnds(now)
 	for _, v := range slices.Clone(s.order) {
 		s.tendVM(now, v.inst.ID, v)
 	}
