Trials take a quarter of the VMs that answer

What callers saw: work that could run waits for half a minute after all faults have ended, while tasks that end their VMs are tried.

Change: the VMs that answer count. With fewer trials at once more suspects are started beside others, once their patience is over, and a start beside others told nothing: it counts as a trial now where it was the last to begin and the connection was closed within 0.3 s.

--- a/internal/scheduler/judgedends.go
+++ b/internal/scheduler/judgedends.go
@@ -21,8 +21,8 @@
 	end   vmEnd
 	// judgeAt is when it is judged at the latest.
 	judgeAt Time
-	// trials are the runs that were on trial there, with whether the VM ended just after they
-	// had begun.
+	// trials are the runs that were on trial there, or the last to begin and just begun, with
+	// whether the VM ended just after they had begun.
 	trials map[int64]bool
 	// judged is set once kind and others hold.
 	judged bool
@@ -64,7 +64,7 @@
 		return
 	}
 	justBegun := e.end.closed && e.end.noticedAt-r.confirmedAt < begunJustBefore
-	if r.confirmedAt > 0 && r.trial {
+	if r.confirmedAt > 0 && (r.trial || (r.last && justBegun)) {
 		e.trials[r.number] = justBegun
 	}
 	if e.judged {
--- a/internal/scheduler/judgedends_test.go
+++ b/internal/scheduler/judgedends_test.go
@@ -136,3 +136,21 @@
 	}
 	require.Equal(t, batch.Failed, f.s.jobs["j"].state)
 }
+
+// Guards against a task that is started too often after its third VM: a suspect that found no
+// VM of its own in time learned nothing by its start, though its VM ended as it began.
+func TestLastToBeginIsTriedBesideOthers(t *testing.T) {
+	f := newFixture(t, 1)
+	f.hearAll(nil)
+	f.submit("j", tasks(1, 1000))
+	f.suspect("j")
+	vm := f.startOf("j.0.0.0")
+	// As where its patience was over: something else is new there.
+	f.s.vms[vm].runs[f.last("j.0.0.0").Task].trial = false
+	f.advance(50 * time.Millisecond)
+	f.endsNow(vm)
+	f.s.Gone(f.now, vm, "machine ended it")
+	f.advance(judgedAfter)
+	f.s.Tend(f.now)
+	require.Equal(t, []crashKind{crashAlone}, f.kinds("j"))
+}
--- a/internal/scheduler/restarts.go
+++ b/internal/scheduler/restarts.go
@@ -141,10 +141,10 @@
 	s.withdraw(now, r)
 	moved := &run{
 		task: t, vm: to, number: r.number, state: r.state, orderedAt: r.orderedAt, confirmedAt: r.confirmedAt,
-		begun: r.begun, begunAt: r.begunAt, checkpoint: r.checkpoint, paced: unknownPace, trial: r.trial, earlier: end,
+		begun: r.begun, begunAt: r.begunAt, checkpoint: r.checkpoint, paced: unknownPace, trial: r.trial, last: r.last, earlier: end,
 	}
 	s.hold(moved)
-	if r.trial {
+	if r.last {
 		to.trial = moved
 	}
 	if c := t.crash(r.number); c != nil && c.kind == crashDoubted {
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -78,6 +78,8 @@
 	begunAt Time
 	// trial is set where nothing else was new on the VM when the run was started.
 	trial bool
+	// last is set where nothing else is started on the VM while the run is new.
+	last bool
 	// earlier is the end of its VM's start before, which may have had the run; nil for none.
 	earlier *judgedEnd
 	// dead is set when the run no longer counts on its VM.
--- a/internal/scheduler/trials.go
+++ b/internal/scheduler/trials.go
@@ -77,6 +77,17 @@
 	return n
 }
 
+// answering counts the VMs that are heard: the entry of one that has ended stays for seconds.
+func (s *Scheduler) answering(now Time) int {
+	n := 0
+	for _, v := range s.order {
+		if v.heard && v.unansweredAt == 0 && !v.silent(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // startSuspect starts a suspect in a trial, or keeps a VM for it. Of the VMs on which
 // nothing is new it takes the one that runs least: all that is lost if it ends.
 func (s *Scheduler) startSuspect(now Time, t *task) {
@@ -101,7 +112,7 @@
 		if v != nil {
 			s.startClosed(now, t, v, false)
 		}
-	case best != nil && best.keptFor != t && float64(s.trials(now)) < max(1, mostTrials*float64(len(s.order))):
+	case best != nil && best.keptFor != t && float64(s.trials(now)) < max(1, mostTrials*float64(s.answering(now))):
 		s.keep(now, best, t)
 	}
 }
@@ -141,7 +152,7 @@
 		held = s.holdGang(now, st, first.intended, s.choose)
 	}
 	for _, h := range held {
-		h.trial, h.vm.trial = trial, h
+		h.trial, h.last, h.vm.trial = trial, true, h
 		h.task.suspectSince, h.task.intended = 0, 0
 		s.recordCrash(h, h.vm.thisStart(), crashDoubted)
 	}
@@ -200,7 +211,7 @@
 // a trial where nothing else is new there now.
 func (s *Scheduler) startClosed(now Time, t *task, v *vm, trial bool) {
 	r := s.start(now, t, v, t.intended)
-	r.trial, v.trial = trial, r
+	r.trial, r.last, v.trial = trial, true, r
 	t.suspectSince, t.intended, t.keptOn, v.keptFor = 0, 0, nil, nil
 	s.recordCrash(r, r.vm.thisStart(), crashDoubted)
 }
