Runs that earlier leaders intended and never began are no crashes

Cause: a suspect's next run is recorded as doubted before a VM is found for it. A leader that dies meanwhile leaves the doubt behind; the next ones added one each, and with five such entries the job was given up.

Change: such entries of earlier leaders are taken back once all VMs that these may have used were heard; where one has ended unheard they count as one in all, since a leader has to die between the start and the next write for such a run to have begun.

Evidence: TestIntentsThatNeverBeganAreNoCrashes and TestIntentsOfSeveralLeadersCountOnce fail before.

--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -62,6 +62,9 @@
 	stormWeight = 2
 	// crashesWithDoubts give it up where VMs were never heard of again.
 	crashesWithDoubts = 5
+	// mostUnplaced bounds the doubts about runs of which no VM is recorded: a leader has to die
+	// between the start and the next write for such a run to have begun.
+	mostUnplaced = 1
 	// crashesRecorded is from how many on a task is started again only once the store
 	// has them: a successor must not begin the count anew.
 	crashesRecorded = 2
@@ -183,8 +186,9 @@
 	return mass > 1
 }
 
-// crashedUnder takes in that a VM has certainly ended, with what ran there.
-func (s *Scheduler) crashedUnder(now Time, v *vm) {
+// crashedUnder takes in that a VM has certainly ended, with what ran there. awaited is set
+// where an earlier leader may have used it.
+func (s *Scheduler) crashedUnder(now Time, v *vm, awaited bool) {
 	start := v.thisStart()
 	if s.hasEnded(start) {
 		// Its entry outlived it for some seconds, and was taken for a VM that is not heard:
@@ -194,6 +198,7 @@
 	if !v.heard {
 		// Another leader used it. When it ended, and which start it was, is not known.
 		if !v.staleAtFirst {
+			s.endedUnheard = s.endedUnheard || awaited
 			end := v.end(now)
 			end.byTask = len(s.doubts[start]) > 0
 			s.ends[start] = end
@@ -210,7 +215,7 @@
 
 // judgeCrashes gives a task up that has ended its VMs.
 func (s *Scheduler) judgeCrashes(now Time, t *task) {
-	alone, counted, doubted, inStorms := 0, 0, 0, 0
+	alone, counted, doubted, inStorms, unplaced := 0, 0, 0, 0, 0
 	for _, c := range t.crashes {
 		switch c.kind {
 		case crashAlone:
@@ -219,7 +224,11 @@
 		case crashShared:
 			counted++
 		case crashDoubted:
-			if c.run != t.intended && !t.hasRun(c.run) {
+			switch {
+			case c.run == t.intended || t.hasRun(c.run):
+			case c.vm.id == "":
+				unplaced++
+			default:
 				doubted++
 			}
 		case crashStorm:
@@ -228,6 +237,7 @@
 		}
 	}
 	counted += inStorms / stormWeight
+	doubted += min(unplaced, mostUnplaced)
 	if alone < crashesAlone && counted < crashesInAll && counted+doubted < crashesWithDoubts {
 		return
 	}
--- a/internal/scheduler/leases.go
+++ b/internal/scheduler/leases.go
@@ -224,7 +224,7 @@
 	slices.Sort(over)
 	for _, id := range over {
 		delete(s.silent, id)
-		s.changed = true
+		s.changed, s.endedUnheard = true, true
 		d := Decision{Event: EventVMWaitedOut, VM: id}
 		if v := s.vms[id]; v != nil {
 			v.lapsedRun = s.nextRun
--- a/internal/scheduler/reports.go
+++ b/internal/scheduler/reports.go
@@ -26,6 +26,7 @@
 		// that were meant for the start before.
 		v.leaseOver = max(v.leaseOver, now+leaseOver(s.settings.firstLease(rep.Clock)))
 		s.recallLapsed(v)
+		s.endedUnheard = s.endedUnheard || (rep.Born != 0 && s.awaited(id) && s.settings.startedOfLate(rep.Clock))
 		s.changed = true
 		s.logf(Decision{Event: EventVMHeard, VM: id, Value: float64(len(rep.Running)), Born: rep.Born})
 	}
--- a/internal/scheduler/restarts.go
+++ b/internal/scheduler/restarts.go
@@ -51,12 +51,18 @@
 // time, by its clock. On one that has started of late, orders that were meant for the
 // start before may have been granted the longest one that VMs grant.
 func (s Settings) firstLease(clock time.Duration) time.Duration {
-	if clock < learnedWithin+orderTravel+s.MaxLease {
+	if s.startedOfLate(clock) {
 		return s.MaxLease
 	}
 	return s.Lease()
 }
 
+// startedOfLate reports whether orders that were meant for the start before may have left
+// something on a VM whose clock tells so much.
+func (s Settings) startedOfLate(clock time.Duration) bool {
+	return clock < learnedWithin+orderTravel+s.MaxLease
+}
+
 // overAt is when the run has certainly ended, unless its lease is renewed. A run that no
 // report has listed may be on a later start of the VM, which took the order's deadline for
 // one on its own clock, and granted as much of it as it does at most.
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -353,6 +353,9 @@
 	ends       map[vmStart]vmEnd
 	doubts     map[vmStart]map[*task]int64
 	judgedEnds []*judgedEnd
+	// endedUnheard is set once a VM that an earlier leader may have used has ended, or was
+	// waited out, before it was heard.
+	endedUnheard bool
 	// trialTurn is where the next look for a VM for a trial begins.
 	trialTurn int
 	// machines is the machine service's list; nil before it was read.
--- a/internal/scheduler/trials.go
+++ b/internal/scheduler/trials.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// trialPatience is how long a suspect waits for a VM of its own: a VM that takes
@@ -91,6 +94,7 @@
 // startSuspect starts a suspect in a trial, or keeps a VM for it. Of the VMs on which
 // nothing is new it takes the one that runs least: all that is lost if it ends.
 func (s *Scheduler) startSuspect(now Time, t *task) {
+	s.clearIntents(t)
 	s.judgeCrashes(now, t)
 	if t.step.occ.job.state.Final() {
 		return
@@ -131,6 +135,7 @@
 func (s *Scheduler) holdSuspects(now Time, st *step) []*run {
 	first := &st.tasks[0]
 	for k := range st.tasks {
+		s.clearIntents(&st.tasks[k])
 		s.judgeCrashes(now, &st.tasks[k])
 	}
 	if st.occ.job.state.Final() {
@@ -226,6 +231,22 @@
 	return t.crashesDurable()
 }
 
+// clearIntents takes the runs back that earlier leaders intended and that never began: a
+// task's next start waits until all VMs are heard that they may have used, so that such a run
+// has begun only where one of these has ended instead.
+func (s *Scheduler) clearIntents(t *task) {
+	if s.endedUnheard {
+		return
+	}
+	before := len(t.crashes)
+	t.crashes = slices.DeleteFunc(t.crashes, func(c crash) bool {
+		return c.kind == crashDoubted && c.vm.id == "" && c.run>>runBits < s.fence
+	})
+	if len(t.crashes) < before {
+		s.touchCrashes(t)
+	}
+}
+
 func (s *Scheduler) intendRun(t *task, number int64) {
 	t.intended = number
 	t.setCrash(crash{run: number, kind: crashDoubted})
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -143,6 +143,7 @@
 
 // Gone takes an instance out whose life has certainly ended, or that runs nothing.
 func (s *Scheduler) Gone(now Time, id, reason string) {
+	awaited := s.awaited(id)
 	delete(s.silent, id)
 	v := s.vms[id]
 	if v == nil {
@@ -153,7 +154,7 @@
 		// What was in doubt there stays so.
 		delete(s.doubts, v.thisStart())
 	} else {
-		s.crashedUnder(now, v)
+		s.crashedUnder(now, v, awaited)
 	}
 	s.dropRuns(now, v, reason)
 	delete(s.vms, id)
