A start without an answer keeps its VM's end from telling of the last to begin

Cause: a start that had no answer was carried out seconds later, on a VM whose last run to begin, by what the leader knew, was another task's.

Change: not where a run without an answer may begin there at any moment; a trial proper never had such a VM.

--- a/internal/scheduler/explore_seeds_test.go
+++ b/internal/scheduler/explore_seeds_test.go
@@ -16,6 +16,7 @@
 }{
 	{"a job is given up for crashes, and no task of it has ended a VM", "restarts,alone,revoked", []uint64{1923, 3437}},
 	{"a job is given up for crashes, and no task of it has ended a VM", "restarts,alone,list,revoked,asks", []uint64{801}},
+	{"the VM's end is blamed on the last that began there, and a start without an answer came later", "crashes,alone,revoked", []uint64{2519}},
 	{"runs that never began count as crashes", "restarts,crashes", []uint64{1346}},
 }
 
--- a/internal/scheduler/judgedends.go
+++ b/internal/scheduler/judgedends.go
@@ -64,7 +64,7 @@
 		return
 	}
 	justBegun := e.end.closed && e.end.noticedAt-r.confirmedAt < begunJustBefore
-	if r.confirmedAt > 0 && (r.trial || (r.last && justBegun)) {
+	if r.confirmedAt > 0 && (r.trial || (r.last && justBegun && !r.vm.mayBegin(r))) {
 		e.trials[r.number] = justBegun
 	}
 	if e.judged {
@@ -74,6 +74,12 @@
 	s.recordCrash(r, e.start, crashDoubted)
 }
 
+// mayBegin reports whether a run other than r may have begun on the VM at any moment: its
+// start has no answer.
+func (v *vm) mayBegin(r *run) bool {
+	return slices.ContainsFunc(v.ordered, func(o *run) bool { return o != r && o.begun && o.confirmedAt == 0 })
+}
+
 // concludeEarlierDoubts takes in that starts of a VM have ended on which runs were doubted,
 // by another leader, so that nobody can tell when: those before the one that reports, or
 // all where none does.
