Suspects do not keep each other from starting

Cause: a pass of the planner looks at 16 tasks that may have ended a VM, the first of the queue. Where something is new on every VM these wait for trials, up to 2.2 s, and the patience of those behind them did not even begin: 16 every two seconds.

Change: each suspect's patience begins when its turn has come; 16 are looked at for trials, and 16 more of those whose patience is over.

--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -196,8 +196,9 @@
 	now Time
 	// failed holds the needs for which no VM was found in this pass.
 	failed []need
-	// suspects counts those that were looked at.
-	suspects int
+	// suspects counts those that were looked at for a trial, overdue those whose patience is
+	// over.
+	suspects, overdue int
 }
 
 // need is what makes a VM suitable.
@@ -249,8 +250,7 @@
 		}
 		if t.suspect() {
 			// What it starts is in no list of candidates.
-			if r.suspects < suspectsAtOnce {
-				r.suspects++
+			if r.admitsSuspect(t) {
 				s.startSuspect(r.now, t)
 				list = nil
 			}
--- /dev/null
+++ b/internal/scheduler/suspects_test.go
@@ -0,0 +1,58 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+// suspectsStartWithin is how long a suspect that fits may wait beside free room: its patience,
+// and the time that the others of as many take to be looked at.
+const suspectsStartWithin = 2 * trialPatience
+
+// Guards against suspects that wait for each other: while the first few of the queue waited
+// for VMs on which nothing is new, nobody looked at those behind them, beside a fleet that was
+// mostly free.
+func TestSuspectsDoNotWaitForEachOther(t *testing.T) {
+	t.Parallel()
+	for _, seed := range crashSeeds(2) {
+		c := newCrashFleet(t, 40, seed)
+		c.play(2 * time.Second)
+		// Something is new on every VM at any time.
+		var held []string
+		busy := func() {
+			for range 40 {
+				id := fmt.Sprintf("busy%d", c.others)
+				c.others++
+				c.lasts[id] = 1500 * time.Millisecond
+				c.hand(&batch.Job{ID: id, Payload: "p", Steps: []batch.Step{tasks(1, 500)}})
+			}
+		}
+		busy()
+		c.play(300 * time.Millisecond)
+		const suspects = 200
+		for i := range suspects {
+			id := fmt.Sprintf("suspect%d", i)
+			held = append(held, id)
+			c.lasts[id] = 300 * time.Millisecond
+			c.hand(&batch.Job{ID: id, Payload: "p", Steps: []batch.Step{tasks(1, 500)}})
+			c.suspect(id)
+		}
+		handed := c.now
+		for c.now < handed+suspectsStartWithin {
+			c.play(400 * time.Millisecond)
+			busy()
+		}
+		waiting := 0
+		for _, id := range held {
+			if len(c.starts[batch.TaskID{Job: id}]) == 0 {
+				waiting++
+			}
+		}
+		require.Zero(t, waiting, "of %d suspects, seed %d", suspects, seed)
+	}
+}
--- a/internal/scheduler/trials.go
+++ b/internal/scheduler/trials.go
@@ -91,6 +91,23 @@
 	return n
 }
 
+// admitsSuspect reports whether a suspect is looked at in this pass, and lets its patience
+// begin in any case: those that wait for trials must not keep the others from starting.
+func (r *round) admitsSuspect(t *task) bool {
+	if t.suspectSince == 0 {
+		t.suspectSince = r.now
+	}
+	count := &r.suspects
+	if t.overdue(r.now) {
+		count = &r.overdue
+	}
+	*count++
+	return *count <= suspectsAtOnce
+}
+
+// overdue reports whether a suspect has waited for a VM of its own for long enough.
+func (t *task) overdue(now Time) bool { return now-t.suspectSince > trialPatience }
+
 // startSuspect starts a suspect in a trial, or keeps a VM for it. Of the VMs on which
 // nothing is new it takes the one that runs least: all that is lost if it ends.
 func (s *Scheduler) startSuspect(now Time, t *task) {
@@ -99,16 +116,13 @@
 	if t.step.occ.job.state.Final() {
 		return
 	}
-	if t.suspectSince == 0 {
-		t.suspectSince = now
-	}
 	best, free := s.trialVM(now, t)
 	switch {
 	case free && s.intend(t):
 		s.startClosed(now, t, best, true)
 	case free:
 		s.keep(now, best, t)
-	case now-t.suspectSince > trialPatience && s.intend(t):
+	case t.overdue(now) && s.intend(t):
 		v := s.choose(now, t)
 		if v == nil && s.starves(now, t) {
 			v = s.leastPressed(now, t)
