--- a/internal/scheduler/explore_test.go
+++ b/internal/scheduler/explore_test.go
@@ -42,6 +42,15 @@
 	asks bool
 	// restarts: VMs start again under the IDs that they had, many at once.
 	restarts bool
+	// carried: an order that a VM has taken and carries out late is carried out by its next
+	// start, where it has started again meanwhile.
+	carried bool
+	// lapses: the entries of VMs that have ended go, as they do with list and restarts.
+	lapses bool
+	// wakes: VMs start again within a second before a frozen leader wakes.
+	wakes bool
+	// slowCrashes: tasks end their VMs as late as a second and a half after they began.
+	slowCrashes bool
 }
 
 // breaks leave a safeguard out; each has to be found.
@@ -190,6 +199,7 @@
 	{"restarts, tasks that end their VMs", faults{restarts: true, crashes: true}, 160},
 	{"restarts, capacities that shrink", faults{restarts: true, resizes: true, list: true}, 120},
 	{"restarts, predecessors asked", faults{restarts: true, alone: true, list: true, revoked: true, asks: true}, 160},
+	{"restarts, VMs that start as a frozen leader wakes", faults{restarts: true, wakes: true}, 160},
 	{"all with restarts", faults{alone: true, list: true, late: true, timed: true, attempts: true, revoked: true, asks: true, restarts: true}, 160},
 }
 
