--- a/internal/scheduler/judgedends_test.go
+++ b/internal/scheduler/judgedends_test.go
@@ -17,8 +17,9 @@
 	f.taskOf(job).setCrash(crash{run: 1, kind: crashShared, vm: vmStart{id: "earlier"}})
 }
 
-// startOf gives a task's start and confirms it, and returns the VM.
-func (f *fixture) startOf(task string) string {
+// startFirst gives the start of j's first task and confirms it, and returns the VM.
+func (f *fixture) startFirst() string {
+	const task = "j.0.0.0"
 	for range 10 {
 		if len(f.started[task]) > 0 {
 			break
@@ -51,10 +52,10 @@
 	return others
 }
 
-// kinds are what is noted of a task's VMs, but for those of suspect.
-func (f *fixture) kinds(job string) []crashKind {
+// kinds are what is noted of the VMs of j's first task, but for those of suspect.
+func (f *fixture) kinds() []crashKind {
 	var kinds []crashKind
-	for _, c := range f.taskOf(job).crashes {
+	for _, c := range f.taskOf("j").crashes {
 		if c.vm.id != "earlier" {
 			kinds = append(kinds, c.kind)
 		}
@@ -69,17 +70,17 @@
 	f.hearAll(nil)
 	f.submit("j", tasks(1, 1000))
 	f.suspect("j")
-	vm := f.startOf("j.0.0.0")
+	vm := f.startFirst()
 	f.advance(100 * time.Millisecond)
 	f.endsNow(vm)
 	f.s.Gone(f.now, vm, "another instance answers")
-	require.NotContains(t, f.kinds("j"), crashAlone, "judged before the others could be seen to have ended")
+	require.NotContains(t, f.kinds(), crashAlone, "judged before the others could be seen to have ended")
 	f.advance(600 * time.Millisecond)
 	for _, other := range f.othersOf(vm)[:massVMs] {
 		f.s.Unanswered(f.now, other, false)
 	}
 	f.s.Tend(f.now)
-	require.Equal(t, []crashKind{crashMass}, f.kinds("j"))
+	require.Equal(t, []crashKind{crashMass}, f.kinds())
 }
 
 // Guards against waits that serve nothing: an end is judged as soon as all others are heard.
@@ -88,7 +89,7 @@
 	f.hearAll(nil)
 	f.submit("j", tasks(1, 1000))
 	f.suspect("j")
-	vm := f.startOf("j.0.0.0")
+	vm := f.startFirst()
 	f.advance(50 * time.Millisecond)
 	f.endsNow(vm)
 	f.s.Gone(f.now, vm, "another instance answers")
@@ -97,7 +98,7 @@
 		f.hear(other, batch.Report{})
 	}
 	f.s.Tend(f.now)
-	require.Equal(t, []crashKind{crashAlone}, f.kinds("j"))
+	require.Equal(t, []crashKind{crashAlone}, f.kinds())
 }
 
 // Guards against a job that is given up though nothing of it has ended a VM: VMs that this
@@ -115,12 +116,12 @@
 		f.hear(inst.ID, batch.Report{})
 	}
 	f.submit("j", tasks(1, 1000))
-	vm := f.startOf("j.0.0.0")
+	vm := f.startFirst()
 	f.advance(700 * time.Millisecond)
 	f.endsNow(vm)
 	f.advance(judgedAfter)
 	f.s.Gone(f.now, vm, "machine ended it")
-	require.Equal(t, []crashKind{crashStorm}, f.kinds("j"))
+	require.Equal(t, []crashKind{crashStorm}, f.kinds())
 }
 
 // Guards against both: four ends in storms do not give a job up, twice as many do.
@@ -144,7 +145,7 @@
 	f.hearAll(nil)
 	f.submit("j", tasks(1, 1000))
 	f.suspect("j")
-	vm := f.startOf("j.0.0.0")
+	vm := f.startFirst()
 	// As where its patience was over: something else is new there.
 	f.s.vms[vm].runs[f.last("j.0.0.0").Task].trial = false
 	f.advance(50 * time.Millisecond)
@@ -152,5 +153,5 @@
 	f.s.Gone(f.now, vm, "machine ended it")
 	f.advance(judgedAfter)
 	f.s.Tend(f.now)
-	require.Equal(t, []crashKind{crashAlone}, f.kinds("j"))
+	require.Equal(t, []crashKind{crashAlone}, f.kinds())
 }
