Ends of VMs that came together are no crash, on a busy fleet either

Cause, from the leader's lines of such a run: three VMs end within 26 ms, and on each something had begun less than 0.3 s before, as on any VM of a busy fleet. All three ends passed for ends by tasks, so that none counted as one that came with the others, and two trials that were hit gave the job up.

Change: only the end of a VM on which a suspect had just begun is taken for one by a task; any other comes with others. Where such a task is accused later, by a trial of its own, the ends that were judged by its VM's are judged again.

The explorer's flag -explore.task takes 'all'.

--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -201,6 +201,7 @@
 			s.endedUnheard = s.endedUnheard || awaited
 			end := v.end(now)
 			end.byTask = len(s.doubts[start]) > 0
+			end.bySuspect = end.byTask
 			s.ends[start] = end
 		}
 		s.concludeEarlierDoubts(now, v)
@@ -323,6 +324,9 @@
 	c.kind = kind
 	s.touchCrashes(t)
 	s.logf(Decision{Event: EventCrashNoted, Task: t.id(), VM: c.vm.id, Run: c.run, Reason: crashKindNames[kind], Value: float64(len(t.crashes)), Born: c.vm.born})
+	if kind == crashAlone {
+		s.accuse(now, t)
+	}
 	s.judgeCrashes(now, t)
 }
 
--- a/internal/scheduler/explore_mix_test.go
+++ b/internal/scheduler/explore_mix_test.go
@@ -20,7 +20,7 @@
 	exploreMix   = flag.String("explore.mix", "", "faults of TestExploreMix, separated by commas; 'everything' for all but carried, lapses, slowcrashes and wakes, 'none' for none beside leaders and messages")
 	exploreFirst = flag.Uint64("explore.first", 0, "first seed of TestExploreMix")
 	exploreSeedN = flag.Uint64("explore.seeds", 1000, "seeds of TestExploreMix")
-	exploreTask  = flag.String("explore.task", "", "job or task whose lines TestExploreMix shows, where it plays one seed; empty for what broke")
+	exploreTask  = flag.String("explore.task", "", "job or task whose lines TestExploreMix shows, where it plays one seed; empty for what broke, all for all")
 )
 
 // faultNames are the faults by the names that the flags take.
--- a/internal/scheduler/explore_test.go
+++ b/internal/scheduler/explore_test.go
@@ -145,6 +145,9 @@
 	return strings.Join(lines[max(0, len(lines)-traceLines):], "\n")
 }
 
+// allTasks has traceOf show everything.
+const allTasks = "all"
+
 // traceOf returns what a seed shows of a task, of a job, or of what broke where about is "",
 // with all that tells of no task.
 func traceOf(seed uint64, f faults, b breaks, about string) string {
@@ -157,7 +160,7 @@
 	for _, line := range lines {
 		ofTask := taskName.FindString(line)
 		of := about == "" || ofTask == about || strings.HasPrefix(ofTask, about+".")
-		if of || (ofTask == "" && !strings.Contains(line, "job_")) {
+		if of || about == allTasks || (ofTask == "" && !strings.Contains(line, "job_")) {
 			shown = append(shown, line)
 		}
 	}
--- a/internal/scheduler/judgedends.go
+++ b/internal/scheduler/judgedends.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -24,10 +25,13 @@
 	// trials are the runs that were on trial there, or the last to begin and just begun, with
 	// whether the VM ended just after they had begun.
 	trials map[int64]bool
-	// judged is set once kind and others hold.
-	judged bool
-	kind   crashKind
-	others int
+	// judged is set once kind and others hold: how many VMs ended with it, of which something
+	// had just begun on busy.
+	judged       bool
+	kind         crashKind
+	others, busy int
+	// runs are those that were judged by it.
+	runs map[*task]int64
 }
 
 // verdictOn is what the end says of a run. In a storm a trial tells only where the VM ended
@@ -118,7 +122,7 @@
 		if e.judged {
 			continue
 		}
-		e.others = s.endedWith(now, e.start, &e.end)
+		e.others, e.busy = s.endedWith(now, e.start, &e.end)
 		if e.others >= massVMs || now >= e.judgeAt || s.outlived(e) {
 			s.judgeEnd(now, e)
 		}
@@ -144,5 +148,48 @@
 	case s.storm(now, e.start):
 		e.kind = crashStorm
 	}
+	e.runs = maps.Clone(s.doubts[e.start])
 	s.concludeDoubtsBy(now, e.start, e.verdictOn)
 }
+
+// accuse takes in that a VM has ended in the trial of a task: those on which it had just begun
+// before, and that were taken for others that ended by themselves, were ended by it. Ends that
+// were judged by these are judged again.
+func (s *Scheduler) accuse(now Time, t *task) {
+	found := false
+	for start, e := range s.ends {
+		if !e.bySuspect && slices.Contains(e.fresh, t) {
+			e.bySuspect, found = true, true
+			s.ends[start] = e
+		}
+	}
+	if !found {
+		return
+	}
+	for _, e := range slices.Clone(s.judgedEnds) {
+		if !e.judged || e.busy == 0 {
+			continue
+		}
+		before := e.busy
+		if e.others, e.busy = s.endedWith(now, e.start, &e.end); e.busy < before {
+			s.judgeAgain(now, e)
+		}
+	}
+}
+
+// judgeAgain judges the runs of an end anew that fewer others came with than was believed.
+func (s *Scheduler) judgeAgain(now Time, e *judgedEnd) {
+	if e.kind == crashMass && e.others < massVMs {
+		e.kind = crashShared
+	}
+	for _, t := range inOrder(e.runs) {
+		number := e.runs[t]
+		c := t.crash(number)
+		if c == nil || c.vm != e.start || t.step.occ.job.state.Final() {
+			continue
+		}
+		if kind := e.verdictOn(number); kind != c.kind {
+			s.setCrashKind(now, t, c, kind)
+		}
+	}
+}
--- a/internal/scheduler/judgedends_test.go
+++ b/internal/scheduler/judgedends_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -155,3 +156,29 @@
 	f.s.Tend(f.now)
 	require.Equal(t, []crashKind{crashAlone}, f.kinds())
 }
+
+// Guards against jobs that are given up for restarts of many VMs at once: where something has
+// just begun on each VM, the others' ends were taken for those of other tasks' VMs.
+func TestJobsOfABusyFleetAreKeptOverRestarts(t *testing.T) {
+	t.Parallel()
+	for _, seed := range crashSeeds(24) {
+		c := newRestartFleet(t, 6, seed)
+		c.darkDeaths = seed%2 == 1
+		c.play(time.Second)
+		for strike := range 8 {
+			for k := range 12 {
+				id := fmt.Sprintf("busy-%d-%d", strike, k)
+				c.lasts[id] = time.Duration(60+20*k) * time.Millisecond
+				c.hand(&batch.Job{ID: id, Payload: "p", Steps: []batch.Step{tasks(6, 1000), {Tasks: 4, Need: batch.Resources{MilliCPU: 1000, MemoryMB: 10}, Estimate: time.Second, After: []int{0}}}})
+				c.play(100 * time.Millisecond)
+			}
+			for i, id := range c.ids() {
+				if i%2 == strike%2 {
+					c.kill(id)
+				}
+			}
+		}
+		c.play(30 * time.Second)
+		c.requireKept()
+	}
+}
--- a/internal/scheduler/vmends.go
+++ b/internal/scheduler/vmends.go
@@ -28,8 +28,11 @@
 type vmEnd struct {
 	// It came after aliveAt, and was noticed at noticedAt.
 	aliveAt, noticedAt Time
-	// byTask is set where a task is likely to have ended it: it had begun just before.
-	byTask bool
+	// byTask is set where a task may have ended it: it had begun just before. bySuspect is set
+	// where that was a suspect: on a busy fleet something has just begun on each VM.
+	byTask, bySuspect bool
+	// fresh are the tasks that had just begun.
+	fresh []*task
 	// closed is set where noticedAt is when it ended, but for a moment: a connection was closed.
 	closed bool
 }
@@ -46,35 +49,49 @@
 	for _, r := range v.ordered {
 		e.aliveAt = max(e.aliveAt, r.confirmedAt)
 		if r.confirmedAt > 0 && r.mayHaveCrashed() && e.noticedAt-r.confirmedAt < begunJustBefore {
-			e.byTask = true
+			e.byTask, e.bySuspect = true, e.bySuspect || r.trial || r.last
+			e.fresh = append(e.fresh, r.task)
 		}
 	}
 	return e
 }
 
-// together reports whether two VMs may have ended at the same moment.
+// together reports whether two VMs may have ended at the same moment. Two of which the moment
+// is known, and that tasks may have ended, have to agree closely.
 func (e *vmEnd) together(other *vmEnd) bool {
+	if e.byTask && other.byTask && e.closed && other.closed {
+		return (e.noticedAt - other.noticedAt).Abs() <= endedTogether
+	}
 	return e.aliveAt <= other.noticedAt+endedTogether && e.noticedAt >= other.aliveAt-endedTogether
 }
 
 // endedWith counts the VMs other than the one that ended, or stopped to answer, about when
-// it did, and that no task is likely to have ended.
-func (s *Scheduler) endedWith(now Time, ended vmStart, end *vmEnd) (others int) {
+// it did, and that no suspect is likely to have ended. busy are those of them on which
+// something else had just begun.
+func (s *Scheduler) endedWith(now Time, ended vmStart, end *vmEnd) (others, busy int) {
 	maps.DeleteFunc(s.ends, func(_ vmStart, e vmEnd) bool { return now-e.noticedAt > endsKept })
+	count := func(e *vmEnd) {
+		if e.bySuspect || !e.together(end) {
+			return
+		}
+		others++
+		if e.byTask {
+			busy++
+		}
+	}
 	for start, e := range s.ends {
-		if start.id != ended.id && !e.byTask && e.together(end) {
-			others++
+		if start.id != ended.id {
+			count(&e)
 		}
 	}
 	for _, other := range s.vms {
 		if other.inst.ID == ended.id || !other.heard || other.unansweredAt == 0 || other.inst.Draining || other.closed || s.hasEnded(other.thisStart()) {
 			continue
 		}
-		if e := other.end(now); !e.byTask && e.together(end) {
-			others++
-		}
+		e := other.end(now)
+		count(&e)
 	}
-	return others
+	return others, busy
 }
 
 func (s *Scheduler) hasEnded(start vmStart) bool {
