Each start of a VM has a fencing token of its own

Cause: an order names the VM and the fencing token of its leader, and both starts have the same.

Change: a leader may use any revision of the store at which it wrote on condition that it leads, since its successor's token is higher. A start that follows another under its ID is sent a higher token than that was sent, and takes nothing new before it has answered a hold with it; from then on it refuses what was meant for the one before. Such a refusal does not depose the leader. Where no write has brought a token, one is made (token_raised).

Tests: a report of another start is followed by one of a hold with the higher token, as a leader makes it (fixture's answer).

--- a/internal/leader/holds.go
+++ b/internal/leader/holds.go
@@ -165,8 +165,8 @@
 		}
 		return false, nil
 	case batch.RefusedFence:
-		t.fenced(inst.ID)
-		return false, nil
+		t.fenced(inst.ID, order.Fence)
+		return t.tenure.MayAct(), err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -208,7 +208,7 @@
 func (t *term) run(ctx context.Context, revision int64) {
 	jobs := &follow.Follower{Store: t.Store, Prefix: jobsPrefix, Wait: jobsWatch, Handle: t.observeJobs, After: revision}
 	for _, loop := range []func(context.Context){
-		func(ctx context.Context) { _ = jobs.Serve(ctx) }, t.listLoop, t.flushLoop, t.untoldLoop, t.predecessorsLoop, t.newSinceLoop, t.livesLoop, t.forgetLoop, t.modelLoop, t.wavesLoop,
+		func(ctx context.Context) { _ = jobs.Serve(ctx) }, t.listLoop, t.flushLoop, t.untoldLoop, t.predecessorsLoop, t.newSinceLoop, t.livesLoop, t.forgetLoop, t.modelLoop, t.wavesLoop, t.tokenLoop,
 	} {
 		t.work.Go(func() { loop(ctx) })
 	}
--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -27,8 +27,16 @@
 	stopFor = 25 * time.Second
 )
 
-// fenced ends the tenure: an instance has seen a successor's fencing token.
-func (t *term) fenced(id string) {
+// fenced takes in that an instance has refused an order with a fencing token. It has seen a
+// successor's, which ends the tenure, or a higher one that this leader has used there since.
+func (t *term) fenced(id string, token int64) {
+	if token >= t.token(id) {
+		t.succeeded(id)
+	}
+}
+
+// succeeded ends the tenure: a VM or a machine has seen a successor's fencing token.
+func (t *term) succeeded(id string) {
 	t.log.Event("leader_fenced", eventlog.Fields{"vm": id, "fence": t.tenure.Fence})
 	t.tenure.End()
 }
@@ -118,8 +126,12 @@
 			break
 		}
 		if refusal == batch.RefusedFence {
-			t.fenced(o.Instance.ID)
-			return
+			t.fenced(o.Instance.ID, o.Start.Fence)
+			if !t.tenure.MayAct() {
+				return
+			}
+			unanswered = true
+			break
 		}
 		if refusal != "" {
 			break
@@ -175,15 +187,15 @@
 		}
 		leave := t.takePlace(o.Instance.ID)
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-		err = t.Agents.Stop(callCtx, &o.Instance, o.Task, o.Run, t.tenure.Fence)
+		token := t.token(o.Instance.ID)
+		err = t.Agents.Stop(callCtx, &o.Instance, o.Task, o.Run, token)
 		cancel()
 		leave()
 		switch refusalOf(err) {
 		case batch.RefusedGone:
 			return
 		case batch.RefusedFence:
-			t.fenced(o.Instance.ID)
-			return
+			t.fenced(o.Instance.ID, token)
 		}
 		// "Old" says that the run has ended there already.
 		if err == nil || refusalOf(err) == batch.RefusedOld {
@@ -201,7 +213,7 @@
 	defer t.takePlace(o.Instance.ID)()
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	err := t.Agents.Pace(callCtx, &o.Instance, o.Task, o.Run, o.Percent, t.tenure.Fence)
+	err := t.Agents.Pace(callCtx, &o.Instance, o.Task, o.Run, o.Percent, t.token(o.Instance.ID))
 	t.mu.Lock()
 	t.sched.Paced(o, err == nil)
 	t.mu.Unlock()
--- a/internal/leader/progress.go
+++ b/internal/leader/progress.go
@@ -151,6 +151,11 @@
 			return 0, errDeposed
 		}
 	}
+	if err == nil {
+		t.mu.Lock()
+		t.sched.RaiseToken(revision)
+		t.mu.Unlock()
+	}
 	return revision, err
 }
 
--- a/internal/leader/records.go
+++ b/internal/leader/records.go
@@ -24,6 +24,9 @@
 	lapsedKey = "lead/lapsed"
 	// tenuresKey lists the tenures of which leases may last, the current one first.
 	tenuresKey = "lead/tenures"
+	// tokenKey is written by a leader that needs a higher fencing token than its own: the
+	// revision of the write.
+	tokenKey = "lead/token"
 	// modelKey holds what leaders have learned of interference.
 	modelKey = "lead/model"
 	// jobsPrefix holds accepted jobs, and a second key for each cancelled one.
--- a/internal/leader/restarts_test.go
+++ b/internal/leader/restarts_test.go
@@ -56,6 +56,10 @@
 	require.True(t, x.sched.Begin(now, orders[0]))
 	x.moveVM(old)
 	x.sched.Heard(now, now, sightVM, batch.Report{Born: 2, Clock: time.Second})
+	x.sched.RaiseToken(orders[0].Start.Fence + 1)
+	_, known := x.sched.Hold(now, sightVM, time.Second)
+	require.True(t, known)
+	x.sched.Heard(now, now, sightVM, batch.Report{Born: 2, Clock: time.Second})
 	old.Born = 1
 	x.carryOut(t.Context(), scheduler.Order{Kind: orders[0].Kind, Instance: old, Task: orders[0].Task, Run: orders[0].Run, Start: orders[0].Start})
 	again := x.sched.Plan(steady.Now() + 200*time.Millisecond)
--- a/internal/leader/waves.go
+++ b/internal/leader/waves.go
@@ -137,7 +137,7 @@
 	err := t.Machines.Maintain(callCtx, batch.MaintainOrder{Machine: o.Machine, Wave: o.Wave, Holder: t.Node, Fence: t.tenure.Fence})
 	refusal := refusalOf(err)
 	if refusal == batch.RefusedFence {
-		t.fenced(o.Machine)
+		t.succeeded(o.Machine)
 		return
 	}
 	if err != nil && ctx.Err() == nil {
--- a/internal/scheduler/crashfleet_test.go
+++ b/internal/scheduler/crashfleet_test.go
@@ -396,6 +396,10 @@
 
 // flush writes what is pending; an answer that is lost leaves the write done.
 func (c *crashFleet) flush() {
+	if c.s.WantsToken() && !c.down {
+		c.fence++
+		c.s.RaiseToken(c.fence)
+	}
 	f := c.s.Pending()
 	if f == nil || c.down {
 		return
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -362,7 +362,7 @@
 		Kind: OrderStart, Instance: v.inst, Task: t.id(), Run: r.number,
 		Start: batch.StartOrder{
 			Task: t.id(), Run: r.number, Payload: j.spec.Payload, Checkpoint: t.checkpoint, Ticket: allowed,
-			Fence: s.fence, LeaseUntil: v.leaseUntil,
+			Fence: v.token, LeaseUntil: v.leaseUntil,
 		},
 	})
 }
--- a/internal/scheduler/reports.go
+++ b/internal/scheduler/reports.go
@@ -18,6 +18,7 @@
 	if rep.Born != 0 {
 		v.born = rep.Born
 	}
+	s.noteGuarded(v)
 	v.setClock(sentAt, now, rep.Clock)
 	v.clockWentBack = false
 	if !v.heard {
--- a/internal/scheduler/restarts.go
+++ b/internal/scheduler/restarts.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rattanwall/rattanwall/internal/batch"
@@ -89,6 +90,7 @@
 func (s *Scheduler) restarted(now, sentAt Time, old *vm, rep *batch.Report) *vm {
 	v := newVM(now, old.inst)
 	v.born, v.restartedAt = rep.Born, now
+	v.token, v.tokenWanted = max(s.token, old.token), s.token <= old.token
 	v.listed, v.unlistedAt, v.wait = old.listed, old.unlistedAt, old.wait
 	s.vms[v.inst.ID] = v
 	s.sortVMs()
@@ -109,6 +111,45 @@
 	return v
 }
 
+// An order that a VM has taken may be carried out seconds later, and by its next start where it
+// has started again meanwhile. Each start is sent orders with a fencing token of its own, so that
+// it refuses what was meant for the one before once it has seen a hold. A leader may use any
+// revision of the store at which it wrote something on condition that it leads: its successor's
+// token is higher.
+
+// RaiseToken tells of a higher fencing token that this leader may use.
+func (s *Scheduler) RaiseToken(token int64) {
+	if token <= s.token {
+		return
+	}
+	s.token = token
+	for _, v := range s.order {
+		if v.tokenWanted {
+			v.token, v.tokenWanted = token, false
+		}
+	}
+}
+
+// WantsToken reports whether a VM has started again and waits for a higher token.
+func (s *Scheduler) WantsToken() bool {
+	return slices.ContainsFunc(s.order, func(v *vm) bool { return v.tokenWanted })
+}
+
+// Token returns the fencing token of what is sent to an instance.
+func (s *Scheduler) Token(id string) int64 {
+	if v := s.vms[id]; v != nil {
+		return v.token
+	}
+	return s.fence
+}
+
+// noteGuarded takes in that the VM has answered its last hold.
+func (s *Scheduler) noteGuarded(v *vm) {
+	if !v.guarded && !v.tokenWanted && v.heldToken == v.token {
+		v.guarded, s.changed = true, true
+	}
+}
+
 // runKey names a run of a task.
 type runKey struct {
 	task   batch.TaskID
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -224,6 +224,12 @@
 	restartedAt Time
 	// listed is set while the store's list has the instance.
 	listed bool
+	// token is the fencing token of what is sent to this start: higher than that of what this
+	// leader sent to the one before, unless tokenWanted is set. heldToken is that of the last
+	// hold. guarded is set where there was none before, or once the start has answered a hold
+	// with token: from then on it refuses what was sent to the one before.
+	token, heldToken     int64
+	tokenWanted, guarded bool
 	// staleAtFirst is set where its entry had not been written for long when it was first seen.
 	staleAtFirst bool
 	// unlistedAt is when it left the list.
@@ -332,6 +338,8 @@
 	settings Settings
 	policy   Policy
 	fence    int64
+	// token is the highest fencing token that this leader may use; see restarts.go.
+	token int64
 	// nextRun numbers runs. The fencing token is in the upper bits, so that run
 	// numbers rise over all leaders without being stored.
 	nextRun int64
@@ -411,7 +419,7 @@
 		policy = *settings.Policy
 	}
 	return &Scheduler{
-		settings: settings, policy: policy, fence: fence, nextRun: fence << runBits, vms: map[string]*vm{}, jobs: map[string]*job{},
+		settings: settings, policy: policy, fence: fence, token: fence, nextRun: fence << runBits, vms: map[string]*vm{}, jobs: map[string]*job{},
 		timed: map[string]*job{}, dirty: map[string]*job{}, waves: map[int64]*wave{}, silent: map[string]Time{}, ends: map[vmStart]vmEnd{}, doubts: map[vmStart]map[*task]int64{}, lapsed: map[string]Lapsed{}, untoldSince: map[string]Time{}, absent: map[string]Time{}, images: newImages(), meanWork: map[string]float64{}, logf: log,
 	}
 }
--- a/internal/scheduler/stops.go
+++ b/internal/scheduler/stops.go
@@ -1,14 +1,14 @@
 package scheduler
 
 // Wanted reports whether the run of a start that was ordered is to be: it counts, and
-// was not ordered to stop. The start is then given again, now.
+// was not ordered to stop, and its VM has not started again. The start is then given again, now.
 func (s *Scheduler) Wanted(now Time, o Order) bool {
 	v := s.vms[o.Instance.ID]
 	if v == nil {
 		return false
 	}
 	r := v.runs[o.Task]
-	if r == nil || r.number != o.Run || r.state == stopping {
+	if r == nil || r.number != o.Run || r.state == stopping || o.Start.Fence != v.token {
 		return false
 	}
 	r.begunAt = now
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -64,6 +64,7 @@
 
 func (s *Scheduler) addVM(now Time, inst batch.Instance) *vm {
 	v := newVM(now, inst)
+	v.token, v.guarded = s.fence, true
 	s.vms[inst.ID] = v
 	s.sortVMs()
 	return v
@@ -195,14 +196,14 @@
 		return batch.HoldOrder{}, false
 	}
 	v.wait = wait
-	o := batch.HoldOrder{Fence: s.fence, Acked: v.acked(), Wait: wait}
+	o := batch.HoldOrder{Fence: v.token, Acked: v.acked(), Wait: wait}
 	if v.mayRestart() && (v.unanswered || now-v.heardAt > ackWithin) {
 		o.Acked = 0
 	}
 	if v.clock.known && !v.unanswered {
 		o.LeaseUntil = v.renew(now, s.settings.leaseFor(v))
 	}
-	v.unanswered = true
+	v.unanswered, v.heldToken = true, v.token
 	return o, true
 }
 
