Predecessors stay on record until no VM is waited for any more

Cause: what is taken off the record was known to one process alone. Class: a durable fact is dropped for one in memory.

Change: the record is pruned only once no VM is waited for. Until then nobody is asked again.

TestPredecessorsStayOnRecordWhileTheirLeasesLast fails before.

--- a/internal/leader/cutoff_test.go
+++ b/internal/leader/cutoff_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -20,11 +21,19 @@
 // cutStore is a store that does not answer until it is back.
 type cutStore struct {
 	durable.Store
-	back    bool
-	items   map[string]durable.Item
+	back  bool
+	items map[string]durable.Item
+
+	mu      sync.Mutex
 	commits []durable.Txn
 }
 
+func (s *cutStore) written() []durable.Txn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.commits
+}
+
 // removedAt is the revision of what cutStore writes.
 const removedAt = 9
 
@@ -42,6 +51,8 @@
 	if !s.back {
 		return 0, durable.ErrUnknown
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.commits = append(s.commits, txn)
 	return removedAt, nil
 }
--- a/internal/leader/predecessors.go
+++ b/internal/leader/predecessors.go
@@ -91,19 +91,23 @@
 }
 
 // predecessorsLoop shortens the wait for silent VMs by what predecessors say, and takes over
-// what they could not write: they are asked once in any case. Once no lease of theirs may last
-// that this leader does not know of, it takes them off the record.
+// what they could not write: they are asked once in any case. They go off the record once no VM
+// is waited for any more: what they have told is known to this process alone, which may die.
 func (t *term) predecessorsLoop(ctx context.Context) {
 	pause.For(ctx, predecessorsAfter)
 	open := t.past
 	said := map[string]time.Duration{}
+	known := false
 	for first := true; ctx.Err() == nil && (first || t.awaits()); first = false {
-		if open = t.askAll(ctx, open, said); len(open) == 0 && t.pastComplete {
-			t.mu.Lock()
-			t.sched.ExpectUntil(said)
-			t.mu.Unlock()
-			t.awake()
-			break
+		if !known {
+			open = t.askAll(ctx, open, said)
+			known = len(open) == 0 && t.pastComplete
+			if known {
+				t.mu.Lock()
+				t.sched.ExpectUntil(said)
+				t.mu.Unlock()
+				t.awake()
+			}
 		}
 		pause.For(ctx, predecessorsEvery)
 	}
--- a/internal/leader/predecessors_test.go
+++ b/internal/leader/predecessors_test.go
@@ -127,6 +127,34 @@
 	require.Len(t, te.sched.UnrecordedCrashes(), 1)
 }
 
+// Guards against work that runs twice: a leader took its predecessors off the record while it
+// waited for leases of theirs, died, and its successor knew of its own leases only.
+func TestPredecessorsStayOnRecordWhileTheirLeasesLast(t *testing.T) {
+	_, te := led()
+	store := &cutStore{back: true}
+	te.Store = store
+	te.Predecessors = told{"a": left(time.Second, true)}
+	te.past, te.pastComplete = []Past{{Node: "a", Fence: 7}, {Node: "cut off", Fence: 6}}, true
+	te.sched.Expect([]string{"silent"}, steady.Now()+time.Minute)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		te.predecessorsLoop(t.Context())
+	}()
+	commits := func() int {
+		te.mu.Lock()
+		defer te.mu.Unlock()
+		te.sched.Led(steady.Now())
+		te.sched.Tend(steady.Now())
+		if len(te.sched.Silent()) > 0 {
+			require.Empty(t, store.written(), "off the record while a lease may last")
+		}
+		return len(store.written())
+	}
+	require.Eventually(t, func() bool { return commits() == 1 }, 5*time.Second, 20*time.Millisecond)
+	<-ended
+}
+
 // A process that is told of a successor neither goes on nor begins a tenure with a
 // lower fencing token: the answer to its own claim may be on its way.
 func TestSucceededEndsAndBarsOlderTenures(t *testing.T) {
--- a/internal/scheduler/explore_leader_test.go
+++ b/internal/scheduler/explore_leader_test.go
@@ -56,6 +56,8 @@
 	died      bool
 	restartAt Time
 	pruned    bool
+	// knows is set once its predecessors have told of all their leases.
+	knows bool
 }
 
 func (w *world) reachesStore(l *modelLeader) bool {
@@ -94,7 +96,7 @@
 		fence: w.fence, zone: zone, renewedAt: w.now, wallOffset: w.upTo(3*time.Second) - 1500*time.Millisecond,
 		holding: map[string]bool{}, cut: map[string]Time{},
 	}
-	l.s = New(Settings{MaxLease: longestHold}, l.fence, w.decisions(l))
+	l.s = New(Settings{MaxLease: w.longestLease()}, l.fence, w.decisions(l))
 	w.store.holder, w.store.keyUntil = l, w.now+keyLife
 	w.leaders = append(w.leaders, l)
 	w.tracef("leader %d elected in zone %d", l.fence, zone)
--- a/internal/scheduler/explore_model_test.go
+++ b/internal/scheduler/explore_model_test.go
@@ -243,6 +243,9 @@
 	if w.rng.IntN(1000) < 15 && (w.now >= w.splitUntil || w.chance(20)) {
 		w.disturbLeader()
 	}
+	if w.faults.successions && w.now < w.splitUntil && w.rng.IntN(1000) < 40 {
+		w.succeed()
+	}
 	if w.faults.list && w.rng.IntN(1000) < 20 {
 		w.disturbVM()
 	}
@@ -301,6 +304,21 @@
 	}
 }
 
+// succeed has the leader's process die and begin anew at once, or takes the key away from it.
+func (w *world) succeed() {
+	l := w.store.holder
+	if l.ended {
+		return
+	}
+	w.electAt, w.store.keyUntil = w.now, w.now
+	if w.chance(50) {
+		w.tracef("the key of leader %d is taken away", l.fence)
+		return
+	}
+	w.tracef("leader %d dies and begins anew", l.fence)
+	l.ended, l.died, l.restartAt = true, true, w.now
+}
+
 // restartBefore ends VMs so that most have started again just before a moment.
 func (w *world) restartBefore(until Time) {
 	for _, v := range w.living() {
--- a/internal/scheduler/explore_predecessors_test.go
+++ b/internal/scheduler/explore_predecessors_test.go
@@ -27,6 +27,9 @@
 		w.prunePast(l)
 		return
 	}
+	if l.knows {
+		return
+	}
 	l.asking = true
 	answers := map[*modelLeader]pastAnswer{}
 	for _, p := range l.past {
@@ -63,7 +66,7 @@
 	if len(l.past) == 0 {
 		w.tracef("leader %d knows of its predecessors' leases", l.fence)
 		l.s.ExpectUntil(l.said)
-		w.prunePast(l)
+		l.knows = true
 	}
 }
 
@@ -77,7 +80,9 @@
 
 // askOne is the side of the process that is asked.
 func (w *world) askOne(l, p *modelLeader, vms []string) (pastAnswer, bool) {
-	apart := l.zone != p.zone && (w.now < w.zoneCut[l.zone] || w.now < w.zoneCut[p.zone])
+	// One that is left alone with some VMs reaches no other process either.
+	alone := w.faults.successions && w.now < p.storelessUntil
+	apart := alone || (l.zone != p.zone && (w.now < w.zoneCut[l.zone] || w.now < w.zoneCut[p.zone]))
 	switch {
 	case apart, w.now < p.frozenUntil, !w.calm && w.chance(30), p.died && w.now < p.restartAt:
 		return pastAnswer{}, false
--- a/internal/scheduler/explore_seeds_test.go
+++ b/internal/scheduler/explore_seeds_test.go
@@ -33,6 +33,7 @@
 	{"work waits in calm beside VMs that are kept for trials", "restarts,crashes", []uint64{90}},
 	{"work waits in calm beside VMs that are kept for trials", "crashes,late,attempts,timed", []uint64{746, 757, 763, 884, 1014, 1193, 1201, 1482, 1492, 2151, 2407, 2507, 3850, 3970}},
 	{"a VM carries out an order which its start before had taken", "restarts,carried", []uint64{20}},
+	{"a leader takes its predecessors off the record while leases of theirs last", "alone,asks,successions", []uint64{2436}},
 	{"runs that never began count as crashes", "restarts,crashes", []uint64{1346}},
 }
 
--- a/internal/scheduler/explore_test.go
+++ b/internal/scheduler/explore_test.go
@@ -49,6 +49,9 @@
 	lapses bool
 	// wakes: VMs start again within a second before a frozen leader wakes.
 	wakes bool
+	// successions: leaders follow each other within seconds while one is left alone, which no
+	// other process reaches; leases are shorter than it may act.
+	successions bool
 	// slowCrashes: tasks end their VMs as late as a second and a half after they began.
 	slowCrashes bool
 }
@@ -188,6 +191,7 @@
 	{"capacities that shrink, VMs off the list", faults{resizes: true, list: true, alone: true, asks: true, crashes: true}, 120},
 	{"keys taken away", faults{alone: true, revoked: true}, 120},
 	{"predecessors asked", faults{alone: true, asks: true}, 160},
+	{"predecessors asked, leaders that follow each other", faults{alone: true, asks: true, successions: true}, 160},
 	{"predecessors asked, VMs off the list", faults{alone: true, list: true, revoked: true, asks: true}, 160},
 	{"all, predecessors asked", faults{alone: true, list: true, late: true, timed: true, attempts: true, revoked: true, asks: true}, 160},
 	{"all", faults{alone: true, list: true, late: true, timed: true, attempts: true, revoked: true}, 120},
--- a/internal/scheduler/explore_vm_test.go
+++ b/internal/scheduler/explore_vm_test.go
@@ -133,13 +133,24 @@
 // extend prolongs the lease: never beyond the longest that VMs grant.
 func (w *world) extend(v *modelVM, until time.Duration) {
 	if v.born != 0 {
-		until = min(until, v.clock(w.now)+longestHold)
+		until = min(until, v.clock(w.now)+w.longestLease())
 	}
 	v.lease = max(v.lease, until)
 }
 
-// longestHold is the longest lease that VMs grant.
-const longestHold = 10 * time.Second
+// longestHold is the longest lease that VMs grant, shortHold that where leaders follow each other
+// quickly: shorter than a leader acts without the store.
+const (
+	longestHold = 10 * time.Second
+	shortHold   = 3 * time.Second
+)
+
+func (w *world) longestLease() time.Duration {
+	if w.faults.successions {
+		return shortHold
+	}
+	return longestHold
+}
 
 // run returns the number of the run of a task, or 0.
 func (v *modelVM) run(task batch.TaskID) int64 {
