A predecessor that is asked tells of starts that it could not log

Cause: the process that led told its successor of new runs only where a hold to the VM had failed.

Change: it tells of all new runs that are not in the log of starts. The successor takes them as it takes those of the log: what is on a VM that has ended makes its task suspect, what a VM that it hears does not tell of has never begun.

Evidence: TestSuccessorLearnsOfStartsThatAreNotLogged fails before (nothing is told).

--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -39,10 +39,12 @@
 	// crashUnseen: the VM ended while nobody led who could have seen when, and which other VMs
 	// ended with it.
 	crashUnseen
+	// crashStarted is not in records: the run was started, and may not be in the log of starts.
+	crashStarted
 )
 
 var crashKindNames = map[crashKind]string{
-	crashDoubted: "doubted", crashShared: "shared", crashAlone: "alone", crashMass: "with many others", crashStorm: "in a storm", crashUnseen: "unseen",
+	crashDoubted: "doubted", crashShared: "shared", crashAlone: "alone", crashMass: "with many others", crashStorm: "in a storm", crashUnseen: "unseen", crashStarted: "started",
 }
 
 // crash is a run whose VM ended, or may have ended, while it was new.
--- a/internal/scheduler/explore_forced_test.go
+++ b/internal/scheduler/explore_forced_test.go
@@ -285,6 +285,11 @@
 
 func depose(w *world, _ *modelLeader) { w.store.keyUntil = w.now }
 
+// Guards against the same where leaders that can't write are deposed, and are asked.
+func TestForcedThirdStartWhereLeadersThatAreCutOffAreAsked(t *testing.T) {
+	force(t, forcing{faults: faults{asks: true}, storeless: true, end: depose}, append(atOnce, forcedEnds...))
+}
+
 // Guards against the same where leaders that can't write are deposed, and nobody can ask them.
 func TestForcedThirdStartWhereLeadersAreCutOff(t *testing.T) {
 	force(t, forcing{storeless: true, end: depose}, append(atOnce, forcedEnds...))
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -24,8 +24,8 @@
 // mostNews bounds what a leader tells: a row takes some 80 bytes.
 const mostNews = 2000
 
-// UnrecordedCrashes returns what the store may not have: crashes that were not written, and new
-// runs on VMs that leave holds unanswered.
+// UnrecordedCrashes returns what the store may not have: crashes that were not written, new
+// runs on VMs that leave holds unanswered, and new runs that are not in the log of starts.
 func (s *Scheduler) UnrecordedCrashes() []CrashNews {
 	var news []CrashNews
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
@@ -59,8 +59,12 @@
 		}
 	}
 	for _, r := range t.runs {
-		if r.vm.unansweredAt > 0 && r.mayHaveCrashed() && t.crash(r.number) == nil {
+		switch {
+		case !r.mayHaveCrashed() || t.crash(r.number) != nil:
+		case r.vm.unansweredAt > 0:
 			add(r.number, crashDoubted, r.vm.thisStart())
+		case !r.logged:
+			add(r.number, crashStarted, r.vm.thisStart())
 		}
 	}
 	return news
@@ -73,6 +77,10 @@
 		if n.Task.Step < 0 || n.Task.Index < 0 {
 			continue
 		}
+		if crashKind(n.Kind) == crashStarted {
+			s.inherit(now, &inheritedStart{task: n.Task, run: n.Run, vm: vmStart{n.VM, n.Born}})
+			continue
+		}
 		t := s.task(n.Task)
 		if t == nil || t.done || t.step.occ.job.state.Final() || t.hasRun(n.Run) {
 			continue
--- a/internal/scheduler/handover_test.go
+++ b/internal/scheduler/handover_test.go
@@ -60,3 +60,43 @@
 	}
 	require.Empty(t, f.taskOf("j").crashes)
 }
+
+// Guards against a task that is started too often after its third VM: a leader could not write what
+// it had started, and was deposed before a hold failed.
+func TestSuccessorLearnsOfStartsThatAreNotLogged(t *testing.T) {
+	f := newFixture(t, 3)
+	f.hearAll(nil)
+	f.submit("j", tasks(1, 1000))
+	vm := f.startFirst()
+	news := f.s.UnrecordedCrashes()
+	require.Len(t, news, 1)
+	require.EqualValues(t, crashStarted, news[0].Kind)
+
+	t.Run("its VM has ended", func(t *testing.T) {
+		next := successor(t, 3)
+		next.s.Expect([]string{vm}, next.now+expectFor)
+		next.submit("j", tasks(1, 1000))
+		next.s.LearnCrashes(next.now, news)
+		require.False(t, next.taskOf("j").suspect())
+		next.s.Gone(next.now, vm, "machine ended it")
+		require.True(t, next.taskOf("j").suspect())
+	})
+	t.Run("its VM had ended", func(t *testing.T) {
+		next := successor(t, 3)
+		next.s.Expect([]string{vm}, next.now+expectFor)
+		next.submit("j", tasks(1, 1000))
+		next.s.Gone(next.now, vm, "machine ended it")
+		next.s.LearnCrashes(next.now, news)
+		require.Equal(t, crashUnseen, next.taskOf("j").crashes[0].kind)
+	})
+	t.Run("its VM lives", func(t *testing.T) {
+		next := successor(t, 3)
+		next.submit("j", tasks(1, 1000))
+		next.hearAll(nil)
+		next.s.LearnCrashes(next.now, news)
+		require.Empty(t, next.taskOf("j").crashes)
+	})
+
+	f.writeStarts(map[SegmentID]StartSegment{})
+	require.Empty(t, f.s.UnrecordedCrashes(), "the log has it")
+}
--- a/internal/scheduler/startlog.go
+++ b/internal/scheduler/startlog.go
@@ -187,6 +187,9 @@
 		l.obsoleteSince = 0
 	}
 	if c.Segment != nil {
+		for _, r := range l.sent.runs {
+			r.logged = true
+		}
 		l.segments, l.sent = append(l.segments, l.sent), nil
 	}
 }
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -82,6 +82,8 @@
 	last bool
 	// earlier is the end of its VM's start before, which may have had the run; nil for none.
 	earlier *judgedEnd
+	// logged is set once the run is in the log of starts.
+	logged bool
 	// dead is set when the run no longer counts on its VM.
 	dead bool
 }
