VMs that answer again did not end with another

Cause: a VM that does not answer when an end is judged counts as one that ended with it, and nobody looks again.

Change: the end remembers which VMs it was not sure of. One that answers again is taken off, and what was judged by it is judged again.

Evidence: TestVMsThatAnswerAgainDidNotEndWithAnother fails before ("with many others" stays).

--- a/internal/scheduler/judgedends.go
+++ b/internal/scheduler/judgedends.go
@@ -30,6 +30,8 @@
 	judged       bool
 	kind         crashKind
 	others, busy int
+	// unsure are those of others that did not answer when it was judged.
+	unsure []vmStart
 	// runs are those that were judged by it.
 	runs map[*task]int64
 }
@@ -122,7 +124,7 @@
 		if e.judged {
 			continue
 		}
-		e.others, e.busy = s.endedWith(now, e.start, &e.end)
+		e.others, e.busy, e.unsure = s.endedWith(now, e.start, &e.end)
 		if e.others >= massVMs || now >= e.judgeAt || s.outlived(e) {
 			s.judgeEnd(now, e)
 		}
@@ -171,7 +173,19 @@
 			continue
 		}
 		before := e.busy
-		if e.others, e.busy = s.endedWith(now, e.start, &e.end); e.busy < before {
+		if e.others, e.busy, e.unsure = s.endedWith(now, e.start, &e.end); e.busy < before {
+			s.judgeAgain(now, e)
+		}
+	}
+}
+
+// answersAgain takes in that a start of a VM lives that had left holds unanswered: it did not end
+// with those that did meanwhile.
+func (s *Scheduler) answersAgain(now Time, start vmStart) {
+	for _, e := range slices.Clone(s.judgedEnds) {
+		if i := slices.Index(e.unsure, start); e.judged && i >= 0 {
+			e.unsure = slices.Delete(e.unsure, i, i+1)
+			e.others--
 			s.judgeAgain(now, e)
 		}
 	}
--- a/internal/scheduler/judgedends_test.go
+++ b/internal/scheduler/judgedends_test.go
@@ -182,3 +182,24 @@
 		c.requireKept()
 	}
 }
+
+// Guards against a task whose first end counts for nothing, though the VMs that did not answer
+// as its VM ended live.
+func TestVMsThatAnswerAgainDidNotEndWithAnother(t *testing.T) {
+	f := newFixture(t, 4)
+	f.hearAll(nil)
+	f.submit("j", tasks(1, 1000))
+	f.plan()
+	vm := f.startFirst()
+	f.advance(50 * time.Millisecond)
+	f.endsNow(vm)
+	silent := f.othersOf(vm)[:massVMs]
+	for _, other := range silent {
+		f.s.Unanswered(f.now, other, false)
+	}
+	f.s.Gone(f.now, vm, "another instance answers")
+	require.Equal(t, []crashKind{crashMass}, f.kinds())
+	f.advance(300 * time.Millisecond)
+	f.hear(silent[0], batch.Report{})
+	require.Equal(t, []crashKind{crashShared}, f.kinds())
+}
--- a/internal/scheduler/reports.go
+++ b/internal/scheduler/reports.go
@@ -35,6 +35,9 @@
 		s.changed = true
 	}
 	v.heardAt = now
+	if v.unansweredAt > 0 {
+		s.answersAgain(now, v.thisStart())
+	}
 	v.unanswered, v.unansweredAt, v.unansweredHolds = false, 0, 0
 	v.missedAt = 0
 	if !rep.MoreEnded {
--- a/internal/scheduler/vmends.go
+++ b/internal/scheduler/vmends.go
@@ -67,17 +67,18 @@
 
 // endedWith counts the VMs other than the one that ended, or stopped to answer, about when
 // it did, and that no suspect is likely to have ended. busy are those of them on which
-// something else had just begun.
-func (s *Scheduler) endedWith(now Time, ended vmStart, end *vmEnd) (others, busy int) {
+// something else had just begun, unsure those that only do not answer: they may live.
+func (s *Scheduler) endedWith(now Time, ended vmStart, end *vmEnd) (others, busy int, unsure []vmStart) {
 	maps.DeleteFunc(s.ends, func(_ vmStart, e vmEnd) bool { return now-e.noticedAt > endsKept })
-	count := func(e *vmEnd) {
+	count := func(e *vmEnd) bool {
 		if e.bySuspect || !e.together(end) {
-			return
+			return false
 		}
 		others++
 		if e.byTask {
 			busy++
 		}
+		return true
 	}
 	for start, e := range s.ends {
 		if start.id != ended.id {
@@ -88,10 +89,11 @@
 		if other.inst.ID == ended.id || !other.heard || other.unansweredAt == 0 || other.inst.Draining || other.closed || s.hasEnded(other.thisStart()) {
 			continue
 		}
-		e := other.end(now)
-		count(&e)
+		if e := other.end(now); count(&e) {
+			unsure = append(unsure, other.thisStart())
+		}
 	}
-	return others, busy
+	return others, busy, unsure
 }
 
 func (s *Scheduler) hasEnded(start vmStart) bool {
