--- /dev/null
+++ b/internal/scheduler/inherited.go
@@ -0,0 +1,158 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+)
+
+// What earlier leaders started of late is settled VM by VM: one that is heard tells what became of
+// it; what was on one that has ended may have ended it.
+
+// inheritedStart is a start by an earlier leader.
+type inheritedStart struct {
+	task batch.TaskID
+	run  int64
+	vm   vmStart
+	// settled is set once it is known what became of it. noted is the task whose record
+	// then has to tell.
+	settled bool
+	noted   *task
+}
+
+// accounted reports whether a successor needs the log no more to know of the start.
+func (i *inheritedStart) accounted() bool {
+	if !i.settled || i.noted == nil {
+		return i.settled
+	}
+	j := i.noted.step.occ.job
+	return j.state.Final() || j.written >= i.noted.crashVersion
+}
+
+// RestoreStarts takes over what earlier leaders started of late. Call it once the VMs that they
+// used and their jobs are known. It returns how many starts these are.
+func (s *Scheduler) RestoreStarts(now Time, log []StartSegment) int {
+	count := 0
+	for i := range log {
+		g := &segment{id: log[i].ID, inherited: log[i].starts()}
+		s.starts.segments = append(s.starts.segments, g)
+		count += len(g.inherited)
+		for _, start := range g.inherited {
+			s.inherit(now, start)
+		}
+	}
+	return count
+}
+
+// inherit takes a start by an earlier leader over.
+func (s *Scheduler) inherit(now Time, i *inheritedStart) {
+	v := s.vms[i.vm.id]
+	switch {
+	case s.hasEnded(i.vm):
+		s.noteInherited(now, i, crashUnseen)
+	case v == nil:
+		s.noteInherited(now, i, crashDoubted)
+	case !v.heard || s.awaited(i.vm.id):
+		s.starts.inherited[i.vm] = append(s.starts.inherited[i.vm], i)
+	case v.mayBe(i.vm.born):
+		// It has told what it runs, and has seen this leader's fencing token before.
+		i.settled = true
+	default:
+		s.noteInherited(now, i, crashUnseen)
+	}
+}
+
+// starts returns what the segment names. What another program has written may name nothing.
+func (g *StartSegment) starts() []*inheritedStart {
+	var out []*inheritedStart
+	for _, st := range g.Steps {
+		for _, r := range st.Runs {
+			index, number, vm := r[0], r[1], r[2]
+			if index < 0 || st.Step < 0 || vm < 0 || vm >= int64(len(g.VMs)) {
+				continue
+			}
+			out = append(out, &inheritedStart{
+				task: batch.TaskID{Job: st.Job, Occurrence: st.Occurrence, Step: st.Step, Index: int(index)},
+				run:  g.ID.Fence<<runBits | number, vm: vmStart{g.VMs[vm].ID, g.VMs[vm].Born},
+			})
+		}
+	}
+	return out
+}
+
+// inheritedOn returns the starts of a VM to which earlier leaders gave something, by birth.
+func (s *Scheduler) inheritedOn(id string) []vmStart {
+	var on []vmStart
+	for start := range s.starts.inherited {
+		if start.id == id {
+			on = append(on, start)
+		}
+	}
+	slices.SortFunc(on, func(a, b vmStart) int { return cmp.Compare(a.born, b.born) })
+	return on
+}
+
+// settleHeard takes in a VM's first whole report: what it tells of is known from now on, and
+// what it does not tell of has never begun there. Its earlier starts have ended.
+func (s *Scheduler) settleHeard(now Time, v *vm, rep *batch.Report) {
+	if rep.MoreEnded || len(s.starts.inherited) == 0 {
+		return
+	}
+	told := toldRuns(rep)
+	for _, start := range s.inheritedOn(v.inst.ID) {
+		for _, i := range s.takeInherited(start) {
+			if v.mayBe(start.born) || told[runKey{i.task, i.run}] {
+				i.settled = true
+				continue
+			}
+			s.noteInherited(now, i, crashUnseen)
+		}
+	}
+}
+
+// settleGone takes in that a VM has ended. One that was to end was ended by nothing there.
+func (s *Scheduler) settleGone(now Time, v *vm) {
+	if !v.inst.Draining && !v.closed {
+		s.settleInherited(now, v.inst.ID, crashUnseen)
+		return
+	}
+	for _, start := range s.inheritedOn(v.inst.ID) {
+		for _, i := range s.takeInherited(start) {
+			i.settled = true
+		}
+	}
+}
+
+// settleInherited notes what is to be thought of all that earlier leaders started on a VM.
+func (s *Scheduler) settleInherited(now Time, id string, kind crashKind) {
+	for _, start := range s.inheritedOn(id) {
+		for _, i := range s.takeInherited(start) {
+			s.noteInherited(now, i, kind)
+		}
+	}
+}
+
+func (s *Scheduler) takeInherited(start vmStart) []*inheritedStart {
+	taken := s.starts.inherited[start]
+	delete(s.starts.inherited, start)
+	return taken
+}
+
+// noteInherited records what the end of a VM says of a start by an earlier leader.
+func (s *Scheduler) noteInherited(now Time, i *inheritedStart, kind crashKind) {
+	i.settled = true
+	s.openTold(now, i.task)
+	t := s.task(i.task)
+	if t == nil || t.done || t.step.occ.job.state.Final() || t.hasRun(i.run) || t.crash(i.run) != nil || slices.Contains(t.failedRuns, i.run) {
+		return
+	}
+	i.noted = t
+	t.setCrash(crash{run: i.run, kind: kind, vm: i.vm})
+	s.touchCrashes(t)
+	if kind == crashDoubted {
+		s.doubt(i.vm, t, i.run)
+	}
+	s.logf(Decision{Event: EventCrashNoted, Task: i.task, VM: i.vm.id, Run: i.run, Reason: "inherited: " + crashKindNames[kind], Value: float64(len(t.crashes)), Born: i.vm.born})
+	s.judgeCrashes(now, t)
+}
