Ends that need no record do not wait for the log of starts; crashes are told first

Seen in the read-through, before anybody ran it: where the store is away and starts wait to be logged, ends that need no record stayed unacknowledged, which they did not before, and VMs that tell many of them get nothing new. And a process that led without the store on a large fleet has more starts to tell than it may (2,000 rows), so that crashes could be cut off behind them.

Change: a flush without records counts as written whatever becomes of the log; crashes come before starts.

TestEndsThatNeedNoRecordDoNotWaitForTheLog fails without the first.

--- a/internal/leader/progress.go
+++ b/internal/leader/progress.go
@@ -52,7 +52,9 @@
 		if ctx.Err() == nil {
 			t.log.Warn("progress_not_written", err, eventlog.Fields{"records": len(f.Records), "starts": starts.Len()})
 		}
-		return
+		if len(f.Records) > 0 {
+			return
+		}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/leader/starts_test.go
+++ b/internal/leader/starts_test.go
@@ -75,6 +75,21 @@
 	require.Contains(t, store.values, key)
 }
 
+// Guards against VMs that get nothing new while the store is away: ends that need no record stayed
+// unacknowledged, since the log of starts could not be written.
+func TestEndsThatNeedNoRecordDoNotWaitForTheLog(t *testing.T) {
+	store := &keeper{values: map[string]string{JobKey("j"): oneJob}}
+	te := startOne(t, store)
+	task := batch.TaskID{Job: "j"}
+	now := steady.Now()
+	te.sched.Heard(now, now, "vm", batch.Report{Clock: time.Hour, Ended: []batch.RunEnd{{Seq: 1, Task: task, Run: 9<<24 | 1, Kind: batch.EndStopped}}})
+	require.NotEmpty(t, te.sched.Plan(now+2*flushEvery), "started again")
+	store.loses, store.lost = startsKey(scheduler.SegmentID{Fence: 9, Number: 2}), false
+	te.flushPending(t.Context())
+	require.True(t, store.lost, "the log was not written")
+	require.False(t, te.sched.Unacked("vm"))
+}
+
 // What can't be read is no reason not to lead, and goes.
 func TestUnreadableLogOfStartsIsRemoved(t *testing.T) {
 	store := &keeper{values: map[string]string{startsKey(scheduler.SegmentID{Fence: 4, Number: 2}): "{"}}
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -21,27 +21,32 @@
 	Born int64
 }
 
-// mostNews bounds what a leader tells: a row takes some 80 bytes.
+// mostNews bounds what a leader tells, crashes first: a row takes some 80 bytes.
 const mostNews = 2000
 
 // UnrecordedCrashes returns what the store may not have: crashes that were not written, new
 // runs on VMs that leave holds unanswered, and new runs that are not in the log of starts.
 func (s *Scheduler) UnrecordedCrashes() []CrashNews {
-	var news []CrashNews
+	var crashes, started []CrashNews
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		j := s.jobs[id]
 		for _, number := range slices.Sorted(maps.Keys(j.occs)) {
 			for i := range j.occs[number].steps {
 				for k := range j.occs[number].steps[i].tasks {
-					news = append(news, j.occs[number].steps[i].tasks[k].unrecordedCrashes()...)
+					t := &j.occs[number].steps[i].tasks[k]
+					crashes = append(crashes, t.unrecordedCrashes()...)
+					started = append(started, t.unloggedStarts()...)
 				}
 			}
 		}
-		if len(news) > mostNews {
-			return news[:mostNews]
-		}
 	}
-	return news
+	news := append(crashes, started...)
+	return news[:min(len(news), mostNews)]
+}
+
+// news is a row about a run.
+func (t *task) news(run int64, kind crashKind, start vmStart) CrashNews {
+	return CrashNews{Task: t.id(), Run: run, Kind: int64(kind), VM: start.id, Born: start.born}
 }
 
 func (t *task) unrecordedCrashes() []CrashNews {
@@ -50,21 +55,28 @@
 		return nil
 	}
 	var news []CrashNews
-	add := func(run int64, kind crashKind, start vmStart) {
-		news = append(news, CrashNews{Task: t.id(), Run: run, Kind: int64(kind), VM: start.id, Born: start.born})
-	}
 	for _, c := range t.crashes {
 		if c.vm.id != "" && j.written < t.crashVersion {
-			add(c.run, c.kind, c.vm)
+			news = append(news, t.news(c.run, c.kind, c.vm))
 		}
 	}
 	for _, r := range t.runs {
-		switch {
-		case !r.mayHaveCrashed() || t.crash(r.number) != nil:
-		case r.vm.unansweredAt > 0:
-			add(r.number, crashDoubted, r.vm.thisStart())
-		case !r.logged:
-			add(r.number, crashStarted, r.vm.thisStart())
+		if r.vm.unansweredAt > 0 && r.mayHaveCrashed() && t.crash(r.number) == nil {
+			news = append(news, t.news(r.number, crashDoubted, r.vm.thisStart()))
+		}
+	}
+	return news
+}
+
+// unloggedStarts are those of new runs on VMs that answer.
+func (t *task) unloggedStarts() []CrashNews {
+	if t.done || t.step.occ.job.state.Final() {
+		return nil
+	}
+	var news []CrashNews
+	for _, r := range t.runs {
+		if r.vm.unansweredAt == 0 && r.mayHaveCrashed() && !r.logged && t.crash(r.number) == nil {
+			news = append(news, t.news(r.number, crashStarted, r.vm.thisStart()))
 		}
 	}
 	return news
