Log of starts: segments that go too early or come late, a rack that is lost with its leader

- A suspect's start was in neither the log nor its job's record once its VM had listed the run: the record's doubt goes then, and its segment had gone when that was written.
A run stays in the log while it is new, whatever the record says (TestTrialThatIsListedStaysInTheLog).
The same for a run that a successor adopts (TestAdoptedRunStaysInTheLogWhileItIsNew) and for what a predecessor's process told before (TestSegmentWaitsForTheRecordOfWhatWasTold).
- A write without an answer may be carried out late.
It replaced a newer segment of the same number, or brought one back that was removed.
Its starts are written again under another number, and the first one is removed later (TestLateWriteReplacesNoLaterSegment, TestSegmentOfALateWriteIsRemoved).
The explorer has such writes as a fault of its own, latewrites.
Where more than two VMs have ended, with more starts than are looked at for trials at one time, the first such end is no ground for suspicion, as where the leader lives (TestFirstEndsOfARackLostWithItsLeaderAreNoGroundForSuspicion).
- An end that is judged again may be one of a storm; kinds of another version's are passed over.

--- a/internal/leader/progress.go
+++ b/internal/leader/progress.go
@@ -75,19 +75,31 @@
 			return err
 		}
 		n := fitting(rest, len(txn.Writes)+len(txn.Deletes))
-		if err := t.write(ctx, txn, rest[:n]); err != nil {
-			return err
-		}
+		err = t.write(ctx, txn, rest[:n])
 		if starts != nil {
-			t.mu.Lock()
-			t.sched.StartsWritten(starts)
-			t.mu.Unlock()
+			t.noteStarts(starts, err)
+		}
+		if err != nil {
+			return err
 		}
 		rest = rest[n:]
 	}
 	return nil
 }
 
+// noteStarts notes what became of a change of the log of starts.
+func (t *term) noteStarts(starts *scheduler.StartLogChange, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err == nil {
+		t.sched.StartsWritten(starts)
+		return
+	}
+	var conflict *durable.ConflictError
+	nothing := errors.Is(err, durable.ErrRefused) || errors.As(err, &conflict)
+	t.sched.StartsNotWritten(steady.Now(), starts, !nothing)
+}
+
 // startsTxn is a transaction with a change of the log of starts, to which records are added.
 func (t *term) startsTxn(starts *scheduler.StartLogChange) (durable.Txn, error) {
 	txn := durable.Txn{Conditions: []durable.Condition{t.leads()}}
--- a/internal/scheduler/explore_test.go
+++ b/internal/scheduler/explore_test.go
@@ -52,6 +52,8 @@
 	// successions: leaders follow each other within seconds while one is left alone, which no
 	// other process reaches; leases are shorter than it may act.
 	successions bool
+	// lateWrites: writes to the log of starts are carried out seconds late, without an answer.
+	lateWrites bool
 	// slowCrashes: tasks end their VMs as late as a second and a half after they began.
 	slowCrashes bool
 }
@@ -188,6 +190,7 @@
 	{"timed jobs", faults{timed: true}, 120},
 	{"attempts", faults{attempts: true}, 120},
 	{"tasks that end their VMs", faults{crashes: true}, 120},
+	{"tasks that end their VMs, log written late", faults{crashes: true, lateWrites: true, attempts: true}, 120},
 	{"tasks that end their VMs, VMs off the list", faults{crashes: true, list: true, alone: true, asks: true}, 120},
 	{"capacities that shrink", faults{resizes: true}, 120},
 	{"capacities that shrink, VMs off the list", faults{resizes: true, list: true, alone: true, asks: true, crashes: true}, 120},
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -89,6 +89,10 @@
 		if n.Task.Step < 0 || n.Task.Index < 0 {
 			continue
 		}
+		if _, known := crashKindNames[crashKind(n.Kind)]; !known {
+			// Another version's.
+			continue
+		}
 		if crashKind(n.Kind) == crashStarted {
 			s.inherit(now, &inheritedStart{task: n.Task, run: n.Run, vm: vmStart{n.VM, n.Born}})
 			continue
--- a/internal/scheduler/inherited.go
+++ b/internal/scheduler/inherited.go
@@ -10,24 +10,37 @@
 // What earlier leaders started of late is settled VM by VM: one that is heard tells what became of
 // it; what was on one that has ended may have ended it.
 
-// inheritedStart is a start by an earlier leader.
+// inheritedStart is a start by an earlier leader. It is settled once it is known what became of it:
+// then live is the run if its VM has it, and noted its task if that's record has to tell of it.
 type inheritedStart struct {
-	task batch.TaskID
-	run  int64
-	vm   vmStart
-	// settled is set once it is known what became of it. noted is the task whose record
-	// then has to tell.
+	task    batch.TaskID
+	run     int64
+	vm      vmStart
 	settled bool
+	live    *run
 	noted   *task
 }
 
 // accounted reports whether a successor needs the log no more to know of the start.
 func (i *inheritedStart) accounted() bool {
-	if !i.settled || i.noted == nil {
-		return i.settled
+	switch {
+	case !i.settled:
+		return false
+	case i.live != nil:
+		return i.live.accounted()
+	case i.noted != nil:
+		j := i.noted.step.occ.job
+		return j.state.Final() || j.written >= i.noted.crashVersion
+	}
+	return true
+}
+
+// settleAlive takes in that the VM has told what it runs.
+func (i *inheritedStart) settleAlive(v *vm) {
+	i.settled = true
+	if r := v.runs[i.task]; r != nil && r.number == i.run {
+		i.live = r
 	}
-	j := i.noted.step.occ.job
-	return j.state.Final() || j.written >= i.noted.crashVersion
 }
 
 // RestoreStarts takes over what earlier leaders started of late. Call it once the VMs that they
@@ -35,7 +48,7 @@
 func (s *Scheduler) RestoreStarts(now Time, log []StartSegment) int {
 	count := 0
 	for i := range log {
-		g := &segment{id: log[i].ID, inherited: log[i].starts()}
+		g := &segment{id: log[i].ID, inherited: log[i].inheritedStarts()}
 		s.starts.segments = append(s.starts.segments, g)
 		count += len(g.inherited)
 		for _, start := range g.inherited {
@@ -56,15 +69,15 @@
 	case !v.heard || s.awaited(i.vm.id):
 		s.starts.inherited[i.vm] = append(s.starts.inherited[i.vm], i)
 	case v.mayBe(i.vm.born):
-		// It has told what it runs, and has seen this leader's fencing token before.
-		i.settled = true
+		// It has seen this leader's fencing token, and begins nothing of an earlier one any more.
+		i.settleAlive(v)
 	default:
 		s.noteInherited(now, i, crashUnseen)
 	}
 }
 
-// starts returns what the segment names. What another program has written may name nothing.
-func (g *StartSegment) starts() []*inheritedStart {
+// inheritedStarts returns what the segment names. What another program has written may name nothing.
+func (g *StartSegment) inheritedStarts() []*inheritedStart {
 	var out []*inheritedStart
 	for _, st := range g.Steps {
 		for _, r := range st.Runs {
@@ -103,7 +116,7 @@
 	for _, start := range s.inheritedOn(v.inst.ID) {
 		for _, i := range s.takeInherited(start) {
 			if v.mayBe(start.born) || told[runKey{i.task, i.run}] {
-				i.settled = true
+				i.settleAlive(v)
 				continue
 			}
 			s.noteInherited(now, i, crashUnseen)
@@ -144,15 +157,41 @@
 	i.settled = true
 	s.openTold(now, i.task)
 	t := s.task(i.task)
-	if t == nil || t.done || t.step.occ.job.state.Final() || t.hasRun(i.run) || t.crash(i.run) != nil || slices.Contains(t.failedRuns, i.run) {
+	if t == nil || t.done || t.step.occ.job.state.Final() || t.hasRun(i.run) || slices.Contains(t.failedRuns, i.run) {
 		return
 	}
 	i.noted = t
+	if t.crash(i.run) != nil {
+		return
+	}
 	t.setCrash(crash{run: i.run, kind: kind, vm: i.vm})
-	s.touchCrashes(t)
-	if kind == crashDoubted {
+	switch kind {
+	case crashDoubted:
 		s.doubt(i.vm, t, i.run)
+	case crashUnseen:
+		s.noteUnseen(i)
+		kind = t.crash(i.run).kind
+	case crashShared, crashAlone, crashMass, crashStorm, crashStarted:
 	}
+	s.touchCrashes(t)
 	s.logf(Decision{Event: EventCrashNoted, Task: i.task, VM: i.vm.id, Run: i.run, Reason: "inherited: " + crashKindNames[kind], Value: float64(len(t.crashes)), Born: i.vm.born})
 	s.judgeCrashes(now, t)
 }
+
+// noteUnseen takes in that a VM has ended with a start of an earlier leader. Where several have, with
+// more starts than there are trials at one time, a rack or power was lost with that leader: as where a
+// leader lives to see it, the first such end is no ground for suspicion.
+func (s *Scheduler) noteUnseen(i *inheritedStart) {
+	l := &s.starts
+	l.unseen = append(l.unseen, i)
+	l.lostVMs[i.vm.id] = true
+	if len(l.lostVMs) <= massVMs || len(l.unseen) <= suspectsAtOnce {
+		return
+	}
+	for _, u := range l.unseen {
+		if c := u.noted.crash(u.run); c != nil && c.kind == crashUnseen && len(u.noted.crashes) == 1 {
+			c.kind = crashMass
+			s.touchCrashes(u.noted)
+		}
+	}
+}
--- a/internal/scheduler/judgedends.go
+++ b/internal/scheduler/judgedends.go
@@ -186,6 +186,7 @@
 		if i := slices.Index(e.unsure, start); e.judged && i >= 0 {
 			e.unsure = slices.Delete(e.unsure, i, i+1)
 			e.others--
+			e.busy = min(e.busy, e.others)
 			s.judgeAgain(now, e)
 		}
 	}
@@ -195,6 +196,9 @@
 func (s *Scheduler) judgeAgain(now Time, e *judgedEnd) {
 	if e.kind == crashMass && e.others < massVMs {
 		e.kind = crashShared
+		if s.storm(now, e.start) {
+			e.kind = crashStorm
+		}
 	}
 	for _, t := range inOrder(e.runs) {
 		number := e.runs[t]
--- a/internal/scheduler/startlog.go
+++ b/internal/scheduler/startlog.go
@@ -16,6 +16,8 @@
 	mostObsolete = 8
 	// obsoletePatience is how long segments wait for a write to be removed by.
 	obsoletePatience = time.Second
+	// lateWrite bounds how late the store may carry a write out that had no answer.
+	lateWrite = 5 * time.Second
 )
 
 // SegmentID names a segment of the log: the leader's fencing token and its number there.
@@ -74,8 +76,8 @@
 
 // startLog is the log of a leader's starts, and what is left of its predecessors'.
 type startLog struct {
-	// tail has the runs that no write was made from yet. sent is what was sent and may not be
-	// in the store, segments are there.
+	// tail has the runs that are in no write that is under way or was answered. sent is under
+	// way, segments may be in the store.
 	tail     []*run
 	sent     *segment
 	segments []*segment
@@ -84,11 +86,16 @@
 	obsoleteSince Time
 	// inherited are the starts of earlier leaders on VMs of which nothing is known yet.
 	inherited map[vmStart][]*inheritedStart
+	// unseen are those of them whose VMs have ended, lostVMs these VMs.
+	unseen  []*inheritedStart
+	lostVMs map[string]bool
 }
 
 // segment is a part of the log that is written and removed as a whole.
 type segment struct {
-	id        SegmentID
+	id SegmentID
+	// keptUntil is set where its write had no answer: it may be carried out until then.
+	keptUntil Time
 	runs      []*run
 	inherited []*inheritedStart
 }
@@ -107,51 +114,43 @@
 	switch {
 	case r.task.done || j.state.Final():
 		return true
+	case !r.dead:
+		// What the record says of a suspect's run goes as soon as its VM lists it.
+		return !r.isNew()
 	case r.task.crash(r.number) != nil:
 		return j.written >= r.task.crashVersion
 	}
-	return r.dead || !r.isNew()
+	return true
 }
 
 // obsolete drops what is accounted for, and reports whether nothing is left.
-func (g *segment) obsolete() bool {
+func (g *segment) obsolete(now Time) bool {
 	g.runs = slices.DeleteFunc(g.runs, (*run).accounted)
 	g.inherited = slices.DeleteFunc(g.inherited, (*inheritedStart).accounted)
-	return len(g.runs) == 0 && len(g.inherited) == 0
+	return len(g.runs) == 0 && len(g.inherited) == 0 && now >= g.keptUntil
 }
 
-// PendingStarts returns what has to be written of the log of starts, nil for nothing. riding is
-// set where something else is written in any case. The change before must have been written, or
-// have failed.
-func (s *Scheduler) PendingStarts(now Time, riding bool) *StartLogChange {
+// PendingStarts returns what has to be written of the log of starts, nil for nothing. otherWrites
+// is set where something else is written in any case. Tell what became of the change with
+// StartsWritten or StartsNotWritten before the next call.
+func (s *Scheduler) PendingStarts(now Time, otherWrites bool) *StartLogChange {
 	l := &s.starts
+	c := &StartLogChange{}
 	l.tail = slices.DeleteFunc(l.tail, (*run).accounted)
 	if len(l.tail) > 0 {
-		if l.sent == nil {
-			l.next++
-			l.sent = &segment{id: SegmentID{s.fence, l.next}}
-		}
-		l.sent.runs = append(l.sent.runs, l.tail...)
-		l.tail = nil
-	}
-	c := &StartLogChange{}
-	if l.sent != nil {
-		if l.sent.obsolete() {
-			// An answer may have been lost.
-			l.segments, l.sent = append(l.segments, l.sent), nil
-		} else {
-			c.Segment = l.sent.encode()
-		}
+		l.next++
+		l.sent, l.tail = &segment{id: SegmentID{s.fence, l.next}, runs: l.tail}, nil
+		c.Segment = l.sent.encode()
 	}
 	for _, g := range l.segments {
-		if len(c.Obsolete) < mostObsolete && g.obsolete() {
+		if len(c.Obsolete) < mostObsolete && g.obsolete(now) {
 			c.Obsolete = append(c.Obsolete, g.id)
 		}
 	}
 	if len(c.Obsolete) > 0 && l.obsoleteSince == 0 {
 		l.obsoleteSince = now
 	}
-	due := c.Segment != nil || len(c.Obsolete) == mostObsolete || (len(c.Obsolete) > 0 && (riding || now-l.obsoleteSince >= obsoletePatience))
+	due := c.Segment != nil || len(c.Obsolete) == mostObsolete || (len(c.Obsolete) > 0 && (otherWrites || now-l.obsoleteSince >= obsoletePatience))
 	if !due {
 		return nil
 	}
@@ -173,6 +172,19 @@
 	}
 }
 
+// StartsNotWritten notes that a change is not in the store, or may not be. Its starts are written
+// again in a segment of another number: a write that is carried out late must not replace a newer one.
+func (s *Scheduler) StartsNotWritten(now Time, c *StartLogChange, unknown bool) {
+	l := &s.starts
+	if c.Segment == nil {
+		return
+	}
+	if unknown {
+		l.segments = append(l.segments, &segment{id: l.sent.id, keptUntil: now + lateWrite})
+	}
+	l.tail, l.sent = append(l.sent.runs, l.tail...), nil
+}
+
 // encode returns the segment as it is written.
 func (g *segment) encode() *StartSegment {
 	type stepKey struct {
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -423,7 +423,7 @@
 	}
 	return &Scheduler{
 		settings: settings, policy: policy, fence: fence, token: fence, nextRun: fence << runBits, vms: map[string]*vm{}, jobs: map[string]*job{},
-		timed: map[string]*job{}, dirty: map[string]*job{}, waves: map[int64]*wave{}, silent: map[string]Time{}, ends: map[vmStart]vmEnd{}, doubts: map[vmStart]map[*task]int64{}, starts: startLog{inherited: map[vmStart][]*inheritedStart{}}, lapsed: map[string]Lapsed{}, untoldSince: map[string]Time{}, absent: map[string]Time{}, images: newImages(), meanWork: map[string]float64{}, logf: log,
+		timed: map[string]*job{}, dirty: map[string]*job{}, waves: map[int64]*wave{}, silent: map[string]Time{}, ends: map[vmStart]vmEnd{}, doubts: map[vmStart]map[*task]int64{}, starts: startLog{inherited: map[vmStart][]*inheritedStart{}, lostVMs: map[string]bool{}}, lapsed: map[string]Lapsed{}, untoldSince: map[string]Time{}, absent: map[string]Time{}, images: newImages(), meanWork: map[string]float64{}, logf: log,
 	}
 }
 
