--- a/internal/scheduler/explore_seeds_test.go
+++ b/internal/scheduler/explore_seeds_test.go
@@ -88,6 +88,7 @@
 func TestInnocentJobIsKeptOverTakeOvers(t *testing.T) {
 	const guards = "a job is given up for crashes, and no task of it has ended a VM"
 	playKnown(t, guards, "restarts,alone,list,revoked,asks", 4500)
+	playKnown(t, guards, "crashes,lapses", 31822)
 }
 
 // Guards against work that has not come to its end 40 s after all faults, where tasks that end
@@ -95,6 +96,7 @@
 func TestBacklogBesideTasksThatEndVMsIsServed(t *testing.T) {
 	const guards = "not ended after the calm"
 	playKnown(t, guards, "crashes,late,attempts,timed", 198, 252, 433, 2421, 3973)
+	playKnown(t, guards, "crashes", 6675)
 }
 
 // Guards against a task that ends its VMs later than a second after it began, and is started
