--- a/internal/scheduler/explore_forced_test.go
+++ b/internal/scheduler/explore_forced_test.go
@@ -81,16 +81,7 @@
 			p.now = min(p.now, at)
 		}
 	}
-	var due, rest []message
-	for _, m := range p.messages {
-		if m.at <= p.now {
-			due = append(due, m)
-		} else {
-			rest = append(rest, m)
-		}
-	}
-	p.messages = rest
-	for _, m := range due {
+	for _, m := range takeDue(&p.messages, p.now) {
 		m.do()
 	}
 	p.carryLog()
--- a/internal/scheduler/explore_model_test.go
+++ b/internal/scheduler/explore_model_test.go
@@ -196,19 +196,24 @@
 	do()
 }
 
-// step lets one random thing happen, and what is due.
-func (w *world) step() {
-	w.now += time.Duration(5+w.rng.IntN(100)) * time.Millisecond
-	var due []message
-	rest := w.messages[:0:0]
-	for _, m := range w.messages {
-		if m.at <= w.now {
+// takeDue takes what arrives by now off a queue.
+func takeDue(queue *[]message, now Time) []message {
+	var due, rest []message
+	for _, m := range *queue {
+		if m.at <= now {
 			due = append(due, m)
 		} else {
 			rest = append(rest, m)
 		}
 	}
-	w.messages = rest
+	*queue = rest
+	return due
+}
+
+// step lets one random thing happen, and what is due.
+func (w *world) step() {
+	w.now += time.Duration(5+w.rng.IntN(100)) * time.Millisecond
+	due := takeDue(&w.messages, w.now)
 	w.rng.Shuffle(len(due), func(i, k int) { due[i], due[k] = due[k], due[i] })
 	for _, m := range due {
 		m.do()
--- a/internal/scheduler/explore_startlog_test.go
+++ b/internal/scheduler/explore_startlog_test.go
@@ -91,16 +91,7 @@
 
 // carryLog delivers what is due of them.
 func (w *world) carryLog() {
-	var due, rest []message
-	for _, m := range w.logged {
-		if m.at <= w.now {
-			due = append(due, m)
-		} else {
-			rest = append(rest, m)
-		}
-	}
-	w.logged = rest
-	for _, m := range due {
+	for _, m := range takeDue(&w.logged, w.now) {
 		m.do()
 	}
 }
--- a/internal/scheduler/inherited.go
+++ b/internal/scheduler/inherited.go
@@ -11,7 +11,8 @@
 // it; what was on one that has ended may have ended it.
 
 // inheritedStart is a start by an earlier leader. It is settled once it is known what became of it:
-// then live is the run if its VM has it, and noted its task if that's record has to tell of it.
+// then live is the run, if its VM has it, and noted the task whose record has to tell, if it may have
+// ended its VM.
 type inheritedStart struct {
 	task    batch.TaskID
 	run     int64
--- a/internal/scheduler/startlog.go
+++ b/internal/scheduler/startlog.go
@@ -49,14 +49,14 @@
 	Job        string `json:"j"`
 	Occurrence int    `json:"o,omitempty"`
 	Step       int    `json:"s,omitempty"`
-	// Runs are, for each start, the task's index, the run's number without the leader's
-	// fencing token, and the VM's place.
+	// Runs are, for each start, the task's index, the run's number without the fencing token in
+	// its upper bits, which is the segment's, and the VM's place.
 	Runs [][3]int64 `json:"r"`
 }
 
 // StartLogChange is what has to be written of the log.
 type StartLogChange struct {
-	// Segment replaces what the store has under its ID; nil for none.
+	// Segment is to be written under its ID; nil for none.
 	Segment *StartSegment
 	// Obsolete are the segments to be removed.
 	Obsolete []SegmentID
