--- a/internal/scheduler/explore_seeds_test.go
+++ b/internal/scheduler/explore_seeds_test.go
@@ -81,6 +81,7 @@
 	playKnown(t, guards, "crashes", 9569)
 	playKnown(t, guards, "crashes,timed", 4713)
 	playKnown(t, guards, "restarts,crashes", 7810)
+	playKnown(t, guards, "crashes,lapses", 30320)
 }
 
 // Guards against an innocent job that is given up, since successors take the ends that their
@@ -116,3 +117,9 @@
 func TestOrderOfTheStartBeforeIsCarriedOut(t *testing.T) {
 	playKnown(t, "an order of the start before", "restarts,carried", 31)
 }
+
+// Guards against a task that is started again after its end was acknowledged: a deposed leader wakes
+// just after a VM has started again, which has seen no fencing token yet.
+func TestLeaderThatWakesAtARestartStartsWhatIsDone(t *testing.T) {
+	playKnown(t, "started after its end was acknowledged", "restarts,crashes,wakes", 35181)
+}
