--- a/internal/edge/configfigures.go
+++ b/internal/edge/configfigures.go
@@ -56,6 +56,6 @@
 
 // configConfirmedAgo is how long ago the configuration in force was known to be the newest.
 func (e *Edge) configConfirmedAgo() (ago time.Duration, ever bool) {
-	at := e.operator.HeardAt()
+	at := e.operator.ReadAt()
 	return steady.Now() - at, at > 0
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -81,6 +81,9 @@
 	// whose connection went silent is given up 0.6 s later, so that a change
 	// is in force within 2 s all the same.
 	configWatch = time.Second
+	// configReadEvery is how often the configuration is read beside its watch: with two
+	// tries of a reading a version is in force within 2 s that no watch tells of.
+	configReadEvery = time.Second
 	// leaderSilent is how old the leader's last answer may be for it to count as
 	// a way to the store.
 	leaderSilent = 3 * time.Second
@@ -149,12 +152,12 @@
 	}
 	e.election.Seen = func(leader.Record) { e.offers.soon() }
 	e.operator = &follow.Follower{
-		Store: p.Store, Prefix: p.OperatorPrefix, Wait: configWatch, Handle: e.observeOperator,
+		Store: p.Store, Prefix: p.OperatorPrefix, Wait: configWatch, ReadEvery: configReadEvery, Handle: e.observeOperator,
 		Failed: func(err error) { log.Warn("config_watch_failed", err, nil) },
 	}
 	e.peers = &peers{self: s.Peers, election: e.election, local: local, client: p.PeerClient}
 	e.entry = &entry.Entry{
-		Store: p.Store, InForce: e.config.Load, ConfirmedAt: e.operator.HeardAt, Accepting: e.ready, WallMS: wallMS, Log: log,
+		Store: p.Store, InForce: e.config.Load, ConfirmedAt: e.operator.ReadAt, Accepting: e.ready, WallMS: wallMS, Log: log,
 		Observe: e.metrics.request, StoreHeardAt: e.operator.HeardAt, LeaderAnswers: e.leaderAnswers,
 		Peers: e.peers,
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +27,9 @@
 	pauseMax = 400 * time.Millisecond
 	// readTimeout bounds the reading of a whole prefix.
 	readTimeout = 3 * time.Second
+	// pollTimeout bounds a reading beside the watch: one on a connection that went silent
+	// leaves time for another.
+	pollTimeout = 700 * time.Millisecond
 )
 
 // Handler takes changes over. With whole set, items are all there are under the
@@ -42,11 +46,23 @@
 	Handle Handler
 	// After is the revision to begin from; 0 reads the whole prefix first.
 	After int64
+	// ReadEvery is how often the whole prefix is read beside the watch, 0 for never. A
+	// watch that hears nothing is no proof that nothing has changed.
+	ReadEvery time.Duration
 	// Failed is told of each failed call; may be nil.
 	Failed func(error)
 
-	heardAt atomic.Int64
-	reread  atomic.Bool
+	heardAt, readAt atomic.Int64
+	reread          atomic.Bool
+	// soon makes a reading beside the watch begin.
+	soonOnce sync.Once
+	soon     chan struct{}
+
+	// mu is held while Handle is called. handled is the revision of the newest change that
+	// was handled, calls how often something was.
+	mu      sync.Mutex
+	handled int64
+	calls   int
 }
 
 // Reread makes the follower read the whole prefix again, when the next watch
@@ -80,54 +96,157 @@
 // HeardAt is when the store last answered, on the steady clock; 0 for never.
 func (f *Follower) HeardAt() time.Duration { return time.Duration(f.heardAt.Load()) }
 
+// ReadAt is when the last whole reading was begun that the store answered, on the steady
+// clock; 0 for never. What was handled since holds at least what there was then.
+func (f *Follower) ReadAt() time.Duration { return time.Duration(f.readAt.Load()) }
+
+// ReadSoon makes a reading beside the watch begin now, unless one is under way.
+func (f *Follower) ReadSoon() {
+	select {
+	case f.wake() <- struct{}{}:
+	default:
+	}
+}
+
+func (f *Follower) wake() chan struct{} {
+	f.soonOnce.Do(func() { f.soon = make(chan struct{}, 1) })
+	return f.soon
+}
+
 // Serve implements suture.Service.
 func (f *Follower) Serve(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if f.ReadEvery > 0 {
+		var polls sync.WaitGroup
+		defer polls.Wait()
+		defer cancel()
+		polls.Go(func() { f.poll(ctx) })
+	}
+	return f.follow(ctx)
+}
+
+// poll reads the prefix again and again. It is apart from the watch, so that neither waits
+// for a connection of the other that went silent.
+func (f *Follower) poll(ctx context.Context) {
+	wait, retry := f.ReadEvery, pauseMin
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-f.wake():
+		}
+		began := steady.Now()
+		readCtx, cancel := context.WithTimeout(ctx, pollTimeout)
+		_, err := f.read(readCtx)
+		cancel()
+		if err == nil {
+			wait, retry = f.ReadEvery-(steady.Now()-began), pauseMin
+		} else {
+			f.failed(ctx, err)
+			wait, retry = retry, min(2*retry, f.ReadEvery)
+		}
+		timer.Reset(max(wait, pauseMin))
+	}
+}
+
+func (f *Follower) failed(ctx context.Context, err error) {
+	if f.Failed != nil && ctx.Err() == nil {
+		f.Failed(err)
+	}
+}
+
+func (f *Follower) follow(ctx context.Context) error {
 	p := position{after: f.After}
 	wait := pauseMin
 	for ctx.Err() == nil {
 		var err error
 		if p.after == 0 || f.reread.Swap(false) {
-			p, err = f.read(ctx)
+			p, err = f.readWhole(ctx)
 		} else {
 			err = f.watch(ctx, &p)
 		}
 		switch {
 		case err == nil:
 			wait = pauseMin
-			f.heardAt.Store(int64(steady.Now()))
 			continue
 		case errors.Is(err, durable.ErrCompacted):
 			p = position{}
 			continue
 		}
-		if f.Failed != nil && ctx.Err() == nil {
-			f.Failed(err)
-		}
+		f.failed(ctx, err)
 		pause.For(ctx, wait)
 		wait = min(2*wait, pauseMax)
 	}
 	return ctx.Err()
 }
 
-func (f *Follower) read(ctx context.Context) (position, error) {
+func (f *Follower) readWhole(ctx context.Context) (position, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	return f.read(ctx)
+}
+
+// read reads the whole prefix, and returns the position to watch from.
+func (f *Follower) read(ctx context.Context) (position, error) {
+	began := steady.Now()
+	f.mu.Lock()
+	before := f.calls
+	f.mu.Unlock()
 	items, revision, err := f.Store.Range(ctx, f.Prefix)
 	if err != nil {
 		return position{}, err
 	}
-	f.Handle(items, true)
+	f.heardAt.Store(int64(steady.Now()))
+	if f.handleWhole(items, revision, before) {
+		f.readAt.Store(int64(began))
+	}
 	return position{after: revision}, nil
 }
 
+// handleWhole hands a reading on that began after so many calls of Handle, unless one that
+// came meanwhile has told of later changes. It reports whether it did.
+func (f *Follower) handleWhole(items []durable.Item, revision int64, before int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.calls != before && revision < f.handled {
+		return false
+	}
+	f.handled = revision
+	f.calls++
+	f.Handle(items, true)
+	return true
+}
+
+// handleEvents hands on what a watch told and no reading has.
+func (f *Follower) handleEvents(events []durable.Item) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	handled := f.handled
+	var news []durable.Item
+	for i := range events {
+		if events[i].Revision <= f.handled {
+			continue
+		}
+		news = append(news, events[i])
+		handled = max(handled, events[i].Revision)
+	}
+	if f.handled = handled; len(news) > 0 {
+		f.calls++
+		f.Handle(news, false)
+	}
+}
+
 func (f *Follower) watch(ctx context.Context, p *position) error {
 	events, revision, err := f.Store.Watch(ctx, f.Prefix, p.after, f.Wait)
 	if err != nil {
 		return err
 	}
-	if len(events) > 0 {
-		f.Handle(events, false)
-	}
+	f.heardAt.Store(int64(steady.Now()))
+	f.handleEvents(events)
 	p.moved(steady.Now(), revision, len(events) > 0)
 	return nil
 }
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/rattanwall/rattanwall/internal/durable"
+	"github.com/rattanwall/rattanwall/internal/steady"
 )
 
 // Symptom: a change is never noticed.
@@ -80,3 +82,77 @@
 	require.Equal(t, []int64{1, 5, 2}, seen)
 	require.Equal(t, 1, failures)
 }
+
+// readable is a store whose watches hear nothing, while its prefix changes.
+type readable struct {
+	durable.Store
+	revision atomic.Int64
+	// failNext fails so many readings; hang leaves one without an answer.
+	failNext, hang atomic.Int32
+	ranges         atomic.Int64
+}
+
+func (s *readable) Range(ctx context.Context, _ string) ([]durable.Item, int64, error) {
+	s.ranges.Add(1)
+	if s.failNext.Add(-1) >= 0 {
+		return nil, 0, durable.ErrRefused
+	}
+	if s.hang.Add(-1) >= 0 {
+		<-ctx.Done()
+		return nil, 0, durable.ErrUnknown
+	}
+	n := s.revision.Load()
+	return []durable.Item{{Key: "k", Revision: n}}, n, nil
+}
+
+func (s *readable) Watch(ctx context.Context, _ string, _ int64, _ time.Duration) ([]durable.Item, int64, error) {
+	<-ctx.Done()
+	return nil, 0, durable.ErrUnknown
+}
+
+// A change that no watch tells of is read within the stated time, also where one reading is
+// lost.
+func TestChangesAreReadWhileTheWatchHearsNothing(t *testing.T) {
+	const period, bound = time.Second, 2 * time.Second
+	s := &readable{}
+	s.revision.Store(1)
+	var seen atomic.Int64
+	f := &Follower{
+		Store: s, Prefix: "k", Wait: time.Minute, ReadEvery: period,
+		Handle: func(items []durable.Item, _ bool) { seen.Store(items[0].Revision) },
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- f.Serve(ctx) }()
+	awaitRevision := func(want int64, within time.Duration) {
+		t.Helper()
+		require.Eventually(t, func() bool { return seen.Load() == want }, within, 5*time.Millisecond)
+	}
+	awaitRevision(1, bound)
+	for i, disturb := range []func(){func() {}, func() { s.failNext.Store(2) }, func() { s.hang.Store(1) }} {
+		disturb()
+		s.revision.Add(1)
+		awaitRevision(int64(i+2), bound)
+	}
+	before := s.ranges.Load()
+	s.revision.Add(1)
+	f.ReadSoon()
+	awaitRevision(5, period/2)
+	require.Equal(t, before+1, s.ranges.Load())
+	require.Less(t, steady.Now()-f.ReadAt(), period)
+	cancel()
+	require.ErrorIs(t, <-ended, context.Canceled)
+}
+
+// What is older than what was handled already, by the watch or by a reading, is not handled
+// again: a configuration, or a leader, would come back.
+func TestOvertakenChangesAreNotHandled(t *testing.T) {
+	var seen []int64
+	f := &Follower{Handle: func(items []durable.Item, _ bool) { seen = append(seen, items[0].Revision) }}
+	require.True(t, f.handleWhole([]durable.Item{{Revision: 4}}, 10, 0))
+	f.handleEvents([]durable.Item{{Revision: 9}})
+	f.handleEvents([]durable.Item{{Revision: 9}, {Revision: 12}})
+	require.False(t, f.handleWhole([]durable.Item{{Revision: 4}}, 11, 1), "begun before the watch told of 12")
+	require.True(t, f.handleWhole([]durable.Item{{Revision: 12}}, 13, 2))
+	require.Equal(t, []int64{4, 12, 12}, seen)
+}
