--- a/internal/edge/configpeers.go
+++ b/internal/edge/configpeers.go
@@ -63,7 +63,12 @@
 			wait, retry = askPeersAfter-silent, askPeersEvery
 			continue
 		}
-		if p.round(ctx) {
+		// Someone who waits needs to know now, not as of a peer's last reading.
+		within := time.Duration(0)
+		if woken {
+			within = confirmedJustNow
+		}
+		if p.round(ctx, within) {
 			wait, retry = askPeersEvery, askPeersEvery
 		} else {
 			wait, retry = retry, min(2*retry, askPeersMax)
@@ -85,8 +90,8 @@
 
 // round asks the peer that knew last, and where it does not any more all others, several at
 // once, those included of which it learns meanwhile. It reports whether one knew.
-func (p *configPeers) round(ctx context.Context) bool {
-	if p.preferred != "" && p.ask(ctx, p.preferred) {
+func (p *configPeers) round(ctx context.Context, within time.Duration) bool {
+	if p.preferred != "" && p.ask(ctx, p.preferred, within) {
 		return true
 	}
 	tried := map[string]bool{p.known.self: true, p.preferred: true}
@@ -96,17 +101,17 @@
 		if len(batch) == 0 {
 			return false
 		}
-		p.preferred = p.askAll(ctx, batch)
+		p.preferred = p.askAll(ctx, batch, within)
 	}
 	return true
 }
 
 // askAll asks some peers at once and returns one that knew, "" for none.
-func (p *configPeers) askAll(ctx context.Context, peers []string) (knowing string) {
+func (p *configPeers) askAll(ctx context.Context, peers []string, within time.Duration) (knowing string) {
 	knew := make([]bool, len(peers))
 	var asked sync.WaitGroup
 	for i, address := range peers {
-		asked.Go(func() { knew[i] = p.ask(ctx, address) })
+		asked.Go(func() { knew[i] = p.ask(ctx, address, within) })
 	}
 	asked.Wait()
 	if i := slices.Index(knew, true); i >= 0 {
@@ -129,13 +134,14 @@
 	return next
 }
 
-// ask asks one peer, and reports whether it knew which configuration is the newest.
-func (p *configPeers) ask(ctx context.Context, address string) bool {
+// ask asks one peer, and reports whether it knew which configuration is the newest. With
+// within set the peer looks up what it knows from longer ago.
+func (p *configPeers) ask(ctx context.Context, address string, within time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerAnswerTimeout)
 	defer cancel()
 	sentAt := steady.Now()
 	remote := scheduling.NewSchedulingProtobufClient("http://"+address, p.client)
-	r, err := remote.Config(ctx, &scheduling.ConfigRequest{Revision: p.config.latest().Revision, Address: p.known.self})
+	r, err := remote.Config(ctx, &scheduling.ConfigRequest{Revision: p.config.latest().Revision, Address: p.known.self, WithinMs: within.Milliseconds()})
 	if err != nil {
 		p.known.remove(address)
 		p.log.Event("config_peer_failed", eventlog.Fields{"peer": address, "error": err.Error()})
@@ -150,18 +156,22 @@
 	}
 	ago := time.Duration(r.GetConfirmedAgoMs()) * time.Millisecond
 	p.config.confirm(sentAt - ago)
+	if within > 0 {
+		return ago <= within
+	}
 	return ago < askPeersAfter
 }
 
-// tell answers a peer.
+// tell answers a peer. Only what this process has read itself counts as confirmed: of hearsay
+// that peers tell each other nobody could say how old it is.
 func (c *configuration) tell(r *scheduling.ConfigRequest) *scheduling.ConfigResponse {
-	item := c.latest()
-	resp := &scheduling.ConfigResponse{Revision: item.Revision}
-	if item.Revision > r.GetRevision() {
-		resp.Value = item.Value
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	resp := &scheduling.ConfigResponse{Revision: c.newest.Revision, Confirmed: c.readAt > 0}
+	if c.newest.Revision > r.GetRevision() {
+		resp.Value = c.newest.Value
 	}
-	ago, ever := c.confirmedAgo()
 	// Rounded up: what is told may be too long, never too short.
-	resp.Confirmed, resp.ConfirmedAgoMs = ever, int64((ago+time.Millisecond-1)/time.Millisecond)
+	resp.ConfirmedAgoMs = int64((steady.Now() - c.readAt + time.Millisecond - 1) / time.Millisecond)
 	return resp
 }
--- a/internal/edge/configpeers_test.go
+++ b/internal/edge/configpeers_test.go
@@ -98,7 +98,7 @@
 			case <-stop:
 				return
 			case <-time.After(100 * time.Millisecond):
-				knows.config.confirm(steady.Now())
+				knows.config.read(steady.Now())
 			}
 		}
 	}()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -150,7 +150,7 @@
 	e.metrics.registry.MustRegister(newConfigFigures(e.config))
 	e.leader.Observe, e.leader.ObserveEnd = e.metrics.decision, e.metrics.end
 	e.election = leader.NewElection(p.Store, leader.Record{Node: s.Node, Address: s.Peers}, s.Processor, log, e.leader.Lead)
-	local := &peerServer{node: s.Node, leader: e.leader, election: e.election, store: p.Store, relays: e.relays, config: e.config, known: e.known}
+	local := &peerServer{node: s.Node, leader: e.leader, election: e.election, store: p.Store, relays: e.relays, config: e.config, known: e.known, lookUp: e.lookUpConfig}
 	e.offers = &offers{
 		offer:  relay.Offer{Node: s.Node, Address: s.Peers, Zone: s.Zone, VMs: relay.Room(s.Processor, s.LinkMbps)},
 		leader: e.election.Leader, known: e.known, client: p.PeerClient, log: log, wake: make(chan struct{}, 1),
@@ -288,33 +288,44 @@
 	// not to be looked up again: it bounds the readings that callers of queues which do
 	// not exist bring about to four a second.
 	confirmedJustNow = 250 * time.Millisecond
-	// confirmTimeout bounds the wait of such a caller. The store answers within some 10 ms,
-	// a peer likewise.
+	// storeLookUp is how long a reading may take before peers are asked besides, and
+	// confirmTimeout bounds the wait of such a caller as a whole.
+	storeLookUp    = 100 * time.Millisecond
 	confirmTimeout = 500 * time.Millisecond
+	// lookUpForPeer bounds the wait of a peer that asks for such a caller.
+	lookUpForPeer = peerAnswerTimeout / 2
 )
 
 // confirmConfig looks the newest configuration up, in the store and, where that is silent,
 // at peers, and waits until one has told it.
 func (e *Edge) confirmConfig(ctx context.Context) {
-	since := steady.Now() - confirmedJustNow
+	if e.lookUpConfig(ctx, confirmedJustNow, storeLookUp) {
+		return
+	}
+	e.configPeers.soon()
+	e.lookUpConfig(ctx, confirmedJustNow, confirmTimeout-storeLookUp)
+}
+
+// lookUpConfig looks the newest configuration up in the store, unless it was confirmed so
+// short ago, and waits for up to timeout until it is. It reports whether it was.
+func (e *Edge) lookUpConfig(ctx context.Context, within, timeout time.Duration) bool {
+	since := steady.Now() - within
 	ok, changed := e.config.confirmedSince(since)
 	if ok {
-		return
+		return true
 	}
 	e.operator.ReadSoon()
-	if e.config.sinceRead() >= askPeersAfter {
-		e.configPeers.soon()
-	}
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	for !ok {
 		select {
 		case <-ctx.Done():
-			return
+			return false
 		case <-changed:
 		}
 		ok, changed = e.config.confirmedSince(since)
 	}
+	return true
 }
 
 // drain is the planned stop. The lead is given up first, by a write, so that
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -31,6 +31,8 @@
 	relays   *relay.Pool
 	config   *configuration
 	known    *addresses
+	// lookUp has the store asked for the configuration if it was confirmed longer ago.
+	lookUp func(ctx context.Context, within, timeout time.Duration) bool
 }
 
 var _ scheduling.Scheduling = (*peerServer)(nil)
@@ -118,7 +120,10 @@
 }
 
 // Config implements scheduling.Scheduling.
-func (p *peerServer) Config(_ context.Context, r *scheduling.ConfigRequest) (*scheduling.ConfigResponse, error) {
+func (p *peerServer) Config(ctx context.Context, r *scheduling.ConfigRequest) (*scheduling.ConfigResponse, error) {
+	if r.GetWithinMs() > 0 {
+		p.lookUp(ctx, time.Duration(r.GetWithinMs())*time.Millisecond, lookUpForPeer)
+	}
 	resp := p.config.tell(r)
 	p.known.add(r.GetAddress())
 	resp.Peers = p.known.list(r.GetAddress())
