--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -63,7 +63,7 @@
 	soon     chan struct{}
 
 	// mu is held while Handle is called. handled is the revision of the newest change that
-	// was handled, calls how often something was.
+	// was handled or is known, calls how often there was one.
 	mu      sync.Mutex
 	handled int64
 	calls   int
@@ -126,6 +126,15 @@
 	return f.follow(ctx)
 }
 
+// Known tells the follower that all changes up to a revision are known from elsewhere: what
+// a watch or a reading that is under way tells of them is not handled.
+func (f *Follower) Known(revision int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.handled = max(f.handled, revision)
+	f.calls++
+}
+
 // poll reads the prefix again and again. It is apart from the watch, so that neither waits
 // for a connection of the other that went silent.
 func (f *Follower) poll(ctx context.Context) {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -156,4 +156,9 @@
 	require.False(t, f.handleWhole([]durable.Item{{Revision: 4}}, 11, 1), "begun before the watch told of 12")
 	require.True(t, f.handleWhole([]durable.Item{{Revision: 12}}, 13, 2))
 	require.Equal(t, []int64{4, 12, 12}, seen)
+	f.Known(20)
+	f.handleEvents([]durable.Item{{Revision: 19}})
+	require.False(t, f.handleWhole([]durable.Item{{Revision: 12}}, 19, 3), "begun before 20 was written")
+	require.True(t, f.handleWhole([]durable.Item{{Revision: 20}}, 20, 4))
+	require.Equal(t, []int64{4, 12, 12, 20}, seen)
 }
--- a/internal/leader/election.go
+++ b/internal/leader/election.go
@@ -39,8 +39,11 @@
 	handicap = 400 * time.Millisecond
 	// fullProcessor is the share of a core from which a VM has no handicap.
 	fullProcessor = 0.8
-	// leaderWatch is how long one watch of the leader's key waits.
-	leaderWatch = 2 * time.Second
+	// leaderWatch is how long one watch of the leader's key waits, leaderReadEvery how often
+	// the key is read beside it: a leader's death that no watch tells of is noticed as soon
+	// as its lease and that are over.
+	leaderWatch     = 2 * time.Second
+	leaderReadEvery = 1500 * time.Millisecond
 )
 
 // Election takes part in the choice of the leader.
@@ -126,7 +129,7 @@
 // when its context ends.
 func NewElection(store durable.Store, self Record, processor float64, log *eventlog.Log, lead func(context.Context, *Tenure)) *Election {
 	e := &Election{store: store, self: self, processor: processor, log: log, lead: lead, wake: make(chan struct{}, 1)}
-	e.follower = &follow.Follower{Store: store, Prefix: leaderKey, Wait: leaderWatch, Handle: e.observe}
+	e.follower = &follow.Follower{Store: store, Prefix: leaderKey, Wait: leaderWatch, ReadEvery: leaderReadEvery, Handle: e.observe}
 	return e
 }
 
@@ -159,15 +162,20 @@
 		return
 	}
 	e.mu.Lock()
+	if e.seen && e.fence == revisionOf(found) {
+		// Read again, and nothing has changed.
+		e.mu.Unlock()
+		return
+	}
 	e.seen = true
-	if found == nil || found.Deleted {
-		e.leader, e.fence = Record{}, 0
+	if e.fence = revisionOf(found); e.fence == 0 {
+		e.leader = Record{}
 	} else {
 		var r Record
 		if err := json.Unmarshal(found.Value, &r); err != nil {
 			e.log.Warn("leader_record_unreadable", err, nil)
 		}
-		e.leader, e.fence = r, found.Revision
+		e.leader = r
 	}
 	if t := e.tenure; t != nil && e.fence != t.Fence && (found == nil || found.Revision > t.Fence) {
 		// The key is another's, or was taken away: the store may do that without
@@ -186,6 +194,14 @@
 	}
 }
 
+// revisionOf is the revision of an item that is there, else 0.
+func revisionOf(item *durable.Item) int64 {
+	if item == nil || item.Deleted {
+		return 0
+	}
+	return item.Revision
+}
+
 // Resign gives the lead up for good, as part of a planned stop.
 func (e *Election) Resign(ctx context.Context) {
 	e.mu.Lock()
@@ -324,6 +340,8 @@
 	e.tenure = t
 	e.leader, e.fence = e.self, t.Fence
 	e.mu.Unlock()
+	// A reading that began before the key was written would say that it is not there.
+	e.follower.Known(t.Fence)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
