--- a/internal/edge/configpeers.go
+++ b/internal/edge/configpeers.go
@@ -30,17 +30,23 @@
 	peersAtOnce = 3
 )
 
-// configPeers asks other processes for the configuration while the store does not tell it.
+// configPeers asks other processes for the configuration, and who leads, while the store
+// does not tell it.
 type configPeers struct {
 	config *configuration
 	known  *addresses
 	leader func() (leader.Record, bool)
-	client *http.Client
-	log    *eventlog.Log
+	// told is told of the leader that a peer knows.
+	told func(r leader.Record, fence int64, peer string)
+	// answered is told of each peer that answers.
+	answered func(address string)
+	client   *http.Client
+	log      *eventlog.Log
 	// wake ends a pause.
 	wake chan struct{}
-	// preferred is the peer that knew last, "" for none.
-	preferred string
+	// preferred is the peer that knew last, "" for none, and askedLeader the leader at that
+	// time: a new one is asked first again.
+	preferred, askedLeader string
 }
 
 // soon has peers asked now.
@@ -91,6 +97,9 @@
 // round asks the peer that knew last, and where it does not any more all others, several at
 // once, those included of which it learns meanwhile. It reports whether one knew.
 func (p *configPeers) round(ctx context.Context, within time.Duration) bool {
+	if record, _ := p.leader(); record.Address != p.askedLeader {
+		p.preferred, p.askedLeader = "", record.Address
+	}
 	if p.preferred != "" && p.ask(ctx, p.preferred, within) {
 		return true
 	}
@@ -147,7 +156,11 @@
 		p.log.Event("config_peer_failed", eventlog.Fields{"peer": address, "error": err.Error()})
 		return false
 	}
+	p.answered(address)
 	p.known.add(r.GetPeers()...)
+	if fence := r.GetLeaderFence(); fence > 0 {
+		p.told(leader.Record{Node: r.GetLeaderNode(), Address: r.GetLeaderAddress()}, fence, address)
+	}
 	if len(r.GetValue()) > 0 {
 		p.config.install(&durable.Item{Value: r.GetValue(), Revision: r.GetRevision()}, address)
 	}
--- a/internal/edge/configpeers_test.go
+++ b/internal/edge/configpeers_test.go
@@ -109,6 +109,7 @@
 	c.read(steady.Now())
 	p := &configPeers{
 		config: c, known: &addresses{self: "127.0.0.1:2"}, leader: func() (leader.Record, bool) { return lead, true },
+		told: func(leader.Record, int64, string) {}, answered: func(string) {},
 		client: &http.Client{}, log: quietLog(), wake: make(chan struct{}, 1),
 	}
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -156,7 +156,8 @@
 		leader: e.election.Leader, known: e.known, client: p.PeerClient, log: log, wake: make(chan struct{}, 1),
 	}
 	e.configPeers = &configPeers{
-		config: e.config, known: e.known, leader: e.election.Leader, client: p.PeerClient, log: log, wake: make(chan struct{}, 1),
+		config: e.config, known: e.known, leader: e.election.Leader, told: e.election.Told, answered: e.peerAnswered,
+		client: p.PeerClient, log: log, wake: make(chan struct{}, 1),
 	}
 	e.election.Seen = func(leader.Record) { e.offers.soon() }
 	e.operator = &follow.Follower{
@@ -258,6 +259,13 @@
 // sourceStore is the source of configurations that the store told.
 const sourceStore = "store"
 
+// peerAnswered notes that a peer was reached: the leader is a way to the store.
+func (e *Edge) peerAnswered(address string) {
+	if record, known := e.election.Leader(); known && record.Address == address {
+		e.peers.reach.Answered()
+	}
+}
+
 // observeOperator takes over what the operator wrote.
 func (e *Edge) observeOperator(items []durable.Item, _ bool) {
 	for i := range items {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -127,6 +127,8 @@
 	resp := p.config.tell(r)
 	p.known.add(r.GetAddress())
 	resp.Peers = p.known.list(r.GetAddress())
+	record, fence := p.election.LeaderAndFence()
+	resp.LeaderNode, resp.LeaderAddress, resp.LeaderFence = record.Node, record.Address, fence
 	return resp, nil
 }
 
--- a/internal/leader/election.go
+++ b/internal/leader/election.go
@@ -140,6 +140,14 @@
 	return e.leader, e.fence != 0
 }
 
+// LeaderAndFence returns who leads, as far as this process knows, and its fencing token; 0
+// for nobody.
+func (e *Election) LeaderAndFence() (Record, int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leader, e.fence
+}
+
 // Leading returns the tenure of this process, or nil.
 func (e *Election) Leading() *Tenure {
 	e.mu.Lock()
@@ -183,11 +191,40 @@
 		e.log.Event("leader_deposed", eventlog.Fields{"fence": t.Fence, "successor": e.leader.Node})
 		t.End()
 	}
-	e.log.Event("leader_seen", eventlog.Fields{"leader": e.leader.Node, "fence": e.fence})
+	e.noteSeen("store")
+	e.mu.Unlock()
+	e.awake()
+}
+
+// Told takes over what a peer knows of the leader, which is believed if its fencing token is
+// newer: a process that the store turns away has no other way to learn of one.
+func (e *Election) Told(r Record, fence int64, peer string) {
+	e.mu.Lock()
+	if fence <= e.fence {
+		e.mu.Unlock()
+		return
+	}
+	e.leader, e.fence = r, fence
+	if t := e.tenure; t != nil && t.Fence < fence {
+		e.log.Event("leader_deposed", eventlog.Fields{"fence": t.Fence, "successor": r.Node})
+		t.End()
+	}
+	e.noteSeen(peer)
+	e.mu.Unlock()
+	e.follower.Known(fence)
+	e.awake()
+}
+
+// noteSeen tells of the leader that is known now. e.mu is held.
+func (e *Election) noteSeen(source string) {
+	e.log.Event("leader_seen", eventlog.Fields{"leader": e.leader.Node, "fence": e.fence, "source": source})
 	if e.Seen != nil && e.fence != 0 && e.leader != e.self {
 		e.Seen(e.leader)
 	}
-	e.mu.Unlock()
+}
+
+// awake has the election looked at again.
+func (e *Election) awake() {
 	select {
 	case e.wake <- struct{}{}:
 	default:
