--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -78,10 +78,9 @@
 }
 
 const (
-	// configWatch is how long one watch of the configuration waits. A watch
-	// whose connection went silent is given up 0.6 s later, so that a change
-	// is in force within 2 s all the same.
-	configWatch = time.Second
+	// configWatch is how long one watch of the configuration waits. What it does not tell,
+	// because its connection went silent or the store's watches hear nothing, is read.
+	configWatch = 5 * time.Second
 	// configReadEvery is how often the configuration is read beside its watch: with two
 	// tries of a reading a version is in force within 2 s that no watch tells of.
 	configReadEvery = time.Second
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -74,8 +74,8 @@
 	// ConfirmConfig has the newest configuration looked up, unless that was done just now,
 	// and waits a bounded time for it.
 	ConfirmConfig func(ctx context.Context)
-	// StoreHeardAt is when the store last answered this process's watches, on the
-	// steady clock; 0 for never.
+	// StoreHeardAt is when the store last answered this process's readings and watches of
+	// the configuration, on the steady clock; 0 for never.
 	StoreHeardAt func() time.Duration
 	// LeaderAnswers reports whether the leader has answered this process of late.
 	LeaderAnswers func() bool
@@ -91,8 +91,8 @@
 }
 
 // storeSilent is how long the store may leave this process without an answer
-// before it counts as away: one watch of the configuration, of 1 s, that fails
-// 0.6 s late, and a second try.
+// before it counts as away: a reading of the configuration, one a second, that is given up
+// after 0.7 s, and a second try.
 const storeSilent = 2400 * time.Millisecond
 
 // StoreAnswers reports whether the store has answered this process of late.
--- a/internal/leader/election.go
+++ b/internal/leader/election.go
@@ -42,7 +42,7 @@
 	// leaderWatch is how long one watch of the leader's key waits, leaderReadEvery how often
 	// the key is read beside it: a leader's death that no watch tells of is noticed as soon
 	// as its lease and that are over.
-	leaderWatch     = 2 * time.Second
+	leaderWatch     = 5 * time.Second
 	leaderReadEvery = 1500 * time.Millisecond
 )
 
