--- a/internal/edge/configpeers.go
+++ b/internal/edge/configpeers.go
@@ -10,6 +10,7 @@
 	"github.com/rattanwall/rattanwall/internal/durable"
 	"github.com/rattanwall/rattanwall/internal/eventlog"
 	"github.com/rattanwall/rattanwall/internal/leader"
+	"github.com/rattanwall/rattanwall/internal/pause"
 	"github.com/rattanwall/rattanwall/internal/scheduling"
 	"github.com/rattanwall/rattanwall/internal/steady"
 )
@@ -23,6 +24,8 @@
 	// which none did it grows up to askPeersMax.
 	askPeersEvery = 500 * time.Millisecond
 	askPeersMax   = 2 * time.Second
+	// roundsApart is the least time between two rounds, however many callers wait.
+	roundsApart = 100 * time.Millisecond
 	// peerAnswerTimeout bounds one question.
 	peerAnswerTimeout = 400 * time.Millisecond
 	// peersAtOnce is how many peers are asked at once where it is not known which of
@@ -60,8 +63,10 @@
 // Serve implements suture.Service.
 func (p *configPeers) Serve(ctx context.Context) error {
 	wait, retry := askPeersAfter, askPeersEvery
+	began := -roundsApart
 	for {
 		woken := p.rest(ctx, wait)
+		pause.For(ctx, began+roundsApart-steady.Now())
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -69,11 +74,13 @@
 			wait, retry = askPeersAfter-silent, askPeersEvery
 			continue
 		}
-		// Someone who waits needs to know now, not as of a peer's last reading.
+		// Someone who waits needs to know now, not as of a peer's last reading, and what the
+		// peer tells is to serve others for a while.
 		within := time.Duration(0)
 		if woken {
-			within = confirmedJustNow
+			within = confirmedJustNow / 2
 		}
+		began = steady.Now()
 		if p.round(ctx, within) {
 			wait, retry = askPeersEvery, askPeersEvery
 		} else {
--- a/internal/edge/configpeers_test.go
+++ b/internal/edge/configpeers_test.go
@@ -132,6 +132,30 @@
 	require.Less(t, ago, 2*time.Second)
 }
 
+// Callers who all ask for queues that are not there do not make a process ask its peers more than
+// so often.
+func TestPeersAreAskedSoOftenAtMost(t *testing.T) {
+	peer := &configPeer{config: newVersions()}
+	lead := leader.Record{Address: servePeer(t, peer)}
+	p := &configPeers{
+		config: newVersions(), known: &addresses{}, leader: func() (leader.Record, bool) { return lead, true },
+		told: func(leader.Record, int64, string) {}, answered: func(string) {},
+		client: &http.Client{}, log: quietLog(), wake: make(chan struct{}, 1),
+	}
+	const length = time.Second
+	ctx, cancel := context.WithTimeout(t.Context(), length)
+	defer cancel()
+	go func() {
+		for ctx.Err() == nil {
+			p.soon()
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	require.ErrorIs(t, p.Serve(ctx), context.DeadlineExceeded)
+	require.Positive(t, peer.calls.Load())
+	require.LessOrEqual(t, peer.calls.Load(), int64(length/roundsApart)+1)
+}
+
 // The processes that are remembered are few, and none of them is this one or gone.
 func TestAddressesAreBounded(t *testing.T) {
 	a := &addresses{self: "self"}
