--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -295,12 +295,14 @@
 	// not to be looked up again: it bounds the readings that callers of queues which do
 	// not exist bring about to four a second.
 	confirmedJustNow = 250 * time.Millisecond
-	// storeLookUp is how long a reading may take before peers are asked besides, and
-	// confirmTimeout bounds the wait of such a caller as a whole.
-	storeLookUp    = 100 * time.Millisecond
-	confirmTimeout = 500 * time.Millisecond
+	// confirmTimeout bounds the wait of such a caller: one who comes 250 ms later may not be
+	// answered by an older version than this one is, and both wait for a processor besides.
+	// storeLookUp is how long a reading may
+	// take before peers are asked besides.
+	confirmTimeout = 150 * time.Millisecond
+	storeLookUp    = confirmTimeout / 2
 	// lookUpForPeer bounds the wait of a peer that asks for such a caller.
-	lookUpForPeer = peerAnswerTimeout / 2
+	lookUpForPeer = confirmTimeout / 2
 )
 
 // confirmConfig looks the newest configuration up, in the store and, where that is silent,
