--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -297,8 +297,7 @@
 	confirmedJustNow = 250 * time.Millisecond
 	// confirmTimeout bounds the wait of such a caller: one who comes 250 ms later may not be
 	// answered by an older version than this one is, and both wait for a processor besides.
-	// storeLookUp is how long a reading may
-	// take before peers are asked besides.
+	// storeLookUp is how long a reading may take before peers are asked besides.
 	confirmTimeout = 150 * time.Millisecond
 	storeLookUp    = confirmTimeout / 2
 	// lookUpForPeer bounds the wait of a peer that asks for such a caller.
