--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -110,6 +110,8 @@
 	leader   *leader.Leader
 	entry    *entry.Entry
 	config   atomic.Pointer[batch.Config]
+	// unreadable is the revision of the newest configuration where it can't be read, else 0.
+	unreadable atomic.Int64
 	// waves are those that the operator asked for, by number.
 	wavesMu  sync.Mutex
 	waves    map[int64]batch.Wave
@@ -137,6 +139,7 @@
 		Machines: p.Machines, Node: s.Node, Address: s.Peers, Predecessors: &predecessors{client: p.PeerClient}, Waves: e.listWaves, ReportWave: p.ReportWave,
 	}
 	e.metrics = newMetrics(e.leader.Figures)
+	e.metrics.registry.MustRegister(newConfigFigures(e))
 	e.leader.Observe, e.leader.ObserveEnd = e.metrics.decision, e.metrics.end
 	e.election = leader.NewElection(p.Store, leader.Record{Node: s.Node, Address: s.Peers}, s.Processor, log, e.leader.Lead)
 	local := &peerServer{node: s.Node, leader: e.leader, election: e.election, store: p.Store, relays: e.relays}
@@ -151,7 +154,7 @@
 	}
 	e.peers = &peers{self: s.Peers, election: e.election, local: local, client: p.PeerClient}
 	e.entry = &entry.Entry{
-		Store: p.Store, InForce: e.config.Load, Accepting: e.ready, WallMS: wallMS, Log: log,
+		Store: p.Store, InForce: e.config.Load, ConfirmedAt: e.operator.HeardAt, Accepting: e.ready, WallMS: wallMS, Log: log,
 		Observe: e.metrics.request, StoreHeardAt: e.operator.HeardAt, LeaderAnswers: e.leaderAnswers,
 		Peers: e.peers,
 	}
@@ -269,9 +272,11 @@
 func (e *Edge) installConfig(item *durable.Item) {
 	c, err := e.platform.DecodeConfig(item.Value)
 	if err != nil {
+		e.unreadable.Store(item.Revision)
 		e.log.Warn("config_unreadable", err, eventlog.Fields{"revision": item.Revision})
 		return
 	}
+	e.unreadable.Store(0)
 	if current := e.config.Load(); current != nil && c.Version <= current.Version {
 		return
 	}
--- a/internal/edge/operations.go
+++ b/internal/edge/operations.go
@@ -104,13 +104,18 @@
 
 // Dump is the process's state, for people who look for a fault.
 type Dump struct {
-	Node          string          `json:"node"`
-	Zone          string          `json:"zone"`
-	Ready         bool            `json:"ready"`
-	ConfigVersion int64           `json:"config_version"`
-	Queues        int             `json:"queues"`
-	Leader        leader.Record   `json:"leader"`
-	Scheduler     *scheduler.Dump `json:"scheduler,omitempty"`
+	Node          string `json:"node"`
+	Zone          string `json:"zone"`
+	Ready         bool   `json:"ready"`
+	ConfigVersion int64  `json:"config_version"`
+	// ConfigConfirmedAgoMS is how long ago that version was known to be the newest, -1
+	// for never.
+	ConfigConfirmedAgoMS int64 `json:"config_confirmed_ago_ms"`
+	// ConfigUnreadable is the revision of a newer configuration that can't be read.
+	ConfigUnreadable int64           `json:"config_unreadable,omitempty"`
+	Queues           int             `json:"queues"`
+	Leader           leader.Record   `json:"leader"`
+	Scheduler        *scheduler.Dump `json:"scheduler,omitempty"`
 	// Relays are the processes that carry this leader's orders, with how many VMs each
 	// serves; empty where it gives them itself.
 	Relays map[string]int `json:"relays,omitempty"`
@@ -118,7 +123,13 @@
 
 // Dump returns the process's state.
 func (e *Edge) Dump() Dump {
-	d := Dump{Node: e.settings.Node, Zone: e.settings.Zone, Ready: e.ready(), Scheduler: e.leader.Dump()}
+	d := Dump{
+		Node: e.settings.Node, Zone: e.settings.Zone, Ready: e.ready(), Scheduler: e.leader.Dump(),
+		ConfigConfirmedAgoMS: -1, ConfigUnreadable: e.unreadable.Load(),
+	}
+	if ago, ever := e.configConfirmedAgo(); ever {
+		d.ConfigConfirmedAgoMS = ago.Milliseconds()
+	}
 	if d.Scheduler != nil {
 		d.Relays = e.relays.Serving()
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -68,6 +68,9 @@
 	InForce func() *batch.Config
 	// Accepting reports whether the balancer should send callers here.
 	Accepting func() bool
+	// ConfirmedAt is when the configuration in force was last known to be the newest, on the
+	// steady clock; 0 for never.
+	ConfirmedAt func() time.Duration
 	// StoreHeardAt is when the store last answered this process's watches, on the
 	// steady clock; 0 for never.
 	StoreHeardAt func() time.Duration
@@ -137,6 +140,35 @@
 // Config returns the configuration in force, or nil.
 func (e *Entry) Config() *batch.Config { return e.InForce() }
 
+// Route returns the queue that a request for path on host goes to, and what of the path
+// follows the queue's prefix.
+func (e *Entry) Route(_ context.Context, host, path string) (*batch.Queue, string, error) {
+	config := e.InForce()
+	if config == nil {
+		return nil, "", errkind.Newf(errkind.StoreUnavailable, "no configuration yet")
+	}
+	if queue, rest := config.Match(host, path); queue != nil {
+		return queue, rest, nil
+	}
+	err := errkind.Newf(errkind.NotFound, "no such queue")
+	e.logUnknownQueue(host, path, config, err)
+	return nil, "", err
+}
+
+// loggedPath is how much of a path that no queue has stands in a line.
+const loggedPath = 80
+
+func (e *Entry) logUnknownQueue(host, path string, config *batch.Config, err *errkind.Error) {
+	e.observe("queue_unknown", time.Now(), err)
+	f := eventlog.Fields{"host": clip(host), "path": clip(path), "version": config.Version, "outcome": string(err.Kind)}
+	if at := e.ConfirmedAt(); at > 0 {
+		f["confirmed_ago_ms"] = (steady.Now() - at).Milliseconds()
+	}
+	e.Log.Event("queue_unknown", f)
+}
+
+func clip(text string) string { return text[:min(len(text), loggedPath)] }
+
 // Ready reports whether the balancer should send callers here.
 func (e *Entry) Ready() bool { return e.Accepting() }
 
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -230,3 +231,33 @@
 		require.Nil(t, <-peers.announced, "a cancellation is told at once")
 	}
 }
+
+// A refusal for want of a queue is told with the version that it rests on and its age.
+func TestUnknownQueueIsLogged(t *testing.T) {
+	f := newEntryFixture()
+	lines := make(writerTo, 1)
+	f.Log = eventlog.New(lines, logrus.InfoLevel)
+	f.InForce = func() *batch.Config {
+		return &batch.Config{Version: 7, Queues: []batch.Queue{{Name: "q", Host: "jobs.example", Prefix: "/work/"}}}
+	}
+	f.ConfirmedAt = steady.Now
+	queue, rest, err := f.Route(t.Context(), "jobs.example", "/work/1")
+	require.NoError(t, err)
+	require.Equal(t, "q", queue.Name)
+	require.Equal(t, "1", rest)
+	_, _, err = f.Route(t.Context(), "jobs.example", "/other/"+strings.Repeat("x", 500))
+	require.True(t, errkind.Is(err, errkind.NotFound))
+	line := <-lines
+	require.Contains(t, line, "queue_unknown")
+	require.Contains(t, line, `"version":7`)
+	require.Contains(t, line, `"confirmed_ago_ms":0`)
+	require.Less(t, len(line), 400)
+}
+
+// writerTo hands on each line of a log.
+type writerTo chan string
+
+func (w writerTo) Write(p []byte) (int, error) {
+	w <- string(p)
+	return len(p), nil
+}
