--- a/internal/edge/configfigures.go
+++ b/internal/edge/configfigures.go
@@ -1,27 +1,21 @@
 package edge
 
-import (
-	"time"
-
-	"github.com/prometheus/client_golang/prometheus"
-
-	"github.com/rattanwall/rattanwall/internal/steady"
-)
+import "github.com/prometheus/client_golang/prometheus"
 
 // configFigures are what is known of the configuration in force, as metrics that are
 // worked out when they are asked for.
 type configFigures struct {
-	edge *Edge
+	config *configuration
 
 	version, confirmedAge, unreadable *prometheus.Desc
 }
 
-func newConfigFigures(e *Edge) *configFigures {
+func newConfigFigures(config *configuration) *configFigures {
 	desc := func(name, help string) *prometheus.Desc {
 		return prometheus.NewDesc("rattanwall_edge_config_"+name, help, nil, nil)
 	}
 	return &configFigures{
-		edge:         e,
+		config:       config,
 		version:      desc("version", "Version of the configuration in force, 0 for none."),
 		confirmedAge: desc("confirmed_age_seconds", "How long ago that version was known to be the newest; missing before it ever was."),
 		unreadable:   desc("unreadable", "1 while the newest version can't be read, so that an older one is in force, else 0."),
@@ -41,21 +35,15 @@
 		out <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, value)
 	}
 	version, unreadable := 0.0, 0.0
-	if config := c.edge.config.Load(); config != nil {
+	if config := c.config.inForce.Load(); config != nil {
 		version = float64(config.Version)
 	}
-	if c.edge.unreadable.Load() != 0 {
+	if c.config.unreadableRevision() != 0 {
 		unreadable = 1
 	}
 	gauge(c.version, version)
 	gauge(c.unreadable, unreadable)
-	if ago, ever := c.edge.configConfirmedAgo(); ever {
+	if ago, ever := c.config.confirmedAgo(); ever {
 		gauge(c.confirmedAge, ago.Seconds())
 	}
 }
-
-// configConfirmedAgo is how long ago the configuration in force was known to be the newest.
-func (e *Edge) configConfirmedAgo() (ago time.Duration, ever bool) {
-	at := e.operator.ReadAt()
-	return steady.Now() - at, at > 0
-}
--- /dev/null
+++ b/internal/edge/configpeers_test.go
@@ -0,0 +1,147 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+	"github.com/rattanwall/rattanwall/internal/durable"
+	"github.com/rattanwall/rattanwall/internal/eventlog"
+	"github.com/rattanwall/rattanwall/internal/leader"
+	"github.com/rattanwall/rattanwall/internal/scheduling"
+	"github.com/rattanwall/rattanwall/internal/steady"
+)
+
+// versionOf is the configuration whose value is its version.
+func versionOf(value []byte) (*batch.Config, error) {
+	c := &batch.Config{}
+	if _, err := fmt.Sscan(string(value), &c.Version); err != nil {
+		return nil, errors.Wrap(err, "version")
+	}
+	return c, nil
+}
+
+func quietLog() *eventlog.Log { return eventlog.New(io.Discard, logrus.PanicLevel) }
+
+func newVersions() *configuration { return newConfiguration(versionOf, quietLog()) }
+
+func version(n int64) *durable.Item {
+	return &durable.Item{Value: fmt.Appendf(nil, "%d", n), Revision: 10 * n}
+}
+
+// An older configuration, from an answer that was overtaken or from a peer that is behind, is
+// never installed, and one that can't be read leaves the last one in force and is told.
+func TestOlderConfigurationIsNeverInstalled(t *testing.T) {
+	c := newVersions()
+	c.install(version(3), "store")
+	c.install(version(2), "peer")
+	require.EqualValues(t, 3, c.inForce.Load().Version)
+	c.confirm(steady.Now())
+	ok, _ := c.current(time.Second)
+	require.True(t, ok)
+	c.install(&durable.Item{Value: []byte("?"), Revision: 40}, "store")
+	require.EqualValues(t, 3, c.inForce.Load().Version)
+	require.EqualValues(t, 40, c.unreadableRevision())
+	ok, _ = c.current(time.Second)
+	require.False(t, ok, "it is known that there is a newer one")
+	c.install(version(5), "peer")
+	require.EqualValues(t, 5, c.inForce.Load().Version)
+	require.Zero(t, c.unreadableRevision())
+}
+
+// configPeer is a peer that knows a version as of its last confirmation.
+type configPeer struct {
+	scheduling.Scheduling
+	config *configuration
+	peers  []string
+	calls  atomic.Int64
+}
+
+func (p *configPeer) Config(_ context.Context, r *scheduling.ConfigRequest) (*scheduling.ConfigResponse, error) {
+	p.calls.Add(1)
+	resp := p.config.tell(r)
+	resp.Peers = p.peers
+	return resp, nil
+}
+
+func servePeer(t *testing.T, p *configPeer) string {
+	server := httptest.NewServer(scheduling.NewSchedulingServer(p))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// A process that the store does not answer has a version within 2 s that a peer knows, also
+// where the leader is behind and others are gone; while the store answers no peer is asked.
+func TestConfigurationIsLearntFromPeers(t *testing.T) {
+	knows, behind := &configPeer{config: newVersions()}, &configPeer{config: newVersions()}
+	knows.config.install(version(2), "store")
+	behind.config.install(version(1), "store")
+	knowing := servePeer(t, knows)
+	// Only the leader is known, and it knows a process that is gone and one that knows.
+	behind.peers = []string{"127.0.0.1:1", knowing}
+	lead := leader.Record{Address: servePeer(t, behind)}
+	stop := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(100 * time.Millisecond):
+				knows.config.confirm(steady.Now())
+			}
+		}
+	}()
+	defer close(stop)
+
+	c := newVersions()
+	c.install(version(1), "store")
+	c.read(steady.Now())
+	p := &configPeers{
+		config: c, known: &addresses{self: "127.0.0.1:2"}, leader: func() (leader.Record, bool) { return lead, true },
+		client: &http.Client{}, log: quietLog(), wake: make(chan struct{}, 1),
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- p.Serve(ctx) }()
+	defer func() {
+		cancel()
+		require.ErrorIs(t, <-ended, context.Canceled)
+	}()
+	for end := steady.Now() + askPeersAfter; steady.Now() < end; time.Sleep(100 * time.Millisecond) {
+		c.read(steady.Now())
+	}
+	require.Zero(t, behind.calls.Load(), "the store answers")
+	at := func(want int64) func() bool { return func() bool { return c.inForce.Load().Version == want } }
+	require.Eventually(t, at(2), 2*time.Second, 10*time.Millisecond)
+	knows.config.install(version(3), "store")
+	require.Eventually(t, at(3), time.Second, 10*time.Millisecond)
+	ago, ever := c.confirmedAgo()
+	require.True(t, ever)
+	require.Less(t, ago, 2*time.Second)
+}
+
+// The processes that are remembered are few, and none of them is this one or gone.
+func TestAddressesAreBounded(t *testing.T) {
+	a := &addresses{self: "self"}
+	a.add("self", "", "p0", "p0")
+	require.Equal(t, []string{"p0"}, a.list(""))
+	for i := range 50 {
+		a.add(fmt.Sprintf("p%d", i))
+	}
+	require.Len(t, a.list(""), keptAddresses)
+	first := a.list("")[0]
+	require.NotContains(t, a.list(first), first)
+	a.remove(first)
+	require.NotContains(t, a.list(""), first)
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -112,9 +112,7 @@
 	election *leader.Election
 	leader   *leader.Leader
 	entry    *entry.Entry
-	config   atomic.Pointer[batch.Config]
-	// unreadable is the revision of the newest configuration where it can't be read, else 0.
-	unreadable atomic.Int64
+	config   *configuration
 	// waves are those that the operator asked for, by number.
 	wavesMu  sync.Mutex
 	waves    map[int64]batch.Wave
@@ -129,35 +127,45 @@
 	relays *relay.Pool
 	relay  *relay.Server
 	offers *offers
+	// known are some of the other processes; configPeers asks them.
+	known       *addresses
+	configPeers *configPeers
 }
 
 // New puts the process together.
 func New(s Settings, p Platform, log *eventlog.Log) *Edge {
-	e := &Edge{settings: s, platform: p, log: log, waves: map[int64]batch.Wave{}, aborted: make(chan struct{})}
+	e := &Edge{
+		settings: s, platform: p, log: log, waves: map[int64]batch.Wave{}, aborted: make(chan struct{}),
+		config: newConfiguration(p.DecodeConfig, log), known: &addresses{self: s.Peers},
+	}
 	e.relays = &relay.Pool{Direct: p.Agents, List: relay.Instances(p.Instances), Node: s.Node, DirectVMs: s.DirectVMs, Processor: s.Processor, LinkMbps: s.LinkMbps, Log: log}
 	e.relay = &relay.Server{Agents: p.Agents, Instances: relay.Instances(p.Instances), Client: p.PeerClient, Log: log}
 	e.leader = &leader.Leader{
-		Store: p.Store, Agents: e.relays, Relays: e.relays, Adviser: p.Adviser, Instances: e.relays.Instances, Config: e.config.Load,
+		Store: p.Store, Agents: e.relays, Relays: e.relays, Adviser: p.Adviser, Instances: e.relays.Instances, Config: e.config.inForce.Load,
 		Settings: s.Bounds, Log: log, WallMS: wallMS,
 		Machines: p.Machines, Node: s.Node, Address: s.Peers, Predecessors: &predecessors{client: p.PeerClient}, Waves: e.listWaves, ReportWave: p.ReportWave,
 	}
 	e.metrics = newMetrics(e.leader.Figures)
-	e.metrics.registry.MustRegister(newConfigFigures(e))
+	e.metrics.registry.MustRegister(newConfigFigures(e.config))
 	e.leader.Observe, e.leader.ObserveEnd = e.metrics.decision, e.metrics.end
 	e.election = leader.NewElection(p.Store, leader.Record{Node: s.Node, Address: s.Peers}, s.Processor, log, e.leader.Lead)
-	local := &peerServer{node: s.Node, leader: e.leader, election: e.election, store: p.Store, relays: e.relays}
+	local := &peerServer{node: s.Node, leader: e.leader, election: e.election, store: p.Store, relays: e.relays, config: e.config, known: e.known}
 	e.offers = &offers{
 		offer:  relay.Offer{Node: s.Node, Address: s.Peers, Zone: s.Zone, VMs: relay.Room(s.Processor, s.LinkMbps)},
-		leader: e.election.Leader, client: p.PeerClient, log: log, wake: make(chan struct{}, 1),
+		leader: e.election.Leader, known: e.known, client: p.PeerClient, log: log, wake: make(chan struct{}, 1),
+	}
+	e.configPeers = &configPeers{
+		config: e.config, known: e.known, leader: e.election.Leader, client: p.PeerClient, log: log, wake: make(chan struct{}, 1),
 	}
 	e.election.Seen = func(leader.Record) { e.offers.soon() }
 	e.operator = &follow.Follower{
 		Store: p.Store, Prefix: p.OperatorPrefix, Wait: configWatch, ReadEvery: configReadEvery, Handle: e.observeOperator,
+		Read:   e.config.read,
 		Failed: func(err error) { log.Warn("config_watch_failed", err, nil) },
 	}
 	e.peers = &peers{self: s.Peers, election: e.election, local: local, client: p.PeerClient}
 	e.entry = &entry.Entry{
-		Store: p.Store, InForce: e.config.Load, ConfirmedAt: e.operator.ReadAt, Accepting: e.ready, WallMS: wallMS, Log: log,
+		Store: p.Store, InForce: e.config.inForce.Load, ConfirmedAgo: e.config.confirmedAgo, Accepting: e.ready, WallMS: wallMS, Log: log,
 		Observe: e.metrics.request, StoreHeardAt: e.operator.HeardAt, LeaderAnswers: e.leaderAnswers,
 		Peers: e.peers,
 	}
@@ -210,6 +218,7 @@
 	tree.Add(e.election.Follower())
 	tree.Add(e.election)
 	tree.Add(e.offers)
+	tree.Add(e.configPeers)
 	for _, s := range e.servers {
 		tree.Add(httpService{s})
 	}
@@ -239,17 +248,20 @@
 // ready reports whether callers should come here: the process has a configuration
 // and a way to the store, its own or the leader's.
 func (e *Edge) ready() bool {
-	return e.config.Load() != nil && !e.draining.Load() && (e.entry.StoreAnswers() || e.leaderAnswers())
+	return e.config.inForce.Load() != nil && !e.draining.Load() && (e.entry.StoreAnswers() || e.leaderAnswers())
 }
 
 // leaderAnswers reports whether another process that leads has answered of late.
 func (e *Edge) leaderAnswers() bool { return e.peers.reach.Within(leaderSilent, 0) }
 
+// sourceStore is the source of configurations that the store told.
+const sourceStore = "store"
+
 // observeOperator takes over what the operator wrote.
 func (e *Edge) observeOperator(items []durable.Item, _ bool) {
 	for i := range items {
 		if items[i].Key == e.platform.ConfigKey && !items[i].Deleted {
-			e.installConfig(&items[i])
+			e.config.install(&items[i], sourceStore)
 			continue
 		}
 		w, ok, err := e.platform.DecodeWave(items[i])
@@ -270,23 +282,6 @@
 	return slices.Collect(maps.Values(e.waves))
 }
 
-// installConfig installs a newer configuration. An older one, from a read that
-// overtook, is never installed.
-func (e *Edge) installConfig(item *durable.Item) {
-	c, err := e.platform.DecodeConfig(item.Value)
-	if err != nil {
-		e.unreadable.Store(item.Revision)
-		e.log.Warn("config_unreadable", err, eventlog.Fields{"revision": item.Revision})
-		return
-	}
-	e.unreadable.Store(0)
-	if current := e.config.Load(); current != nil && c.Version <= current.Version {
-		return
-	}
-	e.config.Store(c)
-	e.log.Event("config_installed", eventlog.Fields{"version": c.Version, "revision": item.Revision, "queues": len(c.Queues)})
-}
-
 // drain is the planned stop. The lead is given up first, by a write, so that
 // another takes over at once. The listener stays open until the balancer has
 // seen that the process is not ready: a request that comes meanwhile is served.
--- a/internal/edge/offers.go
+++ b/internal/edge/offers.go
@@ -30,6 +30,7 @@
 type offers struct {
 	offer   relay.Offer
 	leader  func() (leader.Record, bool)
+	known   *addresses
 	client  *http.Client
 	log     *eventlog.Log
 	wake    chan struct{}
@@ -79,11 +80,12 @@
 	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
 	defer cancel()
 	remote := scheduling.NewSchedulingProtobufClient("http://"+record.Address, o.client)
-	_, err := remote.Offer(ctx, &scheduling.OfferRequest{
+	r, err := remote.Offer(ctx, &scheduling.OfferRequest{
 		Node: o.offer.Node, Address: o.offer.Address, Zone: o.offer.Zone, Vms: int32(o.offer.VMs),
 	})
 	if err != nil && ctx.Err() == nil {
 		o.log.Event("offer_not_taken", eventlog.Fields{"leader": record.Node, "error": err.Error()})
 	}
+	o.known.add(r.GetPeers()...)
 	return err == nil
 }
--- a/internal/edge/operations.go
+++ b/internal/edge/operations.go
@@ -125,16 +125,16 @@
 func (e *Edge) Dump() Dump {
 	d := Dump{
 		Node: e.settings.Node, Zone: e.settings.Zone, Ready: e.ready(), Scheduler: e.leader.Dump(),
-		ConfigConfirmedAgoMS: -1, ConfigUnreadable: e.unreadable.Load(),
+		ConfigConfirmedAgoMS: -1, ConfigUnreadable: e.config.unreadableRevision(),
 	}
-	if ago, ever := e.configConfirmedAgo(); ever {
+	if ago, ever := e.config.confirmedAgo(); ever {
 		d.ConfigConfirmedAgoMS = ago.Milliseconds()
 	}
 	if d.Scheduler != nil {
 		d.Relays = e.relays.Serving()
 	}
 	d.Leader, _ = e.election.Leader()
-	if c := e.config.Load(); c != nil {
+	if c := e.config.inForce.Load(); c != nil {
 		d.ConfigVersion, d.Queues = c.Version, len(c.Queues)
 	}
 	return d
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -29,6 +29,8 @@
 	election *leader.Election
 	store    durable.Store
 	relays   *relay.Pool
+	config   *configuration
+	known    *addresses
 }
 
 var _ scheduling.Scheduling = (*peerServer)(nil)
@@ -111,7 +113,16 @@
 	if !p.relays.Offered(relay.Offer{Node: r.GetNode(), Address: r.GetAddress(), Zone: r.GetZone(), VMs: max(int(r.GetVms()), 1)}) {
 		return nil, errNotLeading
 	}
-	return &scheduling.OfferResponse{}, nil
+	p.known.add(r.GetAddress())
+	return &scheduling.OfferResponse{Peers: p.known.list(r.GetAddress())}, nil
+}
+
+// Config implements scheduling.Scheduling.
+func (p *peerServer) Config(_ context.Context, r *scheduling.ConfigRequest) (*scheduling.ConfigResponse, error) {
+	resp := p.config.tell(r)
+	p.known.add(r.GetAddress())
+	resp.Peers = p.known.list(r.GetAddress())
+	return resp, nil
 }
 
 // predecessors asks processes that led.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -68,9 +68,8 @@
 	InForce func() *batch.Config
 	// Accepting reports whether the balancer should send callers here.
 	Accepting func() bool
-	// ConfirmedAt is when the configuration in force was last known to be the newest, on the
-	// steady clock; 0 for never.
-	ConfirmedAt func() time.Duration
+	// ConfirmedAgo is how long ago the configuration in force was known to be the newest.
+	ConfirmedAgo func() (ago time.Duration, ever bool)
 	// StoreHeardAt is when the store last answered this process's watches, on the
 	// steady clock; 0 for never.
 	StoreHeardAt func() time.Duration
@@ -161,8 +160,8 @@
 func (e *Entry) logUnknownQueue(host, path string, config *batch.Config, err *errkind.Error) {
 	e.observe("queue_unknown", time.Now(), err)
 	f := eventlog.Fields{"host": clip(host), "path": clip(path), "version": config.Version, "outcome": string(err.Kind)}
-	if at := e.ConfirmedAt(); at > 0 {
-		f["confirmed_ago_ms"] = (steady.Now() - at).Milliseconds()
+	if ago, ever := e.ConfirmedAgo(); ever {
+		f["confirmed_ago_ms"] = ago.Milliseconds()
 	}
 	e.Log.Event("queue_unknown", f)
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -49,11 +49,15 @@
 	// ReadEvery is how often the whole prefix is read beside the watch, 0 for never. A
 	// watch that hears nothing is no proof that nothing has changed.
 	ReadEvery time.Duration
+	// Read is told of each whole reading after it was handled, with the time at which it
+	// was begun on the steady clock: what was handled holds at least what there was then.
+	// May be nil.
+	Read func(began time.Duration)
 	// Failed is told of each failed call; may be nil.
 	Failed func(error)
 
-	heardAt, readAt atomic.Int64
-	reread          atomic.Bool
+	heardAt atomic.Int64
+	reread  atomic.Bool
 	// soon makes a reading beside the watch begin.
 	soonOnce sync.Once
 	soon     chan struct{}
@@ -96,10 +100,6 @@
 // HeardAt is when the store last answered, on the steady clock; 0 for never.
 func (f *Follower) HeardAt() time.Duration { return time.Duration(f.heardAt.Load()) }
 
-// ReadAt is when the last whole reading was begun that the store answered, on the steady
-// clock; 0 for never. What was handled since holds at least what there was then.
-func (f *Follower) ReadAt() time.Duration { return time.Duration(f.readAt.Load()) }
-
 // ReadSoon makes a reading beside the watch begin now, unless one is under way.
 func (f *Follower) ReadSoon() {
 	select {
@@ -201,8 +201,8 @@
 		return position{}, err
 	}
 	f.heardAt.Store(int64(steady.Now()))
-	if f.handleWhole(items, revision, before) {
-		f.readAt.Store(int64(began))
+	if f.handleWhole(items, revision, before) && f.Read != nil {
+		f.Read(began)
 	}
 	return position{after: revision}, nil
 }
