A report that a process reads after a suspension tells nothing of what its VM is now

Cause: the moment at which a VM was heard was that of the reading. A leader that wakes finds the answers to holds of before its suspension, takes its VMs for heard just now, plans on them, and its orders and acknowledgements reach their next starts, which have seen no fencing token.

Change: a report that is read over a second later than its hold may wait counts as no answer. The VM gets nothing, its lease is not renewed and nothing is acknowledged until it answers a hold that was sent after the suspension. The clock counts suspensions.

The explorer looks at each acknowledgement as the stand-in of the platform does: a start of a VM must not be told to forget ends that it has not told.

TestReportReadAfterASuspensionTellsNothing fails without it: a start is ordered at once.

--- a/internal/leader/holds.go
+++ b/internal/leader/holds.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/rattanwall/rattanwall/internal/batch"
 	"github.com/rattanwall/rattanwall/internal/eventlog"
 	"github.com/rattanwall/rattanwall/internal/pause"
@@ -189,11 +191,17 @@
 		*silent = silence{}
 	}
 	t.noteEnds(now, inst.ID, &report)
-	t.sched.Heard(now, sentAt, inst.ID, report)
+	if !t.sched.Heard(now, sentAt, inst.ID, report) {
+		err = errReadLate
+		t.log.Warn("vm_unanswered", err, standingFields(inst.ID, before))
+	}
 	t.awake()
-	return true, nil
+	return true, err
 }
 
+// errReadLate: this process was suspended between a hold and the answer's reading.
+var errReadLate = errors.New("its answer was read too late to tell what the VM is now")
+
 // replaced takes a VM out at whose address another one answers, and reports whether the VM is
 // known all the same: a later start of it, at another address.
 func (t *term) replaced(now time.Duration, inst *batch.Instance) (known bool) {
--- a/internal/scheduler/explore_vm_test.go
+++ b/internal/scheduler/explore_vm_test.go
@@ -51,6 +51,8 @@
 	last    map[batch.TaskID]int64
 	ended   []*modelEnd
 	seq     int64
+	// told is the highest end that it has told.
+	told int64
 	// lease is on the VM's clock, which runs at rate.
 	lease time.Duration
 	rate  float64
@@ -349,10 +351,14 @@
 	}
 	v.fence = max(v.fence, o.Fence)
 	w.extend(v, o.LeaseUntil)
+	if o.Acked > v.told {
+		w.fail(batch.TaskID{}, "%s is to forget its ends up to %d, and has told those up to %d", v.id, o.Acked, v.told)
+	}
 	for len(v.ended) > 0 && v.ended[0].Seq <= o.Acked {
 		w.acknowledged(v, v.ended[0])
 		v.ended = v.ended[1:]
 	}
+	v.told = v.seq
 	rep := batch.Report{Born: v.born, Clock: v.clock(w.now)}
 	for _, e := range v.ended {
 		rep.Ended = append(rep.Ended, e.RunEnd)
--- a/internal/scheduler/reports.go
+++ b/internal/scheduler/reports.go
@@ -6,11 +6,21 @@
 	"github.com/rattanwall/rattanwall/internal/batch"
 )
 
-// Heard takes an instance's report over; the hold was sent at sentAt.
-func (s *Scheduler) Heard(now, sentAt Time, id string, rep batch.Report) {
+// answeredWithin is how much longer than it waits a hold may take until its answer is read. The
+// call is given up earlier, by a process that runs.
+const answeredWithin = time.Second
+
+// Heard takes an instance's report over; the hold was sent at sentAt. It returns false for one
+// that a process reads which was suspended meanwhile: the VM may have ended, and started again,
+// since it was made, so that the hold counts as not answered.
+func (s *Scheduler) Heard(now, sentAt Time, id string, rep batch.Report) bool {
 	v := s.vms[id]
 	if v == nil {
-		return
+		return false
+	}
+	if now-sentAt > v.wait+answeredWithin {
+		s.Unanswered(now, id, false)
+		return false
 	}
 	if !v.mayBe(rep.Born) {
 		v = s.restarted(now, sentAt, v, &rep)
@@ -67,6 +77,7 @@
 	s.images.solve(now)
 	s.pace(now, v)
 	s.rescue(now, v)
+	return true
 }
 
 // heardAgain is how long an instance has to have been unheard for its return to be
--- a/internal/scheduler/restarts_test.go
+++ b/internal/scheduler/restarts_test.go
@@ -509,3 +509,23 @@
 	f.plan()
 	require.Equal(t, before+7, f.last("second.0.0.0").Start.Fence)
 }
+
+// Guards against a leader that wakes from a suspension, takes a report of before for what its VM is
+// now, and gives orders to the VM's next start.
+func TestReportReadAfterASuspensionTellsNothing(t *testing.T) {
+	f := newFixture(t, 1)
+	f.hear("vm00", batch.Report{Born: 1})
+	f.submit("j", tasks(1, 1000))
+	_, ok := f.s.Hold(f.now, "vm00", 0)
+	require.True(t, ok)
+	sentAt := f.now
+	f.advance(4 * time.Second)
+	require.False(t, f.s.Heard(f.now, sentAt, "vm00", batch.Report{Born: 1, Clock: time.Hour, Ended: []batch.RunEnd{{Seq: 7, Task: batch.TaskID{Job: "other"}, Run: 1, Kind: batch.EndDone}}}))
+	require.Empty(t, f.plan(), "whether that start lives is not known")
+	o, ok := f.s.Hold(f.now, "vm00", 0)
+	require.True(t, ok)
+	require.Zero(t, o.LeaseUntil, "it may run out")
+	require.Zero(t, o.Acked)
+	f.s.Heard(f.now, f.now, "vm00", batch.Report{Born: 1, Clock: time.Hour})
+	require.Len(t, f.plan(), 1)
+}
