A start of a VM that is first heard without the lead gets nothing before the lead is confirmed

What callers saw: a task ran in two places at one time.

Cause: what was started on a VM that has started again waited for the lead to be confirmed, but only where this leader had known the start before. One that it hears for the first time, of an entry that it had from before or that it had read just now, passed for one that every leader has spoken to, though the successor had spoken to the start before, if to any.

Change: the moment at which a start was first heard counts, whichever start it is: until a renewal of the lead that was sent later has succeeded it gets nothing. VMs that do not tell their births have an ID for each start, and need not wait. The price is a renewal (0.35 s at most) after a leader has first heard a VM that tells its birth.

--- a/internal/scheduler/reports.go
+++ b/internal/scheduler/reports.go
@@ -32,7 +32,7 @@
 	v.setClock(sentAt, now, rep.Clock)
 	v.clockWentBack = false
 	if !v.heard {
-		v.heard = true
+		v.heard, v.firstHeardAt = true, now
 		// An earlier leader may have renewed the leases there until now, or have given orders
 		// that were meant for the start before.
 		v.leaseOver = max(v.leaseOver, now+leaseOver(s.settings.firstLease(rep.Clock)))
--- a/internal/scheduler/restarts.go
+++ b/internal/scheduler/restarts.go
@@ -35,6 +35,10 @@
 // births.
 func (v *vm) mayRestart() bool { return v.born != 0 }
 
+// beganUnled reports whether the start may have begun after another leader was elected: that one
+// may have heard the start before, whose fencing token this one has not seen.
+func (s *Scheduler) beganUnled(v *vm) bool { return v.mayRestart() && v.firstHeardAt > s.ledAt }
+
 // entryIsOfThisStart reports whether the entry on the list is that of the start that
 // reports. Pool, labels and capacity of another one say nothing of it.
 func (v *vm) entryIsOfThisStart() bool { return v.mayBe(v.inst.Born) }
@@ -89,7 +93,7 @@
 // restarted takes in that a later start of a VM has reported, and returns it.
 func (s *Scheduler) restarted(now, sentAt Time, old *vm, rep *batch.Report) *vm {
 	v := newVM(now, old.inst)
-	v.born, v.restartedAt = rep.Born, now
+	v.born = rep.Born
 	v.token, v.tokenWanted = max(s.token, old.token), s.token <= old.token
 	v.listed, v.unlistedAt, v.wait = old.listed, old.unlistedAt, old.wait
 	s.vms[v.inst.ID] = v
--- a/internal/scheduler/restarts_test.go
+++ b/internal/scheduler/restarts_test.go
@@ -529,3 +529,23 @@
 	f.s.Heard(f.now, f.now, "vm00", batch.Report{Born: 1, Clock: time.Hour})
 	require.Len(t, f.plan(), 1)
 }
+
+// Guards against a deposed leader that gives orders to a start of a VM which began after its successor
+// had spoken to the one before: no leader's fencing token has been seen there.
+func TestStartThatIsFirstHeardWithoutTheLeadGetsNothing(t *testing.T) {
+	f := newFixture(t, 0)
+	f.s.ledAt = f.now
+	f.list = append(f.list, instance(0), instance(1))
+	f.s.SetInstances(f.now, f.list)
+	f.advance(time.Second)
+	f.hear("vm00", batch.Report{Born: 1})
+	f.hear("vm01", batch.Report{})
+	f.submit("j", tasks(2, 9000))
+	orders := f.plan()
+	require.Len(t, orders, 1)
+	require.Equal(t, "vm01", orders[0].Instance.ID, "its ID is that of one start")
+	f.s.Led(f.now)
+	orders = f.plan()
+	require.Len(t, orders, 1)
+	require.Equal(t, "vm00", orders[0].Instance.ID)
+}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -219,11 +219,10 @@
 // vm is one start of a VM that the leader knows; see restarts.go.
 type vm struct {
 	// inst is the entry on the list. It may be that of another start: born is the birth of
-	// the one that reports, 0 before it is told, and restartedAt when it was first heard, 0
-	// for the first that this leader has known of.
-	inst        batch.Instance
-	born        int64
-	restartedAt Time
+	// the one that reports, 0 before it is told, and firstHeardAt when it was first heard.
+	inst         batch.Instance
+	born         int64
+	firstHeardAt Time
 	// listed is set while the store's list has the instance.
 	listed bool
 	// token is the fencing token of what is sent to this start: higher than that of what this
