A start of a task is carried out by the start of its VM that it was ordered from, or by none

An order that finds its connection broken is tried again at once, over a new one.

Cause: an order named the VM's ID, and its connection was whichever the client had, or made.

Change: a start names the birth that it is meant for. Relays are told the birth with the order. VMs that tell no birth are served as before. Weighed: holds and starts on one connection (a hold waits for a second on it); an order that is withheld until the next report (0.6 s for each start); only without a confirmed lead (a relay would have to be told that too).

--- a/internal/batch/vm.go
+++ b/internal/batch/vm.go
@@ -120,6 +120,9 @@
 	Ticket string
 	// Fence is the fencing token of the leader that gives the order.
 	Fence int64
+	// Born is the start of the instance that the order is for, 0 for any. No other one carries
+	// it out: it is refused as RefusedUnreached.
+	Born int64
 	// LeaseUntil is on the instance's own clock.
 	LeaseUntil time.Duration
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -205,12 +205,13 @@
 	cause := &batch.RefusalError{Reason: batch.RefusedUnreached, Cause: errors.New("no route")}
 	relayed := &vms{stop: cause, report: func(string) (batch.Report, error) { return batch.Report{}, errors.New("cut off") }}
 	p := newPool(t, &vms{}, 100, newProcess(t, "ra", "a", relayed), newProcess(t, "rb", "b", relayed))
-	clock, err := p.Start(soon(t), vmOf(0), batch.StartOrder{Task: batch.TaskID{Job: "j"}, Payload: "text", Fence: 7})
+	clock, err := p.Start(soon(t), vmOf(0), batch.StartOrder{Task: batch.TaskID{Job: "j"}, Payload: "text", Fence: 7, Born: 3})
 	require.NoError(t, err)
 	require.Equal(t, time.Hour, clock)
 	_, err = p.Start(soon(t), vmOf(2), batch.StartOrder{Task: batch.TaskID{Job: "j", Index: 1}, Payload: "text"})
 	require.NoError(t, err)
 	require.Equal(t, "text", relayed.starts[0].Payload)
+	require.EqualValues(t, 3, relayed.starts[0].Born)
 	require.Equal(t, "text", relayed.starts[1].Payload)
 	var refusal *batch.RefusalError
 	require.ErrorAs(t, p.Stop(soon(t), vmOf(0), batch.TaskID{Job: "j"}, 1, 7), &refusal)
--- a/internal/scheduler/explore_leader_test.go
+++ b/internal/scheduler/explore_leader_test.go
@@ -433,6 +433,13 @@
 		return
 	}
 	sentAt := w.now
+	if v.current().born != o.Start.Born {
+		// A connection leads to the start that accepted it.
+		w.after(2*w.travel(), func() {
+			w.deliver(l, func() { l.s.Started(w.now, sentAt, o, 0, batch.RefusedUnreached, false) })
+		})
+		return
+	}
 	refusal := batch.Refusal("")
 	clock := time.Duration(0)
 	w.call(l, v, func(v *modelVM) { refusal, clock = w.started(v, o), v.clock(w.now) }, func() {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -363,7 +363,7 @@
 		Kind: OrderStart, Instance: v.inst, Task: t.id(), Run: r.number,
 		Start: batch.StartOrder{
 			Task: t.id(), Run: r.number, Payload: j.spec.Payload, Checkpoint: t.checkpoint, Ticket: allowed,
-			Fence: v.token, LeaseUntil: v.leaseUntil,
+			Fence: v.token, Born: v.born, LeaseUntil: v.leaseUntil,
 		},
 	})
 }
--- a/internal/scheduler/restarts_test.go
+++ b/internal/scheduler/restarts_test.go
@@ -548,4 +548,5 @@
 	orders = f.plan()
 	require.Len(t, orders, 1)
 	require.Equal(t, "vm00", orders[0].Instance.ID)
+	require.EqualValues(t, 1, orders[0].Start.Born)
 }
