A doubt that a successor concludes counts half where the run had lived for a while

Cause: what a leader has in doubt is concluded by its successor as "shared", at full weight, since the successor can't tell when the VM ended nor which others ended with it.

Change: a doubt says whether the run had lived for 0.3 s (begunJustBefore) when its VM was last heard, in the job's record and in what a predecessor tells. A successor that concludes such a doubt takes the end for one that nobody has seen, of which two count as one. Others, and all that one leader sees from the start to the end, count as before. The weight goes by evidence now: a task that ends its VMs within milliseconds is never listed after 0.3 s.

TestDoubtAboutARunThatHadLivedCountsHalf fails without it.

--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -52,6 +52,8 @@
 	run  int64
 	kind crashKind
 	vm   vmStart
+	// lived is set where the run had lived for begunJustBefore when its VM was last heard.
+	lived bool
 }
 
 const (
@@ -125,13 +127,18 @@
 
 // recordCrash has the job's record tell of a run and the start of a VM that it was on.
 func (s *Scheduler) recordCrash(r *run, start vmStart, kind crashKind) {
-	r.task.setCrash(crash{run: r.number, kind: kind, vm: start})
+	r.task.setCrash(r.asCrash(kind, start))
 	s.touchCrashes(r.task)
 	if kind == crashDoubted {
 		s.doubt(start, r.task, r.number)
 	}
 }
 
+// asCrash is what is noted of the run, where a start of a VM may have ended under it.
+func (r *run) asCrash(kind crashKind, start vmStart) crash {
+	return crash{run: r.number, kind: kind, vm: start, lived: r.lived() >= begunJustBefore}
+}
+
 // crash returns what was noted of a run, or nil.
 func (t *task) crash(number int64) *crash {
 	for i := range t.crashes {
@@ -308,18 +315,13 @@
 }
 
 // concludeDoubts takes in that a VM has ended that runs were doubted on.
-func (s *Scheduler) concludeDoubts(now Time, start vmStart, kind crashKind) {
-	s.concludeDoubtsBy(now, start, func(int64) crashKind { return kind })
-}
-
-// concludeDoubtsBy does the same where the end says something else of each run.
-func (s *Scheduler) concludeDoubtsBy(now Time, start vmStart, verdictOn func(number int64) crashKind) {
+func (s *Scheduler) concludeDoubts(now Time, start vmStart, verdictOn func(c *crash) crashKind) {
 	doubts := s.doubts[start]
 	delete(s.doubts, start)
 	for _, t := range inOrder(doubts) {
 		number := doubts[t]
 		if c := t.crash(number); c != nil && c.kind == crashDoubted && !t.step.occ.job.state.Final() {
-			s.setCrashKind(now, t, c, verdictOn(number))
+			s.setCrashKind(now, t, c, verdictOn(c))
 		}
 	}
 }
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -19,6 +19,8 @@
 	// VM is the instance, Born which start of it.
 	VM   string
 	Born int64
+	// Lived is as in the records of progress.
+	Lived bool
 }
 
 // mostNews bounds what a leader tells, crashes first: a row takes some 80 bytes.
@@ -45,8 +47,8 @@
 }
 
 // news is a row about a run.
-func (t *task) news(run int64, kind crashKind, start vmStart) CrashNews {
-	return CrashNews{Task: t.id(), Run: run, Kind: int64(kind), VM: start.id, Born: start.born}
+func (t *task) news(c crash) CrashNews {
+	return CrashNews{Task: t.id(), Run: c.run, Kind: int64(c.kind), VM: c.vm.id, Born: c.vm.born, Lived: c.lived}
 }
 
 func (t *task) unrecordedCrashes() []CrashNews {
@@ -57,12 +59,12 @@
 	var news []CrashNews
 	for _, c := range t.crashes {
 		if c.vm.id != "" && j.written < t.crashVersion {
-			news = append(news, t.news(c.run, c.kind, c.vm))
+			news = append(news, t.news(c))
 		}
 	}
 	for _, r := range t.runs {
 		if r.vm.unansweredAt > 0 && r.mayHaveCrashed() && t.crash(r.number) == nil {
-			news = append(news, t.news(r.number, crashDoubted, r.vm.thisStart()))
+			news = append(news, t.news(r.asCrash(crashDoubted, r.vm.thisStart())))
 		}
 	}
 	return news
@@ -76,7 +78,7 @@
 	var news []CrashNews
 	for _, r := range t.runs {
 		if r.vm.unansweredAt == 0 && r.mayHaveCrashed() && !r.logged && t.crash(r.number) == nil {
-			news = append(news, t.news(r.number, crashStarted, r.vm.thisStart()))
+			news = append(news, t.news(r.asCrash(crashStarted, r.vm.thisStart())))
 		}
 	}
 	return news
@@ -101,7 +103,7 @@
 		if t == nil || t.done || t.step.occ.job.state.Final() || t.hasRun(n.Run) {
 			continue
 		}
-		c := crash{run: n.Run, kind: crashKind(n.Kind), vm: vmStart{n.VM, n.Born}}
+		c := crash{run: n.Run, kind: crashKind(n.Kind), vm: vmStart{n.VM, n.Born}, lived: n.Lived}
 		known := t.crash(n.Run)
 		switch {
 		case known == nil && c.kind == crashDoubted:
--- a/internal/scheduler/judgedends.go
+++ b/internal/scheduler/judgedends.go
@@ -98,10 +98,20 @@
 	}
 	slices.SortFunc(ended, func(a, b vmStart) int { return cmp.Compare(a.born, b.born) })
 	for _, start := range ended {
-		s.concludeDoubts(now, start, crashShared)
+		s.concludeDoubts(now, start, verdictOnEarlier)
 	}
 }
 
+// verdictOnEarlier is what the end of a VM says of a run that another leader had in doubt, when
+// nobody can tell which other VMs ended with it. A task that ends its VMs does so as it begins:
+// a run that had lived for a while was more likely lost with its VM.
+func verdictOnEarlier(c *crash) crashKind {
+	if c.lived {
+		return crashUnseen
+	}
+	return crashShared
+}
+
 func (s *Scheduler) toBeJudged(start vmStart) bool {
 	return slices.ContainsFunc(s.judgedEnds, func(e *judgedEnd) bool { return e.start == start && !e.judged })
 }
@@ -151,7 +161,7 @@
 		e.kind = crashStorm
 	}
 	e.runs = maps.Clone(s.doubts[e.start])
-	s.concludeDoubtsBy(now, e.start, e.verdictOn)
+	s.concludeDoubts(now, e.start, func(c *crash) crashKind { return e.verdictOn(c.run) })
 }
 
 // accuse takes in that a VM has ended in the trial of a task: those on which it had just begun
--- a/internal/scheduler/judgedends_test.go
+++ b/internal/scheduler/judgedends_test.go
@@ -204,6 +204,39 @@
 	require.Equal(t, []crashKind{crashShared}, f.kinds())
 }
 
+// Guards against an innocent job that is given up over take-overs: each successor took the loss of a
+// VM on which the job's task had worked for a while for a VM that the task had ended as it began.
+func TestDoubtAboutARunThatHadLivedCountsHalf(t *testing.T) {
+	for lived, kind := range map[time.Duration]crashKind{0: crashShared, begunJustBefore: crashUnseen} {
+		f := newFixture(t, 2)
+		f.hearAll(nil)
+		f.submit("j", tasks(1, 1000))
+		f.plan()
+		vm := f.startFirst()
+		f.advance(lived)
+		f.hear(vm, runs(f.last("j.0.0.0")))
+		for range doubtAfter {
+			f.s.Unanswered(f.now, vm, false)
+		}
+		news := f.s.UnrecordedCrashes()
+		records := f.write()
+
+		next := successor(t, 2)
+		next.s.Submit(next.now, Submission{
+			Job: &batch.Job{ID: "j", Payload: "p", Steps: []batch.Step{tasks(1, 1000)}}, Queue: testQueue, Pool: "pool", Existed: true, Progress: records["j"], Record: 1,
+		})
+		require.Equal(t, []crashKind{crashDoubted}, next.kinds())
+		next.s.Gone(next.now, vm, "machine ended it")
+		require.Equal(t, []crashKind{kind}, next.kinds(), "lived for %v", lived)
+
+		told := newFixture(t, 2)
+		told.submit("j", tasks(1, 1000))
+		told.s.LearnCrashes(told.now, news)
+		told.s.Gone(told.now, vm, "machine ended it")
+		require.Equal(t, []crashKind{kind}, told.kinds(), "told by the leader before")
+	}
+}
+
 // Guards against a job that is given up for what another's task did, which began on the VM at the same
 // moment as a suspect that had found no VM of its own in time.
 func TestOverdueSuspectBeginsApartFromOthers(t *testing.T) {
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -52,6 +52,8 @@
 	// VM is the instance, "" for a run that was yet to be placed, Born which start of it.
 	VM   string `json:"v,omitempty"`
 	Born int64  `json:"b,omitempty"`
+	// Lived is set where the run had lived for some tenths of a second when its VM was last heard.
+	Lived bool `json:"l,omitempty"`
 }
 
 // progress builds the record of a job.
@@ -105,7 +107,7 @@
 				sp.Failures = append(sp.Failures, [2]int64{int64(k), number})
 			}
 			for _, c := range t.crashes {
-				sp.Crashes = append(sp.Crashes, CrashProgress{Task: k, Run: c.run, Kind: int64(c.kind), VM: c.vm.id, Born: c.vm.born})
+				sp.Crashes = append(sp.Crashes, CrashProgress{Task: k, Run: c.run, Kind: int64(c.kind), VM: c.vm.id, Born: c.vm.born, Lived: c.lived})
 			}
 		}
 	}
@@ -164,7 +166,7 @@
 	}
 	for _, c := range p.Crashes {
 		if c.Task >= 0 && c.Task < len(st.tasks) && !st.tasks[c.Task].done {
-			st.tasks[c.Task].setCrash(crash{run: c.Run, kind: crashKind(c.Kind), vm: vmStart{c.VM, c.Born}})
+			st.tasks[c.Task].setCrash(crash{run: c.Run, kind: crashKind(c.Kind), vm: vmStart{c.VM, c.Born}, lived: c.Lived})
 		}
 	}
 }
