One end of a VM counts once against a task

Cause: what was noted was counted by runs. Two leaders had started the task on one VM one after the other, without learning what became of it, so that the one end of that VM counted as two of the five that give a job up.

Change: of several runs of a task on one start of a VM the one that says most counts.

TestOneEndOfAVMCountsOnce fails without it: the job is failed after three VMs.

--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -226,27 +226,78 @@
 	s.judgeEnds(now)
 }
 
+// crashWeight is how much a crash says against its task, in ascending order.
+type crashWeight int
+
+const (
+	weightNone crashWeight = iota
+	weightHalf
+	weightDoubt
+	weightWhole
+	weightAlone
+)
+
+// weight is how much a crash says against the task. One whose run is under way, or to come, says
+// nothing yet.
+func (t *task) weight(c *crash) crashWeight {
+	switch c.kind {
+	case crashAlone:
+		return weightAlone
+	case crashShared:
+		return weightWhole
+	case crashDoubted:
+		if c.run != t.intended && !t.hasRun(c.run) {
+			return weightDoubt
+		}
+	case crashStorm, crashUnseen:
+		return weightHalf
+	case crashMass, crashStarted:
+	}
+	return weightNone
+}
+
+// sameEnd reports whether another crash tells of the same end of a VM, and says as much or more: a
+// start of a VM ends once, by one run of the task at most.
+func (t *task) sameEnd(i int) bool {
+	c := &t.crashes[i]
+	if c.vm.id == "" {
+		return false
+	}
+	for k := range t.crashes {
+		other := &t.crashes[k]
+		if k == i || other.vm != c.vm {
+			continue
+		}
+		if by := cmp.Compare(t.weight(other), t.weight(c)); by > 0 || (by == 0 && k < i) {
+			return true
+		}
+	}
+	return false
+}
+
 // judgeCrashes gives a task up that has ended its VMs.
 func (s *Scheduler) judgeCrashes(now Time, t *task) {
 	alone, counted, doubted, weak, unplaced := 0, 0, 0, 0, 0
-	for _, c := range t.crashes {
-		switch c.kind {
-		case crashAlone:
+	for i := range t.crashes {
+		c := &t.crashes[i]
+		if t.sameEnd(i) {
+			continue
+		}
+		switch t.weight(c) {
+		case weightAlone:
 			alone++
 			counted++
-		case crashShared:
+		case weightWhole:
 			counted++
-		case crashDoubted:
-			switch {
-			case c.run == t.intended || t.hasRun(c.run):
-			case c.vm.id == "":
+		case weightDoubt:
+			if c.vm.id == "" {
 				unplaced++
-			default:
+			} else {
 				doubted++
 			}
-		case crashStorm, crashUnseen:
+		case weightHalf:
 			weak++
-		case crashMass:
+		case weightNone:
 		}
 	}
 	counted += weak / stormWeight
