An overdue suspect does not wait for a start that is left without an answer

Found in review of: a run whose start has no answer counted as about to begin for as long as it was in doubt, up to 25 s where the stop is not confirmed either, and a suspect waited for it on the VM that it had kept. That another one may have begun unseen keeps the VM's end from counting as a trial already (mayBegin).

--- a/internal/scheduler/trials.go
+++ b/internal/scheduler/trials.go
@@ -152,10 +152,11 @@
 	}
 }
 
-// hasJustBegun reports whether a run of another task has just begun on the VM, or is about to.
+// hasJustBegun reports whether a run of another task has just begun on the VM, or is about to. A
+// start that is left without an answer for longer is no reason to wait: see mayBegin.
 func (v *vm) hasJustBegun(now Time, t *task) bool {
 	return slices.ContainsFunc(v.ordered, func(r *run) bool {
-		return r.task.unit() != t.unit() && r.isNew() && (r.confirmedAt == 0 || now-r.confirmedAt < begunJustBefore)
+		return r.task.unit() != t.unit() && r.isNew() && now-max(r.orderedAt, r.confirmedAt) < begunJustBefore
 	})
 }
 
