A start that another start of its VM is there for is refused as restarted, and its VM is heard first

Found in review of: such a refusal was "unreached", after which a start is ordered again 50 ms later, from the same VM: until a hold has failed (1.7 s where it waits) each try made a connection to the VM's next start, asked whose it was, and closed it.

Change: the refusal has a kind of its own, after which the VM gets nothing before its next report, as where a start was answered with a clock that went back.

Deployments whose VMs tell no births are not touched by it.

--- a/internal/batch/vm.go
+++ b/internal/batch/vm.go
@@ -121,7 +121,7 @@
 	// Fence is the fencing token of the leader that gives the order.
 	Fence int64
 	// Born is the start of the instance that the order is for, 0 for any. No other one carries
-	// it out: it is refused as RefusedUnreached.
+	// it out: it is refused as RefusedRestarted.
 	Born int64
 	// LeaseUntil is on the instance's own clock.
 	LeaseUntil time.Duration
@@ -160,6 +160,8 @@
 	RefusedInvalid Refusal = "invalid"
 	// RefusedGone: another instance answers at that address.
 	RefusedGone Refusal = "gone"
+	// RefusedRestarted: another start of the instance is there than the one that was meant.
+	RefusedRestarted Refusal = "restarted"
 )
 
 // RefusalError says that an order was certainly not carried out.
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -290,9 +290,10 @@
 	if v == nil {
 		return
 	}
-	if clockValue > 0 && v.clock.gotAt <= sentAt && clockValue < v.clock.value {
+	clockWentBack := clockValue > 0 && v.clock.gotAt <= sentAt && clockValue < v.clock.value
+	if clockWentBack || (refusal == batch.RefusedRestarted && v.heardAt <= sentAt) {
 		// Another start has answered: nothing more is given to it before it has reported.
-		v.clockWentBack = true
+		v.otherStart = true
 	}
 	r := v.runs[o.Task]
 	if r == nil || r.number != o.Run {
--- a/internal/scheduler/explore_leader_test.go
+++ b/internal/scheduler/explore_leader_test.go
@@ -436,7 +436,7 @@
 	if v.current().born != o.Start.Born {
 		// A connection leads to the start that accepted it.
 		w.after(2*w.travel(), func() {
-			w.deliver(l, func() { l.s.Started(w.now, sentAt, o, 0, batch.RefusedUnreached, false) })
+			w.deliver(l, func() { l.s.Started(w.now, sentAt, o, 0, batch.RefusedRestarted, false) })
 		})
 		return
 	}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -143,7 +143,7 @@
 		return obstaclePool
 	case !v.heard || !v.listed || v.silent(now) || v.unansweredAt > 0 || len(v.strangers) > 0:
 		return obstacleUnheard
-	case !v.entryIsOfThisStart(), !v.guarded, v.clockWentBack, s.beganUnled(v):
+	case !v.entryIsOfThisStart(), !v.guarded, v.otherStart, s.beganUnled(v):
 		return obstacleRestarted
 	case v.inst.Draining || v.closed || v.ackLimit > 0 || v.seen-v.durable > mostUnacked:
 		return obstacleDraining
--- a/internal/scheduler/reports.go
+++ b/internal/scheduler/reports.go
@@ -30,7 +30,7 @@
 	}
 	s.noteGuarded(v)
 	v.setClock(sentAt, now, rep.Clock)
-	v.clockWentBack = false
+	v.otherStart = false
 	if !v.heard {
 		v.heard, v.firstHeardAt = true, now
 		// An earlier leader may have renewed the leases there until now, or have given orders
--- a/internal/scheduler/restarts_test.go
+++ b/internal/scheduler/restarts_test.go
@@ -550,3 +550,20 @@
 	require.Equal(t, "vm00", orders[0].Instance.ID)
 	require.EqualValues(t, 1, orders[0].Start.Born)
 }
+
+// Guards against starts that are ordered again and again from a start that has ended: each makes a
+// connection to the next one, and is refused.
+func TestVMThatRefusesForAnotherStartIsHeardFirst(t *testing.T) {
+	f := newFixture(t, 1)
+	f.hear("vm00", batch.Report{Born: 1})
+	f.submit("j", tasks(1, 1000))
+	f.plan()
+	o := f.last("j.0.0.0")
+	require.True(t, f.s.Begin(f.now, o))
+	f.s.Started(f.now, f.now, o, 0, batch.RefusedRestarted, false)
+	f.advance(2 * retryPause)
+	require.Empty(t, f.plan())
+	f.hear("vm00", batch.Report{Born: 1})
+	f.advance(planEvery)
+	require.Len(t, f.plan(), 1)
+}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -276,9 +276,9 @@
 	unwanted []unwanted
 	// health rates failures of late; see health.go.
 	health health
-	// clockWentBack is set when a start was answered with a clock before the one that was
-	// reported, until the next report.
-	clockWentBack bool
+	// otherStart is set when an order was answered by another start than the one that reported,
+	// until the next report.
+	otherStart bool
 	// leaseUntil is the end of the lease on the instance's clock.
 	leaseUntil time.Duration
 	// wait is how long the last hold waits for an end.
