The list of known failures as the changes left it; seeds that still show a carried order

TestOrderOfTheStartBeforeIsCarriedOut would pass now: it gets two seeds that break each time, 61 by a start that is carried out by the next start of its VM and 0 by a hold that is.

--- a/internal/scheduler/explore_seeds_test.go
+++ b/internal/scheduler/explore_seeds_test.go
@@ -115,7 +115,7 @@
 // Guards against a VM that carries out an order seconds late which its start before had taken:
 // nobody has spoken to this one yet, so that it has seen no higher fencing token.
 func TestOrderOfTheStartBeforeIsCarriedOut(t *testing.T) {
-	playKnown(t, "an order of the start before", "restarts,carried", 31)
+	playKnown(t, "an order of the start before", "restarts,carried", 31, 0, 61)
 }
 
 // Guards against a task that is started again after its end was acknowledged: a deposed leader wakes
