--- a/internal/scheduler/judgedends_test.go
+++ b/internal/scheduler/judgedends_test.go
@@ -255,31 +255,3 @@
 	f.s.judgeCrashes(f.now, first)
 	require.Equal(t, batch.Failed, f.s.jobs["j"].state, "another start of the VM has ended")
 }
-
-// Guards against a job that is given up for what another's task did, which began on the VM at the same
-// moment as a suspect that had found no VM of its own in time.
-func TestOverdueSuspectBeginsApartFromOthers(t *testing.T) {
-	f := newFixture(t, 1)
-	f.hearAll(nil)
-	f.submit("other", tasks(1, 1000))
-	f.submit("j", tasks(1, 1000))
-	f.suspect("j")
-	f.taskOf("j").suspectSince = f.now - trialPatience - time.Millisecond
-	f.s.intend(f.taskOf("j"))
-	f.write()
-	f.plan()
-	other := f.last("other.0.0.0")
-	require.True(t, f.s.Begin(f.now, other))
-	f.confirm(other)
-	require.Empty(t, f.started["j.0.0.0"], "the other one is about to begin")
-
-	f.advance(begunJustBefore - time.Millisecond)
-	f.submit("late", tasks(1, 1000))
-	f.plan()
-	require.Empty(t, f.started["j.0.0.0"], "it has just begun")
-	require.Empty(t, f.started["late.0.0.0"], "the VM is kept")
-	f.advance(planEvery)
-	f.plan()
-	require.Len(t, f.started["j.0.0.0"], 1)
-	require.Empty(t, f.started["late.0.0.0"], "nothing begins beside it")
-}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -30,11 +30,6 @@
 
 // choose returns the best VM for a task, or nil.
 func (s *Scheduler) choose(now Time, t *task) *vm {
-	return s.chooseAmong(now, t, func(*vm) bool { return true })
-}
-
-// chooseAmong returns the best of the VMs that suit, or nil.
-func (s *Scheduler) chooseAmong(now Time, t *task, suits func(*vm) bool) *vm {
 	var best *vm
 	bestScore := 0.0
 	rack := ""
@@ -42,7 +37,7 @@
 		rack = t.step.rack()
 	}
 	for _, v := range s.order {
-		if !suits(v) || !s.hasRoom(now, v, t.step.spec) || s.fits(now, v, t) != obstacleNone {
+		if !s.hasRoom(now, v, t.step.spec) || s.fits(now, v, t) != obstacleNone {
 			continue
 		}
 		score, ok := s.score(now, v, t.step.spec)
--- a/internal/scheduler/trials.go
+++ b/internal/scheduler/trials.go
@@ -123,43 +123,18 @@
 	case free:
 		s.keep(now, best, t)
 	case t.overdue(now) && s.intend(t):
-		s.startOverdue(now, t, best)
+		v := s.choose(now, t)
+		if v == nil && s.starves(now, t) {
+			v = s.leastPressed(now, t)
+		}
+		if v != nil {
+			s.startClosed(now, t, v, false)
+		}
 	case best != nil && best.keptFor != t && float64(s.trials(now)) < max(1, mostTrials*float64(s.answering(now))):
 		s.keep(now, best, t)
 	}
 }
 
-// startOverdue starts a suspect beside others, on a VM on which nothing else has just begun: if that
-// one ended, nobody could tell which of them has ended it. Where there is none, it keeps one, on which
-// nothing will have for long. best is what trialVM found.
-func (s *Scheduler) startOverdue(now Time, t *task, best *vm) {
-	v := best
-	if v == nil || v.keptFor != t || now >= v.keptUntil {
-		v = s.chooseAmong(now, t, func(v *vm) bool { return !v.hasJustBegun(now, t) })
-	}
-	if v == nil {
-		v = s.choose(now, t)
-	}
-	switch {
-	case v != nil && v.hasJustBegun(now, t):
-		s.keep(now, v, t)
-		return
-	case v == nil && s.starves(now, t):
-		v = s.leastPressed(now, t)
-	}
-	if v != nil {
-		s.startClosed(now, t, v, false)
-	}
-}
-
-// hasJustBegun reports whether a run of another task has just begun on the VM, or is about to. A
-// start that is left without an answer for longer is no reason to wait: see mayBegin.
-func (v *vm) hasJustBegun(now Time, t *task) bool {
-	return slices.ContainsFunc(v.ordered, func(r *run) bool {
-		return r.task.unit() != t.unit() && r.isNew() && now-max(r.orderedAt, r.confirmedAt) < begunJustBefore
-	})
-}
-
 // suspect reports whether a member of the gang is.
 func (st *step) suspect() bool {
 	for k := range st.tasks {
