An end in a storm beside another task that began there is no trial

The job's task was blamed for a VM that another one ended.

Cause: a suspect whose patience is over begins beside others, and counts as tried where its VM ends within 0.3 s. In a storm - as many VMs had ended by themselves as still answered - just that moment is what makes the verdict "alone" rather than "in a storm".

Change: where another task's run began within the same 0.3 s, the end in a storm is noted as "beside another": it counts once and a half, as it is more than a shared end, but no conviction in a trial. Outside of storms nothing changes.

Why it works: the job is then given up by its trials, which it is alone in.

TestOneOfTwoThatBeginInAStormIsNotTried and TestEndBesideAnotherCountsOnceAndAHalf fail on the code before. All other tests of the package pass.

--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -41,10 +41,15 @@
 	crashUnseen
 	// crashStarted is not in records: the run was started, and may not be in the log of starts.
 	crashStarted
+	// crashPaired: the VM ended in a storm, by itself, as another task began there beside a
+	// suspect. It counts once and a half: more than a shared end, and gives no task up as a
+	// trial does.
+	crashPaired
 )
 
 var crashKindNames = map[crashKind]string{
 	crashDoubted: "doubted", crashShared: "shared", crashAlone: "alone", crashMass: "with many others", crashStorm: "in a storm", crashUnseen: "unseen", crashStarted: "started",
+	crashPaired: "beside another",
 }
 
 // crash is a run whose VM ended, or may have ended, while it was new.
@@ -234,6 +239,7 @@
 	weightHalf
 	weightDoubt
 	weightWhole
+	weightPaired
 	weightAlone
 )
 
@@ -243,6 +249,8 @@
 	switch c.kind {
 	case crashAlone:
 		return weightAlone
+	case crashPaired:
+		return weightPaired
 	case crashShared:
 		return weightWhole
 	case crashDoubted:
@@ -287,6 +295,9 @@
 		case weightAlone:
 			alone++
 			counted++
+		case weightPaired:
+			counted++
+			weak++
 		case weightWhole:
 			counted++
 		case weightDoubt:
--- a/internal/scheduler/judgedends.go
+++ b/internal/scheduler/judgedends.go
@@ -22,9 +22,8 @@
 	end   vmEnd
 	// judgeAt is when it is judged at the latest.
 	judgeAt Time
-	// trials are the runs that were on trial there, or the last to begin and just begun, with
-	// whether the VM ended just after they had begun.
-	trials map[int64]bool
+	// trials are the runs that were on trial there, or the last to begin and just begun.
+	trials map[int64]endInTrial
 	// judged is set once kind and others hold: how many VMs ended with it, of which something
 	// had just begun on busy.
 	judged       bool
@@ -36,14 +35,28 @@
 	runs map[*task]int64
 }
 
+// endInTrial tells how a VM's end follows the start of a run that was on trial there.
+type endInTrial struct {
+	// justBegun is set where the VM ended just after the run had begun, paired where another
+	// task had just begun there, too.
+	justBegun, paired bool
+}
+
 // verdictOn is what the end says of a run. In a storm a trial tells only where the VM ended
-// just as its run began.
+// just as its run began, and less where another task's run began at the same moment.
 func (e *judgedEnd) verdictOn(number int64) crashKind {
-	justBegun, trial := e.trials[number]
-	if trial && e.others == 0 && (justBegun || e.kind != crashStorm) {
+	trial, tried := e.trials[number]
+	switch {
+	case !tried || e.others > 0:
+		return e.kind
+	case e.kind != crashStorm:
 		return crashAlone
+	case !trial.justBegun:
+		return crashStorm
+	case trial.paired:
+		return crashPaired
 	}
-	return e.kind
+	return crashAlone
 }
 
 // noteEnd takes in that a start of a VM that was heard has ended, nil where that says nothing
@@ -59,7 +72,7 @@
 		s.clearDoubts(start)
 		return nil
 	}
-	e := &judgedEnd{start: start, end: end, judgeAt: end.noticedAt + judgedAfter, trials: map[int64]bool{}}
+	e := &judgedEnd{start: start, end: end, judgeAt: end.noticedAt + judgedAfter, trials: map[int64]endInTrial{}}
 	s.judgedEnds = append(s.judgedEnds, e)
 	return e
 }
@@ -71,7 +84,7 @@
 	}
 	justBegun := e.end.closed && e.end.noticedAt-r.confirmedAt < begunJustBefore
 	if r.confirmedAt > 0 && (r.trial || (r.last && justBegun && !r.vm.mayBegin(r))) {
-		e.trials[r.number] = justBegun
+		e.trials[r.number] = endInTrial{justBegun: justBegun, paired: e.end.freshBeside(r.task)}
 	}
 	if e.judged {
 		s.noteCrash(now, r, e.verdictOn(r.number))
--- a/internal/scheduler/judgedends_test.go
+++ b/internal/scheduler/judgedends_test.go
@@ -157,6 +157,54 @@
 	require.Equal(t, []crashKind{crashAlone}, f.kinds())
 }
 
+// Guards against a job that is given up for a VM that another's task ended: both had begun there in
+// one instant, while VMs ended one after the other, and the one that was started last was convicted.
+func TestOneOfTwoThatBeginInAStormIsNotTried(t *testing.T) {
+	for beside, want := range map[string]crashKind{"": crashAlone, "k": crashPaired} {
+		f := newFixture(t, 3)
+		f.hear("vm00", batch.Report{})
+		f.s.Gone(f.now, "vm01", "machine ended it")
+		f.s.Gone(f.now, "vm02", "machine ended it")
+		f.advance(5 * time.Second)
+		f.hear("vm00", batch.Report{})
+		f.submit("j", tasks(1, 1000))
+		if beside != "" {
+			f.submit(beside, tasks(1, 1000))
+		}
+		vm := f.startFirst()
+		if beside != "" {
+			o := f.last(beside + ".0.0.0")
+			require.True(t, f.s.Begin(f.now, o))
+			f.confirm(o)
+		}
+		// As where it is a suspect whose patience was over.
+		f.s.vms[vm].runs[f.last("j.0.0.0").Task].last = true
+		f.advance(50 * time.Millisecond)
+		f.endsNow(vm)
+		f.s.Gone(f.now, vm, "machine ended it")
+		f.advance(judgedAfter)
+		f.s.Tend(f.now)
+		require.Equal(t, []crashKind{want}, f.kinds(), "beside %q", beside)
+	}
+}
+
+// Guards against both: with a trial and a first end an end beside another task does not give a job
+// up, with one more in doubt of the moment it does.
+func TestEndBesideAnotherCountsOnceAndAHalf(t *testing.T) {
+	f := newFixture(t, 2)
+	f.hearAll(nil)
+	f.submit("j", tasks(1, 1000))
+	first := f.taskOf("j")
+	for n, kind := range []crashKind{crashShared, crashPaired, crashAlone} {
+		first.setCrash(crash{run: int64(n + 1), kind: kind, vm: vmStart{id: fmt.Sprintf("gone%d", n)}})
+	}
+	f.s.judgeCrashes(f.now, first)
+	require.Equal(t, batch.Queued, f.s.jobs["j"].state)
+	first.setCrash(crash{run: 9, kind: crashUnseen, vm: vmStart{id: "unseen"}})
+	f.s.judgeCrashes(f.now, first)
+	require.Equal(t, batch.Failed, f.s.jobs["j"].state)
+}
+
 // Guards against jobs that are given up for restarts of many VMs at once: where something has
 // just begun on each VM, the others' ends were taken for those of other tasks' VMs.
 func TestJobsOfABusyFleetAreKeptOverRestarts(t *testing.T) {
--- a/internal/scheduler/vmends.go
+++ b/internal/scheduler/vmends.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -56,6 +57,11 @@
 	return e
 }
 
+// freshBeside reports whether something else than the task had just begun on the VM, too.
+func (e *vmEnd) freshBeside(t *task) bool {
+	return slices.ContainsFunc(e.fresh, func(o *task) bool { return o.unit() != t.unit() })
+}
+
 // together reports whether two VMs may have ended at the same moment. Two of which the moment
 // is known, and that tasks may have ended, have to agree closely.
 func (e *vmEnd) together(other *vmEnd) bool {
