--- a/internal/scheduler/explore_seeds_test.go
+++ b/internal/scheduler/explore_seeds_test.go
@@ -78,8 +78,9 @@
 // more of its first starts were given by leaders that could not write, and nobody can ask these.
 func TestThirdStartWhereFirstStartsCannotBeLogged(t *testing.T) {
 	const guards = "started the third time after the third VM"
-	playKnown(t, guards, "crashes", 9569)
-	playKnown(t, guards, "crashes,timed", 4713)
+	playKnown(t, guards, "crashes", 9569, 405101, 1103210)
+	playKnown(t, guards, "crashes,timed", 4713, 503693, 504666)
+	playKnown(t, guards, "crashes,alone,revoked", 1100197)
 	playKnown(t, guards, "restarts,crashes", 7810)
 	playKnown(t, guards, "crashes,lapses", 30320)
 }
@@ -92,12 +93,25 @@
 	playKnown(t, guards, "crashes,lapses", 31822)
 }
 
+// Guards against an innocent job that is given up, since VMs end by themselves just as its task begins
+// there in a trial.
+func TestInnocentJobWhoseTrialsLoseTheirVMsIsKept(t *testing.T) {
+	playKnown(t, "a job is given up for crashes, and no task of it has ended two VMs", "restarts,alone,revoked", 1102387)
+}
+
+// Guards against an innocent job that is given up: a VM told that it never had a run to a leader that
+// could no longer write, and successors take the doubt about it for an end that the run brought about.
+func TestInnocentJobThatWasClearedWithoutTheStoreIsKept(t *testing.T) {
+	playKnown(t, "a job is given up for crashes, and no task of it has ended two VMs", "crashes,timed", 400806)
+}
+
 // Guards against work that has not come to its end 40 s after all faults, where tasks that end
 // their VMs leave few of them to a long queue.
 func TestBacklogBesideTasksThatEndVMsIsServed(t *testing.T) {
 	const guards = "not ended after the calm"
 	playKnown(t, guards, "crashes,late,attempts,timed", 198, 252, 433, 2421, 3973)
-	playKnown(t, guards, "crashes", 6675)
+	playKnown(t, guards, "crashes", 6675, 401844)
+	playKnown(t, guards, "crashes,late", 403007, 404612)
 }
 
 // Guards against a task that ends its VMs later than a second after it began, and is started
