A task that has run elsewhere since is no excuse for the one beside it

Cause: its VM had ended in a storm beside another task's run that began in the same instant, and so counted once and a half instead of as a trial. That other task ended well on another VM a second later, 1.5 s before the verdict that would have given the job up.

Change: an end beside another is judged again when that other one is cleared, by running on a VM for a second or by ending: then it is the suspect's, as in any trial.

TestOneOfTwoThatBeginInAStormIsNotTried has the case.

--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -178,7 +178,7 @@
 }
 
 // clearCrashes ends the suspicion of a task that has run on a VM without ending it.
-func (s *Scheduler) clearCrashes(t *task) {
+func (s *Scheduler) clearCrashes(now Time, t *task) {
 	if len(t.crashes) == 0 {
 		return
 	}
@@ -187,6 +187,7 @@
 	for _, r := range t.runs {
 		s.endTrial(r)
 	}
+	s.acquit(now, t)
 }
 
 // suspect reports whether the task has to be started in a trial. The loss of many VMs at
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -36,7 +36,7 @@
 	}
 	s.logUncounted(v, e, t)
 	if t != nil {
-		s.noteToldEnd(t, e)
+		s.noteToldEnd(now, t, e)
 	}
 	if t == nil || t.step.occ.job.state.Final() {
 		if r != nil {
@@ -64,9 +64,9 @@
 
 // noteToldEnd clears a task of what its VM has told of a run: the VM has not ended under
 // it. One that ended by itself has done its work, or failed, without ending its VM.
-func (s *Scheduler) noteToldEnd(t *task, e *batch.RunEnd) {
+func (s *Scheduler) noteToldEnd(now Time, t *task, e *batch.RunEnd) {
 	if e.Kind == batch.EndDone || e.Kind == batch.EndFailed {
-		s.clearCrashes(t)
+		s.clearCrashes(now, t)
 		return
 	}
 	s.clearCrash(t, e.Run)
--- a/internal/scheduler/judgedends.go
+++ b/internal/scheduler/judgedends.go
@@ -37,9 +37,11 @@
 
 // endInTrial tells how a VM's end follows the start of a run that was on trial there.
 type endInTrial struct {
-	// justBegun is set where the VM ended just after the run had begun, paired where another
-	// task had just begun there, too.
-	justBegun, paired bool
+	// justBegun is set where the VM ended just after the run had begun.
+	justBegun bool
+	// beside are the other tasks that had just begun there, too, and that are not known to
+	// have run elsewhere since.
+	beside []*task
 }
 
 // verdictOn is what the end says of a run. In a storm a trial tells only where the VM ended
@@ -53,7 +55,7 @@
 		return crashAlone
 	case !trial.justBegun:
 		return crashStorm
-	case trial.paired:
+	case len(trial.beside) > 0:
 		return crashPaired
 	}
 	return crashAlone
@@ -84,7 +86,7 @@
 	}
 	justBegun := e.end.closed && e.end.noticedAt-r.confirmedAt < begunJustBefore
 	if r.confirmedAt > 0 && (r.trial || (r.last && justBegun && !r.vm.mayBegin(r))) {
-		e.trials[r.number] = endInTrial{justBegun: justBegun, paired: e.end.freshBeside(r.task)}
+		e.trials[r.number] = endInTrial{justBegun: justBegun, beside: e.end.freshBeside(r.task)}
 	}
 	if e.judged {
 		s.noteCrash(now, r, e.verdictOn(r.number))
@@ -202,6 +204,26 @@
 	}
 }
 
+// acquit takes in that a task has run on a VM without ending it: where it had just begun beside
+// another one's trial, it did not end that VM either.
+func (s *Scheduler) acquit(now Time, t *task) {
+	for _, e := range slices.Clone(s.judgedEnds) {
+		if e.acquit(t) && e.judged {
+			s.judgeAgain(now, e)
+		}
+	}
+}
+
+func (e *judgedEnd) acquit(t *task) (found bool) {
+	for number, trial := range e.trials {
+		if i := slices.Index(trial.beside, t); i >= 0 {
+			trial.beside = slices.Delete(trial.beside, i, i+1)
+			e.trials[number], found = trial, true
+		}
+	}
+	return found
+}
+
 // answersAgain takes in that a start of a VM lives that had left holds unanswered: it did not end
 // with those that did meanwhile.
 func (s *Scheduler) answersAgain(now Time, start vmStart) {
--- a/internal/scheduler/judgedends_test.go
+++ b/internal/scheduler/judgedends_test.go
@@ -185,6 +185,11 @@
 		f.advance(judgedAfter)
 		f.s.Tend(f.now)
 		require.Equal(t, []crashKind{want}, f.kinds(), "beside %q", beside)
+		if beside != "" {
+			// The other one runs well elsewhere: then it was this one.
+			f.s.noteToldEnd(f.now, f.taskOf(beside), &batch.RunEnd{Kind: batch.EndDone})
+			require.Equal(t, []crashKind{crashAlone}, f.kinds())
+		}
 	}
 }
 
--- a/internal/scheduler/lifetimes.go
+++ b/internal/scheduler/lifetimes.go
@@ -42,7 +42,7 @@
 	r.listedAt = now
 	s.clearCrash(r.task, r.number)
 	if !r.isNew() {
-		s.clearCrashes(r.task)
+		s.clearCrashes(now, r.task)
 		s.endTrial(r)
 	}
 }
--- a/internal/scheduler/vmends.go
+++ b/internal/scheduler/vmends.go
@@ -57,9 +57,9 @@
 	return e
 }
 
-// freshBeside reports whether something else than the task had just begun on the VM, too.
-func (e *vmEnd) freshBeside(t *task) bool {
-	return slices.ContainsFunc(e.fresh, func(o *task) bool { return o.unit() != t.unit() })
+// freshBeside are the tasks other than this one, and its gang, that had just begun on the VM.
+func (e *vmEnd) freshBeside(t *task) []*task {
+	return slices.DeleteFunc(slices.Clone(e.fresh), func(o *task) bool { return o.unit() == t.unit() })
 }
 
 // together reports whether two VMs may have ended at the same moment. Two of which the moment
