--- a/internal/scheduler/explore_seeds_test.go
+++ b/internal/scheduler/explore_seeds_test.go
@@ -81,7 +81,7 @@
 	playKnown(t, guards, "crashes", 9569, 405101, 1103210)
 	playKnown(t, guards, "crashes,timed", 4713, 503693, 504666)
 	playKnown(t, guards, "crashes,alone,revoked", 1100197)
-	playKnown(t, guards, "restarts,crashes", 7810)
+	playKnown(t, guards, "restarts,crashes", 7810, 1201974, 1203051)
 	playKnown(t, guards, "crashes,lapses", 30320)
 }
 
@@ -93,6 +93,16 @@
 	playKnown(t, guards, "crashes,lapses", 31822)
 }
 
+// Guards against a task that is started a third time after its third VM had ended under it: in a storm
+// one of the ends came as another task began beside it, and was no trial.
+func TestThirdStartAfterAnEndBesideAnother(t *testing.T) {
+	const guards = "started the third time after the third VM"
+	playKnown(t, guards, "restarts,crashes", 1201038)
+	playKnown(t, guards, "restarts,crashes,wakes", 1201038)
+	playKnown(t, guards, "crashes,attempts", 500957)
+	playKnown(t, guards, "crashes,alone,revoked", 400730)
+}
+
 // Guards against an innocent job that is given up, since VMs end by themselves just as its task begins
 // there in a trial.
 func TestInnocentJobWhoseTrialsLoseTheirVMsIsKept(t *testing.T) {
