--- a/internal/scheduler/explore_seeds_test.go
+++ b/internal/scheduler/explore_seeds_test.go
@@ -82,6 +82,7 @@
 	playKnown(t, guards, "crashes,timed", 4713, 503693, 504666)
 	playKnown(t, guards, "crashes,alone,revoked", 1100197)
 	playKnown(t, guards, "restarts,crashes", 7810, 1201974, 1203051)
+	playKnown(t, guards, "restarts,crashes,wakes", 1301900)
 	playKnown(t, guards, "crashes,lapses", 30320)
 }
 
