--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -147,7 +147,8 @@
 	}
 	e.metrics = newMetrics(e.leader.Figures)
 	e.metrics.registry.MustRegister(newConfigFigures(e.config))
-	e.leader.Observe, e.leader.ObserveEnd = e.metrics.decision, e.metrics.end
+	e.leader.Observe, e.leader.ObserveEnd, e.leader.ObserveDelay = e.metrics.decision, e.metrics.end, e.metrics.delay
+	e.relays.ObserveDelay = func(waited time.Duration) { e.metrics.delay(leader.DelayReport, waited) }
 	e.election = leader.NewElection(p.Store, leader.Record{Node: s.Node, Address: s.Peers}, s.Processor, log, e.leader.Lead)
 	local := &peerServer{node: s.Node, leader: e.leader, election: e.election, store: p.Store, relays: e.relays, config: e.config, known: e.known, lookUp: e.lookUpConfig}
 	e.offers = &offers{
--- a/internal/edge/figures.go
+++ b/internal/edge/figures.go
@@ -12,7 +12,7 @@
 	read func() (f leader.Figures, leading bool)
 
 	leads, confirmed, fence, vms, lease, runs, ends, endAge *prometheus.Desc
-	window, waiting, relays, relayed                        *prometheus.Desc
+	window, waiting, relays, relayed, oldestWaiting         *prometheus.Desc
 }
 
 func newFigures(read func() (leader.Figures, bool)) *figures {
@@ -20,25 +20,26 @@
 		return prometheus.NewDesc("rattanwall_leader_"+name, help, labels, nil)
 	}
 	return &figures{
-		read:      read,
-		leads:     desc("leads", "1 while this process leads and may give orders, else 0."),
-		confirmed: desc("confirmed", "1 while nobody else can lead, 0 while it acts without the store's answer."),
-		fence:     desc("fence", "Fencing token: that of its run numbers is run >> 24."),
-		vms:       desc("vms", "VMs by what is believed of them; one VM may count in several.", "state"),
-		lease:     desc("longest_lease_seconds", "For how long a lease that it took may live on any VM."),
-		runs:      desc("runs", "Runs that count."),
-		ends:      desc("unacknowledged_ends", "Ends that VMs go on telling."),
-		endAge:    desc("unacknowledged_end_age_seconds", "Since when the oldest of them is told."),
-		window:    desc("start_window", "Starts that may be under way; it shrinks while most of them are slow."),
-		waiting:   desc("starts_waiting", "Starts that wait for their turn."),
-		relays:    desc("relays", "Processes that carry its orders."),
-		relayed:   desc("relayed_vms", "VMs that relays serve; the others it serves itself."),
+		read:          read,
+		leads:         desc("leads", "1 while this process leads and may give orders, else 0."),
+		confirmed:     desc("confirmed", "1 while nobody else can lead, 0 while it acts without the store's answer."),
+		fence:         desc("fence", "Fencing token: that of its run numbers is run >> 24."),
+		vms:           desc("vms", "VMs by what is believed of them; one VM may count in several.", "state"),
+		lease:         desc("longest_lease_seconds", "For how long a lease that it took may live on any VM."),
+		runs:          desc("runs", "Runs that count."),
+		ends:          desc("unacknowledged_ends", "Ends that VMs go on telling."),
+		endAge:        desc("unacknowledged_end_age_seconds", "Since when the oldest of them is told."),
+		window:        desc("start_window", "Starts that may be under way; it shrinks while most of them are slow."),
+		waiting:       desc("starts_waiting", "Starts that wait for their turn."),
+		oldestWaiting: desc("oldest_waiting_seconds", "For how long the oldest step that could run has had a task without a place."),
+		relays:        desc("relays", "Processes that carry its orders."),
+		relayed:       desc("relayed_vms", "VMs that relays serve; the others it serves itself."),
 	}
 }
 
 // Describe implements prometheus.Collector.
 func (c *figures) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{c.leads, c.confirmed, c.fence, c.vms, c.lease, c.runs, c.ends, c.endAge, c.window, c.waiting, c.relays, c.relayed} {
+	for _, d := range []*prometheus.Desc{c.leads, c.confirmed, c.fence, c.vms, c.lease, c.runs, c.ends, c.endAge, c.window, c.waiting, c.relays, c.relayed, c.oldestWaiting} {
 		out <- d
 	}
 }
@@ -61,6 +62,7 @@
 	gauge(c.endAge, f.OldestUnacked.Seconds())
 	gauge(c.window, float64(f.StartWindow))
 	gauge(c.waiting, float64(f.StartsWaiting))
+	gauge(c.oldestWaiting, f.OldestWaiting.Seconds())
 	gauge(c.relays, float64(len(f.Relays)))
 	relayed := 0
 	for _, vms := range f.Relays {
--- a/internal/edge/operations.go
+++ b/internal/edge/operations.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -27,6 +28,12 @@
 	decisions *prometheus.CounterVec
 	startWait prometheus.Histogram
 	runTime   prometheus.Histogram
+	// jobAge is how old jobs are when the leader takes them, jobEnds counts those that ended
+	// by state and by their objective, starts those of tasks by group, delays what waits.
+	jobAge  prometheus.Histogram
+	jobEnds *prometheus.CounterVec
+	starts  *prometheus.CounterVec
+	delays  *prometheus.HistogramVec
 	// givenUp counts VMs and runs that were given up, by reason; ends those that
 	// VMs told, by how they stood.
 	givenUp *prometheus.CounterVec
@@ -52,6 +59,18 @@
 		runTime: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "rattanwall_leader_run_seconds", Help: "Time from a start order to the end of its run.", Buckets: prometheus.ExponentialBuckets(0.05, 2, 12),
 		}),
+		jobAge: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "rattanwall_leader_job_age_seconds", Help: "Time from a job's submission until the leader has it.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
+		}),
+		jobEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "rattanwall_leader_jobs_ended_total", Help: "Jobs that ended, by whether that was within their objective.",
+		}, []string{"within"}),
+		starts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "rattanwall_leader_starts_total", Help: "Starts that were decided, by the group of the queue.",
+		}, []string{"group"}),
+		delays: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "rattanwall_leader_delay_seconds", Help: "How long starts and reports waited within this process, and how long plans took.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 13),
+		}, []string{"of"}),
 		givenUp: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "rattanwall_leader_given_up_total", Help: "VMs, and runs without a told end, that were given up, by reason.",
 		}, []string{"what", "reason"}),
@@ -59,10 +78,13 @@
 			Name: "rattanwall_leader_ends_total", Help: "Ends of runs that VMs told this leader for the first time, by how they stood.",
 		}, []string{"standing"}),
 	}
+	for _, d := range leader.Delays {
+		m.delays.WithLabelValues(string(d))
+	}
 	m.registry.MustRegister(
-		m.requests, m.latency, m.decisions, m.startWait, m.runTime, m.givenUp, m.ends, newFigures(read),
+		m.jobAge, m.jobEnds, m.starts, m.delays, m.requests, m.latency, m.decisions, m.startWait, m.runTime, m.givenUp, m.ends, newFigures(read),
 		// Readers cut long answers off, and these stand before the product's own.
-		collectors.NewGoCollector(collectors.WithGoCollectorMemStatsMetricsDisabled()),
+		collectors.NewGoCollector(collectors.WithGoCollectorMemStatsMetricsDisabled(), collectors.WithGoCollectorRuntimeMetrics(collectors.MetricsScheduler)),
 	)
 	return m
 }
@@ -88,6 +110,11 @@
 	switch d.Event {
 	case scheduler.EventRunStarted:
 		m.startWait.Observe(d.Age.Seconds())
+		m.starts.WithLabelValues(d.Group).Inc()
+	case scheduler.EventJobTaken:
+		m.jobAge.Observe(d.Age.Seconds())
+	case scheduler.EventJobEnded:
+		m.jobEnds.WithLabelValues(within(d.Age.Seconds(), d.Value)).Inc()
 	case scheduler.EventRunEnded:
 		m.runTime.Observe(d.Age.Seconds())
 	case scheduler.EventVMGone:
@@ -97,6 +124,25 @@
 	}
 }
 
+// lateFactor times its objective a job still counts as late.
+const lateFactor = 3
+
+// within is the label of a job that ended at an age with an objective, in seconds.
+func within(age, objective float64) string {
+	switch {
+	case age <= objective:
+		return "objective"
+	case age <= lateFactor*objective:
+		return "late"
+	}
+	return "too_late"
+}
+
+// delay notes how long work of the leader waited or took.
+func (m *metrics) delay(d leader.Delay, took time.Duration) {
+	m.delays.WithLabelValues(string(d)).Observe(took.Seconds())
+}
+
 // end counts an end that a VM told.
 func (m *metrics) end(standing scheduler.EndStanding) {
 	m.ends.WithLabelValues(string(standing)).Inc()
@@ -161,6 +207,8 @@
 			e.log.Warn("explanation_not_sent", err, eventlog.Fields{"job": x.Job})
 		}
 	})
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	return mux
 }
 
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -98,6 +98,8 @@
 	WallMS func() int64
 	// Observe is told of each decision, for the metrics; may be nil.
 	Observe func(scheduler.Decision)
+	// ObserveDelay is told how long work of this leader waited or took; may be nil.
+	ObserveDelay func(Delay, time.Duration)
 	// ObserveEnd is told of each end that a VM tells for the first time; may be nil.
 	ObserveEnd func(scheduler.EndStanding)
 
@@ -281,14 +283,41 @@
 	t.sched.OpenDue(now, t.WallMS())
 	orders := t.sched.Plan(now)
 	t.mu.Unlock()
+	t.observeDelay(DelayPlan, steady.Now()-now)
+	decidedAt := steady.Now()
 	for i := range orders {
 		o := orders[i]
 		t.work.Go(func() {
-			t.carryOut(ctx, o)
+			t.carryOut(ctx, o, func(now time.Duration) {
+				t.observeDelay(DelayOrder, now-decidedAt)
+			})
 		})
 	}
 }
 
+// Delay is what of a leader's work waits, or takes time: where its processor is full, all
+// of them grow.
+type Delay string
+
+// The delays.
+const (
+	// DelayOrder: a start waited between its decision and its being given.
+	DelayOrder Delay = "order"
+	// DelayReport: a VM's report waited between its arrival from a relay and its being taken on.
+	DelayReport Delay = "report"
+	// DelayPlan: a plan took so long.
+	DelayPlan Delay = "plan"
+)
+
+// Delays are all of them.
+var Delays = []Delay{DelayOrder, DelayReport, DelayPlan}
+
+func (t *term) observeDelay(d Delay, took time.Duration) {
+	if t.ObserveDelay != nil {
+		t.ObserveDelay(d, took)
+	}
+}
+
 // confirmPause is how often an unconfirmed leader looks whether it is confirmed.
 const confirmPause = 20 * time.Millisecond
 
--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -49,11 +49,11 @@
 	return ""
 }
 
-// carryOut gives an order to its instance.
-func (t *term) carryOut(ctx context.Context, o scheduler.Order) {
+// carryOut gives an order to its instance. given is told of a start that is given, or dropped.
+func (t *term) carryOut(ctx context.Context, o scheduler.Order, given func(now time.Duration)) {
 	switch o.Kind {
 	case scheduler.OrderStart:
-		t.start(ctx, o)
+		t.start(ctx, o, given)
 	case scheduler.OrderStop:
 		t.stop(ctx, o)
 	case scheduler.OrderPace:
@@ -91,8 +91,9 @@
 // start gives a start order until its outcome is known, a few times. A refusal
 // after a try that got no answer says nothing of that try, which may be carried
 // out later: the outcome is unknown.
-func (t *term) start(ctx context.Context, o scheduler.Order) {
+func (t *term) start(ctx context.Context, o scheduler.Order, given func(now time.Duration)) {
 	release, err := t.starts.acquire(ctx)
+	given(steady.Now())
 	if err != nil {
 		return
 	}
--- a/internal/leader/restarts_test.go
+++ b/internal/leader/restarts_test.go
@@ -61,7 +61,7 @@
 	require.True(t, known)
 	x.sched.Heard(now, now, sightVM, batch.Report{Born: 2, Clock: time.Second})
 	old.Born = 1
-	x.carryOut(t.Context(), scheduler.Order{Kind: orders[0].Kind, Instance: old, Task: orders[0].Task, Run: orders[0].Run, Start: orders[0].Start})
+	x.carryOut(t.Context(), scheduler.Order{Kind: orders[0].Kind, Instance: old, Task: orders[0].Task, Run: orders[0].Run, Start: orders[0].Start}, func(time.Duration) {})
 	again := x.sched.Plan(steady.Now() + 200*time.Millisecond)
 	require.Len(t, again, 1)
 	require.Equal(t, "10.0.0.2:1", again[0].Instance.Address)
--- a/internal/leader/sight_test.go
+++ b/internal/leader/sight_test.go
@@ -211,13 +211,13 @@
 	require.Len(t, orders, 2)
 
 	agent.err = errors.New("timed out")
-	x.start(t.Context(), orders[0])
+	x.start(t.Context(), orders[0], func(time.Duration) {})
 	unanswered := out.line(t, "start_unanswered")
 	require.Equal(t, "timed out", unanswered["error"])
 	require.Equal(t, orders[0].Task.String(), unanswered["task"])
 
 	agent.failed = func() { x.tenure.End() }
-	x.start(t.Context(), orders[1])
+	x.start(t.Context(), orders[1], func(time.Duration) {})
 	require.Equal(t, orders[1].Task.String(), out.line(t, "start_abandoned")["task"])
 
 	calls := 0
@@ -255,7 +255,7 @@
 		defer x.mu.Unlock()
 		x.sched.Cancel(steady.Now(), "j")
 	}
-	x.start(t.Context(), orders[0])
+	x.start(t.Context(), orders[0], func(time.Duration) {})
 	require.Equal(t, 1, calls)
 }
 
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -73,6 +73,9 @@
 	// not told.
 	LinkMbps float64
 	Log      *eventlog.Log
+	// ObserveDelay is told how long a VM's report waited between its arrival and its being
+	// taken on; may be nil.
+	ObserveDelay func(time.Duration)
 
 	mu sync.Mutex
 	// leading is the context of the tenure, nil while this process does not lead.
--- a/internal/relay/recruit.go
+++ b/internal/relay/recruit.go
@@ -130,6 +130,7 @@
 		}
 		return
 	}
+	s.observeDelay = p.ObserveDelay
 	p.streams[o.Node] = s
 	p.mu.Unlock()
 	p.Log.Event("relay_joined", eventlog.Fields{"node": o.Node, "zone": o.Zone, "vms": o.VMs, "every_ms": every.Milliseconds(), "packed": s.coder.packed != nil})
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -39,6 +39,8 @@
 	packer  *packer
 	every   time.Duration
 	kick    chan struct{}
+	// observeDelay is that of the pool.
+	observeDelay func(time.Duration)
 
 	mu       sync.Mutex
 	next     uint64
@@ -62,6 +64,8 @@
 	report  batch.Report
 	list    []batch.Instance
 	err     error
+	// receivedAt is when the outcome was received.
+	receivedAt time.Duration
 }
 
 // payloadTable are the jobs whose payloads the relay has, with when they were last used.
@@ -262,6 +266,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leaving = s.leaving || m.Leaving
+	receivedAt := steady.Now()
 	for i := range m.Results {
 		r := &m.Results[i]
 		var rep batch.Report
@@ -282,7 +287,7 @@
 			continue
 		}
 		delete(s.waiting, r.Call)
-		w.result, w.report, w.list, w.err = *r, rep, list, r.err()
+		w.result, w.report, w.list, w.err, w.receivedAt = *r, rep, list, r.err(), receivedAt
 		close(w.done)
 	}
 	return nil
@@ -451,6 +456,9 @@
 	if err != nil {
 		return batch.Report{}, err
 	}
+	if s.observeDelay != nil {
+		s.observeDelay(steady.Now() - w.receivedAt)
+	}
 	return w.report, nil
 }
 
--- a/internal/scheduler/figures.go
+++ b/internal/scheduler/figures.go
@@ -32,11 +32,18 @@
 	Withheld int
 	// Runs are those that count.
 	Runs int
+	// OldestWaiting is how long the oldest step that could run has had a task without a place.
+	OldestWaiting time.Duration
 }
 
 // Figures returns the state in counts.
 func (s *Scheduler) Figures(now Time) Figures {
 	f := Figures{Fence: s.fence, VMs: len(s.vms), Waited: len(s.silent)}
+	for _, st := range s.ready {
+		if st.waiting > 0 {
+			f.OldestWaiting = max(f.OldestWaiting, now-st.runnableAt)
+		}
+	}
 	for _, v := range s.order {
 		x := v.standing(now)
 		f.LongestLease = max(f.LongestLease, x.LeaseLeft)
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -50,6 +50,11 @@
 	groupHopeless
 )
 
+// groupNames are the groups in metrics.
+var groupNames = [...]string{"restart", "short", "lasting", "on_time", "late", "hopeless"}
+
+func (g rankGroup) String() string { return groupNames[g] }
+
 func (s *Scheduler) rank(now Time, st *step) rank {
 	o := st.occ
 	j := o.job
@@ -358,7 +363,7 @@
 	}
 	allowed, _ := t.step.advised(now, v)
 	s.logStart(r)
-	s.logf(Decision{Event: EventRunStarted, Task: t.id(), VM: v.inst.ID, Run: r.number, Age: now - t.step.occ.dueAt, Value: t.step.rank.slack.Seconds()})
+	s.logf(Decision{Event: EventRunStarted, Task: t.id(), VM: v.inst.ID, Run: r.number, Age: now - t.step.occ.dueAt, Group: t.step.rank.group.String(), Value: t.step.rank.slack.Seconds()})
 	s.orders = append(s.orders, Order{
 		Kind: OrderStart, Instance: v.inst, Task: t.id(), Run: r.number,
 		Start: batch.StartOrder{
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -438,6 +438,8 @@
 	Reason string
 	// Age is the age of that input, or how long the subject waited.
 	Age time.Duration
+	// Group is that of the queue which a start's step stood in.
+	Group string
 	// Value is a figure that goes with the reason.
 	Value float64
 	// Lived is how long a run that was lost is known to have run, LivedAtMost the longest
