--- a/internal/experiment/play.go
+++ b/internal/experiment/play.go
@@ -88,6 +88,11 @@
 	lostAt   map[string]time.Duration
 	crashing crashing
 
+	// starting are the starts that the leader has decided and not given, credit the share of
+	// one that it has had time for.
+	starting []scheduler.Order
+	credit   float64
+
 	earned, owed [kinds]float64
 	harm         map[batch.TaskID]time.Duration
 	spans        map[*job]*span
@@ -230,15 +235,49 @@
 			}
 		}
 	}
+	p.sched.Throttle(len(p.starting) >= ordersAtOnce)
 	p.sched.Tend(p.now)
 	orders := p.sched.Plan(p.now)
 	p.busy += time.Since(began)
 	for _, o := range orders {
 		p.carryOut(o)
 	}
+	p.giveStarts()
 	p.flush()
 }
 
+// ordersAtOnce is how many starts a leader of a small fleet has under way, and as many wait.
+const ordersAtOnce = 2 * 96
+
+// giveStarts gives what has been decided, as far as the leader's processor does.
+func (p *player) giveStarts() {
+	p.credit = min(p.credit+p.s.Leader.StartsPerS*playStep.Seconds(), p.s.Leader.StartsPerS)
+	for len(p.starting) > 0 && (p.credit >= 1 || p.s.Leader.StartsPerS == 0) {
+		o := p.starting[0]
+		p.starting = p.starting[1:]
+		p.credit--
+		if p.sched.Begin(p.now, o) {
+			p.give(o)
+		}
+	}
+	if len(p.starting) == 0 {
+		p.credit = min(p.credit, 1)
+	}
+}
+
+// give has a VM carry a start out.
+func (p *player) give(o scheduler.Order) {
+	p.out.Starts++
+	refusal := p.f.start(p.now, o)
+	if j := p.f.jobs[o.Task.Job]; refusal == "" && p.waits[j] == 0 {
+		p.waits[j] = p.now - j.at + 1
+	}
+	p.sched.Started(p.now+startsWithin, p.now, o, p.f.byID[o.Instance.ID].clock(p.now), refusal, false)
+	if refusal == "" {
+		p.began(o)
+	}
+}
+
 // giveUp tells the leader that a VM has ended, when its lease is over.
 func (p *player) giveUp(v *vm) {
 	if at := p.lostAt[v.inst.ID]; at > 0 && p.now-at > leaseOver {
@@ -249,15 +288,7 @@
 func (p *player) carryOut(o scheduler.Order) {
 	switch o.Kind {
 	case scheduler.OrderStart:
-		p.out.Starts++
-		refusal := p.f.start(p.now, o)
-		if j := p.f.jobs[o.Task.Job]; refusal == "" && p.waits[j] == 0 {
-			p.waits[j] = p.now - j.at + 1
-		}
-		p.sched.Started(p.now+startsWithin, p.now, o, p.f.byID[o.Instance.ID].clock(p.now), refusal, false)
-		if refusal == "" {
-			p.began(o)
-		}
+		p.starting = append(p.starting, o)
 	case scheduler.OrderStop:
 		p.f.stop(o)
 		p.sched.Stopped(p.now, o)
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -27,6 +27,7 @@
 	LoadS  float64 `json:"load_s"`
 	AfterS float64 `json:"after_s"`
 	Fleet  Fleet   `json:"fleet"`
+	Leader Leader  `json:"leader"`
 	// Serving is lasting work with users of its own, Short tasks hold processors for a
 	// while, Fillers use what the others leave.
 	Serving Serving `json:"serving"`
@@ -51,6 +52,13 @@
 	ReportMS int64 `json:"report_ms"`
 }
 
+// Leader is the process that decides.
+type Leader struct {
+	// StartsPerS is how many starts its processor can give in a second, one after the other;
+	// 0 is without bound.
+	StartsPerS float64 `json:"starts_per_s"`
+}
+
 // Serving is lasting work whose tails must stay below a target.
 type Serving struct {
 	// Jobs are there at the start; PerS more arrive a second.
