--- a/internal/leader/holds.go
+++ b/internal/leader/holds.go
@@ -48,6 +48,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.wait.Store(int64(holdWait(len(instances))))
+	t.fleet.Store(int64(len(instances)))
 	for id := range t.holds {
 		if _, ok := instances[id]; !ok {
 			t.dropHold(id)
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -53,6 +53,10 @@
 	// longer the more waits; without the rest a leader with a backlog does nothing
 	// else, its calls time out, and it loses its lease.
 	planRest = 3
+	// planRestPerVM is the least rest for each VM: each plan looks at all of them, whatever
+	// there is to decide. mostPlanRest bounds it, since a start waits for the next plan.
+	planRestPerVM = 15 * time.Microsecond
+	mostPlanRest  = 20 * time.Millisecond
 	// planTick is how often the plan is looked at without a cause.
 	planTick = 50 * time.Millisecond
 	// ordersAtOnce bounds the calls under way: one takes some 5 ms, so that 900
@@ -137,6 +141,8 @@
 	pastComplete bool
 	// wait is how long a hold waits, in nanoseconds.
 	wait atomic.Int64
+	// fleet is how many VMs are held.
+	fleet atomic.Int64
 	// flushed is closed and replaced after each flush.
 	flushed chan struct{}
 	kick    chan struct{}
@@ -231,10 +237,16 @@
 		}
 		began := steady.Now()
 		t.plan(ctx)
-		pause.For(ctx, min(planRest*(steady.Now()-began), planTick))
+		pause.For(ctx, t.restAfterPlan(steady.Now()-began))
 	}
 }
 
+// restAfterPlan is the rest after a plan that took so long.
+func (t *term) restAfterPlan(took time.Duration) time.Duration {
+	vms := time.Duration(t.fleet.Load())
+	return min(max(planRest*took, min(vms*planRestPerVM, mostPlanRest)), planTick)
+}
+
 // logConfirmed tells when this leader begins to act without being confirmed, and
 // when that ends: meanwhile another may lead, while leases are renewed here.
 func (t *term) logConfirmed(before bool) bool {
