A leader decides no more starts than it gives within 80 ms

Callers saw that checks failed first where the leader's processor was full. Cause: a plan decided whatever VMs had room for, up to 2,048 starts and as many again that waited. What is decided can't be overtaken: checks waited behind batch work that could have waited (p95 4.1 s at half a share), calls timed out (start_unknown, a stop and another start each), and the lease's renewal stood in the same queue. Class: a bound in numbers where the need is a bound in time. Change: Backlog bounds the starts between decision and giving by time, its size follows what is given; the rest waits in the queue, from which each plan takes what is most urgent then. Throttle takes a number instead of yes or no.

--- a/internal/experiment/play.go
+++ b/internal/experiment/play.go
@@ -90,8 +90,9 @@
 
 	// starting are the starts that the leader has decided and not given, credit the share of
 	// one that it has had time for.
-	starting []scheduler.Order
+	starting []decidedStart
 	credit   float64
+	backlog  *scheduler.Backlog
 
 	earned, owed [kinds]float64
 	harm         map[batch.TaskID]time.Duration
@@ -111,7 +112,8 @@
 	w := newWorld(s, seed)
 	v.apply(w)
 	p := &player{
-		s: s, f: newFleet(s, w, seed), variant: v, arrivals: w.jobs, store: map[string]*scheduler.Progress{}, starts: map[scheduler.SegmentID]scheduler.StartSegment{}, lostAt: map[string]time.Duration{},
+		backlog: scheduler.NewBacklog(),
+		s:       s, f: newFleet(s, w, seed), variant: v, arrivals: w.jobs, store: map[string]*scheduler.Progress{}, starts: map[scheduler.SegmentID]scheduler.StartSegment{}, lostAt: map[string]time.Duration{},
 		harm: map[batch.TaskID]time.Duration{}, spans: map[*job]*span{}, waits: map[*job]time.Duration{}, faults: append([]Fault(nil), s.Faults...),
 		crashing: crashing{random: rand.New(rand.NewPCG(seed, 29))},
 	}
@@ -235,19 +237,24 @@
 			}
 		}
 	}
-	p.sched.Throttle(len(p.starting) >= ordersAtOnce)
+	room := p.backlog.Room(p.now)
+	p.sched.Throttle(room)
 	p.sched.Tend(p.now)
 	orders := p.sched.Plan(p.now)
 	p.busy += time.Since(began)
+	given := p.backlog.Decided(p.now, scheduler.CountStarts(orders), room)
 	for _, o := range orders {
-		p.carryOut(o)
+		p.carryOut(o, given)
 	}
 	p.giveStarts()
 	p.flush()
 }
 
-// ordersAtOnce is how many starts a leader of a small fleet has under way, and as many wait.
-const ordersAtOnce = 2 * 96
+// decidedStart is a start that was decided, and who is told when it is given.
+type decidedStart struct {
+	scheduler.Order
+	given func(now time.Duration)
+}
 
 // giveStarts gives what has been decided, as far as the leader's processor does.
 func (p *player) giveStarts() {
@@ -256,8 +263,9 @@
 		o := p.starting[0]
 		p.starting = p.starting[1:]
 		p.credit--
-		if p.sched.Begin(p.now, o) {
-			p.give(o)
+		o.given(p.now)
+		if p.sched.Begin(p.now, o.Order) {
+			p.give(o.Order)
 		}
 	}
 	if len(p.starting) == 0 {
@@ -285,10 +293,10 @@
 	}
 }
 
-func (p *player) carryOut(o scheduler.Order) {
+func (p *player) carryOut(o scheduler.Order, given func(time.Duration)) {
 	switch o.Kind {
 	case scheduler.OrderStart:
-		p.starting = append(p.starting, o)
+		p.starting = append(p.starting, decidedStart{o, given})
 	case scheduler.OrderStop:
 		p.f.stop(o)
 		p.sched.Stopped(p.now, o)
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -147,9 +147,10 @@
 	flushed chan struct{}
 	kick    chan struct{}
 	work    sync.WaitGroup
-	// starts bounds the starts under way, carrying the other calls from this process,
+	// starts bounds the starts under way, backlog those that wait to be given, carrying the other calls from this process,
 	// relayed those through others.
 	starts            *window
+	backlog           *scheduler.Backlog
 	carrying, relayed chan struct{}
 	// relaysAwaited is set once relays were waited for.
 	relaysAwaited bool
@@ -171,7 +172,7 @@
 		Leader: l, tenure: tenure, log: l.Log, recorded: instances{}, removed: removals{}, cancelledEarly: map[string]time.Duration{},
 		holds: map[string]context.CancelFunc{}, told: map[string]toldEnds{}, flushed: make(chan struct{}),
 		kick: make(chan struct{}, 1), carrying: make(chan struct{}, ordersAtOnce), relayed: make(chan struct{}, relayedAtOnce),
-		starts: newWindow(ordersAtOnce),
+		starts: newWindow(ordersAtOnce), backlog: scheduler.NewBacklog(),
 	}
 	if l.Relays != nil {
 		t.starts = newWindow(relayedAtOnce)
@@ -289,7 +290,8 @@
 		t.config = c
 		t.sched.SetConfig(c)
 	}
-	t.sched.Throttle(t.starts.full())
+	room := t.startRoom(now)
+	t.sched.Throttle(room)
 	t.sched.Led(t.tenure.RenewedAt())
 	t.sched.Tend(now)
 	t.sched.OpenDue(now, t.WallMS())
@@ -297,16 +299,26 @@
 	t.mu.Unlock()
 	t.observeDelay(DelayPlan, steady.Now()-now)
 	decidedAt := steady.Now()
+	given := t.backlog.Decided(decidedAt, scheduler.CountStarts(orders), room)
 	for i := range orders {
 		o := orders[i]
 		t.work.Go(func() {
 			t.carryOut(ctx, o, func(now time.Duration) {
 				t.observeDelay(DelayOrder, now-decidedAt)
+				given(now)
 			})
 		})
 	}
 }
 
+// startRoom is how many starts may be decided now.
+func (t *term) startRoom(now time.Duration) int {
+	if t.starts.full() {
+		return 0
+	}
+	return t.backlog.Room(now)
+}
+
 // Delay is what of a leader's work waits, or takes time: where its processor is full, all
 // of them grow.
 type Delay string
--- /dev/null
+++ b/internal/scheduler/backlog.go
@@ -0,0 +1,105 @@
+package scheduler
+
+import (
+	"sync"
+	"time"
+)
+
+// Backlog bounds how long starts wait between their decision and their being given. What has
+// been decided can't be overtaken: a leader whose processor is full and that decides more than
+// it can give has urgent work wait behind all of it, its calls time out, and it loses its
+// lease. So no more is decided than it gives within a time, and the rest waits in the
+// scheduler's queue, where each plan begins with what is most urgent then.
+type Backlog struct {
+	mu sync.Mutex
+	// size is how many starts may wait.
+	size float64
+	// batches are those that wait, by plan, the oldest first.
+	batches []*startBatch
+	waiting int
+}
+
+// CountStarts counts the starts among orders.
+func CountStarts(orders []Order) int {
+	n := 0
+	for i := range orders {
+		if orders[i].Kind == OrderStart {
+			n++
+		}
+	}
+	return n
+}
+
+// startBatch is the starts that one plan has decided.
+type startBatch struct {
+	decidedAt Time
+	left      int
+	// full is set where the plan was kept from deciding more.
+	full bool
+}
+
+const (
+	// backlogTarget is how long a start may wait to be given: urgent tasks have some 0.3 s for
+	// all that is not their own work, and many of them two steps.
+	backlogTarget = 80 * time.Millisecond
+	// firstBacklog is how many starts may wait at first: 5,000 a second. leastBacklog keeps
+	// starts coming, mostBacklog is as many as may be under way through relays.
+	firstBacklog = 256
+	leastBacklog = 16
+	mostBacklog  = 2048
+	// backlogShrinks and backlogGrows change the size after each plan whose starts took longer
+	// than the target, or less than half of it.
+	backlogShrinks = 0.7
+	backlogGrows   = 1.25
+)
+
+// NewBacklog returns an empty backlog.
+func NewBacklog() *Backlog { return &Backlog{size: firstBacklog} }
+
+// Room is how many more starts may be decided now.
+func (b *Backlog) Room(now Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.batches) > 0 && now-b.batches[0].decidedAt > backlogTarget {
+		return 0
+	}
+	return max(0, int(b.size)-b.waiting)
+}
+
+// Decided notes the starts of a plan that was allowed so many. It returns what is to be called
+// once for each of them, with the time, when it is given or dropped.
+func (b *Backlog) Decided(now Time, starts, room int) (given func(now Time)) {
+	batch := &startBatch{decidedAt: now, left: starts, full: starts >= room}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if starts > 0 {
+		b.batches = append(b.batches, batch)
+		b.waiting += starts
+	}
+	return func(now Time) { b.given(now, batch) }
+}
+
+func (b *Backlog) given(now Time, batch *startBatch) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.waiting--
+	if batch.left--; batch.left > 0 {
+		return
+	}
+	for len(b.batches) > 0 && b.batches[0].left == 0 {
+		b.batches = b.batches[1:]
+	}
+	switch took := now - batch.decidedAt; {
+	case took > backlogTarget:
+		b.size = max(b.size*backlogShrinks, leastBacklog)
+	case batch.full && took < backlogTarget/2:
+		b.size = min(b.size*backlogGrows, mostBacklog)
+	}
+}
+
+// Figures are how many starts may wait and how many do.
+func (b *Backlog) Figures() (size, waiting int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return int(b.size), b.waiting
+}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -147,14 +148,13 @@
 	return cmp.Or(cmp.Compare(a.group, b.group), cmp.Compare(a.priority, b.priority), cmp.Compare(a.effort, b.effort), cmp.Compare(a.slack, b.slack))
 }
 
-// Throttle keeps Plan from starting anything while the leader is behind with the starts
-// that it has.
-func (s *Scheduler) Throttle(on bool) {
-	if s.throttled && !on {
-		s.changed = true
-	}
-	s.throttled = on
-}
+// Unthrottled has Plan start whatever can be started.
+const Unthrottled = math.MaxInt
+
+// Throttle bounds the starts that are decided from now on, until it is called again: a leader
+// that is behind with the starts that it has can't have others overtake them. A gang is
+// started whole.
+func (s *Scheduler) Throttle(starts int) { s.startsLeft = starts }
 
 // Plan starts what can be started and returns the orders to carry out. The rest
 // waits in the order of its rank.
@@ -163,9 +163,11 @@
 		s.plannedAt = now
 		s.changed = false
 		s.planWaves(now)
-		if !s.throttled {
+		if s.startsLeft > 0 {
 			s.startWaiting(now)
 		}
+		// What was kept waiting is to be looked at as soon as there is room.
+		s.changed = s.changed || s.startsLeft <= 0
 	}
 	orders := s.orders
 	s.orders = nil
@@ -187,6 +189,9 @@
 	s.followShort(now)
 	round := &round{now: now}
 	for _, st := range s.ready {
+		if s.startsLeft <= 0 {
+			return
+		}
 		s.startStep(round, st)
 	}
 }
@@ -253,6 +258,9 @@
 		if t.done || len(t.runs) > 0 || !s.startable(r.now, t) {
 			continue
 		}
+		if s.startsLeft <= 0 {
+			return
+		}
 		if t.suspect() {
 			// What it starts is in no list of candidates.
 			if r.admitsSuspect(t) {
@@ -362,6 +370,7 @@
 		v.renew(now, s.settings.Lease())
 	}
 	allowed, _ := t.step.advised(now, v)
+	s.startsLeft--
 	s.logStart(r)
 	s.logf(Decision{Event: EventRunStarted, Task: t.id(), VM: v.inst.ID, Run: r.number, Age: now - t.step.occ.dueAt, Group: t.step.rank.group.String(), Value: t.step.rank.slack.Seconds()})
 	s.orders = append(s.orders, Order{
