Where starts are short, batch jobs go by starts for their worth

Where the leader gives fewer starts than it could decide, starts are what is short, and the queue went by work: jobs of many small tasks took them. Change: while plans of the last second had to leave starts out, effort counts the starts that a job still takes.

--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -71,7 +71,7 @@
 	}
 	remaining := o.remaining()
 	slack := o.dueAt + j.objective - now - remaining
-	r := rank{group: groupOnTime, priority: j.priority, effort: s.effort(o), slack: slack}
+	r := rank{group: groupOnTime, priority: j.priority, effort: s.effort(now, o), slack: slack}
 	if short(st.spec) && s.policy.ShortFirst {
 		r.group = groupShort
 	}
@@ -90,8 +90,9 @@
 // however small; the rest goes by its work.
 const fixedWorth = 0.3
 
-// effort is the occurrence's remaining work over its worth.
-func (s *Scheduler) effort(o *occurrence) float64 {
+// effort is what the occurrence still takes of what is short, over its worth: work, or starts
+// while the leader gives fewer than it could decide.
+func (s *Scheduler) effort(now Time, o *occurrence) float64 {
 	if s.policy.Order != OrderWork {
 		return 0
 	}
@@ -99,9 +100,30 @@
 	if worth <= 0 {
 		return 0
 	}
+	if s.startsShort(now) {
+		return float64(o.remainingStarts()) / worth
+	}
 	return o.remainingWork() / worth
 }
 
+// startsShortFor is how long starts count as short after a plan had to leave some out: such
+// plans come many times a second where the leader is full.
+const startsShortFor = time.Second
+
+// startsShort reports whether plans of late had to leave starts out.
+func (s *Scheduler) startsShort(now Time) bool {
+	return s.startsShortAt > 0 && now-s.startsShortAt < startsShortFor
+}
+
+// remainingStarts is how many tasks are neither done nor have a run.
+func (o *occurrence) remainingStarts() int {
+	sum := 0
+	for i := range o.steps {
+		sum += o.steps[i].waiting
+	}
+	return sum
+}
+
 // remainingWork is the declared work that is still to come, in processor seconds.
 func (o *occurrence) remainingWork() float64 {
 	sum := 0.0
@@ -166,8 +188,11 @@
 		if s.startsLeft > 0 {
 			s.startWaiting(now)
 		}
-		// What was kept waiting is to be looked at as soon as there is room.
-		s.changed = s.changed || s.startsLeft <= 0
+		if s.startsLeft <= 0 {
+			// What was left out is to be looked at as soon as there is room.
+			s.changed = true
+			s.startsShortAt = now
+		}
 	}
 	orders := s.orders
 	s.orders = nil
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -389,6 +389,8 @@
 	changed bool
 	// startsLeft is how many more starts may be decided; see Throttle.
 	startsLeft int
+	// startsShortAt is when it last left some out, 0 for never.
+	startsShortAt Time
 	// meanWork is the mean work of each queue's jobs of late, in processor seconds.
 	meanWork map[string]float64
 	images   images
