--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"container/list"
 	"context"
 	"encoding/gob"
 	"net"
@@ -68,10 +69,11 @@
 	receivedAt time.Duration
 }
 
-// payloadTable are the jobs whose payloads the relay has, with when they were last used.
+// payloadTable are the jobs whose payloads the relay has.
 type payloadTable struct {
-	used  map[string]uint64
-	clock uint64
+	// used has each job's place in recent, which begins with the job that was used last.
+	used   map[string]*list.Element
+	recent *list.List
 	// hashes are those of payloads that the relay had before this stream, until they
 	// are used.
 	hashes map[string]uint64
@@ -79,10 +81,10 @@
 	whole map[string]bool
 }
 
-func newPayloadTable(list []kept) payloadTable {
-	t := payloadTable{used: map[string]uint64{}, hashes: map[string]uint64{}, whole: map[string]bool{}}
-	for _, k := range list {
-		t.used[k.Job], t.hashes[k.Job] = 0, k.Hash
+func newPayloadTable(greeting []kept) payloadTable {
+	t := payloadTable{used: map[string]*list.Element{}, recent: list.New(), hashes: map[string]uint64{}, whole: map[string]bool{}}
+	for _, k := range greeting {
+		t.used[k.Job], t.hashes[k.Job] = t.recent.PushBack(k.Job), k.Hash
 	}
 	return t
 }
@@ -90,9 +92,12 @@
 // use notes that a job's payload is needed. fresh is true when the relay does not have
 // it; dropped is the job whose payload it need not keep any more, or "".
 func (t *payloadTable) use(job, text string) (fresh bool, dropped string) {
-	t.clock++
-	_, known := t.used[job]
-	t.used[job] = t.clock
+	place, known := t.used[job]
+	if known {
+		t.recent.MoveToFront(place)
+	} else {
+		t.used[job] = t.recent.PushFront(job)
+	}
 	if hash, early := t.hashes[job]; early {
 		// An ID may have been another job's once.
 		known = hash == hashOf(text)
@@ -101,17 +106,20 @@
 	if known || len(t.used) <= mostPayloads {
 		return !known, ""
 	}
-	dropped = job
-	for other, at := range t.used {
-		if at < t.used[dropped] {
-			dropped = other
-		}
-	}
-	delete(t.used, dropped)
-	delete(t.hashes, dropped)
+	dropped, _ = t.recent.Back().Value.(string)
+	t.forget(dropped)
 	return true, dropped
 }
 
+// forget notes that the relay does not have a job's payload.
+func (t *payloadTable) forget(job string) {
+	if place, known := t.used[job]; known {
+		t.recent.Remove(place)
+	}
+	delete(t.used, job)
+	delete(t.hashes, job)
+}
+
 // dial opens a stream to the relay that made the offer, compressed if both sides would.
 func dial(ctx context.Context, offer Offer, h hello, pack bool, payloads *packer) (*stream, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -424,8 +432,7 @@
 func (s *stream) lacks(job string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.payloads.used, job)
-	delete(s.payloads.hashes, job)
+	s.payloads.forget(job)
 	if len(s.payloads.whole) >= mostPayloads {
 		clear(s.payloads.whole)
 	}
