--- a/internal/relay/recruit.go
+++ b/internal/relay/recruit.go
@@ -22,8 +22,8 @@
 	messageCost = 50 * time.Microsecond
 	// messageShare is the share of the leader's processor that messages may take: it
 	// gives the pause between two messages of a stream. At 0.8 of a core and 22 relays
-	// that is 9 ms.
-	messageShare = 0.15
+	// that is 17 ms.
+	messageShare = 0.08
 	// leastPause bounds that pause from below: batches of a few orders each. mostPause
 	// bounds what it adds to a start: short tasks are to begin within 0.3 s.
 	leastPause = 4 * time.Millisecond
