The heap may grow fivefold between collections

Collections took some 7 % of the leader's processor (background and assists) at a heap far below the limit, at which SetMemoryLimit keeps it.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -101,7 +101,7 @@
 	memoryShare = 0.6
 	// collectAt is the growth of the heap between collections, in percent: twice
 	// the usual, since the heap is small beside the limit.
-	collectAt = 200
+	collectAt = 400
 )
 
 // Edge is the process.
