Loads and effects that have not changed are not worked out again

An effect is kept with the version of the slopes, a use with its arguments until the next figure. Decisions are the same.

--- a/internal/scheduler/baseline.go
+++ b/internal/scheduler/baseline.go
@@ -64,6 +64,16 @@
 	// last one.
 	peaks, troughs [2]float64
 	windowAt       Time
+	// used are the shares that use has worked out last; observe clears them. A plan asks for
+	// the same two at each VM that the step has a task on.
+	used [2]usedShare
+}
+
+// usedShare is the outcome of baseline.use for its arguments.
+type usedShare struct {
+	known      bool
+	now, ahead Time
+	share      float64
 }
 
 // observe takes in what the siblings' figures of late say of the load.
@@ -73,6 +83,7 @@
 		*b = baseline{known: true, at: now, since: now, level: y, peaks: [2]float64{y, y}, troughs: [2]float64{y, y}, windowAt: now}
 		return
 	}
+	b.used = [2]usedShare{}
 	dt := (now - b.at).Seconds()
 	expected := b.level + b.trend*dt
 	miss := min(max(y-expected, -baselineJump), baselineJump)
@@ -117,6 +128,17 @@
 	if !b.known {
 		return meanUse
 	}
+	for i := range b.used {
+		if u := &b.used[i]; u.known && u.now == now && u.ahead == ahead {
+			return u.share
+		}
+	}
+	share := b.workOutUse(now, ahead)
+	b.used[1], b.used[0] = b.used[0], usedShare{known: true, now: now, ahead: ahead, share: share}
+	return share
+}
+
+func (b *baseline) workOutUse(now Time, ahead time.Duration) float64 {
 	low, high := min(b.troughs[0], b.troughs[1]), max(b.peaks[0], b.peaks[1])
 	ratio := math.Exp(high - low)
 	quiet := max(meanUse-(1-meanUse)*(ratio-1)/(ratio+1), 0)
@@ -145,6 +167,17 @@
 	x  uses
 	// doubtful figures are those of VMs with hardly a processor left.
 	doubtful bool
+	// effect is that of x by the slopes of solved, a version of the pair's.
+	effect float64
+	solved int
+}
+
+// effectBy is the effect of the fillers beside the figure by the slopes of now.
+func (g *figure) effectBy(p *slopes) float64 {
+	if g.solved != p.version+1 {
+		g.effect, g.solved = p.effects(&g.x), p.version+1
+	}
+	return g.effect
 }
 
 // figureLog holds those of a step's tasks of late.
@@ -185,9 +218,10 @@
 // a few figures in a hundred are off by two and more, and what presses on a task
 // unknown to the model must not pass for its load.
 func (f figureLog) load(p *slopes) float64 {
-	var clean, all []float64
+	var cleanBuffer, allBuffer [64]float64
+	clean, all := cleanBuffer[:0], allBuffer[:0]
 	for i := range f {
-		effect := p.effects(&f[i].x)
+		effect := f[i].effectBy(p)
 		all = append(all, f[i].y-effect)
 		if effect < doubtfulEffect && !f[i].doubtful {
 			clean = append(clean, f[i].y-effect)
--- a/internal/scheduler/interference.go
+++ b/internal/scheduler/interference.go
@@ -68,6 +68,8 @@
 	b     [terms]float64
 	slope [terms]float64
 	fresh bool
+	// version counts the solutions.
+	version int
 }
 
 func newImages() images { return images{index: map[string]int{}, pairs: map[string]*slopes{}} }
@@ -186,6 +188,7 @@
 // solve finds the coefficients of the first n places by Gaussian elimination. The
 // prior keeps the matrix positive definite, so no pivoting is needed.
 func (p *slopes) solve(n int) {
+	p.version++
 	var m [terms][terms + 1]float64
 	for i := range n {
 		for k := range n {
