--- a/internal/leader/cutoff_test.go
+++ b/internal/leader/cutoff_test.go
@@ -75,7 +75,7 @@
 	return &term{
 		Leader: &Leader{Store: store, WallMS: func() int64 { return 0 }},
 		tenure: &Tenure{Fence: 1, renewedAt: steady.Now() - renewed, cancel: cancel},
-		log:    eventlog.New(io.Discard, logrus.ErrorLevel), kick: make(chan struct{}, 1), carrying: make(chan struct{}, ordersAtOnce), starts: newWindow(ordersAtOnce),
+		log:    eventlog.New(io.Discard, logrus.ErrorLevel), kick: make(chan struct{}, 1), carrying: make(chan struct{}, ordersAtOnce), starts: newWindow(ordersAtOnce), backlog: scheduler.NewBacklog(),
 		sched: scheduler.New(scheduler.Settings{}, 1, nil), removed: removals{}, cancelledEarly: map[string]time.Duration{},
 	}
 }
--- a/internal/leader/sight_test.go
+++ b/internal/leader/sight_test.go
@@ -93,7 +93,7 @@
 	x := &term{
 		Leader: &Leader{Agents: agent, Log: log}, log: log,
 		tenure: &Tenure{Fence: 7, renewedAt: steady.Now(), cancel: func() {}},
-		told:   map[string]toldEnds{}, kick: make(chan struct{}, 1), flushed: make(chan struct{}), carrying: make(chan struct{}, ordersAtOnce), starts: newWindow(ordersAtOnce),
+		told:   map[string]toldEnds{}, kick: make(chan struct{}, 1), flushed: make(chan struct{}), carrying: make(chan struct{}, ordersAtOnce), starts: newWindow(ordersAtOnce), backlog: scheduler.NewBacklog(),
 	}
 	x.sched = scheduler.New(scheduler.Settings{MaxLease: 10 * time.Second}, 7, x.logDecision)
 	x.sched.SetInstances(steady.Now(), []batch.Instance{{ID: sightVM, Address: "10.0.0.1:1"}})
