--- a/internal/relay/bench_test.go
+++ b/internal/relay/bench_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/gob"
 	"fmt"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -87,3 +88,12 @@
 		require.NoError(b, decoder.Decode(&got))
 	}
 }
+
+// BenchmarkPayloadTable is what a start of a new job costs a stream whose relay keeps as many
+// payloads as it may.
+func BenchmarkPayloadTable(b *testing.B) {
+	table := newPayloadTable(nil)
+	for i := range b.N {
+		table.use(strconv.Itoa(i), "text")
+	}
+}
