Batch work waits for a leader that is more than 25 ms late

With starts bounded by 80 ms the leader of a full processor was still late for what is ready by 100 to 200 ms, and urgent work passes it several times: with its job, its order, its end, its next step. Change: how late the rest between two plans ends, and the oldest start that is not given, tell how late it is; over 25 ms no batch starts are decided, and each plan's number of them follows what was given within that. Urgent groups go on up to 80 ms.

--- a/internal/experiment/play.go
+++ b/internal/experiment/play.go
@@ -237,12 +237,11 @@
 			}
 		}
 	}
-	room := p.backlog.Room(p.now)
-	p.sched.Throttle(room)
+	p.sched.Throttle(p.backlog.Room(p.now, 0))
 	p.sched.Tend(p.now)
 	orders := p.sched.Plan(p.now)
 	p.busy += time.Since(began)
-	given := p.backlog.Decided(p.now, scheduler.CountStarts(orders), room)
+	given := p.backlog.Decided(p.now, scheduler.CountStarts(orders), p.sched.RoomLeft())
 	for _, o := range orders {
 		p.carryOut(o, given)
 	}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -223,7 +223,7 @@
 	}
 	ticker := time.NewTicker(planTick)
 	defer ticker.Stop()
-	confirmed := true
+	confirmed, late := true, time.Duration(0)
 	for {
 		select {
 		case <-ctx.Done():
@@ -237,8 +237,12 @@
 			return
 		}
 		began := steady.Now()
-		t.plan(ctx)
-		pause.For(ctx, t.restAfterPlan(steady.Now()-began))
+		t.plan(ctx, late)
+		rested := steady.Now()
+		rest := t.restAfterPlan(rested - began)
+		pause.For(ctx, rest)
+		// How late the rest ends tells how long whatever is ready waits for the processor.
+		late = steady.Now() - rested - rest
 	}
 }
 
@@ -279,7 +283,8 @@
 	}
 }
 
-func (t *term) plan(ctx context.Context) {
+// plan decides and has the orders given, by a process that is so late with what is ready.
+func (t *term) plan(ctx context.Context, late time.Duration) {
 	now := steady.Now()
 	t.mu.Lock()
 	if t.closed {
@@ -290,16 +295,16 @@
 		t.config = c
 		t.sched.SetConfig(c)
 	}
-	room := t.startRoom(now)
-	t.sched.Throttle(room)
+	t.sched.Throttle(t.startRoom(now, late))
 	t.sched.Led(t.tenure.RenewedAt())
 	t.sched.Tend(now)
 	t.sched.OpenDue(now, t.WallMS())
 	orders := t.sched.Plan(now)
+	left := t.sched.RoomLeft()
 	t.mu.Unlock()
 	t.observeDelay(DelayPlan, steady.Now()-now)
 	decidedAt := steady.Now()
-	given := t.backlog.Decided(decidedAt, scheduler.CountStarts(orders), room)
+	given := t.backlog.Decided(decidedAt, scheduler.CountStarts(orders), left)
 	for i := range orders {
 		o := orders[i]
 		t.work.Go(func() {
@@ -311,12 +316,12 @@
 	}
 }
 
-// startRoom is how many starts may be decided now.
-func (t *term) startRoom(now time.Duration) int {
+// startRoom is how many starts may be decided now, by a process that is so late.
+func (t *term) startRoom(now, late time.Duration) scheduler.Room {
 	if t.starts.full() {
-		return 0
+		return scheduler.Room{}
 	}
-	return t.backlog.Room(now)
+	return t.backlog.Room(now, late)
 }
 
 // Delay is what of a leader's work waits, or takes time: where its processor is full, all
--- a/internal/leader/rebuild_test.go
+++ b/internal/leader/rebuild_test.go
@@ -236,13 +236,13 @@
 		te.work.Wait()
 	}()
 	for range 20 {
-		te.plan(ctx)
+		te.plan(ctx, 0)
 		time.Sleep(10 * time.Millisecond)
 	}
 	hear()
 	te.sched.Submit(steady.Now(), scheduler.Submission{Job: &batch.Job{ID: "j", Steps: []batch.Step{{Tasks: 1, Need: batch.Resources{MilliCPU: 100}}}}, Pool: "p"})
 	for range 30 {
-		te.plan(ctx)
+		te.plan(ctx, 0)
 		time.Sleep(100 * time.Millisecond)
 		hear()
 		te.tenure.renewed(steady.Now())
--- a/internal/scheduler/backlog.go
+++ b/internal/scheduler/backlog.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -12,8 +13,8 @@
 // scheduler's queue, where each plan begins with what is most urgent then.
 type Backlog struct {
 	mu sync.Mutex
-	// size is how many starts may wait.
-	size float64
+	// size is how many starts may wait, batchSize how many of batch jobs one plan may decide.
+	size, batchSize float64
 	// batches are those that wait, by plan, the oldest first.
 	batches []*startBatch
 	waiting int
@@ -38,10 +39,25 @@
 	full bool
 }
 
+// Room is how many starts may be decided.
+type Room struct {
+	// Starts bounds all of them, Batch those of batch jobs.
+	Starts, Batch int
+}
+
+// Unthrottled has a plan start whatever can be started.
+var Unthrottled = Room{Starts: math.MaxInt, Batch: math.MaxInt}
+
+// short reports whether there is none for some.
+func (r Room) short() bool { return r.Starts <= 0 || r.Batch <= 0 }
+
 const (
 	// backlogTarget is how long a start may wait to be given: urgent tasks have some 0.3 s for
 	// all that is not their own work, and many of them two steps.
 	backlogTarget = 80 * time.Millisecond
+	// batchTarget is how far the leader may be behind and decide starts of batch jobs: urgent
+	// ones pass it several times, with their job, their order and the end of each step.
+	batchTarget = 25 * time.Millisecond
 	// firstBacklog is how many starts may wait at first: 5,000 a second. leastBacklog keeps
 	// starts coming, mostBacklog is as many as may be under way through relays.
 	firstBacklog = 256
@@ -54,22 +70,35 @@
 )
 
 // NewBacklog returns an empty backlog.
-func NewBacklog() *Backlog { return &Backlog{size: firstBacklog} }
+func NewBacklog() *Backlog { return &Backlog{size: firstBacklog, batchSize: firstBacklog} }
 
-// Room is how many more starts may be decided now.
-func (b *Backlog) Room(now Time) int {
+// Room is how many more starts may be decided now, by a leader that is so late with what it
+// does itself.
+func (b *Backlog) Room(now Time, late time.Duration) Room {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.batches) > 0 && now-b.batches[0].decidedAt > backlogTarget {
-		return 0
+	if len(b.batches) > 0 {
+		late = max(late, now-b.batches[0].decidedAt)
 	}
-	return max(0, int(b.size)-b.waiting)
+	switch {
+	case late > backlogTarget:
+		b.shrinkBatch()
+		return Room{}
+	case late > batchTarget:
+		b.shrinkBatch()
+		return Room{Starts: b.left()}
+	}
+	return Room{Starts: b.left(), Batch: min(b.left(), int(b.batchSize))}
 }
 
-// Decided notes the starts of a plan that was allowed so many. It returns what is to be called
-// once for each of them, with the time, when it is given or dropped.
-func (b *Backlog) Decided(now Time, starts, room int) (given func(now Time)) {
-	batch := &startBatch{decidedAt: now, left: starts, full: starts >= room}
+func (b *Backlog) left() int { return max(0, int(b.size)-b.waiting) }
+
+func (b *Backlog) shrinkBatch() { b.batchSize = max(b.batchSize*backlogShrinks, leastBacklog) }
+
+// Decided notes the starts of a plan that had so much room left. It returns what is to be
+// called once for each of them, with the time, when it is given or dropped.
+func (b *Backlog) Decided(now Time, starts int, left Room) (given func(now Time)) {
+	batch := &startBatch{decidedAt: now, left: starts, full: left.short()}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if starts > 0 {
@@ -89,12 +118,19 @@
 	for len(b.batches) > 0 && b.batches[0].left == 0 {
 		b.batches = b.batches[1:]
 	}
-	switch took := now - batch.decidedAt; {
+	took := now - batch.decidedAt
+	switch {
 	case took > backlogTarget:
 		b.size = max(b.size*backlogShrinks, leastBacklog)
 	case batch.full && took < backlogTarget/2:
 		b.size = min(b.size*backlogGrows, mostBacklog)
 	}
+	switch {
+	case took > batchTarget:
+		b.shrinkBatch()
+	case batch.full && took < batchTarget/2:
+		b.batchSize = min(b.batchSize*backlogGrows, mostBacklog)
+	}
 }
 
 // Figures are how many starts may wait and how many do.
--- a/internal/scheduler/backlog_test.go
+++ b/internal/scheduler/backlog_test.go
@@ -20,8 +20,8 @@
 	}
 	var queue []waiting
 	for ; now < 10*time.Second; now += time.Second / perSecond {
-		room := b.Room(now)
-		given := b.Decided(now, room, room)
+		room := b.Room(now, 0).Starts
+		given := b.Decided(now, room, Room{})
 		for range room {
 			queue = append(queue, waiting{now, given})
 		}
@@ -44,8 +44,8 @@
 func TestBacklogGrowsWhileStartsAreGivenAtOnce(t *testing.T) {
 	b := NewBacklog()
 	for now := Time(0); now < time.Second; now += 20 * time.Millisecond {
-		room := b.Room(now)
-		given := b.Decided(now, room, room)
+		room := b.Room(now, 0).Starts
+		given := b.Decided(now, room, Room{})
 		for range room {
 			given(now + time.Millisecond)
 		}
@@ -58,21 +58,41 @@
 // Guards against a leader that decides on while what it decided isn't given at all.
 func TestNothingIsDecidedBehindAStartThatIsNotGiven(t *testing.T) {
 	b := NewBacklog()
-	given := b.Decided(0, 1, firstBacklog)
-	require.Positive(t, b.Room(backlogTarget))
-	require.Zero(t, b.Room(backlogTarget+1))
+	given := b.Decided(0, 1, Unthrottled)
+	require.Positive(t, b.Room(batchTarget, 0).Batch)
+	require.Positive(t, b.Room(backlogTarget, 0).Starts)
+	require.Equal(t, Room{}, b.Room(backlogTarget+1, 0))
 	given(backlogTarget + 1)
-	require.Positive(t, b.Room(backlogTarget+1))
+	require.Positive(t, b.Room(backlogTarget+1, 0).Starts)
+}
+
+// Guards against batch work that keeps a leader late for urgent work, which passes it several
+// times.
+func TestBatchWaitsForALeaderThatIsLate(t *testing.T) {
+	b := NewBacklog()
+	require.Equal(t, firstBacklog, b.Room(0, batchTarget).Batch)
+	late := b.Room(0, batchTarget+1)
+	require.Zero(t, late.Batch)
+	require.Equal(t, firstBacklog, late.Starts)
+	require.Less(t, b.Room(0, 0).Batch, firstBacklog)
+
+	s := mixedFleet(1)
+	s.Submit(planAt, Submission{Job: &batch.Job{ID: "urgent", Steps: []batch.Step{{Tasks: 1, Need: batch.Resources{MilliCPU: 500, MemoryMB: 10}, Estimate: time.Second}}}, Queue: "q", Pool: "pool"})
+	s.Throttle(late)
+	require.Empty(t, placesOf(s, filling("crunch", 200), false))
+	require.Len(t, s.jobs["urgent"].occs[0].steps[0].tasks[0].runs, 1)
+	s.Throttle(Unthrottled)
+	require.Equal(t, 1, CountStarts(s.Plan(planAt+time.Millisecond)))
 }
 
 func TestPlanDecidesNoMoreThanItMay(t *testing.T) {
 	s := mixedFleet(1)
-	s.Throttle(3)
+	s.Throttle(Room{Starts: 3, Batch: 3})
 	require.Len(t, placesOf(s, filling("crunch", 200), false), 1)
 	step := filling("crunch", 200)
 	step.Tasks = 10
 	s.Submit(planAt, Submission{Job: &batch.Job{ID: "wide", Steps: []batch.Step{step}}, Queue: "q", Pool: "pool"})
-	s.Throttle(3)
+	s.Throttle(Room{Starts: 3, Batch: 3})
 	require.Equal(t, 3, CountStarts(s.Plan(planAt+time.Millisecond)))
 	s.Throttle(Unthrottled)
 	require.Equal(t, 7, CountStarts(s.Plan(planAt+2*time.Millisecond)))
@@ -89,9 +109,9 @@
 	}
 	submit("wide", wide)
 	submit("narrow", narrow)
-	s.Throttle(0)
+	s.Throttle(Room{})
 	require.Zero(t, CountStarts(s.Plan(planAt)))
-	s.Throttle(4)
+	s.Throttle(Room{Starts: 4, Batch: 4})
 	for _, o := range s.Plan(planAt + time.Millisecond) {
 		require.Equal(t, "narrow", o.Task.Job)
 	}
--- a/internal/scheduler/candidates_test.go
+++ b/internal/scheduler/candidates_test.go
@@ -75,7 +75,7 @@
 
 func TestNothingIsStartedWhileThrottled(t *testing.T) {
 	s := mixedFleet(1)
-	s.Throttle(0)
+	s.Throttle(Room{})
 	require.Empty(t, placesOf(s, filling("crunch", 1500), false))
 	s.Throttle(Unthrottled)
 	require.NotEmpty(t, s.Plan(planAt+time.Millisecond))
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -54,6 +53,9 @@
 // groupNames are the groups in metrics.
 var groupNames = [...]string{"restart", "short", "lasting", "on_time", "late", "hopeless"}
 
+// urgent reports whether a step of the group may not wait for a leader that is behind.
+func (g rankGroup) urgent() bool { return g < groupOnTime }
+
 func (g rankGroup) String() string { return groupNames[g] }
 
 func (s *Scheduler) rank(now Time, st *step) rank {
@@ -170,13 +172,18 @@
 	return cmp.Or(cmp.Compare(a.group, b.group), cmp.Compare(a.priority, b.priority), cmp.Compare(a.effort, b.effort), cmp.Compare(a.slack, b.slack))
 }
 
-// Unthrottled has Plan start whatever can be started.
-const Unthrottled = math.MaxInt
-
 // Throttle bounds the starts that are decided from now on, until it is called again: a leader
 // that is behind with the starts that it has can't have others overtake them. A gang is
 // started whole.
-func (s *Scheduler) Throttle(starts int) { s.startsLeft = starts }
+func (s *Scheduler) Throttle(room Room) { s.room = room }
+
+// RoomLeft is what is left of it.
+func (s *Scheduler) RoomLeft() Room { return s.room }
+
+// mayStart reports whether there is room for a start of a step.
+func (s *Scheduler) mayStart(st *step) bool {
+	return s.room.Starts > 0 && (s.room.Batch > 0 || st.rank.group.urgent())
+}
 
 // Plan starts what can be started and returns the orders to carry out. The rest
 // waits in the order of its rank.
@@ -185,10 +192,10 @@
 		s.plannedAt = now
 		s.changed = false
 		s.planWaves(now)
-		if s.startsLeft > 0 {
+		if s.room.Starts > 0 {
 			s.startWaiting(now)
 		}
-		if s.startsLeft <= 0 {
+		if s.room.short() {
 			// What was left out is to be looked at as soon as there is room.
 			s.changed = true
 			s.startsShortAt = now
@@ -214,7 +221,7 @@
 	s.followShort(now)
 	round := &round{now: now}
 	for _, st := range s.ready {
-		if s.startsLeft <= 0 {
+		if !s.mayStart(st) {
 			return
 		}
 		s.startStep(round, st)
@@ -283,7 +290,7 @@
 		if t.done || len(t.runs) > 0 || !s.startable(r.now, t) {
 			continue
 		}
-		if s.startsLeft <= 0 {
+		if !s.mayStart(st) {
 			return
 		}
 		if t.suspect() {
@@ -395,7 +402,10 @@
 		v.renew(now, s.settings.Lease())
 	}
 	allowed, _ := t.step.advised(now, v)
-	s.startsLeft--
+	s.room.Starts--
+	if !t.step.rank.group.urgent() {
+		s.room.Batch--
+	}
 	s.logStart(r)
 	s.logf(Decision{Event: EventRunStarted, Task: t.id(), VM: v.inst.ID, Run: r.number, Age: now - t.step.occ.dueAt, Group: t.step.rank.group.String(), Value: t.step.rank.slack.Seconds()})
 	s.orders = append(s.orders, Order{
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -387,8 +387,8 @@
 	orders   []Order
 	// changed is set when a plan may find something new to do.
 	changed bool
-	// startsLeft is how many more starts may be decided; see Throttle.
-	startsLeft int
+	// room is how many more starts may be decided; see Throttle.
+	room Room
 	// startsShortAt is when it last left some out, 0 for never.
 	startsShortAt Time
 	// meanWork is the mean work of each queue's jobs of late, in processor seconds.
@@ -423,8 +423,8 @@
 		policy = *settings.Policy
 	}
 	return &Scheduler{
-		startsLeft: Unthrottled,
-		settings:   settings, policy: policy, fence: fence, token: fence, nextRun: fence << runBits, vms: map[string]*vm{}, jobs: map[string]*job{},
+		room:     Unthrottled,
+		settings: settings, policy: policy, fence: fence, token: fence, nextRun: fence << runBits, vms: map[string]*vm{}, jobs: map[string]*job{},
 		timed: map[string]*job{}, dirty: map[string]*job{}, waves: map[int64]*wave{}, silent: map[string]Time{}, ends: map[vmStart]vmEnd{}, doubts: map[vmStart]map[*task]int64{}, starts: startLog{inherited: map[vmStart][]*inheritedStart{}, lostVMs: map[string]bool{}}, lapsed: map[string]Lapsed{}, untoldSince: map[string]Time{}, absent: map[string]Time{}, images: newImages(), meanWork: map[string]float64{}, logf: log,
 	}
 }
