Short tasks that are taken for late go before batch, while they count

A check whose job can't meet its objective by its declared durations went behind all batch work that is on time. Declared durations are off by a factor of two and more, so that most of what is taken for late isn't yet, and what is begun of it was thrown away. Change: a group of its own between lasting work and batch, up to three times the objective; hopeless ones wait as before. TestShortTasksTakenForLateGoBeforeBatch fails before.

--- a/internal/scheduler/backlog_test.go
+++ b/internal/scheduler/backlog_test.go
@@ -116,3 +116,24 @@
 		require.Equal(t, "narrow", o.Task.Job)
 	}
 }
+
+// Guards against checks that are given up for their declared duration: most of what is taken
+// for late by it can still be in time.
+func TestShortTasksTakenForLateGoBeforeBatch(t *testing.T) {
+	s := mixedFleet(1)
+	submit := func(id string, step batch.Step, age time.Duration) {
+		s.Submit(planAt, Submission{Job: &batch.Job{ID: id, Steps: []batch.Step{step}}, Queue: "q", Pool: "pool", Age: age})
+	}
+	check := batch.Step{Tasks: 2, Need: batch.Resources{MilliCPU: 500, MemoryMB: 10}, Estimate: time.Second}
+	submit("batch", filling("crunch", 200), 0)
+	submit("late", check, 1500*time.Millisecond)
+	submit("hopeless", check, time.Minute)
+	submit("check", check, 0)
+	var jobs []string
+	for _, o := range s.Plan(planAt) {
+		if o.Kind == OrderStart {
+			jobs = append(jobs, o.Task.Job)
+		}
+	}
+	require.Equal(t, []string{"check", "check", "late", "late", "batch", "hopeless", "hopeless"}, jobs)
+}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -43,6 +43,8 @@
 	groupShort
 	// groupLasting: lasting work that is new.
 	groupLasting
+	// groupShortLate: short tasks of jobs that are late but count.
+	groupShortLate
 	// groupOnTime: the other jobs that can meet their objective, then those that
 	// are late but count, and the rest.
 	groupOnTime
@@ -51,7 +53,7 @@
 )
 
 // groupNames are the groups in metrics.
-var groupNames = [...]string{"restart", "short", "lasting", "on_time", "late", "hopeless"}
+var groupNames = [...]string{"restart", "short", "lasting", "short_late", "on_time", "late", "hopeless"}
 
 // urgent reports whether a step of the group may not wait for a leader that is behind.
 func (g rankGroup) urgent() bool { return g < groupOnTime }
@@ -78,7 +80,11 @@
 		r.group = groupShort
 	}
 	if slack < 0 {
-		r.group = groupLate
+		if r.group == groupShort {
+			r.group = groupShortLate
+		} else {
+			r.group = groupLate
+		}
 		r.slack = o.dueAt + lateFactor*j.objective - now - remaining
 		if r.slack < 0 {
 			r.group = groupHopeless
