--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -61,6 +61,14 @@
 	l.logger.WithFields(fields).Info(name)
 }
 
+// EventOf is Event with fields that are only worked out for a line that is written.
+func (l *Log) EventOf(name string, fields func() Fields) {
+	if l == nil || !l.allow(name) {
+		return
+	}
+	l.logger.WithFields(fields()).Info(name)
+}
+
 // Warn writes a line for something that went wrong.
 func (l *Log) Warn(name string, err error, fields Fields) {
 	if l == nil || !l.allow(name) {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -445,6 +445,11 @@
 	if t.Observe != nil {
 		t.Observe(d)
 	}
+	t.log.EventOf(d.Event, func() eventlog.Fields { return decisionFields(&d) })
+}
+
+// decisionFields are a decision's for its line.
+func decisionFields(d *scheduler.Decision) eventlog.Fields {
 	f := eventlog.Fields{}
 	if d.Job != "" {
 		f["job"] = d.Job
@@ -482,5 +487,5 @@
 	if d.LeaseLeft != 0 {
 		f["lease_left_ms"] = d.LeaseLeft.Milliseconds()
 	}
-	t.log.Event(d.Event, f)
+	return f
 }
