A leader that is always late decides some batch starts every half second

Lateness alone bounds batch starts only now, and for half a second at most; starts that wait to be given bound the others, until they are given.

--- a/internal/scheduler/backlog.go
+++ b/internal/scheduler/backlog.go
@@ -18,6 +18,8 @@
 	// batches are those that wait, by plan, the oldest first.
 	batches []*startBatch
 	waiting int
+	// batchAt is when there last was room for batch starts.
+	batchAt Time
 }
 
 // CountStarts counts the starts among orders.
@@ -58,6 +60,8 @@
 	// batchTarget is how far the leader may be behind and decide starts of batch jobs: urgent
 	// ones pass it several times, with their job, their order and the end of each step.
 	batchTarget = 25 * time.Millisecond
+	// batchWaits is for how long a leader that is late decides no batch starts at most.
+	batchWaits = 500 * time.Millisecond
 	// firstBacklog is how many starts may wait at first: 5,000 a second. leastBacklog keeps
 	// starts coming, mostBacklog is as many as may be under way through relays.
 	firstBacklog = 256
@@ -77,22 +81,29 @@
 func (b *Backlog) Room(now Time, late time.Duration) Room {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	oldest := time.Duration(0)
 	if len(b.batches) > 0 {
-		late = max(late, now-b.batches[0].decidedAt)
+		oldest = now - b.batches[0].decidedAt
+	}
+	room := Room{Starts: max(0, int(b.size)-b.waiting)}
+	if oldest > backlogTarget {
+		room.Starts = 0
 	}
 	switch {
-	case late > backlogTarget:
-		b.shrinkBatch()
-		return Room{}
-	case late > batchTarget:
+	case max(late, oldest) <= batchTarget:
+		room.Batch = int(b.batchSize)
+	case now-b.batchAt > batchWaits:
+		// A process that is always late still has to get its batch work done.
+		room.Batch = leastBacklog
+	default:
 		b.shrinkBatch()
-		return Room{Starts: b.left()}
 	}
-	return Room{Starts: b.left(), Batch: min(b.left(), int(b.batchSize))}
+	if room.Batch = min(room.Batch, room.Starts); room.Batch > 0 {
+		b.batchAt = now
+	}
+	return room
 }
 
-func (b *Backlog) left() int { return max(0, int(b.size)-b.waiting) }
-
 func (b *Backlog) shrinkBatch() { b.batchSize = max(b.batchSize*backlogShrinks, leastBacklog) }
 
 // Decided notes the starts of a plan that had so much room left. It returns what is to be
--- a/internal/scheduler/backlog_test.go
+++ b/internal/scheduler/backlog_test.go
@@ -85,6 +85,21 @@
 	require.Equal(t, 1, CountStarts(s.Plan(planAt+time.Millisecond)))
 }
 
+// Guards against work that is never started by a process that is always late, such as one on a
+// slow processor.
+func TestNoWorkIsStarvedByALeaderThatIsAlwaysLate(t *testing.T) {
+	b := NewBacklog()
+	batches := 0
+	for now := Time(0); now < 10*time.Second; now += 20 * time.Millisecond {
+		room := b.Room(now, time.Second)
+		require.Positive(t, room.Starts)
+		if room.Batch > 0 {
+			batches++
+		}
+	}
+	require.GreaterOrEqual(t, batches, int(10*time.Second/batchWaits)-2)
+}
+
 func TestPlanDecidesNoMoreThanItMay(t *testing.T) {
 	s := mixedFleet(1)
 	s.Throttle(Room{Starts: 3, Batch: 3})
