Evacuate availability zones on the operator's request

Cause: nothing read op/evacuate/ZONE.

Change, the plainest that keeps the rule: - Every process follows the requests with the configuration: by the watch, by the read beside it once a second, and from peers while the store turns it away. States are ordered by the store revision up to which they are complete, so a state that was overtaken neither reopens a zone nor evacuates it again. The same read confirms both, so the age of the configuration's confirmation is that of the evacuations. - A new leader reads the requests from the store before its first start. - A VM in an evacuated zone is an obstacle to placement, for tasks of all kinds, copies, trials, gangs and moves.

--- a/internal/edge/configfetcher.go
+++ b/internal/edge/configfetcher.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/rattanwall/rattanwall/internal/batch"
 	"github.com/rattanwall/rattanwall/internal/durable"
 	"github.com/rattanwall/rattanwall/internal/eventlog"
 	"github.com/rattanwall/rattanwall/internal/leader"
@@ -39,9 +40,10 @@
 // configFetcher fetches the configuration and the current leader from other processes while the
 // store does not respond.
 type configFetcher struct {
-	config *configuration
-	peers  *peerAddresses
-	leader func() (leader.Record, bool)
+	config      *configuration
+	evacuations *evacuations
+	peers       *peerAddresses
+	leader      func() (leader.Record, bool)
 	// onLeaderReported is called with the leader that a peer reports.
 	onLeaderReported func(r leader.Record, fence int64, peer string)
 	// onPeerResponse is called with the address of each peer that responds.
@@ -164,7 +166,10 @@
 	defer cancel()
 	sentAt := steady.Now()
 	remote := scheduling.NewSchedulingProtobufClient("http://"+address, p.client)
-	r, err := remote.Config(ctx, &scheduling.ConfigRequest{Revision: p.config.latest().Revision, Address: p.peers.self, WithinMs: maxAge.Milliseconds()})
+	r, err := remote.Config(ctx, &scheduling.ConfigRequest{
+		Revision: p.config.latest().Revision, EvacuationsRevision: p.evacuations.inForce.Load().Revision,
+		Address: p.peers.self, WithinMs: maxAge.Milliseconds(),
+	})
 	if err != nil {
 		p.peers.remove(address)
 		p.log.Event("config_peer_failed", eventlog.Fields{"peer": address, "error": err.Error()})
@@ -178,6 +183,7 @@
 	if len(r.GetValue()) > 0 {
 		p.config.install(&durable.Item{Value: r.GetValue(), Revision: r.GetRevision()}, address)
 	}
+	p.evacuations.install(evacuationsOf(r), address)
 	if !r.GetConfirmed() {
 		return false
 	}
@@ -189,6 +195,28 @@
 	return age < askPeersDelay
 }
 
+// evacuationsOf returns the evacuations in a peer's response.
+func evacuationsOf(r *scheduling.ConfigResponse) *batch.Evacuations {
+	e := &batch.Evacuations{Revision: r.GetEvacuationsRevision()}
+	for _, z := range r.GetEvacuations() {
+		e.Zones = append(e.Zones, batch.Evacuation{Zone: z.GetZone(), Revision: z.GetRevision()})
+	}
+	return e
+}
+
+// addTo adds the evacuations in force to the response to a peer that has older ones. It is
+// called after the configuration's confirmation is in the response, which covers them as well.
+func (e *evacuations) addTo(resp *scheduling.ConfigResponse, r *scheduling.ConfigRequest) {
+	inForce := e.inForce.Load()
+	if inForce.Revision <= r.GetEvacuationsRevision() {
+		return
+	}
+	resp.EvacuationsRevision = inForce.Revision
+	for _, z := range inForce.Zones {
+		resp.Evacuations = append(resp.Evacuations, &scheduling.Evacuation{Zone: z.Zone, Revision: z.Revision})
+	}
+}
+
 // configResponse builds the response to a peer. Only this process's own reads of the store
 // count as confirmed: the age of a confirmation passed on between peers could not be
 // determined.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -35,6 +35,8 @@
 	// Node is the process's name in logs and in its leader record.
 	Node string
 	Zone string
+	// Zones are the deployment's availability zones.
+	Zones []string
 	// Callers, Readiness, Peers and Operations are the ip:port addresses to listen on.
 	Callers    string
 	Readiness  string
@@ -72,6 +74,9 @@
 	DecodeConfig   func([]byte) (*batch.Config, error)
 	DecodeWave     func(durable.Item) (batch.Wave, bool, error)
 	ReportWave     leader.WaveReport
+	// EvacuationsPrefix is the part of OperatorPrefix with the requests to evacuate zones.
+	EvacuationsPrefix string
+	DecodeEvacuation  DecodeEvacuation
 	// CallerHandlers returns the handlers for callers' requests and for the balancer's
 	// readiness probe.
 	CallerHandlers func(*entry.Entry) (callers, ready http.Handler)
@@ -116,6 +121,8 @@
 	leader   *leader.Leader
 	entry    *entry.Entry
 	config   *configuration
+	// evacuations holds the operator's requests to evacuate zones.
+	evacuations *evacuations
 	// waves holds the maintenance waves that the operator requested, by number.
 	wavesMu          sync.Mutex
 	waves            map[int64]batch.Wave
@@ -139,27 +146,29 @@
 func New(s Settings, p Platform, log *eventlog.Log) *Edge {
 	e := &Edge{
 		settings: s, platform: p, log: log, waves: map[int64]batch.Wave{}, aborted: make(chan struct{}),
-		config: newConfiguration(p.DecodeConfig, log), peerAddresses: &peerAddresses{self: s.Peers},
+		config: newConfiguration(p.DecodeConfig, log), evacuations: newEvacuations(p.DecodeEvacuation, s.Zones, log),
+		peerAddresses: &peerAddresses{self: s.Peers},
 	}
 	e.relays = &relay.Pool{Direct: p.Agents, List: relay.Instances(p.Instances), Node: s.Node, DirectVMs: s.DirectVMs, Processor: s.Processor, LinkMbps: s.LinkMbps, Log: log}
 	e.relay = &relay.Server{Agents: p.Agents, Instances: relay.Instances(p.Instances), Client: p.PeerClient, Log: log}
 	e.leader = &leader.Leader{
 		Store: p.Store, Agents: e.relays, Relays: e.relays, Adviser: p.Adviser, Instances: e.relays.Instances, Config: e.config.inForce.Load,
+		Evacuations: e.evacuations.inForce.Load, ReadEvacuations: e.readEvacuations,
 		Settings: s.Bounds, Log: log, WallMS: wallMS,
 		Machines: p.Machines, Node: s.Node, Address: s.Peers, Predecessors: &predecessorClient{client: p.PeerClient}, Waves: e.listWaves, ReportWave: p.ReportWave,
 	}
 	e.metrics = newMetrics(e.leader.Stats)
-	e.metrics.registry.MustRegister(newConfigMetrics(e.config))
+	e.metrics.registry.MustRegister(newConfigMetrics(e.config), newEvacuationMetrics(e.evacuations))
 	e.leader.ObserveDecision, e.leader.ObserveEnd, e.leader.ObserveDelay = e.metrics.recordDecision, e.metrics.recordEnd, e.metrics.recordDelay
 	e.relays.ObserveDelay = func(waited time.Duration) { e.metrics.recordDelay(leader.DelayReport, waited) }
 	e.election = leader.NewElection(p.Store, leader.Record{Node: s.Node, Address: s.Peers}, s.Processor, log, e.leader.Lead)
-	local := &peerServer{node: s.Node, leader: e.leader, election: e.election, store: p.Store, relays: e.relays, config: e.config, peerAddresses: e.peerAddresses, lookUpConfig: e.lookUpConfig}
+	local := &peerServer{node: s.Node, leader: e.leader, election: e.election, store: p.Store, relays: e.relays, config: e.config, evacuations: e.evacuations, peerAddresses: e.peerAddresses, lookUpConfig: e.lookUpConfig}
 	e.relayOfferer = &relayOfferer{
 		offer:  relay.Offer{Node: s.Node, Address: s.Peers, Zone: s.Zone, VMs: relay.Capacity(s.Processor, s.LinkMbps)},
 		leader: e.election.Leader, peerAddresses: e.peerAddresses, client: p.PeerClient, log: log, wake: make(chan struct{}, 1),
 	}
 	e.configFetcher = &configFetcher{
-		config: e.config, peers: e.peerAddresses, leader: e.election.Leader, onLeaderReported: e.election.LearnLeader, onPeerResponse: e.recordPeerResponse,
+		config: e.config, evacuations: e.evacuations, peers: e.peerAddresses, leader: e.election.Leader, onLeaderReported: e.election.LearnLeader, onPeerResponse: e.recordPeerResponse,
 		client: p.PeerClient, log: log, wake: make(chan struct{}, 1),
 	}
 	e.election.OnLeaderSeen = func(leader.Record) { e.relayOfferer.trigger() }
@@ -272,8 +281,20 @@
 	}
 }
 
-// applyOperatorItems installs configurations and maintenance waves that the operator wrote.
-func (e *Edge) applyOperatorItems(items []durable.Item, _ bool) {
+// readEvacuations reads the operator's evacuations from the store and applies them.
+func (e *Edge) readEvacuations(ctx context.Context) error {
+	items, revision, err := e.platform.Store.Range(ctx, e.platform.EvacuationsPrefix)
+	if err != nil {
+		return errors.Wrap(err, "evacuations")
+	}
+	e.evacuations.applyItems(items, revision, true)
+	return nil
+}
+
+// applyOperatorItems installs configurations, evacuations and maintenance waves that the
+// operator wrote.
+func (e *Edge) applyOperatorItems(items []durable.Item, revision int64, whole bool) {
+	e.evacuations.applyItems(items, revision, whole)
 	for i := range items {
 		if items[i].Key == e.platform.ConfigKey && !items[i].Deleted {
 			e.config.install(&items[i], sourceStore)
--- a/internal/edge/operations.go
+++ b/internal/edge/operations.go
@@ -161,10 +161,14 @@
 	// for never.
 	ConfigConfirmedAgoMS int64 `json:"config_confirmed_ago_ms"`
 	// ConfigUnreadable is the revision of a newer configuration that can't be decoded.
-	ConfigUnreadable int64           `json:"config_unreadable,omitempty"`
-	Queues           int             `json:"queues"`
-	Leader           leader.Record   `json:"leader"`
-	Scheduler        *scheduler.Dump `json:"scheduler,omitempty"`
+	ConfigUnreadable int64 `json:"config_unreadable,omitempty"`
+	Queues           int   `json:"queues"`
+	// Evacuations are the evacuated availability zones as this process knows them.
+	Evacuations []EvacuationDump `json:"evacuations,omitempty"`
+	// EvacuationsRejected counts the faulty requests.
+	EvacuationsRejected int64           `json:"evacuations_rejected,omitempty"`
+	Leader              leader.Record   `json:"leader"`
+	Scheduler           *scheduler.Dump `json:"scheduler,omitempty"`
 	// Relays maps the processes that relay this leader's orders to the number of VMs that each
 	// serves; empty if the leader serves all VMs directly.
 	Relays map[string]int `json:"relays,omitempty"`
@@ -174,7 +178,7 @@
 func (e *Edge) Dump() Dump {
 	d := Dump{
 		Node: e.settings.Node, Zone: e.settings.Zone, Ready: e.ready(), Scheduler: e.leader.Dump(),
-		ConfigConfirmedAgoMS: -1, ConfigUnreadable: e.config.unreadableRevision(),
+		ConfigConfirmedAgoMS: -1, ConfigUnreadable: e.config.unreadableRevision(), Evacuations: e.evacuations.dump(), EvacuationsRejected: e.evacuations.rejected.Load(),
 	}
 	if age, ok := e.config.confirmedAge(); ok {
 		d.ConfigConfirmedAgoMS = age.Milliseconds()
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -30,6 +30,7 @@
 	store         durable.Store
 	relays        *relay.Pool
 	config        *configuration
+	evacuations   *evacuations
 	peerAddresses *peerAddresses
 	// lookUpConfig reads the configuration from the store if its confirmation is older than
 	// maxAge.
@@ -127,6 +128,7 @@
 		p.lookUpConfig(ctx, time.Duration(r.GetWithinMs())*time.Millisecond, peerLookupTimeout)
 	}
 	resp := p.config.configResponse(r)
+	p.evacuations.addTo(resp, r)
 	p.peerAddresses.add(r.GetAddress())
 	resp.Peers = p.peerAddresses.list(r.GetAddress())
 	record, fence := p.election.LeaderAndFence()
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -32,9 +32,10 @@
 	pollTimeout = 700 * time.Millisecond
 )
 
-// Handler processes changes. If whole is set, items is the complete content of the
-// prefix and keys that are missing from it no longer exist.
-type Handler func(items []durable.Item, whole bool)
+// Handler processes changes up to a revision of the store. If whole is set, items is the
+// complete content of the prefix at that revision, and keys that are missing from it no longer
+// exist.
+type Handler func(items []durable.Item, revision int64, whole bool)
 
 // Follower follows one prefix. It implements suture.Service.
 type Follower struct {
@@ -228,7 +229,7 @@
 	}
 	f.handledRevision = revision
 	f.handleCount++
-	f.Handle(items, true)
+	f.Handle(items, revision, true)
 	return true
 }
 
@@ -247,7 +248,7 @@
 	}
 	if f.handledRevision = newest; len(unhandled) > 0 {
 		f.handleCount++
-		f.Handle(unhandled, false)
+		f.Handle(unhandled, newest, false)
 	}
 }
 
--- a/internal/leader/election.go
+++ b/internal/leader/election.go
@@ -130,7 +130,10 @@
 // context ends.
 func NewElection(store durable.Store, self Record, processor float64, log *eventlog.Log, lead func(context.Context, *Tenure)) *Election {
 	e := &Election{store: store, self: self, processor: processor, log: log, lead: lead, wake: make(chan struct{}, 1)}
-	e.follower = &follow.Follower{Store: store, Prefix: leaderKey, Wait: leaderWatchTimeout, PollInterval: leaderReadInterval, Handle: e.observe}
+	e.follower = &follow.Follower{
+		Store: store, Prefix: leaderKey, Wait: leaderWatchTimeout, PollInterval: leaderReadInterval,
+		Handle: func(items []durable.Item, _ int64, whole bool) { e.observe(items, whole) },
+	}
 	return e
 }
 
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -96,9 +96,13 @@
 	Waves      func() []batch.Wave
 	ReportWave WaveReport
 	// Config returns the configuration in force, or nil.
-	Config   func() *batch.Config
-	Settings scheduler.Settings
-	Log      *eventlog.Log
+	Config func() *batch.Config
+	// Evacuations returns the evacuations in force; never nil. ReadEvacuations reads them from
+	// the store first, so that a new leader knows those of which its process was not told.
+	Evacuations     func() *batch.Evacuations
+	ReadEvacuations func(ctx context.Context) error
+	Settings        scheduler.Settings
+	Log             *eventlog.Log
 	// WallMS is the time of day in milliseconds since 1970.
 	WallMS func() int64
 	// ObserveDecision is called with each decision, for metrics; may be nil.
@@ -217,7 +221,10 @@
 
 // run starts the loops of the tenure and plans until it ends.
 func (t *term) run(ctx context.Context, revision int64) {
-	jobs := &follow.Follower{Store: t.Store, Prefix: jobsPrefix, Wait: jobsWatchTimeout, Handle: t.observeJobs, StartRevision: revision}
+	jobs := &follow.Follower{
+		Store: t.Store, Prefix: jobsPrefix, Wait: jobsWatchTimeout, StartRevision: revision,
+		Handle: func(items []durable.Item, _ int64, whole bool) { t.observeJobs(items, whole) },
+	}
 	for _, loop := range []func(context.Context){
 		func(ctx context.Context) { _ = jobs.Serve(ctx) }, t.listLoop, t.flushLoop, t.unknownJobsLoop, t.predecessorsLoop, t.newJobsRevisionLoop, t.livenessLoop, t.forgetLoop, t.modelLoop, t.wavesLoop, t.tokenLoop,
 	} {
@@ -298,6 +305,7 @@
 		t.config = c
 		t.sched.SetConfig(c)
 	}
+	t.sched.SetEvacuations(t.Evacuations())
 	t.sched.SetStartBudget(t.startCapacity(now, lag))
 	t.sched.ConfirmLeadership(t.tenure.RenewedAt())
 	t.sched.Tick(now)
@@ -489,6 +497,12 @@
 	if d.Born != 0 {
 		f["born"], f["acked"] = d.Born, d.Acked
 	}
+	if d.Zone != "" {
+		f["zone"] = d.Zone
+	}
+	if d.Revision != 0 {
+		f["revision"] = d.Revision
+	}
 	if d.LeaseLeft != 0 {
 		f["lease_left_ms"] = d.LeaseLeft.Milliseconds()
 	}
--- a/internal/leader/rebuild.go
+++ b/internal/leader/rebuild.go
@@ -67,6 +67,9 @@
 	if err != nil {
 		return rebuildResult{}, err
 	}
+	if err := t.ReadEvacuations(ctx); err != nil {
+		return rebuildResult{}, err
+	}
 	t.loadModel(ctx)
 	t.restoreExpiredLeases(ctx)
 	past, complete, err := t.readPastTenures(ctx)
@@ -86,6 +89,7 @@
 		t.config = c
 		t.sched.SetConfig(c)
 	}
+	t.sched.SetEvacuations(t.Evacuations())
 	now := steady.Now()
 	t.sched.SetInstances(now, list)
 	used := slices.Collect(maps.Keys(earlier))
--- a/internal/scheduler/dump.go
+++ b/internal/scheduler/dump.go
@@ -14,12 +14,22 @@
 	OpenJobs     int      `json:"open_jobs"`
 	WaitingTasks int      `json:"waiting_tasks"`
 	Awaited      []string `json:"silent,omitempty"`
-	VMs          []VMDump `json:"vms"`
-	Interference string   `json:"interference"`
+	// Evacuated are the evacuated availability zones.
+	Evacuated    []EvacuatedZoneDump `json:"evacuated,omitempty"`
+	VMs          []VMDump            `json:"vms"`
+	Interference string              `json:"interference"`
 	// ReserveShare is the share of the VMs' capacity kept free of lasting tasks.
 	ReserveShare float64 `json:"reserve_share"`
 }
 
+// EvacuatedZoneDump is what still runs in an evacuated availability zone.
+type EvacuatedZoneDump struct {
+	Zone string `json:"zone"`
+	// Revision is the store revision of the operator's request.
+	Revision int64 `json:"revision"`
+	Runs     int   `json:"runs"`
+}
+
 // VMDump is the state of one VM. CPU amounts are in thousandths of a processor.
 type VMDump struct {
 	ID string `json:"id"`
@@ -48,6 +58,9 @@
 		}
 	}
 	d.WaitingTasks = s.waitingTasks()
+	for _, z := range s.evacuations.Zones {
+		d.Evacuated = append(d.Evacuated, EvacuatedZoneDump{Zone: z.Zone, Revision: z.Revision, Runs: s.runsInZone(z.Zone)})
+	}
 	for _, v := range s.vmList {
 		x := VMDump{
 			ID: v.inst.ID, Born: v.born, Zone: v.inst.Zone, Listed: v.listed, Draining: v.inst.Draining, Closed: v.closed,
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -273,6 +273,8 @@
 		s.dropStart(now, r, "no room")
 	case !v.entryMatchesIncarnation():
 		s.dropStart(now, r, reasonRestarted)
+	case v.evacuated:
+		s.dropStart(now, r, reasonEvacuated)
 	default:
 		r.startSent, r.startSentAt = true, now
 		return true
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -75,6 +75,10 @@
 	EventVMWaitedOut = "vm_waited_out"
 	// EventWaveBegun: a wave of maintenance was accepted.
 	EventWaveBegun = "wave_begun"
+	// EventZoneEvacuated: an availability zone gets no new work.
+	EventZoneEvacuated = "zone_evacuated"
+	// EventZoneReopened: an availability zone's evacuation was withdrawn.
+	EventZoneReopened = "zone_reopened"
 )
 
 // Events lists all events of decisions.
@@ -115,4 +119,6 @@
 	EventVMUnlisted,
 	EventVMWaitedOut,
 	EventWaveBegun,
+	EventZoneEvacuated,
+	EventZoneReopened,
 }
--- a/internal/scheduler/explore_leader_test.go
+++ b/internal/scheduler/explore_leader_test.go
@@ -56,6 +56,8 @@
 	died          bool
 	restartAt     Time
 	tenuresPruned bool
+	// disturbedAt is when the leader last did not reach the store.
+	disturbedAt, nextEvacuationRead Time
 	// leasesKnown is set when the predecessors have reported all their leases.
 	leasesKnown bool
 }
@@ -121,6 +123,7 @@
 		{Name: "two", Pool: "pool", Attempts: 2, Stretch: 2},
 		{Name: "three", Pool: "pool", Attempts: 3, Stretch: 2},
 	}})
+	w.readEvacuations(l)
 	list := w.listedInstances()
 	earlier := w.store.instances
 	if w.mutations.ignoreRecordedVMs {
@@ -190,6 +193,7 @@
 		return
 	}
 	w.deliverWatch(l)
+	w.readEvacuations(l)
 	if w.now >= l.nextRenewal {
 		l.nextRenewal = w.now + keyRenewalInterval
 		switch {
--- a/internal/scheduler/explore_model_test.go
+++ b/internal/scheduler/explore_model_test.go
@@ -33,6 +33,8 @@
 	tick      int64
 	vms       []*modelVM
 	zoneCut   [zoneCount]Time
+	// evacuatedAt is when the evacuation of a zone was requested; 0 if none is in force.
+	evacuatedAt [zoneCount]Time
 	// splitUntil is when the latest isolation of a leader with some VMs ends.
 	splitUntil Time
 	store      modelStore
@@ -69,6 +71,7 @@
 		rng: rand.New(rand.NewPCG(seed, 7)), logRng: rand.New(rand.NewPCG(seed, 8)), mutations: m, faults: f, now: time.Second, trace: trace,
 		jobs: map[string]*modelJob{}, tasks: map[batch.TaskID]*taskHistory{},
 	}
+	w.store.evacuations = &batch.Evacuations{}
 	w.store.records, w.store.starts = map[string][]byte{}, map[SegmentID][]byte{}
 	for i := range 4 {
 		w.addVM(fmt.Sprintf("10.0.0.%d:1", i), i%zoneCount)
@@ -268,6 +271,9 @@
 	if w.faults.resizes && w.rng.IntN(1000) < 15 {
 		w.resizeVM()
 	}
+	if w.faults.evacuations && w.rng.IntN(1000) < 12 {
+		w.injectEvacuation()
+	}
 }
 
 // injectLeaderFault kills, freezes or cuts off the leader's process, stops the store, or revokes
@@ -442,6 +448,10 @@
 	w.faultFree, w.faultFreeSince = true, w.now
 	w.zoneCut = [zoneCount]Time{}
 	w.store.downUntil = 0
+	if w.faults.evacuations {
+		// One zone may stay evacuated: the other has the capacity for all jobs.
+		w.setEvacuated(w.rng.IntN(zoneCount), false)
+	}
 	for _, v := range w.vms {
 		v.cutUntil, v.storelessUntil, v.onlyLeaderUntil = 0, 0, 0
 	}
--- a/internal/scheduler/explore_store_test.go
+++ b/internal/scheduler/explore_store_test.go
@@ -38,6 +38,7 @@
 	expiredRuns map[string]ExpiredLease
 	tenures     []*modelLeader
 	starts      map[SegmentID][]byte
+	evacuations *batch.Evacuations
 }
 
 func (j *modelJob) submission(now Time) Submission {
--- a/internal/scheduler/explore_test.go
+++ b/internal/scheduler/explore_test.go
@@ -57,6 +57,8 @@
 	lateWrites bool
 	// slowCrashes lets tasks crash their VMs 1.5 s after their start.
 	slowCrashes bool
+	// evacuations requests and withdraws the evacuation of zones, one or all at a time.
+	evacuations bool
 }
 
 // mutations disable safeguards of the scheduler or of the VMs. The explorer has to detect each.
@@ -91,6 +93,8 @@
 	ackUnanswered bool
 	// ignoreIncarnations: a VM's new incarnation is treated as the previous one.
 	ignoreIncarnations bool
+	// ignoreEvacuations: leaders do not learn of evacuations.
+	ignoreEvacuations bool
 }
 
 // exploreScale multiplies the number of seeds, for a longer search: -explore.scale 10.
@@ -201,6 +205,8 @@
 	{"predecessor queries, quick successions", faults{splitLeaders: true, predecessorQueries: true, quickSuccessions: true}, 160},
 	{"predecessor queries, unlisted VMs", faults{splitLeaders: true, unlistedVMs: true, revokedKeys: true, predecessorQueries: true}, 160},
 	{"all, predecessor queries", faults{splitLeaders: true, unlistedVMs: true, lateWatches: true, scheduledJobs: true, attemptLimits: true, revokedKeys: true, predecessorQueries: true}, 160},
+	{"evacuations", faults{evacuations: true}, 160},
+	{"evacuations, unlisted VMs, crashing tasks", faults{evacuations: true, unlistedVMs: true, splitLeaders: true, predecessorQueries: true, crashingTasks: true}, 160},
 	{"all", faults{splitLeaders: true, unlistedVMs: true, lateWatches: true, scheduledJobs: true, attemptLimits: true, revokedKeys: true}, 120},
 }
 
@@ -214,6 +220,7 @@
 	{"restarts, shrinking capacities", faults{restarts: true, resizes: true, unlistedVMs: true}, 120},
 	{"restarts, predecessor queries", faults{restarts: true, splitLeaders: true, unlistedVMs: true, revokedKeys: true, predecessorQueries: true}, 160},
 	{"restarts as a frozen leader resumes", faults{restarts: true, wakeRestarts: true}, 160},
+	{"evacuations, restarts", faults{restarts: true, evacuations: true, unlistedVMs: true, scheduledJobs: true}, 160},
 	{"all with restarts", faults{splitLeaders: true, unlistedVMs: true, lateWatches: true, scheduledJobs: true, attemptLimits: true, revokedKeys: true, predecessorQueries: true, restarts: true}, 160},
 }
 
@@ -279,6 +286,7 @@
 		"ignores shrinking capacities":        {mutations: mutations{ignoreResizes: true}, faults: faults{resizes: true}},
 		"acknowledges unanswered holds":       {mutations: mutations{ackUnanswered: true}, faults: faults{restarts: true}, firstSeed: 9600},
 		"ignores new incarnations":            {mutations: mutations{ignoreIncarnations: true}, faults: faults{restarts: true}},
+		"ignores evacuations":                 {mutations: mutations{ignoreEvacuations: true}, faults: faults{evacuations: true}},
 		"ignores recorded VMs":                {mutations: mutations{ignoreRecordedVMs: true}, faults: faults{unlistedVMs: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -109,6 +109,7 @@
 	obstacleUnreachable
 	obstacleRestarted
 	obstacleDraining
+	obstacleEvacuated
 	obstaclePool
 	obstacleSuspected
 	obstaclePerVM
@@ -123,7 +124,7 @@
 	obstacleCount
 )
 
-var obstacleNames = [obstacleCount]string{"none", "unheard", "restarted", "draining", "pool", "suspected", "per_vm", "trial", "capacity", "processor", "reserve", "memory", "leftover", "advice", "pressure"}
+var obstacleNames = [obstacleCount]string{"none", "unheard", "restarted", "draining", "evacuated", "pool", "suspected", "per_vm", "trial", "capacity", "processor", "reserve", "memory", "leftover", "advice", "pressure"}
 
 // maxUnackedEnds is the number of unacknowledged run ends up to which a VM gets new work. A
 // report lists at most 500 ends, and a run whose end is beyond them counts as an unconfirmed
@@ -143,6 +144,8 @@
 		return obstacleRestarted
 	case v.inst.Draining || v.closed || v.ackLimit > 0 || v.processedSeq-v.durableSeq > maxUnackedEnds:
 		return obstacleDraining
+	case v.evacuated:
+		return obstacleEvacuated
 	case s.policy.Quarantine && !v.health.usable(now, spec):
 		return obstacleSuspected
 	case spec.MaxPerVM > 0 && t.step.runsPerVM[v] >= spec.MaxPerVM, v.runs[t.id()] != nil:
--- a/internal/scheduler/resend.go
+++ b/internal/scheduler/resend.go
@@ -1,11 +1,11 @@
 package scheduler
 
 // ShouldResendStart reports whether an ordered start is to be sent again: its run still
-// counts, was not ordered to stop, and its VM has not restarted. If so, it records now as
-// the time of the start.
+// counts, was not ordered to stop, and its VM has not restarted and is not in an evacuated
+// zone. If so, it records now as the time of the start.
 func (s *Scheduler) ShouldResendStart(now Time, o Order) bool {
 	v := s.vms[o.Instance.ID]
-	if v == nil {
+	if v == nil || v.evacuated {
 		return false
 	}
 	r := v.runs[o.Task]
--- a/internal/scheduler/restarts.go
+++ b/internal/scheduler/restarts.go
@@ -95,7 +95,7 @@
 
 // handleRestart replaces a VM by its next incarnation, which has just reported, and returns it.
 func (s *Scheduler) handleRestart(now, sentAt Time, old *vm, rep *batch.Report) *vm {
-	v := newVM(now, old.inst)
+	v := s.newVM(now, old.inst)
 	v.born = rep.Born
 	v.token, v.needsToken = max(s.maxToken, old.token), s.maxToken <= old.token
 	v.listed, v.unlistedAt, v.holdWait = old.listed, old.unlistedAt, old.holdWait
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -287,6 +287,8 @@
 	holdWait time.Duration
 	// closed is set while the VM is emptied for maintenance and accepts no new tasks.
 	closed bool
+	// evacuated is set while the VM's availability zone is evacuated.
+	evacuated bool
 	// holdUnanswered is set while the last hold has failed. firstUnansweredAt is when the
 	// first hold since the last report failed (0 for none), unansweredHolds counts them.
 	holdUnanswered    bool
@@ -344,12 +346,14 @@
 	maxToken int64
 	// nextRun is the next run number. Its upper bits are the fencing token, so that run
 	// numbers increase across leaders without being stored.
-	nextRun    int64
-	config     *batch.Config
-	vms        map[string]*vm
-	vmList     []*vm
-	jobs       map[string]*job
-	readySteps []*step
+	nextRun int64
+	config  *batch.Config
+	// evacuations are the evacuations in force; never nil.
+	evacuations *batch.Evacuations
+	vms         map[string]*vm
+	vmList      []*vm
+	jobs        map[string]*job
+	readySteps  []*step
 	// timedJobs are the jobs with future occurrences.
 	timedJobs map[string]*job
 	dirtyJobs map[string]*job
@@ -425,8 +429,8 @@
 		policy = *settings.Policy
 	}
 	return &Scheduler{
-		startBudget: UnlimitedStarts,
-		settings:    settings, policy: policy, fence: fence, maxToken: fence, nextRun: fence << runNumberBits, vms: map[string]*vm{}, jobs: map[string]*job{},
+		startBudget: UnlimitedStarts, evacuations: &batch.Evacuations{},
+		settings: settings, policy: policy, fence: fence, maxToken: fence, nextRun: fence << runNumberBits, vms: map[string]*vm{}, jobs: map[string]*job{},
 		timedJobs: map[string]*job{}, dirtyJobs: map[string]*job{}, waves: map[int64]*wave{}, awaitedVMs: map[string]Time{}, recentVMEnds: map[vmIncarnation]vmEnd{}, unconfirmedCrashes: map[vmIncarnation]map[*task]int64{}, startLog: startLog{inherited: map[vmIncarnation][]*inheritedStart{}, lostVMs: map[string]bool{}}, expiredLeases: map[string]ExpiredLease{}, unknownJobsSince: map[string]Time{}, absentJobs: map[string]Time{}, images: newEffectModel(), meanWork: map[string]float64{}, logf: log,
 	}
 }
@@ -460,6 +464,10 @@
 	// Born identifies the VM's incarnation, Acked the highest end acknowledged to it. They
 	// are set where a VM first reports or restarts, or a run is not listed.
 	Born, Acked int64
+	// Zone is the availability zone whose evacuation begins or ends, Revision the store
+	// revision of the request.
+	Zone     string
+	Revision int64
 }
 
 // OrderKind is the type of an order.
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -50,6 +50,7 @@
 	before := v.inst.Capacity
 	v.listed = true
 	v.inst = inst
+	s.updateEvacuated(v)
 	s.recordCapacity(v, before)
 }
 
@@ -63,15 +64,17 @@
 }
 
 func (s *Scheduler) addVM(now Time, inst batch.Instance) *vm {
-	v := newVM(now, inst)
+	v := s.newVM(now, inst)
 	v.token, v.fenced = s.fence, true
 	s.vms[inst.ID] = v
 	s.sortVMs()
 	return v
 }
 
-func newVM(now Time, inst batch.Instance) *vm {
-	return &vm{inst: inst, initiallyStale: inst.Stale, runs: map[batch.TaskID]*run{}, fillerPaceCap: fullPace, lastReportAt: now}
+func (s *Scheduler) newVM(now Time, inst batch.Instance) *vm {
+	v := &vm{inst: inst, initiallyStale: inst.Stale, runs: map[batch.TaskID]*run{}, fillerPaceCap: fullPace, lastReportAt: now}
+	s.updateEvacuated(v)
+	return v
 }
 
 // sortVMs keeps the VMs in a fixed order, so that equal inputs give equal plans.
