scheduler: objectives and remaining times by learned durations of steps

Cause: the objective of a job is a multiple of its longest chain of tasks, and the queue computed it from the declared durations, which are means. The longest of some twenty tasks takes 1.35 to 2.2 times as long (learned on the scenario), so jobs were put behind all others as late while they could still be in time, and the work that was in them already was lost.

Change: the ratio of a step's duration (its longest task that neither resumed nor was slowed) to the declared one is learned per queue, 1.5 until a step has ended. It scales the remaining time and the objective. Switch: learn_durations.

Tests: TestLearnedDurationsKeepJobsInTimeUnderOverload replays the load; the explorer and the fleet of crashing tasks keep the order by declared durations, so that their known seeds keep their course.

--- a/internal/experiment/shifted_test.go
+++ b/internal/experiment/shifted_test.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"context"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -19,6 +20,24 @@
 	return s
 }
 
+// More work arrives than the fleet can do without the evacuated zone. Objectives computed from the
+// declared mean durations count jobs as late while they can still be in time, and the work that was
+// put into them is lost: the longest task of a step decides, and is learned.
+func TestLearnedDurationsKeepJobsInTimeUnderOverload(t *testing.T) {
+	s := shiftedScenario(t)
+	declared, err := ParseVariant("declared durations", []byte(`{"learn_durations": false}`))
+	require.NoError(t, err)
+	variants, err := Choose(nil)
+	require.NoError(t, err)
+	r, err := Compare(context.Background(), &s, Options{Variants: append(variants, declared), Seeds: 8, First: 1, Workers: 4})
+	require.NoError(t, err)
+	learned, byDeclared := &r.Variants[0].Means, &r.Variants[1].Means
+	t.Logf("service %.3f, by declared durations %.3f; fillers %.3f and %.3f, the largest tenth %.3f and %.3f, short %.3f and %.3f",
+		learned.Service, byDeclared.Service, learned.Kinds["fillers"], byDeclared.Kinds["fillers"], learned.Largest, byDeclared.Largest, learned.Kinds["short"], byDeclared.Kinds["short"])
+	require.Greater(t, learned.Kinds["fillers"], byDeclared.Kinds["fillers"]+0.01)
+	require.Greater(t, learned.Service, byDeclared.Service)
+}
+
 // An evacuated zone gets no starts, and the work that runs there is not lost.
 func TestEvacuationCostsOnlyTheCapacityOfTheZone(t *testing.T) {
 	s := shiftedScenario(t)
--- a/internal/experiment/variant.go
+++ b/internal/experiment/variant.go
@@ -73,6 +73,7 @@
 	{"peak-limit", func(p *scheduler.Policy) { p.PeakLimit = 0 }},
 	{"room-limit", func(p *scheduler.Policy) { p.RoomLimit = 1 }},
 	{"starved", func(p *scheduler.Policy) { p.StarvedAfterMS, p.StarvedCrowdedMS = 0, 0 }},
+	{"durations", func(p *scheduler.Policy) { p.LearnDurations = false }},
 	{"learning", func(p *scheduler.Policy) { p.Learn = false }},
 	{"pacing", func(p *scheduler.Policy) { p.Pace = false }},
 	{"blind-stop", func(p *scheduler.Policy) { p.BlindAfterMS = 0 }},
--- a/internal/scheduler/crashfleet_test.go
+++ b/internal/scheduler/crashfleet_test.go
@@ -109,7 +109,7 @@
 }
 
 func (c *crashFleet) newLeader() *Scheduler {
-	s := New(Settings{MaxLease: 10 * time.Second}, c.fence, func(d Decision) { c.log = append(c.log, d) })
+	s := New(Settings{MaxLease: 10 * time.Second, Policy: declaredDurations()}, c.fence, func(d Decision) { c.log = append(c.log, d) })
 	s.SetConfig(&batch.Config{Version: 1, Pools: map[string]batch.Pool{"pool": {Name: "pool", GuardsCapacity: true}}, Queues: []batch.Queue{
 		{Name: testQueue, Pool: "pool", Attempts: 3, Stretch: 2, Slack: time.Second},
 	}})
--- a/internal/scheduler/dump.go
+++ b/internal/scheduler/dump.go
@@ -117,7 +117,7 @@
 		return x, false
 	}
 	state, _ := s.State(id)
-	x = Explanation{Job: id, Queue: j.queue, Pool: j.pool, State: state, AgeMS: (now - j.submittedAt).Milliseconds(), Objective: j.objective}
+	x = Explanation{Job: id, Queue: j.queue, Pool: j.pool, State: state, AgeMS: (now - j.submittedAt).Milliseconds(), Objective: s.objective(j)}
 	for _, o := range j.occs {
 		for i := range o.steps {
 			st := &o.steps[i]
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -48,6 +48,7 @@
 	case batch.EndDone:
 		if r != nil {
 			r.recordDoneRate(now)
+			r.measureDuration(now)
 			s.releaseRun(now, r)
 		}
 		s.taskDone(now, t, e.Run)
@@ -113,6 +114,7 @@
 	}
 	s.markDirty(t.step.occ.job)
 	if t.step.tasksLeft == 0 {
+		s.durationRatios.observe(t.step)
 		s.stepDone(now, t.step)
 	}
 	s.planNeeded = true
--- a/internal/scheduler/explore_leader_test.go
+++ b/internal/scheduler/explore_leader_test.go
@@ -19,6 +19,14 @@
 	callTimeout         = 500 * time.Millisecond
 )
 
+// declaredDurations is the default policy with the queue ordered by declared durations, which
+// keeps the course of the known seeds.
+func declaredDurations() *Policy {
+	p := DefaultPolicy()
+	p.LearnDurations = false
+	return &p
+}
+
 // modelLeader is the tenure of a simulated leader.
 type modelLeader struct {
 	s     *Scheduler
@@ -98,7 +106,7 @@
 		fence: w.fence, zone: zone, renewedAt: w.now, wallOffset: w.upTo(3*time.Second) - 1500*time.Millisecond,
 		pendingHolds: map[string]bool{}, cutUntil: map[string]Time{},
 	}
-	l.s = New(Settings{MaxLease: w.maxLease()}, l.fence, w.traceDecisions(l))
+	l.s = New(Settings{MaxLease: w.maxLease(), Policy: declaredDurations()}, l.fence, w.traceDecisions(l))
 	w.store.holder, w.store.keyUntil = l, w.now+keyTTL
 	w.leaders = append(w.leaders, l)
 	w.tracef("leader %d elected in zone %d", l.fence, zone)
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -22,6 +22,8 @@
 	started map[string][]Order
 	stops   []Order
 	paces   []Order
+	// seq is the number of the last end reported by a VM, where a test counts them.
+	seq int64
 }
 
 const (
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -42,9 +42,8 @@
 	j := &job{
 		spec: sub.Job, queue: sub.Queue, pool: sub.Pool, submittedAt: now - sub.Age, state: batch.Queued,
 		predatesLeader: sub.PredatesLeader || s.mayPredateTenure(sub.CreatedRevision), occs: map[int]*occurrence{}, doneOccs: map[int]bool{}, recordRevision: sub.RecordRevision,
-		criticalPath: sub.Job.CriticalPath(), work: sub.Job.Work(), maxAttempts: 1,
+		criticalPath: sub.Job.CriticalPath(), work: sub.Job.Work(), maxAttempts: 1, stretch: 1,
 	}
-	j.objective = j.criticalPath
 	if sub.AcceptedQueue != nil {
 		j.applyQueue(sub.AcceptedQueue)
 	}
@@ -92,7 +91,7 @@
 	j.maxAttempts = max(q.Attempts, 1)
 	j.priority = q.Priority
 	j.advice = q.Advice
-	j.objective = time.Duration(q.Stretch*float64(j.criticalPath)) + q.Slack
+	j.stretch, j.slack = q.Stretch, q.Slack
 }
 
 // SetConfig installs a configuration, which must be newer than the current one.
@@ -237,7 +236,7 @@
 	}
 	delete(s.timedJobs, j.spec.ID)
 	s.markDirty(j)
-	s.logf(Decision{Event: EventJobEnded, Job: j.spec.ID, Reason: string(state) + ": " + reason, Age: now - j.submittedAt, Value: j.objective.Seconds()})
+	s.logf(Decision{Event: EventJobEnded, Job: j.spec.ID, Reason: string(state) + ": " + reason, Age: now - j.submittedAt, Value: s.objective(j).Seconds()})
 	for _, number := range slices.Sorted(maps.Keys(j.occs)) {
 		o := j.occs[number]
 		for i := range o.steps {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -75,8 +75,8 @@
 		}
 		return rank{group: group, priority: j.priority, slack: o.dueAt - now}
 	}
-	remaining := o.remaining()
-	slack := o.dueAt + j.objective - now - remaining
+	remaining, objective := scaled(o.remaining(), s.durationRatio(j)), s.objective(j)
+	slack := o.dueAt + objective - now - remaining
 	r := rank{group: groupOnTime, priority: j.priority, costPerValue: s.costPerValue(now, o), slack: slack}
 	if isShort(st.spec) && s.policy.ShortFirst {
 		r.group = groupShort
@@ -87,7 +87,7 @@
 		} else {
 			r.group = groupLate
 		}
-		r.slack = o.dueAt + lateObjectiveFactor*j.objective - now - remaining
+		r.slack = o.dueAt + lateObjectiveFactor*objective - now - remaining
 		if r.slack < 0 {
 			r.group = groupHopeless
 			r.slack = o.dueAt - now
@@ -414,6 +414,7 @@
 	if !t.step.rank.group.urgent() {
 		s.startBudget.Batch--
 	}
+	r.resumed = t.checkpoint != ""
 	s.logStart(r)
 	s.logf(Decision{Event: EventRunStarted, Task: t.id(), VM: v.inst.ID, Run: r.number, Age: now - t.step.occ.dueAt, Group: t.step.rank.group.String(), Value: t.step.rank.slack.Seconds()})
 	s.orders = append(s.orders, Order{
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -78,6 +78,8 @@
 	// tasks. If each started a task, all would be slow, delay others and interfere with the
 	// serving tasks.
 	StarvedCrowdedMS int64 `json:"starved_crowded_ms"`
+	// LearnDurations corrects declared durations by those of completed steps.
+	LearnDurations bool `json:"learn_durations"`
 	// Learn updates the interference model from observed tails.
 	Learn bool `json:"learn"`
 	// Pace slows fillers that interfere with serving tasks.
@@ -116,7 +118,7 @@
 		Order: OrderWork, ShortFirst: true, Placement: PlacementScored,
 		ReserveMost: 0.12, ReserveOn: 3, ReservePatienceMS: 4000,
 		PurityWeight: 4, EmptyPurity: 0.6, KeepEmpty: 0.1, EffectPenalty: 3, PeakLimit: 0.92, RoomLimit: 0.93, StarvedAfterMS: 2000, StarvedCrowdedMS: 20_000,
-		Learn: true, Pace: true, PaceAtStart: true, PressedAt: 0.88, AimAt: 0.8, BlindAfterMS: 1500, MoveBelow: 20,
+		LearnDurations: true, Learn: true, Pace: true, PaceAtStart: true, PressedAt: 0.88, AimAt: 0.8, BlindAfterMS: 1500, MoveBelow: 20,
 		Quarantine: true, Rescue: true, Copies: true, Evacuate: true,
 	}
 }
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -76,6 +76,8 @@
 	// the run has certainly not begun.
 	startSent   bool
 	startSentAt Time
+	// resumed is set if the run was started from a checkpoint.
+	resumed bool
 	// isTrial is set if the VM had no other recent run when this run was started.
 	isTrial bool
 	// exclusive is set if nothing else is started on the VM while this run is recent.
@@ -151,6 +153,9 @@
 	// doneRuns completed runs.
 	doneRateSum float64
 	doneRuns    int
+	// longestRun is the longest of the measuredRuns completed runs whose duration is known.
+	longestRun   time.Duration
+	measuredRuns int
 	// rank is the step's position in the queue at the last plan.
 	rank rank
 	// baseline estimates the tail latency of a serving step due to its own load.
@@ -178,14 +183,16 @@
 	pool  string
 	// submittedAt is when the caller first submitted the job, as far as known.
 	submittedAt Time
-	// objective is the target duration from submittedAt to completion.
-	objective    time.Duration
+	// criticalPath is the longest chain of steps by their declared durations.
 	criticalPath time.Duration
-	work         float64
-	maxAttempts  int
-	priority     int
-	advice       *batch.Advice
-	state        batch.State
+	// stretch and slack define the objective; see Scheduler.objective.
+	stretch     float64
+	slack       time.Duration
+	work        float64
+	maxAttempts int
+	priority    int
+	advice      *batch.Advice
+	state       batch.State
 	// durableState is the state in the store. Final states are reported to callers
 	// only once they are durable.
 	durableState batch.State
@@ -399,8 +406,10 @@
 	startLimitHitAt Time
 	// meanWork is the mean work of each queue's recent jobs, in processor seconds.
 	meanWork map[string]float64
-	images   effectModel
-	reserve  reserve
+	// durationRatios relates declared durations to real ones.
+	durationRatios durationRatios
+	images         effectModel
+	reserve        reserve
 	// candidates is the candidate list of the step that is being placed.
 	candidates candidates
 	// crowded is set while lasting and short tasks declare most of all processors.
@@ -431,7 +440,7 @@
 	return &Scheduler{
 		startBudget: UnlimitedStarts, evacuations: &batch.Evacuations{},
 		settings: settings, policy: policy, fence: fence, maxToken: fence, nextRun: fence << runNumberBits, vms: map[string]*vm{}, jobs: map[string]*job{},
-		timedJobs: map[string]*job{}, dirtyJobs: map[string]*job{}, waves: map[int64]*wave{}, awaitedVMs: map[string]Time{}, recentVMEnds: map[vmIncarnation]vmEnd{}, unconfirmedCrashes: map[vmIncarnation]map[*task]int64{}, startLog: startLog{inherited: map[vmIncarnation][]*inheritedStart{}, lostVMs: map[string]bool{}}, expiredLeases: map[string]ExpiredLease{}, unknownJobsSince: map[string]Time{}, absentJobs: map[string]Time{}, images: newEffectModel(), meanWork: map[string]float64{}, logf: log,
+		timedJobs: map[string]*job{}, dirtyJobs: map[string]*job{}, waves: map[int64]*wave{}, awaitedVMs: map[string]Time{}, recentVMEnds: map[vmIncarnation]vmEnd{}, unconfirmedCrashes: map[vmIncarnation]map[*task]int64{}, startLog: startLog{inherited: map[vmIncarnation][]*inheritedStart{}, lostVMs: map[string]bool{}}, expiredLeases: map[string]ExpiredLease{}, unknownJobsSince: map[string]Time{}, absentJobs: map[string]Time{}, images: newEffectModel(), meanWork: map[string]float64{}, durationRatios: durationRatios{}, logf: log,
 	}
 }
 
