edge: the leader refuses to store for others while the store is out of its reach

Cause: a process that has seen two resets sends nothing more to the store, but asks the leader to store for it. The leader tried its own store for each of them, whatever it knew of it, and each try left the outcome unknown. (Ports in the errors show that the callers' process then tried its own path as well: after an unknown outcome it may.) No test had all processes without the store and the leader still known.

Change: the leader stores and cancels for others only while the store counts as reachable there, like for its own callers, and otherwise says that nothing was sent. The caller is refused at once, truly not run.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -162,7 +162,7 @@
 	e.leader.ObserveDecision, e.leader.ObserveEnd, e.leader.ObserveDelay = e.metrics.recordDecision, e.metrics.recordEnd, e.metrics.recordDelay
 	e.relays.ObserveDelay = func(waited time.Duration) { e.metrics.recordDelay(leader.DelayReport, waited) }
 	e.election = leader.NewElection(p.Store, leader.Record{Node: s.Node, Address: s.Peers}, s.Processor, log, e.leader.Lead)
-	local := &peerServer{node: s.Node, leader: e.leader, election: e.election, store: p.Store, relays: e.relays, config: e.config, evacuations: e.evacuations, peerAddresses: e.peerAddresses, lookUpConfig: e.lookUpConfig}
+	local := &peerServer{node: s.Node, leader: e.leader, election: e.election, relays: e.relays, config: e.config, evacuations: e.evacuations, peerAddresses: e.peerAddresses, lookUpConfig: e.lookUpConfig}
 	e.relayOfferer = &relayOfferer{
 		offer:  relay.Offer{Node: s.Node, Address: s.Peers, Zone: s.Zone, VMs: relay.Capacity(s.Processor, s.LinkMbps)},
 		leader: e.election.Leader, peerAddresses: e.peerAddresses, client: p.PeerClient, log: log, wake: make(chan struct{}, 1),
@@ -183,6 +183,7 @@
 		Observe: e.metrics.recordRequest, StoreRespondedAt: e.operatorFollower.LastResponseAt, LeaderReachable: e.leaderReachable,
 		Peers: e.leaderClient,
 	}
+	local.entry = e.entry
 	callers, ready := p.CallerHandlers(e.entry)
 	e.addServer(s.Callers, callers)
 	e.addServer(s.Readiness, ready)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -27,7 +27,7 @@
 	node          string
 	leader        *leader.Leader
 	election      *leader.Election
-	store         durable.Store
+	entry         *entry.Entry
 	relays        *relay.Pool
 	config        *configuration
 	evacuations   *evacuations
@@ -72,14 +72,14 @@
 }
 
 func (p *peerServer) Submit(ctx context.Context, r *scheduling.SubmitRequest) (*scheduling.SubmitResponse, error) {
-	if err := entry.Create(ctx, p.store, leader.JobKey(r.GetId()), r.GetRecord()); err != nil {
+	if err := p.entry.CreateForPeer(ctx, leader.JobKey(r.GetId()), r.GetRecord()); err != nil {
 		return nil, toTwirpError(err)
 	}
 	return &scheduling.SubmitResponse{}, nil
 }
 
 func (p *peerServer) Cancel(ctx context.Context, r *scheduling.CancelRequest) (*scheduling.CancelResponse, error) {
-	known, err := entry.StoreCancel(ctx, p.store, r.GetId())
+	known, err := p.entry.CancelForPeer(ctx, r.GetId())
 	if err != nil {
 		return nil, toTwirpError(err)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -120,6 +120,24 @@
 	return err
 }
 
+// CreateForPeer creates a key on behalf of another process. Nothing is sent while the store is
+// considered unreachable from here, so that the peer can refuse its caller instead of leaving
+// the outcome unknown.
+func (e *Entry) CreateForPeer(ctx context.Context, key string, value []byte) error {
+	if !e.StoreReachable() {
+		return errStoreUnresponsive
+	}
+	return e.create(ctx, key, value)
+}
+
+// CancelForPeer stores a cancellation on behalf of another process, like CreateForPeer.
+func (e *Entry) CancelForPeer(ctx context.Context, id string) (known bool, err error) {
+	if !e.StoreReachable() {
+		return false, errStoreUnresponsive
+	}
+	return StoreCancel(ctx, e.Store, id)
+}
+
 // probe reads from the store until it responds, one read at a time, so that its recovery is
 // detected without risking a caller's job.
 func (e *Entry) probe() {
