entry: Retry-After grows with an outage of the store that the leader sees as well

What callers saw: refused at once and told to come back in a second, they used up four retries within an outage of 4 to 5 s and were not served.

Change: a caller that is refused while the leader does not reach the store either is told to wait for as long as the outage has lasted, from 1 s to 3 s: no process can accept it before the end. Where only this process is cut off it stays 1 s, since another one serves the caller.

Test: TestRetryAfterGrowsWithAnOutageThatTheLeaderSees.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -335,7 +335,7 @@
 		return err
 	}
 	if errors.As(err, &te) && te.Code() == twirp.Unavailable {
-		return errors.Mark(err, durable.ErrRefused)
+		return errors.Mark(errors.Mark(err, durable.ErrRefused), entry.ErrPeerRefused)
 	}
 	return errors.Mark(err, durable.ErrUnknown)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -281,7 +281,7 @@
 		case errors.Is(err, durable.ErrUnknown):
 			outcomeUnknown = true
 		case !outcomeUnknown:
-			return unavailableError("not accepted", err)
+			return e.refusal(err)
 		}
 		if deadline, ok := ctx.Deadline(); (attempt >= minStoreAttempts && steady.Now()-began >= minRetryDuration) || (ok && time.Until(deadline) < responseMargin+retryPause) {
 			return errkind.New(errkind.StoreUnknown, "it is not known whether the job was accepted", err)
@@ -297,6 +297,25 @@
 // the caller to another one; each second of waiting makes a short job late.
 const unavailableRetryAfter = time.Second
 
+// maxOutageRetryAfter bounds the delay for callers that are refused during an outage of the store
+// that the leader sees as well. No process can accept them before its end, and callers repeat
+// only so often. An outage that has lasted for some time is assumed to last as long again.
+const maxOutageRetryAfter = 3 * time.Second
+
+// refusal returns the error for a job that was certainly not accepted.
+func (e *Entry) refusal(cause error) *errkind.Error {
+	err := unavailableError("not accepted", cause)
+	if errors.Is(cause, errLeaderRefused) {
+		err.RetryAfter = min(max(e.sinceStoreResponse(), unavailableRetryAfter), maxOutageRetryAfter)
+	}
+	return err
+}
+
+// sinceStoreResponse returns the time since the store last responded to this process.
+func (e *Entry) sinceStoreResponse() time.Duration {
+	return steady.Now() - max(e.reachability.LastResponseAt(), e.StoreRespondedAt())
+}
+
 func unavailableError(message string, cause error) *errkind.Error {
 	err := errkind.New(errkind.StoreUnavailable, message, cause)
 	err.RetryAfter = unavailableRetryAfter
@@ -307,6 +326,13 @@
 // process recently.
 var errStoreUnresponsive = errors.Mark(errors.New("the store does not answer this process"), durable.ErrRefused)
 
+// ErrPeerRefused marks an error with which the leader itself responded that nothing was written.
+var ErrPeerRefused = errors.New("the leader has stored nothing")
+
+// errLeaderRefused marks a refusal although the leader was reached: it does not reach the store
+// either.
+var errLeaderRefused = errors.New("the leader does not reach the store")
+
 // tryStore writes to the store, unless it is known to be unreachable, and otherwise through the
 // leader. After an attempt of unknown outcome the store is used even if considered unreachable:
 // nothing can be lost, and the response may show what the earlier attempt has written.
@@ -337,8 +363,11 @@
 	if leaderErr == nil {
 		return nil
 	}
-	if errors.Is(err, durable.ErrUnknown) || errors.Is(leaderErr, durable.ErrUnknown) {
+	switch {
+	case errors.Is(err, durable.ErrUnknown), errors.Is(leaderErr, durable.ErrUnknown):
 		return errors.Mark(err, durable.ErrUnknown)
+	case errors.Is(leaderErr, ErrPeerRefused):
+		return errors.Mark(err, errLeaderRefused)
 	}
 	return err
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -305,3 +305,32 @@
 	w <- string(p)
 	return len(p), nil
 }
+
+// refusingPeers simulates a leader that responds that it does not reach the store either.
+type refusingPeers struct{ unreachablePeers }
+
+func (refusingPeers) Submit(context.Context, string, []byte) error {
+	return errors.Mark(errors.Mark(errors.New("not sent"), durable.ErrRefused), ErrPeerRefused)
+}
+
+// Guards against callers that use up their retries, a second apart, within an outage of the store.
+// While the leader does not reach the store either, they are told to wait for as long as the
+// outage has lasted, within bounds. If only this process is cut off, another one serves them soon.
+func TestRetryAfterGrowsWithAnOutageThatTheLeaderSees(t *testing.T) {
+	f := newEntryFixture()
+	f.LeaderReachable = func() bool { return true }
+	f.Peers = refusingPeers{}
+	f.store.resetsConnections = true
+	require.True(t, errkind.Is(f.submit(t.Context()), errkind.StoreUnknown))
+	retryAfter := func(outage time.Duration) time.Duration {
+		f.storeRespondedAt.Store(int64(steady.Now() - outage))
+		err := errkind.From(f.submit(t.Context()))
+		require.Equal(t, errkind.StoreUnavailable, err.Kind)
+		return err.RetryAfter
+	}
+	require.Equal(t, unavailableRetryAfter, retryAfter(700*time.Millisecond))
+	require.InDelta(t, 2*time.Second, retryAfter(2*time.Second), float64(100*time.Millisecond))
+	require.Equal(t, maxOutageRetryAfter, retryAfter(time.Minute))
+	f.Peers = unreachablePeers{}
+	require.Equal(t, unavailableRetryAfter, retryAfter(time.Minute))
+}
