--- a/internal/follow/list.go
+++ b/internal/follow/list.go
@@ -160,7 +160,7 @@
 
 func (l *List[T]) decode(item *durable.Item, previous listEntry[T], listed bool) listEntry[T] {
 	value, err := l.Decode(*item)
-	if err != nil {
+	if err != nil && l.OnDecodeError != nil {
 		l.OnDecodeError(err)
 	}
 	changes := 0
--- a/internal/follow/list_test.go
+++ b/internal/follow/list_test.go
@@ -115,3 +115,10 @@
 	require.Less(t, unchangedFor["a"], time.Second)
 	require.Equal(t, unknownUnchangedDuration, unchangedFor["b"])
 }
+
+// OnDecodeError is optional: an undecodable entry is left out without it, too.
+func TestUndecodableEntryIsLeftOutWithoutAHandler(t *testing.T) {
+	l := newList(&changingStore{items: []durable.Item{newItem("vm/a", "1", 1), newItem("vm/b", "bad", 2)}, revision: 2})
+	l.OnDecodeError = nil
+	require.Equal(t, []string{"vm/a=1"}, mustLoad(t, l))
+}
--- a/internal/leader/predecessors.go
+++ b/internal/leader/predecessors.go
@@ -152,6 +152,9 @@
 			defer mu.Unlock()
 			if err != nil {
 				unanswered = append(unanswered, p)
+				if ctx.Err() == nil {
+					t.log.Warn("predecessor_unanswered", err, eventlog.Fields{"node": p.Node, "fence": p.Fence})
+				}
 				return
 			}
 			longest := time.Duration(0)
--- a/internal/leader/predecessors_test.go
+++ b/internal/leader/predecessors_test.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	"github.com/rattanwall/rattanwall/internal/batch"
+	"github.com/rattanwall/rattanwall/internal/eventlog"
 	"github.com/rattanwall/rattanwall/internal/scheduler"
 	"github.com/rattanwall/rattanwall/internal/steady"
 )
@@ -171,3 +173,24 @@
 	e.EndTenuresBefore(9)
 	require.False(t, current.MayAct())
 }
+
+// leadersUnreached is a set of predecessors that do not respond.
+type leadersUnreached struct{}
+
+func (leadersUnreached) LeasesLeft(context.Context, PastTenure, int64, []string) (LeaseReport, error) {
+	return LeaseReport{}, errors.New("not reached")
+}
+
+// A predecessor that does not respond is logged: its VMs are waited for, and an operator has to see
+// why.
+func TestUnansweredPredecessorIsLogged(t *testing.T) {
+	_, te := newLeadingTerm()
+	out := &logBuffer{}
+	te.log = eventlog.New(out, logrus.InfoLevel)
+	te.Predecessors = leadersUnreached{}
+	past := []PastTenure{{Fence: 4, Node: "before"}}
+	require.Equal(t, past, te.askPredecessors(t.Context(), past, map[string]time.Duration{}))
+	line := out.line(t, "predecessor_unanswered")
+	require.Equal(t, "before", line["node"])
+	require.Equal(t, "not reached", line["error"])
+}
--- a/internal/relay/offers.go
+++ b/internal/relay/offers.go
@@ -163,6 +163,6 @@
 	delete(p.loads, s)
 	delete(p.streams, s.offer.Node)
 	p.delayRedial(s.offer.Node)
-	p.Log.Event("relay_lost", eventlog.Fields{"node": s.offer.Node, "vms": vms, "leaving": s.leaving, "error": cause.Error()})
+	p.Log.Event("relay_lost", eventlog.Fields{"node": s.offer.Node, "vms": vms, "leaving": s.isLeaving(), "error": cause.Error()})
 	p.openStreams()
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -321,6 +321,13 @@
 	}
 }
 
+// isLeaving reports whether the relay has announced a planned stop.
+func (s *stream) isLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
 // usable reports whether the stream accepts new calls.
 func (s *stream) usable() bool {
 	s.mu.Lock()
