scheduler: name the moves off draining VMs apart from evacuations of zones

evacuateDraining and Policy.Evacuate are about a VM that leaves; an evacuation is now the operator's request for a zone. Names in Go only: the policy's field stays "evacuate", the variant "no-evacuation".

--- a/internal/experiment/variant.go
+++ b/internal/experiment/variant.go
@@ -81,7 +81,7 @@
 	{"quarantine", func(p *scheduler.Policy) { p.Quarantine = false }},
 	{"rescue", func(p *scheduler.Policy) { p.Rescue = false }},
 	{"copies", func(p *scheduler.Policy) { p.Copies = false }},
-	{"evacuation", func(p *scheduler.Policy) { p.Evacuate = false }},
+	{"evacuation", func(p *scheduler.Policy) { p.MoveOffDraining = false }},
 }
 
 // Choose returns the default variant followed by the named built-in variants.
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -107,8 +107,8 @@
 	Rescue bool `json:"rescue"`
 	// Copies starts copies of runs on unreachable VMs, if the step allows copies.
 	Copies bool `json:"copies"`
-	// Evacuate moves lasting tasks off VMs that are about to leave.
-	Evacuate bool `json:"evacuate"`
+	// MoveOffDraining moves lasting tasks off VMs that are about to leave.
+	MoveOffDraining bool `json:"evacuate"`
 }
 
 // DefaultPolicy is the policy of deployments. The sources of its values are documented with the
@@ -119,7 +119,7 @@
 		ReserveMost: 0.12, ReserveOn: 3, ReservePatienceMS: 4000,
 		PurityWeight: 4, EmptyPurity: 0.6, KeepEmpty: 0.1, EffectPenalty: 3, PeakLimit: 0.92, RoomLimit: 0.93, StarvedAfterMS: 2000, StarvedCrowdedMS: 20_000,
 		LearnDurations: true, Learn: true, Pace: true, PaceAtStart: true, PressedAt: 0.88, AimAt: 0.8, BlindAfterMS: 1500, MoveBelow: 20,
-		Quarantine: true, Rescue: true, Copies: true, Evacuate: true,
+		Quarantine: true, Rescue: true, Copies: true, MoveOffDraining: true,
 	}
 }
 
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -238,15 +238,15 @@
 }
 
 // tickVM copies the runs of an unreported instance where that is allowed, treats them as ended
-// once its lease has expired, evacuates a draining instance, and removes an unlisted one that
+// once its lease has expired, moves lasting tasks off a draining instance, and removes an unlisted one that
 // runs nothing.
 func (s *Scheduler) tickVM(now Time, id string, v *vm) {
 	s.copyUnreachable(now, v)
 	if v.hasReported && now > v.leaseExpiry {
 		s.expireLeases(now, v)
 	}
-	if v.inst.Draining && v.listed && v.entryMatchesIncarnation() && s.policy.Evacuate {
-		s.evacuateDraining(now, v)
+	if v.inst.Draining && v.listed && v.entryMatchesIncarnation() && s.policy.MoveOffDraining {
+		s.moveOffDraining(now, v)
 	}
 	if !v.listed && len(v.runs) == 0 && now-v.unlistedAt > unlistedRetention && now > s.vmLeaseExpiry(v) && !s.isAwaited(id) {
 		expiredRun := v.maxExpiredRun
@@ -257,9 +257,9 @@
 	}
 }
 
-// evacuateDraining moves lasting tasks off a draining VM, one task of a step at a time. Each is
+// moveOffDraining moves lasting tasks off a draining VM, one task of a step at a time. Each is
 // away only for its stop and its startup, not until the VM has left.
-func (s *Scheduler) evacuateDraining(now Time, v *vm) {
+func (s *Scheduler) moveOffDraining(now Time, v *vm) {
 	for _, r := range v.runList {
 		if r.task.step.spec.Lasting {
 			s.moveLasting(now, r)
