scheduler: declared durations are corrected only where the ratio says something of a single job

Cause: the mean of the ratio is that of a wide distribution there. For half of the jobs it extends an objective that is too long by the estimate already, so that late jobs count as in time and take what others need.

Change: the spread of the ratio's logarithm is learned with its mean; the correction is whole up to 0.45, none from 0.75 on, and none before eight steps have ended. So the system finds out which way fits. TestLateShortTasksPrecedeBatch is as it was before learned durations again.

--- a/internal/scheduler/backlog_test.go
+++ b/internal/scheduler/backlog_test.go
@@ -144,7 +144,7 @@
 	}
 	check := batch.Step{Tasks: 2, Need: batch.Resources{MilliCPU: 500, MemoryMB: 10}, Estimate: time.Second}
 	submit("batch", fillerStep("crunch", 200), 0)
-	submit("late", check, scaled(1500*time.Millisecond, initialDurationRatio))
+	submit("late", check, 1500*time.Millisecond)
 	submit("hopeless", check, time.Minute)
 	submit("check", check, 0)
 	var jobs []string
--- a/internal/scheduler/durations.go
+++ b/internal/scheduler/durations.go
@@ -8,44 +8,66 @@
 // The objective of a job is a multiple of the longest chain of its tasks, but the declared
 // durations are means: a step lasts as long as its longest task. The ratio of the two is learned
 // per queue. Without it, jobs count as late long before they are, and under overload the work
-// that was put into them is lost.
+// that was put into them is lost. Where declared durations are off by much more than that ratio,
+// its mean says nothing about a single job, and the declared ones are used.
 
 const (
-	// initialDurationRatio is the assumed ratio of a step's duration to its declared one: that of
-	// the longest of some ten tasks whose durations differ by a third.
-	initialDurationRatio = 1.5
-	// minDurationRatio and maxDurationRatio bound the ratio.
-	minDurationRatio = 1.0
+	// minRatioSteps is the number of completed steps from which a ratio is used.
+	minRatioSteps = 8
+	// maxLogRatio bounds the logarithm of the ratio of a single step.
+	maxLogRatio = 2.0
+	// maxDurationRatio bounds the ratio in use; it is at least 1.
 	maxDurationRatio = 3.0
-	// durationRatioWeight is the weight of a new step in the moving average of the ratio's
-	// logarithm.
+	// durationRatioWeight is the weight of a new step in the moving averages, once there are
+	// enough of them.
 	durationRatioWeight = 1.0 / 16
+	// reliableSpread is the standard deviation of the logarithm up to which a ratio is used
+	// whole, unreliableSpread that from which it is not used.
+	reliableSpread   = 0.45
+	unreliableSpread = 0.75
 	// minMeasuredShare is the share of a step's tasks with a measured duration from which the
 	// longest of them counts as the duration of the step.
 	minMeasuredShare = 0.5
 )
 
-// durationRatios holds the logarithm of the mean ratio of the duration of steps to their declared
-// duration, by queue.
-type durationRatios map[string]float64
+// durationRatio describes the ratio of the durations of a queue's steps to their declared ones.
+type durationRatio struct {
+	steps int
+	// mean and variance are moving averages of the ratio's logarithm.
+	mean, variance float64
+}
 
-// of returns the ratio for a queue.
-func (d durationRatios) of(queue string) float64 {
-	if ratio, known := d[queue]; known {
-		return math.Exp(ratio)
+// value returns the ratio by which declared durations are corrected.
+func (d *durationRatio) value() float64 {
+	if d == nil || d.steps < minRatioSteps {
+		return 1
 	}
-	return initialDurationRatio
+	trust := (unreliableSpread - math.Sqrt(d.variance)) / (unreliableSpread - reliableSpread)
+	return min(max(math.Exp(d.mean*min(max(trust, 0), 1)), 1), maxDurationRatio)
+}
+
+// add adds the ratio of a step.
+func (d *durationRatio) add(ratio float64) {
+	d.steps++
+	weight := max(1/float64(d.steps), durationRatioWeight)
+	difference := min(max(math.Log(ratio), -maxLogRatio), maxLogRatio) - d.mean
+	d.mean += weight * difference
+	d.variance = (1 - weight) * (d.variance + weight*difference*difference)
 }
 
+// durationRatios holds the ratio of each queue.
+type durationRatios map[string]*durationRatio
+
 // observe adds a completed step.
 func (d durationRatios) observe(st *step) {
-	if float64(st.measuredRuns) < minMeasuredShare*float64(st.spec.Tasks) || st.spec.Estimate <= 0 {
+	if float64(st.measuredRuns) < minMeasuredShare*float64(st.spec.Tasks) || st.spec.Estimate <= 0 || st.longestRun <= 0 {
 		return
 	}
-	ratio := min(max(st.longestRun.Seconds()/st.spec.Estimate.Seconds(), minDurationRatio), maxDurationRatio)
 	queue := st.occ.job.queue
-	mean := math.Log(d.of(queue))
-	d[queue] = mean + durationRatioWeight*(math.Log(ratio)-mean)
+	if d[queue] == nil {
+		d[queue] = &durationRatio{}
+	}
+	d[queue].add(st.longestRun.Seconds() / st.spec.Estimate.Seconds())
 }
 
 // measureDuration records the duration of a completed run for its step, unless the run resumed
@@ -64,7 +86,7 @@
 	if !s.policy.LearnDurations {
 		return 1
 	}
-	return s.durationRatios.of(j.queue)
+	return s.durationRatios[j.queue].value()
 }
 
 // objective is the target duration of a job from its submission to its completion.
--- a/internal/scheduler/durations_test.go
+++ b/internal/scheduler/durations_test.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -33,12 +35,27 @@
 func TestDurationRatioFollowsTheLongestTask(t *testing.T) {
 	f := newFixture(t, 1)
 	f.reportAll(nil)
-	require.InDelta(t, initialDurationRatio, f.s.durationRatios.of(testQueue), 1e-9)
+	require.EqualValues(t, 1, f.s.durationRatios[testQueue].value())
 	for i := range 80 {
 		f.completeStep("j"+string(rune('a'+i/26))+string(rune('a'+i%26)), time.Second, 2*time.Second)
 	}
-	require.InDelta(t, 2, f.s.durationRatios.of(testQueue), 0.02)
-	require.InDelta(t, initialDurationRatio, f.s.durationRatios.of("other"), 1e-9)
+	require.InDelta(t, 2, f.s.durationRatios[testQueue].value(), 0.02)
+	require.EqualValues(t, 1, f.s.durationRatios["other"].value())
+}
+
+// Guards against a correction where declared durations are off by a factor of two and a half either
+// way: its mean made jobs count as in time that were late, and work was lost to them.
+func TestUnreliableDurationsAreNotCorrected(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	ratioOf := func(spread float64) float64 {
+		d := &durationRatio{}
+		for range 500 {
+			d.add(1.6 * math.Exp(spread*rng.NormFloat64()))
+		}
+		return d.value()
+	}
+	require.InDelta(t, 1.6, ratioOf(0.2), 0.15)
+	require.EqualValues(t, 1, ratioOf(1.2))
 }
 
 // Guards against jobs that are put behind all others as late while they can still meet their
@@ -47,7 +64,6 @@
 func TestJobIsNotLateBeforeItsLongestTaskIs(t *testing.T) {
 	f := newFixture(t, 1)
 	f.reportAll(nil)
-	f.s.durationRatios[testQueue] = 0
 	group := func(age time.Duration) rankGroup {
 		f.s.Submit(f.now, Submission{Job: &batch.Job{ID: age.String(), Steps: []batch.Step{fillerStep("image", 1000)}}, Queue: testQueue, Pool: "pool", Age: age})
 		o := f.s.jobs[age.String()].occs[0]
