batch: one comparison of evacuations for the process and the scheduler

Cause: what begins and what ends between two states of the evacuations was worked out twice, letter for letter, in edge and in scheduler; the copy in the scheduler compared the zones once more before that.

Change: Evacuations.Changes, called by both. Events, fields and state are the same; no test or bound changes.

--- a/internal/batch/evacuation.go
+++ b/internal/batch/evacuation.go
@@ -26,3 +26,19 @@
 	}
 	return e.Zones[i], true
 }
+
+// Changes compares with the requests in force before: begun are new or repeated, ended are
+// withdrawn.
+func (e *Evacuations) Changes(before *Evacuations) (begun, ended []Evacuation) {
+	for _, z := range e.Zones {
+		if old, ok := before.Of(z.Zone); !ok || old.Revision != z.Revision {
+			begun = append(begun, z)
+		}
+	}
+	for _, z := range before.Zones {
+		if _, ok := e.Of(z.Zone); !ok {
+			ended = append(ended, z)
+		}
+	}
+	return begun, ended
+}
--- a/internal/edge/evacuations.go
+++ b/internal/edge/evacuations.go
@@ -96,24 +96,17 @@
 
 // replace puts evacuations in force and logs the differences. The caller holds mu.
 func (e *evacuations) replace(next *batch.Evacuations, source string) {
-	before := e.inForce.Load()
-	if slices.Equal(before.Zones, next.Zones) && before.Revision == next.Revision {
-		return
-	}
+	begun, ended := next.Changes(e.inForce.Load())
 	e.inForce.Store(next)
-	for _, z := range next.Zones {
-		if old, ok := before.Of(z.Zone); !ok || old.Revision != z.Revision {
-			e.since[z.Zone] = steady.Now()
-			e.log.Event("evacuation_requested", eventlog.Fields{"zone": z.Zone, "revision": z.Revision, "source": source})
-		}
+	for _, z := range begun {
+		e.since[z.Zone] = steady.Now()
+		e.log.Event("evacuation_requested", eventlog.Fields{"zone": z.Zone, "revision": z.Revision, "source": source})
 	}
-	for _, z := range before.Zones {
-		if _, ok := next.Of(z.Zone); !ok {
-			e.log.Event("evacuation_withdrawn", eventlog.Fields{
-				"zone": z.Zone, "revision": next.Revision, "source": source, "lasted_ms": (steady.Now() - e.since[z.Zone]).Milliseconds(),
-			})
-			delete(e.since, z.Zone)
-		}
+	for _, z := range ended {
+		e.log.Event("evacuation_withdrawn", eventlog.Fields{
+			"zone": z.Zone, "revision": next.Revision, "source": source, "lasted_ms": (steady.Now() - e.since[z.Zone]).Milliseconds(),
+		})
+		delete(e.since, z.Zone)
 	}
 }
 
--- a/internal/scheduler/evacuation.go
+++ b/internal/scheduler/evacuation.go
@@ -1,10 +1,6 @@
 package scheduler
 
-import (
-	"slices"
-
-	"github.com/rattanwall/rattanwall/internal/batch"
-)
+import "github.com/rattanwall/rattanwall/internal/batch"
 
 // An evacuated availability zone gets no new work: no starts, copies, restarts, moves or trials.
 // Starts that were decided before are dropped when they are about to be sent. Work that runs
@@ -19,24 +15,20 @@
 	if evacuations == s.evacuations {
 		return
 	}
-	before := s.evacuations
+	begun, ended := evacuations.Changes(s.evacuations)
 	s.evacuations = evacuations
-	if slices.Equal(before.Zones, evacuations.Zones) {
+	if len(begun)+len(ended) == 0 {
 		return
 	}
 	s.planNeeded = true
 	for _, v := range s.vmList {
 		s.updateEvacuated(v)
 	}
-	for _, z := range evacuations.Zones {
-		if old, ok := before.Of(z.Zone); !ok || old.Revision != z.Revision {
-			s.logf(Decision{Event: EventZoneEvacuated, Zone: z.Zone, Revision: z.Revision, Value: float64(s.runsInZone(z.Zone))})
-		}
+	for _, z := range begun {
+		s.logf(Decision{Event: EventZoneEvacuated, Zone: z.Zone, Revision: z.Revision, Value: float64(s.runsInZone(z.Zone))})
 	}
-	for _, z := range before.Zones {
-		if _, ok := evacuations.Of(z.Zone); !ok {
-			s.logf(Decision{Event: EventZoneReopened, Zone: z.Zone, Revision: evacuations.Revision, Value: float64(s.runsInZone(z.Zone))})
-		}
+	for _, z := range ended {
+		s.logf(Decision{Event: EventZoneReopened, Zone: z.Zone, Revision: evacuations.Revision, Value: float64(s.runsInZone(z.Zone))})
 	}
 }
 
