--- a/internal/command/edge.go
+++ b/internal/command/edge.go
@@ -14,11 +14,12 @@
 	"github.com/rattanwall/rattanwall/internal/edge"
 	"github.com/rattanwall/rattanwall/internal/eventlog"
 	"github.com/rattanwall/rattanwall/internal/relay"
+	"github.com/rattanwall/rattanwall/internal/scheduler"
 	"github.com/rattanwall/rattanwall/platform"
 )
 
 func newEdge() *cobra.Command {
-	var path string
+	var path, policyPath string
 	var metricsPort, directVMs int
 	cmd := &cobra.Command{
 		Use:     "edge",
@@ -33,6 +34,13 @@
 			}
 			s.Metrics = withPort(s.Operations, metricsPort)
 			s.DirectVMs = directVMs
+			if policyPath != "" {
+				policy, err := scheduler.LoadPolicy(policyPath)
+				if err != nil {
+					return err
+				}
+				s.Bounds.Policy = &policy
+			}
 			log := eventlog.New(os.Stdout, logrus.InfoLevel)
 			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
@@ -41,6 +49,7 @@
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", platform.SettingsPath(), "the platform's settings file")
+	cmd.Flags().StringVar(&policyPath, "policy", "", "a policy file: JSON with comments that changes fields of the default scheduling policy; empty for none")
 	cmd.Flags().IntVar(&directVMs, "direct-vms", relay.DirectVMs, "up to how many VMs a leader serves itself; orders to more go through other processes")
 	cmd.Flags().IntVar(&metricsPort, "metrics-port", 0, "one more port of the VM that serves /metrics, where it can be had; 0 for none")
 	return cmd
--- a/internal/experiment/variant.go
+++ b/internal/experiment/variant.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/rattanwall/rattanwall/internal/scheduler"
-	"github.com/rattanwall/rattanwall/internal/settings"
 )
 
 // Variant is a policy to compare, optionally with changed knowledge or interference.
@@ -114,14 +113,11 @@
 
 // ParseVariant returns a variant of the default policy with the fields that raw, as JSON, sets.
 func ParseVariant(name string, raw []byte) (Variant, error) {
-	v := Variant{Name: name, Policy: scheduler.DefaultPolicy()}
-	if _, err := settings.Read(name, raw, &v.Policy); err != nil {
-		return v, err
+	policy, err := scheduler.ReadPolicy(name, raw)
+	if err != nil {
+		return Variant{Name: name}, err
 	}
-	if err := v.Policy.Validate(); err != nil {
-		return v, fmt.Errorf("%s: %w", name, err)
-	}
-	return v, nil
+	return Variant{Name: name, Policy: policy}, nil
 }
 
 // apply modifies a world as the variant requires.
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -32,8 +32,8 @@
 )
 
 // Policy holds the limits and weights of queueing, placement and pacing, and a switch for each
-// mechanism so that its benefit can be measured. Deployments use DefaultPolicy; only experiments
-// and tests change it.
+// mechanism so that its benefit can be measured. Deployments start from DefaultPolicy and change
+// it by a policy file; see ReadPolicy.
 type Policy struct {
 	// Order is the sort order among jobs of equal group and priority.
 	Order QueueOrder `json:"order"`
