config: a check of a configuration before it is sent

Operators learned of a fault only when a patch was refused, and of entries that can never match or of limits that contradict each other not at all. Package configcheck (pure) finds both, and what differs from another version, with the work that each difference affects. The process that serves is unchanged.

--- a/internal/command/config.go
+++ b/internal/command/config.go
@@ -21,7 +21,7 @@
 	c := &client{}
 	cmd := &cobra.Command{Use: "config", Short: "Read and change the configuration"}
 	c.addFlags(cmd)
-	cmd.AddCommand(configGet(c), configPatch(c), configHistory(c), configWait(c), configRevert(c))
+	cmd.AddCommand(configGet(c), configCheck(c), configPatch(c), configHistory(c), configWait(c), configRevert(c))
 	return cmd
 }
 
--- /dev/null
+++ b/internal/configcheck/text.go
@@ -0,0 +1,74 @@
+package configcheck
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+)
+
+// WriteText writes the report for people: a line for each finding and change, and the totals.
+func (r *Report) WriteText(w io.Writer) error {
+	p := &printer{w: w}
+	for _, f := range r.Findings {
+		path := f.Path
+		if path == "" {
+			path = "(document)"
+		}
+		p.printf("%-7s  %s: %s; %s\n", f.Severity, path, f.Problem, f.Mend)
+	}
+	if r.Omitted > 0 {
+		p.printf("         %d more findings\n", r.Omitted)
+	}
+	for _, c := range r.Changes {
+		p.printf("%-7s  %s: %s%s\n", c.Kind, c.Path, describeValues(c), describeEffect(c.Effect))
+	}
+	p.printf("%s%d errors, %d warnings", describeVersions(r), r.Errors, r.Warnings)
+	if r.Changes != nil {
+		p.printf(", %d changes", len(r.Changes))
+	}
+	p.printf("\n")
+	return p.err
+}
+
+func describeValues(c Change) string {
+	switch c.Kind {
+	case Added:
+		return shorten(string(c.New))
+	case Removed:
+		return shorten(string(c.Old))
+	}
+	return shorten(string(c.Old)) + " -> " + shorten(string(c.New))
+}
+
+func describeEffect(e Effect) string {
+	if e.RunningWork {
+		return "; takes effect on accepted work: " + e.Text
+	}
+	return "; takes effect on: " + e.Text
+}
+
+func describeVersions(r *Report) string {
+	var text string
+	if r.Version != nil {
+		text = "version " + strconv.FormatInt(*r.Version, 10)
+	}
+	if r.AgainstVersion != nil {
+		text += " against version " + strconv.FormatInt(*r.AgainstVersion, 10)
+	}
+	if text != "" {
+		text += ": "
+	}
+	return text
+}
+
+// printer keeps the first error of a sequence of writes.
+type printer struct {
+	w   io.Writer
+	err error
+}
+
+func (p *printer) printf(format string, args ...any) {
+	if p.err == nil {
+		_, p.err = fmt.Fprintf(p.w, format, args...)
+	}
+}
