--- a/internal/configcheck/queues.go
+++ b/internal/configcheck/queues.go
@@ -57,7 +57,7 @@
 		return
 	}
 	if first := slices.IndexFunc(c.Queues, func(q batch.Queue) bool { return q.Name == name }); first < i {
-		c.add(Error, path+".name", fmt.Sprintf("%q is the name of queues[%d] too: the terms of the first apply to the jobs of both", name, first), "give each queue a name of its own")
+		c.add(Error, path+".name", fmt.Sprintf("%q is the name of entry %d too: the terms of the first apply to the jobs of both", name, first), "give each queue a name of its own")
 	}
 }
 
@@ -92,9 +92,9 @@
 	rest, extends := strings.CutPrefix(q.Prefix, other.Prefix)
 	switch {
 	case extends && rest == "" && j < i:
-		c.add(Error, path+".prefix", fmt.Sprintf("host and prefix are those of queues[%d] (%q), which gets all requests", j, other.Name), "give each queue a host and prefix of its own")
+		c.add(Error, path+".prefix", fmt.Sprintf("host and prefix are those of entry %d (%q), which gets all requests", j, other.Name), "give each queue a host and prefix of its own")
 	case extends && rest != "" && len(rest) <= jobIDDigits && strings.Trim(rest, "0123456789abcdefABCDEF") == "":
-		c.add(Warning, path+".prefix", fmt.Sprintf("takes the jobs of queues[%d] (%q) whose IDs begin with %q", j, other.Name, rest), "end prefixes with '/'")
+		c.add(Warning, path+".prefix", fmt.Sprintf("takes the jobs of entry %d (%q) whose IDs begin with %q", j, other.Name, rest), "end prefixes with '/'")
 	}
 }
 
@@ -104,7 +104,7 @@
 	case !ok:
 		c.add(Error, path+".pool", fmt.Sprintf("there is no pool %q: no VM runs the queue's tasks", shorten(q.Pool)), "add the pool, or correct the name")
 	case pool.Standby:
-		c.add(Warning, path+".pool", fmt.Sprintf("the VMs of pool %q are on standby: jobs wait until VMs are moved to another pool", shorten(q.Pool)), "name a pool that runs, or clear standby")
+		c.add(Warning, path+".pool", fmt.Sprintf("the VMs of pool %q are off, on standby: no VM runs the queue's tasks", shorten(q.Pool)), "name a pool that runs, or clear standby")
 	}
 }
 
--- a/internal/configcheck/text.go
+++ b/internal/configcheck/text.go
@@ -42,9 +42,9 @@
 
 func describeEffect(e Effect) string {
 	if e.RunningWork {
-		return "; takes effect on accepted work: " + e.Text
+		return "; effect on accepted work: " + e.Text
 	}
-	return "; takes effect on: " + e.Text
+	return "; effect: " + e.Text
 }
 
 func describeVersions(r *Report) string {
