--- a/internal/configcheck/document_test.go
+++ b/internal/configcheck/document_test.go
@@ -59,6 +59,7 @@
 	}{
 		{"{\n\"teams\":{\n", Error, "", "malformed JSON in line 3"},
 		{`{} x`, Error, "", "malformed JSON"},
+		{"{\"drained_vms\":{\"\xff\":true}}", Error, "", "not UTF-8"},
 		{`[]`, Error, "", "not a JSON object"},
 		{`null`, Error, "", "null is not a value"},
 		{`{"weight":{}}`, Error, "weight", "no such field"},
--- a/internal/configcheck/strict.go
+++ b/internal/configcheck/strict.go
@@ -10,6 +10,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 )
 
 // Syntax sets how strictly CheckSyntax reads a document.
@@ -28,12 +29,16 @@
 // malformed JSON, unknown, repeated and missing fields, and values of the wrong type. Fields with
 // the tag check:"required" must be present.
 func CheckSyntax(raw []byte, t reflect.Type, syntax Syntax) []Finding {
-	var any json.RawMessage
-	if err := json.Unmarshal(raw, &any); err != nil {
+	var value json.RawMessage
+	if err := json.Unmarshal(raw, &value); err != nil {
 		return []Finding{malformed(raw, err)}
 	}
 	c := &syntaxCheck{Syntax: syntax}
-	c.value("", any, t)
+	if !utf8.Valid(raw) {
+		// Decoders replace invalid bytes without an error.
+		c.add(Error, "", "the document is not UTF-8", "encode it as UTF-8")
+	}
+	c.value("", value, t)
 	return c.findings
 }
 
--- a/internal/configcheck/text.go
+++ b/internal/configcheck/text.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"strings"
 )
 
 // WriteText writes the report for people: a line for each finding and change, and the totals.
@@ -48,17 +49,17 @@
 }
 
 func describeVersions(r *Report) string {
-	var text string
+	var parts []string
 	if r.Version != nil {
-		text = "version " + strconv.FormatInt(*r.Version, 10)
+		parts = append(parts, "version "+strconv.FormatInt(*r.Version, 10))
 	}
 	if r.AgainstVersion != nil {
-		text += " against version " + strconv.FormatInt(*r.AgainstVersion, 10)
+		parts = append(parts, "against version "+strconv.FormatInt(*r.AgainstVersion, 10))
 	}
-	if text != "" {
-		text += ": "
+	if len(parts) == 0 {
+		return ""
 	}
-	return text
+	return strings.Join(parts, " ") + ": "
 }
 
 // printer keeps the first error of a sequence of writes.
