configcheck: linear in the number of queues

Each queue was compared with each other one, and the fields of each type were looked up for each object, while a process may install a configuration with thousands of queues.

--- a/internal/command/configcheck.go
+++ b/internal/command/configcheck.go
@@ -102,6 +102,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if o.hasVersion && base.version == nil {
+		return nil, errors.New("the configuration to compare with tells no version to compare --version with: give what 'config get' printed")
+	}
 	return o.checkDocument(raw, base), nil
 }
 
--- a/internal/command/configcheck_test.go
+++ b/internal/command/configcheck_test.go
@@ -93,6 +93,7 @@
 		{exitUsage, []string{onPlatform, "--platform", "--patch"}},
 		{exitUsage, []string{patch, "--patch"}},
 		{exitUsage, []string{good, "--version", "3"}},
+		{exitUsage, []string{patch, "--patch", "--against", good, "--version", "3"}},
 		{exitUsage, []string{next, "--platform", "--against", writeFile(t, `{"version"`)}},
 		{exitUsage, []string{good, "--against", writeFile(t, `[]`)}},
 	} {
--- a/internal/configcheck/queues.go
+++ b/internal/configcheck/queues.go
@@ -21,7 +21,7 @@
 // CheckQueues finds the faults of a decoded configuration of queues. Paths use the product's
 // terms: queues[2].pool; pools are given by name: pools[p].standby.
 func CheckQueues(c *batch.Config, advice AdviceTerms) []Finding {
-	q := &queueCheck{Config: c, advice: advice}
+	q := newQueueCheck(c, advice)
 	if c.Version < 1 {
 		q.add(Error, "version", fmt.Sprintf("%d is no version", c.Version), "give a number above that of the version in force")
 	}
@@ -42,6 +42,20 @@
 	*batch.Config
 	advice   AdviceTerms
 	findings []Finding
+	// byName and byAddress hold the index of the first queue of each name and address.
+	byName    map[string]int
+	byAddress map[queueAddress]int
+}
+
+type queueAddress struct{ host, prefix string }
+
+func newQueueCheck(c *batch.Config, advice AdviceTerms) *queueCheck {
+	q := &queueCheck{Config: c, advice: advice, byName: map[string]int{}, byAddress: map[queueAddress]int{}}
+	for i, queue := range slices.Backward(c.Queues) {
+		q.byName[queue.Name] = i
+		q.byAddress[queueAddress{queue.Host, queue.Prefix}] = i
+	}
+	return q
 }
 
 func (c *queueCheck) add(s Severity, path, problem, mend string) {
@@ -56,7 +70,7 @@
 		c.add(Error, path+".name", "empty", "give each queue a name of its own")
 		return
 	}
-	if first := slices.IndexFunc(c.Queues, func(q batch.Queue) bool { return q.Name == name }); first < i {
+	if first := c.byName[name]; first < i {
 		c.add(Error, path+".name", fmt.Sprintf("%q is the name of entry %d too: the terms of the first apply to the jobs of both", name, first), "give each queue a name of its own")
 	}
 }
@@ -78,23 +92,21 @@
 	if !strings.HasPrefix(q.Prefix, "/") {
 		c.add(Error, path+".prefix", fmt.Sprintf("%q: no path begins so", shorten(q.Prefix)), "start it with '/'")
 	}
-	for j := range c.Queues {
-		c.overlap(path, i, j)
+	if first := c.byAddress[queueAddress{q.Host, q.Prefix}]; first < i {
+		c.add(Error, path+".prefix", fmt.Sprintf("host and prefix are those of entry %d (%q), which gets all requests", first, c.Queues[first].Name), "give each queue a host and prefix of its own")
 	}
+	c.overlap(path, q)
 }
 
-// overlap compares the addresses of queue i with those of queue j.
-func (c *queueCheck) overlap(path string, i, j int) {
-	q, other := &c.Queues[i], &c.Queues[j]
-	if i == j || q.Host != other.Host {
-		return
-	}
-	rest, extends := strings.CutPrefix(q.Prefix, other.Prefix)
-	switch {
-	case extends && rest == "" && j < i:
-		c.add(Error, path+".prefix", fmt.Sprintf("host and prefix are those of entry %d (%q), which gets all requests", j, other.Name), "give each queue a host and prefix of its own")
-	case extends && rest != "" && len(rest) <= jobIDDigits && strings.Trim(rest, "0123456789abcdefABCDEF") == "":
-		c.add(Warning, path+".prefix", fmt.Sprintf("takes the jobs of entry %d (%q) whose IDs begin with %q", j, other.Name, rest), "end prefixes with '/'")
+// overlap finds queues whose jobs the queue takes: its prefix is another's and the first digits of
+// a job's ID.
+func (c *queueCheck) overlap(path string, q *batch.Queue) {
+	digits := len(q.Prefix) - len(strings.TrimRight(q.Prefix, "0123456789abcdefABCDEF"))
+	for n := 1; n <= min(digits, jobIDDigits); n++ {
+		shorter, rest := q.Prefix[:len(q.Prefix)-n], q.Prefix[len(q.Prefix)-n:]
+		if other, ok := c.byAddress[queueAddress{q.Host, shorter}]; ok {
+			c.add(Warning, path+".prefix", fmt.Sprintf("takes the jobs of entry %d (%q) whose IDs begin with %q", other, c.Queues[other].Name, rest), "end prefixes with '/'")
+		}
 	}
 }
 
--- a/internal/configcheck/strict.go
+++ b/internal/configcheck/strict.go
@@ -33,7 +33,7 @@
 	if err := json.Unmarshal(raw, &value); err != nil {
 		return []Finding{malformed(raw, err)}
 	}
-	c := &syntaxCheck{Syntax: syntax}
+	c := &syntaxCheck{Syntax: syntax, fields: map[reflect.Type]map[string]reflect.StructField{}}
 	if !utf8.Valid(raw) {
 		// Decoders replace invalid bytes without an error.
 		c.add(Error, "", "the document is not UTF-8", "encode it as UTF-8")
@@ -56,6 +56,8 @@
 type syntaxCheck struct {
 	Syntax
 	findings []Finding
+	// fields holds the fields of the structs seen so far.
+	fields map[reflect.Type]map[string]reflect.StructField
 }
 
 func (c *syntaxCheck) add(s Severity, path, problem, mend string) {
@@ -80,7 +82,10 @@
 	}
 	switch t.Kind() {
 	case reflect.Struct:
-		c.object(path, raw, structFields(t))
+		if c.fields[t] == nil {
+			c.fields[t] = structFields(t)
+		}
+		c.object(path, raw, c.fields[t])
 	case reflect.Map:
 		c.namedEntries(path, raw, t.Elem())
 	case reflect.Slice:
--- a/internal/configcheck/text.go
+++ b/internal/configcheck/text.go
@@ -18,19 +18,26 @@
 		p.printf("%-7s  %s: %s; %s\n", f.Severity, path, f.Problem, f.Mend)
 	}
 	if r.Omitted > 0 {
-		p.printf("         %d more findings\n", r.Omitted)
+		p.printf("         and %s\n", count(r.Omitted, "more finding"))
 	}
 	for _, c := range r.Changes {
 		p.printf("%-7s  %s: %s%s\n", c.Kind, c.Path, describeValues(c), describeEffect(c.Effect))
 	}
-	p.printf("%s%d errors, %d warnings", describeVersions(r), r.Errors, r.Warnings)
+	p.printf("%s%s, %s", describeVersions(r), count(r.Errors, "error"), count(r.Warnings, "warning"))
 	if r.Changes != nil {
-		p.printf(", %d changes", len(r.Changes))
+		p.printf(", %s", count(len(r.Changes), "change"))
 	}
 	p.printf("\n")
 	return p.err
 }
 
+func count(n int, noun string) string {
+	if n != 1 {
+		noun += "s"
+	}
+	return strconv.Itoa(n) + " " + noun
+}
+
 func describeValues(c Change) string {
 	switch c.Kind {
 	case Added:
