edge: installed configurations are not checked again in each process

The check of a configuration also ran in every process for every version that it installed, and logged what it found. It takes 7 ms for 300 routes on a whole core; the users' configurations grow by 1,700 routes, several versions a second, on entry VMs with a fifth of a core, and no process can decide anything by the result.

--- a/internal/edge/configuration.go
+++ b/internal/edge/configuration.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/rattanwall/rattanwall/internal/batch"
-	"github.com/rattanwall/rattanwall/internal/configcheck"
 	"github.com/rattanwall/rattanwall/internal/durable"
 	"github.com/rattanwall/rattanwall/internal/eventlog"
 	"github.com/rattanwall/rattanwall/internal/steady"
@@ -16,12 +15,8 @@
 type configuration struct {
 	decode func([]byte) (*batch.Config, error)
 	log    *eventlog.Log
-	// check finds the faults of a configuration that was installed; nil for no check.
-	check func([]byte) (*configcheck.Report, error)
 
 	inForce atomic.Pointer[batch.Config]
-	// findings is the result of check for the configuration that was installed last.
-	findings atomic.Pointer[configcheck.Report]
 
 	mu sync.Mutex
 	// newest is the newest item received, decodable or not.
@@ -41,30 +36,22 @@
 // install stores a newer item and puts it in force if it can be decoded; source is logged. An
 // older item, from a response that was overtaken, is never installed.
 func (c *configuration) install(item *durable.Item, source string) {
-	if installed := c.installNewer(item, source); installed != nil {
-		c.reportFindings(item.Value, installed.Version)
-	}
-}
-
-// installNewer is install without the check; it returns the configuration if that is now in force.
-func (c *configuration) installNewer(item *durable.Item, source string) *batch.Config {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if item.Revision <= c.newest.Revision {
-		return nil
+		return
 	}
 	c.newest = *item
 	config, err := c.decode(item.Value)
 	if c.unreadable = err != nil; c.unreadable {
 		c.log.Warn("config_unreadable", err, eventlog.Fields{"revision": item.Revision, "source": source})
-		return nil
+		return
 	}
 	if current := c.inForce.Load(); current != nil && config.Version <= current.Version {
-		return nil
+		return
 	}
 	c.inForce.Store(config)
 	c.log.Event("config_installed", eventlog.Fields{"version": config.Version, "revision": item.Revision, "queues": len(config.Queues), "source": source})
-	return config
 }
 
 // recordStoreRead records that the store held nothing newer at the given time.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -17,7 +17,6 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/rattanwall/rattanwall/internal/batch"
-	"github.com/rattanwall/rattanwall/internal/configcheck"
 	"github.com/rattanwall/rattanwall/internal/durable"
 	"github.com/rattanwall/rattanwall/internal/entry"
 	"github.com/rattanwall/rattanwall/internal/eventlog"
@@ -73,10 +72,8 @@
 	OperatorPrefix string
 	ConfigKey      string
 	DecodeConfig   func([]byte) (*batch.Config, error)
-	// CheckConfig finds the faults of a configuration that is installed, to be logged; nil for none.
-	CheckConfig func([]byte) (*configcheck.Report, error)
-	DecodeWave  func(durable.Item) (batch.Wave, bool, error)
-	ReportWave  leader.WaveReport
+	DecodeWave     func(durable.Item) (batch.Wave, bool, error)
+	ReportWave     leader.WaveReport
 	// EvacuationsPrefix is the part of OperatorPrefix with the requests to evacuate zones.
 	EvacuationsPrefix string
 	DecodeEvacuation  DecodeEvacuation
@@ -152,7 +149,6 @@
 		config: newConfiguration(p.DecodeConfig, log), evacuations: newEvacuations(p.DecodeEvacuation, s.Zones, log),
 		peerAddresses: &peerAddresses{self: s.Peers},
 	}
-	e.config.check = p.CheckConfig
 	e.relays = &relay.Pool{Direct: p.Agents, List: relay.Instances(p.Instances), Node: s.Node, DirectVMs: s.DirectVMs, Processor: s.Processor, LinkMbps: s.LinkMbps, Log: log}
 	e.relay = &relay.Server{Agents: p.Agents, Instances: relay.Instances(p.Instances), Client: p.PeerClient, Log: log}
 	e.leader = &leader.Leader{
