leader: entries of pools that the configuration does not name are no VMs

Callers saw jobs stand still after a takeover. The cause: an entry of a service that isn't named anywhere was listed, held and recorded like a VM. A successor waits for a report of each recorded VM, and until then starts no task of a job that an earlier leader accepted. Nobody answers at such an entry, so that each takeover after a killed leader waited 2 s for the machine service to deny it, and for the longest lease where there is none.

The leader leaves entries of pools out that the configuration in force does not name, says so once (vm_pool_unknown), and takes them in as soon as one does.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -168,6 +168,9 @@
 	cancelledEarly map[string]time.Duration
 	// removed are the jobs that this leader removed recently.
 	removed removals
+	// unknownPools are the listed instances that were last left out since the configuration does
+	// not name their pools.
+	unknownPools map[string]bool
 	// adviceMu is held during a call to the adviser.
 	adviceMu sync.Mutex
 }
--- a/internal/leader/rebuild.go
+++ b/internal/leader/rebuild.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return rebuildResult{}, err
 	}
-	list, err := t.Instances(ctx)
+	list, err := t.readList(ctx)
 	if err != nil {
 		return rebuildResult{}, err
 	}
@@ -281,7 +281,7 @@
 func (t *term) refreshInstances(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	list, err := t.Instances(ctx)
+	list, err := t.readList(ctx)
 	if err != nil {
 		return err
 	}
