scheduler: an entry without the birth that its VM reports is another writer's

An entry that overwrote a VM's, complete but for `born` and with another VM's address, was taken for the VM's: holds went to the other VM, which refused them as another instance, and all runs were given up while they went on; the VM was not used again (TestOverwrittenEntryKeepsRuns). Such an entry now counts as none: the VM is unlisted, holds go on at its own address, its runs go on, and nothing is placed there until its own entry is back.

--- a/internal/scheduler/incarnations_test.go
+++ b/internal/scheduler/incarnations_test.go
@@ -243,3 +243,27 @@
 	f.advance(planInterval)
 	require.Len(t, f.plan(), 1)
 }
+
+// Guards against giving up the runs of a VM whose entry another writer has overwritten: without the
+// birth that the VM reports, the entry's address is not taken for the VM's, at which another VM would
+// answer for it, and nothing is placed there until its own entry is back.
+func TestEntryWithoutBirthIsNotTheVMs(t *testing.T) {
+	f := newIncarnationFixture(t, 1)
+	f.submit("j", tasks(1, 100))
+	f.plan()
+	require.Len(t, f.started["j.0.0.0"], 1)
+	own := f.list[0]
+	f.list[0].Born, f.list[0].Address = 0, "10.9.9.9:1"
+	f.s.SetInstances(f.now, f.list)
+	inst, known := f.s.Instance(own.ID)
+	require.True(t, known)
+	require.Equal(t, own.Address, inst.Address)
+	f.submit("k", tasks(1, 100))
+	f.plan()
+	require.Empty(t, f.started["k.0.0.0"], "started on a VM without an entry")
+	f.list[0] = own
+	f.s.SetInstances(f.now, f.list)
+	f.plan()
+	require.Len(t, f.started["k.0.0.0"], 1)
+	require.Len(t, f.started["j.0.0.0"], 1, "a run was given up")
+}
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -22,6 +22,9 @@
 	s.listReadAt = now
 	listed := make(map[string]bool, len(list))
 	for i := range list {
+		if s.lacksBirth(&list[i]) {
+			continue
+		}
 		listed[list[i].ID] = true
 		s.setInstance(now, list[i])
 	}
@@ -34,6 +37,14 @@
 	}
 }
 
+// lacksBirth reports whether an entry has no birth although the VM reports one. Such an entry is
+// another writer's: it says nothing about the VM, which counts as unlisted, and its address may be
+// another VM's.
+func (s *Scheduler) lacksBirth(inst *batch.Instance) bool {
+	v := s.vms[inst.ID]
+	return v != nil && v.born != 0 && inst.Born == 0
+}
+
 func (s *Scheduler) setInstance(now Time, inst batch.Instance) {
 	v := s.vms[inst.ID]
 	if v == nil {
