leader: a cancellation is applied although the lease is not confirmed

The announcement had reached the leader while its lease was not confirmed and was refused like that of a job; it is not repeated, and the watch of jobs delivered nothing for seconds.

A job must not be accepted by a leader that may be deposed; a cancellation that is in the store only stops work. It is applied while the tenure may act, and kept, bounded, where the process has been elected and still reads what earlier leaders left. Failed watches and reads of the jobs had no log line: jobs_not_followed.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -116,6 +116,8 @@
 	term *term
 	// closedTenures are the ended tenures of this process whose leases may not have expired.
 	closedTenures []closedTenure
+	// earlyCancellations holds when cancellations were announced while there was no term.
+	earlyCancellations map[string]time.Duration
 }
 
 // term is the state of one tenure.
@@ -214,6 +216,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.term = t
+	l.applyEarlyCancellations(t)
 }
 
 func (l *Leader) currentTerm() *term {
@@ -226,7 +229,8 @@
 func (t *term) run(ctx context.Context, revision int64) {
 	jobs := &follow.Follower{
 		Store: t.Store, Prefix: jobsPrefix, Wait: jobsWatchTimeout, StartRevision: revision,
-		Handle: func(items []durable.Item, _ int64, whole bool) { t.observeJobs(items, whole) },
+		Handle:  func(items []durable.Item, _ int64, whole bool) { t.observeJobs(items, whole) },
+		OnError: func(err error) { t.log.Warn("jobs_not_followed", err, eventlog.Fields{"fence": t.tenure.Fence}) },
 	}
 	for _, loop := range []func(context.Context){
 		func(ctx context.Context) { _ = jobs.Serve(ctx) }, t.listLoop, t.flushLoop, t.unknownJobsLoop, t.predecessorsLoop, t.newJobsRevisionLoop, t.livenessLoop, t.forgetLoop, t.modelLoop, t.wavesLoop, t.tokenLoop,
@@ -384,6 +388,9 @@
 // false when this process is not confirmed as the leader; then the leader's watch delivers the
 // change.
 func (l *Leader) AcceptAnnouncement(key string, value []byte) bool {
+	if id, cancelled := parseJobKey(key); cancelled {
+		return l.acceptCancellation(id)
+	}
 	t := l.currentTerm()
 	if t == nil || !t.tenure.Confirmed() {
 		return false
@@ -424,10 +431,7 @@
 	now := steady.Now()
 	id, cancelled := parseJobKey(item.Key)
 	if cancelled {
-		if _, known := t.sched.State(id); !known {
-			t.cancelledEarly[id] = now
-		}
-		t.sched.Cancel(now, id)
+		t.cancelJob(now, id)
 		return
 	}
 	if t.removed.covers(id, item) {
