follow, platform: a long read of the jobs is not aborted while it progresses

After the store lost its history, the leader reads all jobs. The read was bounded by 3 s in total; where some thousand jobs take longer on the leader's link it was aborted, began again and was aborted again, and no job or cancellation was heard of but by announcement.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -2,6 +2,7 @@
 package follow
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -25,8 +26,8 @@
 	// is short because single lost connections are common and the next call works.
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = 400 * time.Millisecond
-	// readTimeout bounds a read of the whole prefix in place of a watch.
-	readTimeout = 3 * time.Second
+	// defaultReadTimeout bounds a read of the whole prefix in place of a watch.
+	defaultReadTimeout = 3 * time.Second
 	// pollTimeout bounds a poll. It is short so that a poll on an unresponsive connection
 	// leaves time for another.
 	pollTimeout = 700 * time.Millisecond
@@ -51,6 +52,10 @@
 	// watch; 0 disables them. They are needed because a watch without events does not prove
 	// that nothing has changed.
 	PollInterval time.Duration
+	// ReadTimeout bounds a read of the whole prefix in place of a watch; 3 s if it is 0. Large
+	// prefixes need more on a narrow link: a read that is aborted begins again, and meanwhile no
+	// changes are handled.
+	ReadTimeout time.Duration
 	// OnRead is called after each read of the whole prefix was handled, with the monotonic
 	// time at which the read began: what was handled includes all changes up to then. It
 	// may be nil.
@@ -196,7 +201,7 @@
 }
 
 func (f *Follower) readWithTimeout(ctx context.Context) (position, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(f.ReadTimeout, defaultReadTimeout))
 	defer cancel()
 	return f.read(ctx)
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -76,6 +76,10 @@
 	rebuildRetryDelay = 200 * time.Millisecond
 	// jobsWatchTimeout bounds one watch call for new jobs.
 	jobsWatchTimeout = 2 * time.Second
+	// jobsReadTimeout bounds one read of all jobs after the store lost its history. Some
+	// thousand jobs take several seconds on a narrow link; a read without progress is aborted
+	// sooner.
+	jobsReadTimeout = 20 * time.Second
 )
 
 // Leader runs the scheduler during the tenures of this process.
@@ -228,7 +232,7 @@
 // run starts the loops of the tenure and plans until it ends.
 func (t *term) run(ctx context.Context, revision int64) {
 	jobs := &follow.Follower{
-		Store: t.Store, Prefix: jobsPrefix, Wait: jobsWatchTimeout, StartRevision: revision,
+		Store: t.Store, Prefix: jobsPrefix, Wait: jobsWatchTimeout, ReadTimeout: jobsReadTimeout, StartRevision: revision,
 		Handle:  func(items []durable.Item, _ int64, whole bool) { t.observeJobs(items, whole) },
 		OnError: func(err error) { t.log.Warn("jobs_not_followed", err, eventlog.Fields{"fence": t.tenure.Fence}) },
 	}
