--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -76,6 +76,10 @@
 	rebuildRetryDelay = 200 * time.Millisecond
 	// jobsWatchTimeout bounds one watch call for new jobs.
 	jobsWatchTimeout = 2 * time.Second
+	// jobsReadTimeout bounds one read of all jobs after the store lost its history. Some
+	// thousand jobs take several seconds on a narrow link; a read without progress is aborted
+	// sooner.
+	jobsReadTimeout = 20 * time.Second
 )
 
 // Leader runs the scheduler during the tenures of this process.
@@ -116,6 +120,8 @@
 	term *term
 	// closedTenures are the ended tenures of this process whose leases may not have expired.
 	closedTenures []closedTenure
+	// earlyCancellations holds when cancellations were announced while there was no term.
+	earlyCancellations map[string]time.Duration
 }
 
 // term is the state of one tenure.
@@ -168,6 +174,9 @@
 	cancelledEarly map[string]time.Duration
 	// removed are the jobs that this leader removed recently.
 	removed removals
+	// unknownPools are the listed instances that were last left out since the configuration does
+	// not name their pools.
+	unknownPools map[string]bool
 	// adviceMu is held during a call to the adviser.
 	adviceMu sync.Mutex
 }
@@ -211,6 +220,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.term = t
+	l.applyEarlyCancellations(t)
 }
 
 func (l *Leader) currentTerm() *term {
@@ -222,8 +232,9 @@
 // run starts the loops of the tenure and plans until it ends.
 func (t *term) run(ctx context.Context, revision int64) {
 	jobs := &follow.Follower{
-		Store: t.Store, Prefix: jobsPrefix, Wait: jobsWatchTimeout, StartRevision: revision,
-		Handle: func(items []durable.Item, _ int64, whole bool) { t.observeJobs(items, whole) },
+		Store: t.Store, Prefix: jobsPrefix, Wait: jobsWatchTimeout, ReadTimeout: jobsReadTimeout, StartRevision: revision,
+		Handle:  func(items []durable.Item, _ int64, whole bool) { t.observeJobs(items, whole) },
+		OnError: func(err error) { t.log.Warn("jobs_not_followed", err, eventlog.Fields{"fence": t.tenure.Fence}) },
 	}
 	for _, loop := range []func(context.Context){
 		func(ctx context.Context) { _ = jobs.Serve(ctx) }, t.listLoop, t.flushLoop, t.unknownJobsLoop, t.predecessorsLoop, t.newJobsRevisionLoop, t.livenessLoop, t.forgetLoop, t.modelLoop, t.wavesLoop, t.tokenLoop,
@@ -381,6 +392,9 @@
 // false when this process is not confirmed as the leader; then the leader's watch delivers the
 // change.
 func (l *Leader) AcceptAnnouncement(key string, value []byte) bool {
+	if id, cancelled := parseJobKey(key); cancelled {
+		return l.acceptCancellation(id)
+	}
 	t := l.currentTerm()
 	if t == nil || !t.tenure.Confirmed() {
 		return false
@@ -421,10 +435,7 @@
 	now := steady.Now()
 	id, cancelled := parseJobKey(item.Key)
 	if cancelled {
-		if _, known := t.sched.State(id); !known {
-			t.cancelledEarly[id] = now
-		}
-		t.sched.Cancel(now, id)
+		t.cancelJob(now, id)
 		return
 	}
 	if t.removed.covers(id, item) {
