edge: a large configuration reaches a process over a narrow link

Cause, from the logs: a configuration of 1,251 queues takes a third of a second and more on 10 Mbit/s. A poll of the store was aborted after 0.7 s, and a call to a peer after 0.4 s, three at a time with the whole value each. Beside one another none got through, and all were repeated: no version arrived for 5 to 8 s after the cut.

Change: peers are asked without the value, and one of those that have a newer version transfers it, within 1.5 s. A poll fails after 0.7 s without a first response, as before, but may take 2.5 s in all once the response has begun.

The fake of TestChangesAreReadWhileTheWatchHearsNothing now keeps the contract of Range, as the adapter does; what the test demands is unchanged.

--- a/internal/durable/durable.go
+++ b/internal/durable/durable.go
@@ -86,7 +86,8 @@
 	// Get returns the item of key, or nil if there is none.
 	Get(ctx context.Context, key string) (*Item, error)
 	// Range returns all items whose key begins with prefix, and a revision; a watch
-	// from that revision returns all later changes.
+	// from that revision returns all later changes. It fails if the store has not begun to
+	// respond within the time set by WithFirstResponse.
 	Range(ctx context.Context, prefix string) ([]Item, int64, error)
 	// Watch waits at most wait for changes under prefix after a revision. It returns
 	// them with the revision to continue from.
--- a/internal/edge/configfetcher.go
+++ b/internal/edge/configfetcher.go
@@ -32,6 +32,9 @@
 	minRoundInterval = 100 * time.Millisecond
 	// peerAnswerTimeout bounds one call to a peer.
 	peerAnswerTimeout = 400 * time.Millisecond
+	// peerValueTimeout bounds the transfer of a configuration from a peer. A large one takes a
+	// second on a narrow link, and a transfer that is aborted begins again.
+	peerValueTimeout = 1500 * time.Millisecond
 	// maxParallelPeers is how many peers are asked in parallel while no preferred peer is
 	// known.
 	maxParallelPeers = 3
@@ -52,6 +55,9 @@
 	log            *eventlog.Log
 	// wake interrupts the pause between rounds.
 	wake chan struct{}
+	// transfer is held while a configuration is transferred: several at a time would each take
+	// several times as long on a narrow link.
+	transfer sync.Mutex
 	// preferredPeer is the peer that last confirmed the newest configuration, "" for none;
 	// lastLeaderAddress is the leader at that time. A change of leader clears preferredPeer, so
 	// that the new leader is asked first.
@@ -162,14 +168,11 @@
 // ask asks one peer, and reports whether it confirmed the newest configuration recently enough.
 // With maxAge set, the peer looks the configuration up again if its own confirmation is older.
 func (p *configFetcher) ask(ctx context.Context, address string, maxAge time.Duration) bool {
-	ctx, cancel := context.WithTimeout(ctx, peerAnswerTimeout)
-	defer cancel()
 	sentAt := steady.Now()
-	remote := scheduling.NewSchedulingProtobufClient("http://"+address, p.client)
-	r, err := remote.Config(ctx, &scheduling.ConfigRequest{
-		Revision: p.config.latest().Revision, EvacuationsRevision: p.evacuations.inForce.Load().Revision,
-		Address: p.peers.self, WithinMs: maxAge.Milliseconds(),
-	})
+	r, err := p.call(ctx, address, peerAnswerTimeout, &scheduling.ConfigRequest{WithinMs: maxAge.Milliseconds(), OmitValue: true})
+	if err == nil && r.GetRevision() > p.config.latest().Revision {
+		r, err = p.transferFrom(ctx, address, r)
+	}
 	if err != nil {
 		p.peers.remove(address)
 		p.log.Event("config_peer_failed", eventlog.Fields{"peer": address, "error": err.Error()})
@@ -180,9 +183,6 @@
 	if fence := r.GetLeaderFence(); fence > 0 {
 		p.onLeaderReported(leader.Record{Node: r.GetLeaderNode(), Address: r.GetLeaderAddress()}, fence, address)
 	}
-	if len(r.GetValue()) > 0 {
-		p.config.install(&durable.Item{Value: r.GetValue(), Revision: r.GetRevision()}, address)
-	}
 	p.evacuations.install(evacuationsOf(r), address)
 	if !r.GetConfirmed() {
 		return false
@@ -195,6 +195,30 @@
 	return age < askPeersDelay
 }
 
+// call asks a peer for its configuration, and installs the value that the response contains.
+func (p *configFetcher) call(ctx context.Context, address string, timeout time.Duration, r *scheduling.ConfigRequest) (*scheduling.ConfigResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	r.Revision, r.EvacuationsRevision, r.Address = p.config.latest().Revision, p.evacuations.inForce.Load().Revision, p.peers.self
+	resp, err := scheduling.NewSchedulingProtobufClient("http://"+address, p.client).Config(ctx, r)
+	if err == nil && len(resp.GetValue()) > 0 {
+		p.config.install(&durable.Item{Value: resp.GetValue(), Revision: resp.GetRevision()}, address)
+	}
+	return resp, err
+}
+
+// transferFrom fetches the newer configuration that a peer announced in r, unless another peer's
+// has made that unnecessary, and returns the response that covers it.
+func (p *configFetcher) transferFrom(ctx context.Context, address string, r *scheduling.ConfigResponse) (*scheduling.ConfigResponse, error) {
+	p.transfer.Lock()
+	defer p.transfer.Unlock()
+	if p.config.latest().Revision >= r.GetRevision() {
+		return r, nil
+	}
+	_, err := p.call(ctx, address, peerValueTimeout, &scheduling.ConfigRequest{})
+	return r, err
+}
+
 // evacuationsOf returns the evacuations in a peer's response.
 func evacuationsOf(r *scheduling.ConfigResponse) *batch.Evacuations {
 	e := &batch.Evacuations{Revision: r.GetEvacuationsRevision()}
@@ -224,7 +248,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	resp := &scheduling.ConfigResponse{Revision: c.newest.Revision, Confirmed: c.readAt > 0}
-	if c.newest.Revision > r.GetRevision() {
+	if c.newest.Revision > r.GetRevision() && !r.GetOmitValue() {
 		resp.Value = c.newest.Value
 	}
 	// Rounded up: the reported age may be too high but never too low.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -28,9 +28,12 @@
 	maxRetryDelay = 400 * time.Millisecond
 	// defaultReadTimeout bounds a read of the whole prefix in place of a watch.
 	defaultReadTimeout = 3 * time.Second
-	// pollTimeout bounds a poll. It is short so that a poll on an unresponsive connection
-	// leaves time for another.
-	pollTimeout = 700 * time.Millisecond
+	// pollResponseTimeout bounds the wait for the beginning of a poll's response. It is short so
+	// that a poll on an unresponsive connection leaves time for another.
+	pollResponseTimeout = 700 * time.Millisecond
+	// pollTimeout bounds a poll. A large configuration takes a second on a narrow link, and a
+	// poll that is aborted begins again.
+	pollTimeout = 2500 * time.Millisecond
 )
 
 // Handler processes changes up to a revision of the store. If whole is set, items is the
@@ -157,7 +160,7 @@
 		}
 		began := steady.Now()
 		readCtx, cancel := context.WithTimeout(ctx, pollTimeout)
-		_, err := f.read(readCtx)
+		_, err := f.read(durable.WithFirstResponse(readCtx, pollResponseTimeout))
 		cancel()
 		if err == nil {
 			wait, retryDelay = f.PollInterval-(steady.Now()-began), minRetryDelay
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -97,6 +97,8 @@
 		return nil, 0, durable.ErrRefused
 	}
 	if s.hangingReads.Add(-1) >= 0 {
+		ctx, cancel := context.WithTimeout(ctx, durable.FirstResponse(ctx, time.Minute))
+		defer cancel()
 		<-ctx.Done()
 		return nil, 0, durable.ErrUnknown
 	}
@@ -161,3 +163,43 @@
 	require.True(t, f.handleSnapshot([]durable.Item{{Revision: 20}}, 20, 4))
 	require.Equal(t, []int64{4, 12, 12, 20}, seen)
 }
+
+// slowStore responds to reads after delay, if that is within the time that the caller waits.
+type slowStore struct {
+	scriptedStore
+	delay        time.Duration
+	firstTimeout atomic.Int64
+}
+
+func (s *slowStore) Range(ctx context.Context, prefix string) ([]durable.Item, int64, error) {
+	s.firstTimeout.Store(int64(durable.FirstResponse(ctx, 0)))
+	select {
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	case <-time.After(s.delay):
+		return s.scriptedStore.Range(ctx, prefix)
+	}
+}
+
+// Guards against polls that never succeed over a narrow link: a response that has begun in time may
+// take longer than an unresponsive connection is given.
+func TestLongPollIsNotAborted(t *testing.T) {
+	t.Parallel()
+	s := &slowStore{delay: pollResponseTimeout + 400*time.Millisecond}
+	read := make(chan struct{}, 8)
+	f := &Follower{Store: s, Prefix: "k", Wait: time.Second, StartRevision: 1, PollInterval: 50 * time.Millisecond, Handle: func([]durable.Item, int64, bool) {
+		select {
+		case read <- struct{}{}:
+		default:
+		}
+	}}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = f.Serve(ctx) }()
+	select {
+	case <-read:
+	case <-time.After(3 * time.Second):
+		t.Fatal("the poll was aborted")
+	}
+	require.EqualValues(t, pollResponseTimeout, s.firstTimeout.Load())
+}
