scheduler: durations by a regression on the declared ones, where the policy asks for it

Change: package estimate learns by queue how much a declared duration says (slope) and the queue's mean, and predicts steps from both.

--- a/internal/scheduler/durations.go
+++ b/internal/scheduler/durations.go
@@ -60,7 +60,7 @@
 
 // observe adds a completed step.
 func (d durationRatios) observe(st *step) {
-	if float64(st.measuredRuns) < minMeasuredShare*float64(st.spec.Tasks) || st.spec.Estimate <= 0 || st.longestRun <= 0 {
+	if !st.durationMeasured() {
 		return
 	}
 	queue := st.occ.job.queue
@@ -70,6 +70,12 @@
 	d[queue].add(st.longestRun.Seconds() / st.spec.Estimate.Seconds())
 }
 
+// durationMeasured reports whether enough runs were measured for the longest of them to count as
+// the duration of the step.
+func (st *step) durationMeasured() bool {
+	return float64(st.measuredRuns) >= minMeasuredShare*float64(st.spec.Tasks) && st.spec.Estimate > 0 && st.longestRun > 0
+}
+
 // measureDuration records the duration of a completed run for its step, unless the run resumed
 // from a checkpoint or was slowed.
 func (r *run) measureDuration(now Time) {
@@ -89,10 +95,5 @@
 	return s.durationRatios[j.queue].value()
 }
 
-// objective is the target duration of a job from its submission to its completion.
-func (s *Scheduler) objective(j *job) time.Duration {
-	return scaled(j.criticalPath, j.stretch*s.durationRatio(j)) + j.slack
-}
-
 // scaled returns d times the factor.
 func scaled(d time.Duration, factor float64) time.Duration { return time.Duration(factor * float64(d)) }
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -114,7 +114,7 @@
 	}
 	s.markDirty(t.step.occ.job)
 	if t.step.tasksLeft == 0 {
-		s.durationRatios.observe(t.step)
+		s.observeStepDuration(t.step)
 		s.stepDone(now, t.step)
 	}
 	s.planNeeded = true
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -42,11 +42,12 @@
 	j := &job{
 		spec: sub.Job, queue: sub.Queue, pool: sub.Pool, submittedAt: now - sub.Age, state: batch.Queued,
 		predatesLeader: sub.PredatesLeader || s.mayPredateTenure(sub.CreatedRevision), occs: map[int]*occurrence{}, doneOccs: map[int]bool{}, recordRevision: sub.RecordRevision,
-		criticalPath: sub.Job.CriticalPath(), work: sub.Job.Work(), maxAttempts: 1, stretch: 1,
+		maxAttempts: 1, stretch: 1,
 	}
 	if sub.AcceptedQueue != nil {
 		j.applyQueue(sub.AcceptedQueue)
 	}
+	j.work = s.jobWork(j)
 	s.jobs[sub.Job.ID] = j
 	s.updateMeanWork(j)
 	s.applyConfig(j)
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -75,7 +75,7 @@
 		}
 		return rank{group: group, priority: j.priority, slack: o.dueAt - now}
 	}
-	remaining, objective := scaled(o.remaining(), s.durationRatio(j)), s.objective(j)
+	remaining, objective := s.remaining(o), s.objective(j)
 	slack := o.dueAt + objective - now - remaining
 	r := rank{group: groupOnTime, priority: j.priority, costPerValue: s.costPerValue(now, o), slack: slack}
 	if isShort(st.spec) && s.policy.ShortFirst {
@@ -113,7 +113,7 @@
 	if s.isStartLimited(now) {
 		return float64(o.remainingStarts()) / value
 	}
-	return o.remainingWork() / value
+	return s.remainingWork(o) / value
 }
 
 // startLimitedDuration is how long starts count as scarce after a plan had to omit some. A leader
@@ -134,16 +134,6 @@
 	return sum
 }
 
-// remainingWork is the declared work of unfinished tasks, in processor seconds.
-func (o *occurrence) remainingWork() float64 {
-	sum := 0.0
-	for i := range o.steps {
-		st := &o.steps[i]
-		sum += float64(st.tasksLeft) * float64(st.spec.Need.MilliCPU) / 1000 * st.spec.Estimate.Seconds()
-	}
-	return sum
-}
-
 // meanWorkWeight is the weight of a new job in the moving average of its queue's work.
 const meanWorkWeight = 1.0 / 32
 
@@ -156,26 +146,6 @@
 	s.meanWork[j.queue] = mean + meanWorkWeight*(j.work-mean)
 }
 
-// remaining is the longest path through the unfinished steps by their declared durations.
-func (o *occurrence) remaining() time.Duration {
-	var buffer [16]time.Duration
-	end := buffer[:0]
-	longest := time.Duration(0)
-	for i := range o.steps {
-		st := &o.steps[i]
-		at := time.Duration(0)
-		for _, d := range st.spec.After {
-			at = max(at, end[d])
-		}
-		if st.tasksLeft > 0 {
-			at += st.spec.Estimate
-		}
-		end = append(end, at)
-		longest = max(longest, at)
-	}
-	return longest
-}
-
 func compareRanks(a, b rank) int {
 	return cmp.Or(cmp.Compare(a.group, b.group), cmp.Compare(a.priority, b.priority), cmp.Compare(a.costPerValue, b.costPerValue), cmp.Compare(a.slack, b.slack))
 }
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -31,6 +31,19 @@
 	PlacementLeastLoaded Placement = "least_loaded"
 )
 
+// DurationEstimates selects how declared durations are corrected.
+type DurationEstimates string
+
+// The estimates.
+const (
+	// EstimateRatio multiplies declared durations by the learned ratio of their queue, as far as
+	// that says something about a single job.
+	EstimateRatio DurationEstimates = "ratio"
+	// EstimateRegression weighs declared durations against the mean of their queue by how much
+	// they have said about earlier steps.
+	EstimateRegression DurationEstimates = "regression"
+)
+
 // Policy holds the limits and weights of queueing, placement and pacing, and a switch for each
 // mechanism so that its benefit can be measured. Deployments start from DefaultPolicy and change
 // it by a policy file; see ReadPolicy.
@@ -80,6 +93,8 @@
 	StarvedCrowdedMS int64 `json:"starved_crowded_ms"`
 	// LearnDurations corrects declared durations by those of completed steps.
 	LearnDurations bool `json:"learn_durations"`
+	// DurationEstimates is how LearnDurations corrects them.
+	DurationEstimates DurationEstimates `json:"duration_estimates"`
 	// Learn updates the interference model from observed tails.
 	Learn bool `json:"learn"`
 	// Pace slows fillers that interfere with serving tasks.
@@ -118,7 +133,7 @@
 		Order: OrderWork, ShortFirst: true, Placement: PlacementScored,
 		ReserveMost: 0.12, ReserveOn: 3, ReservePatienceMS: 4000,
 		PurityWeight: 4, EmptyPurity: 0.6, KeepEmpty: 0.1, EffectPenalty: 3, PeakLimit: 0.92, RoomLimit: 0.93, StarvedAfterMS: 2000, StarvedCrowdedMS: 20_000,
-		LearnDurations: true, Learn: true, Pace: true, PaceAtStart: true, PressedAt: 0.88, AimAt: 0.8, BlindAfterMS: 1500, MoveBelow: 20,
+		LearnDurations: true, DurationEstimates: EstimateRatio, Learn: true, Pace: true, PaceAtStart: true, PressedAt: 0.88, AimAt: 0.8, BlindAfterMS: 1500, MoveBelow: 20,
 		Quarantine: true, Rescue: true, Copies: true, MoveOffDraining: true,
 	}
 }
@@ -146,6 +161,8 @@
 		return fmt.Errorf("order: use %s, %s or %s", OrderWork, OrderSlack, OrderArrival)
 	case p.Placement != PlacementScored && p.Placement != PlacementFirst && p.Placement != PlacementLeastLoaded:
 		return fmt.Errorf("placement: use %s, %s or %s", PlacementScored, PlacementFirst, PlacementLeastLoaded)
+	case p.DurationEstimates != EstimateRatio && p.DurationEstimates != EstimateRegression:
+		return fmt.Errorf("duration_estimates: use %s or %s", EstimateRatio, EstimateRegression)
 	case p.AimAt > p.PressedAt:
 		return fmt.Errorf("aim_at: give at most pressed_at (%g), or slowed fillers are slowed again", p.PressedAt)
 	case p.PressedAt == 0 || p.AimAt == 0:
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rattanwall/rattanwall/internal/batch"
+	"github.com/rattanwall/rattanwall/internal/scheduler/estimate"
 )
 
 // Time is the leader's monotonic clock, measured from the start of the process.
@@ -183,11 +184,10 @@
 	pool  string
 	// submittedAt is when the caller first submitted the job, as far as known.
 	submittedAt Time
-	// criticalPath is the longest chain of steps by their declared durations.
-	criticalPath time.Duration
 	// stretch and slack define the objective; see Scheduler.objective.
-	stretch     float64
-	slack       time.Duration
+	stretch float64
+	slack   time.Duration
+	// work is the expected work of one occurrence at its submission, in processor seconds.
 	work        float64
 	maxAttempts int
 	priority    int
@@ -408,8 +408,10 @@
 	meanWork map[string]float64
 	// durationRatios relates declared durations to real ones.
 	durationRatios durationRatios
-	images         effectModel
-	reserve        reserve
+	// estimates predicts the durations of each queue's steps; see EstimateRegression.
+	estimates map[string]*estimate.Model
+	images    effectModel
+	reserve   reserve
 	// candidates is the candidate list of the step that is being placed.
 	candidates candidates
 	// crowded is set while lasting and short tasks declare most of all processors.
@@ -440,7 +442,7 @@
 	return &Scheduler{
 		startBudget: UnlimitedStarts, evacuations: &batch.Evacuations{},
 		settings: settings, policy: policy, fence: fence, maxToken: fence, nextRun: fence << runNumberBits, vms: map[string]*vm{}, jobs: map[string]*job{},
-		timedJobs: map[string]*job{}, dirtyJobs: map[string]*job{}, waves: map[int64]*wave{}, awaitedVMs: map[string]Time{}, recentVMEnds: map[vmIncarnation]vmEnd{}, unconfirmedCrashes: map[vmIncarnation]map[*task]int64{}, startLog: startLog{inherited: map[vmIncarnation][]*inheritedStart{}, lostVMs: map[string]bool{}}, expiredLeases: map[string]ExpiredLease{}, unknownJobsSince: map[string]Time{}, absentJobs: map[string]Time{}, images: newEffectModel(), meanWork: map[string]float64{}, durationRatios: durationRatios{}, logf: log,
+		timedJobs: map[string]*job{}, dirtyJobs: map[string]*job{}, waves: map[int64]*wave{}, awaitedVMs: map[string]Time{}, recentVMEnds: map[vmIncarnation]vmEnd{}, unconfirmedCrashes: map[vmIncarnation]map[*task]int64{}, startLog: startLog{inherited: map[vmIncarnation][]*inheritedStart{}, lostVMs: map[string]bool{}}, expiredLeases: map[string]ExpiredLease{}, unknownJobsSince: map[string]Time{}, absentJobs: map[string]Time{}, images: newEffectModel(), meanWork: map[string]float64{}, durationRatios: durationRatios{}, estimates: map[string]*estimate.Model{}, logf: log,
 	}
 }
 
