--- a/internal/scheduler/expected.go
+++ b/internal/scheduler/expected.go
@@ -25,22 +25,27 @@
 	return s.policy.LearnDurations && s.policy.DurationEstimates == EstimateRegression
 }
 
-// expectedDuration is the expected duration of one of the job's steps.
+// expectedDuration is the expected duration of one of the job's steps. Under EstimateRatio it is the
+// declared one, and sums of durations are corrected as a whole; see pathFactor.
 func (s *Scheduler) expectedDuration(j *job, spec *batch.Step) time.Duration {
 	if s.usesRegression() {
 		return s.estimates[j.queue].Predict(spec.Estimate)
 	}
-	return scaled(spec.Estimate, s.durationRatio(j))
+	return spec.Estimate
+}
+
+// pathFactor is the factor by which paths of expected durations are corrected.
+func (s *Scheduler) pathFactor(j *job) float64 {
+	if s.usesRegression() {
+		return 1
+	}
+	return s.durationRatio(j)
 }
 
 // expectedWork is the expected work of the tasks, in processor seconds. Under EstimateRatio it is
 // the declared work: a ratio common to a queue does not change the order of its jobs.
 func (s *Scheduler) expectedWork(j *job, spec *batch.Step, tasks int) float64 {
-	duration := spec.Estimate
-	if s.usesRegression() {
-		duration = s.expectedDuration(j, spec)
-	}
-	return float64(tasks) * float64(spec.Need.MilliCPU) / 1000 * duration.Seconds()
+	return float64(tasks) * float64(spec.Need.MilliCPU) / 1000 * s.expectedDuration(j, spec).Seconds()
 }
 
 // jobWork is the expected work of one occurrence of a job, in processor seconds.
@@ -66,12 +71,17 @@
 // remaining is the longest path through the occurrence's unfinished steps by their expected
 // durations.
 func (s *Scheduler) remaining(o *occurrence) time.Duration {
-	return s.longestPath(o.job, func(step int) bool { return o.steps[step].tasksLeft > 0 })
+	path := s.longestPath(o.job, func(step int) bool { return o.steps[step].tasksLeft > 0 })
+	return scaled(path, s.pathFactor(o.job))
 }
 
 // objective is the target duration of a job from its submission to its completion.
 func (s *Scheduler) objective(j *job) time.Duration {
-	return scaled(s.longestPath(j, func(int) bool { return true }), j.stretch) + j.slack
+	path := j.criticalPath
+	if s.usesRegression() {
+		path = s.longestPath(j, func(int) bool { return true })
+	}
+	return scaled(path, j.stretch*s.pathFactor(j)) + j.slack
 }
 
 // longestPath is the longest path through the steps that count, by their expected durations.
--- a/internal/scheduler/expected_test.go
+++ b/internal/scheduler/expected_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -61,3 +62,61 @@
 	f.s.policy.LearnDurations = false
 	require.Equal(t, time.Second, f.s.expectedDuration(j, spec))
 }
+
+// Guards against a default that rounds differently than a correction of whole paths does: the last
+// nanosecond decides between jobs of equal slack.
+func TestRatioCorrectsWholePaths(t *testing.T) {
+	f := newFixture(t, 1)
+	f.reportAll(nil)
+	for range 40 {
+		f.s.observeStepDuration(&step{
+			spec: &batch.Step{Tasks: 1, Estimate: time.Second}, occ: &occurrence{job: &job{queue: testQueue}},
+			measuredRuns: 1, longestRun: 1337 * time.Millisecond,
+		})
+	}
+	rng := rand.New(rand.NewPCG(7, 8))
+	for i := range 200 {
+		spec := &batch.Job{ID: fmt.Sprint(i)}
+		for n := range 1 + rng.IntN(6) {
+			st := fillerStep("image", 1000)
+			st.Estimate = time.Duration(rng.Int64N(int64(3 * time.Second)))
+			if n > 0 {
+				st.After = []int{rng.IntN(n)}
+			}
+			spec.Steps = append(spec.Steps, st)
+		}
+		f.s.Submit(f.now, Submission{Job: spec, Queue: testQueue, Pool: "pool"})
+		j := f.s.jobs[spec.ID]
+		ratio := f.s.durationRatio(j)
+		require.Greater(t, ratio, 1.3)
+		require.Equal(t, scaled(spec.CriticalPath(), ratio), f.s.remaining(j.occs[0]))
+		require.Equal(t, scaled(spec.CriticalPath(), j.stretch*ratio)+j.slack, f.s.objective(j))
+		require.Equal(t, math.Float64bits(spec.Work()), math.Float64bits(j.work))
+		require.Equal(t, math.Float64bits(spec.Work()), math.Float64bits(f.s.remainingWork(j.occs[0])))
+	}
+}
+
+// BenchmarkRank ranks 4,000 waiting steps. It reports ns per pass over all of them.
+func BenchmarkRank(b *testing.B) {
+	for _, way := range []DurationEstimates{EstimateRatio, EstimateRegression} {
+		b.Run(string(way), func(b *testing.B) {
+			s := New(Settings{MaxLease: 10 * time.Second}, 1, nil)
+			s.policy.DurationEstimates = way
+			s.SetConfig(&batch.Config{Queues: []batch.Queue{{Name: testQueue, Pool: "pool", Attempts: 3, Stretch: 2}}})
+			observeNoisySteps(s)
+			var steps []*step
+			for i := range 2000 {
+				id := fmt.Sprint(i)
+				s.Submit(time.Second, Submission{Job: &batch.Job{ID: id, Steps: []batch.Step{fillerStep("a", 1000), fillerStep("b", 2000)}}, Queue: testQueue, Pool: "pool"})
+				o := s.jobs[id].occs[0]
+				steps = append(steps, &o.steps[0], &o.steps[1])
+			}
+			b.ResetTimer()
+			for range b.N {
+				for _, st := range steps {
+					st.rank = s.rank(time.Second, st)
+				}
+			}
+		})
+	}
+}
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -42,7 +42,7 @@
 	j := &job{
 		spec: sub.Job, queue: sub.Queue, pool: sub.Pool, submittedAt: now - sub.Age, state: batch.Queued,
 		predatesLeader: sub.PredatesLeader || s.mayPredateTenure(sub.CreatedRevision), occs: map[int]*occurrence{}, doneOccs: map[int]bool{}, recordRevision: sub.RecordRevision,
-		maxAttempts: 1, stretch: 1,
+		criticalPath: sub.Job.CriticalPath(), maxAttempts: 1, stretch: 1,
 	}
 	if sub.AcceptedQueue != nil {
 		j.applyQueue(sub.AcceptedQueue)
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -184,6 +184,8 @@
 	pool  string
 	// submittedAt is when the caller first submitted the job, as far as known.
 	submittedAt Time
+	// criticalPath is the longest chain of steps by their declared durations.
+	criticalPath time.Duration
 	// stretch and slack define the objective; see Scheduler.objective.
 	stretch float64
 	slack   time.Duration
