estimate: bound the deviation of a declared duration from its queue's mean

A single absurd declaration made the model believe all others of its queue. Cause: only the ratio of actual to declared was bounded; a declared duration far from the mean is a point of high leverage and decides the slope alone, which then fades over a hundred steps. Change: once the model is in use, a declared duration counts as at most e^3 from the queue's mean.

--- a/internal/scheduler/estimate/estimate.go
+++ b/internal/scheduler/estimate/estimate.go
@@ -20,8 +20,11 @@
 	// steps.
 	sampleWeight = 1.0 / 48
 	// maxLogRatio bounds the logarithm of the ratio of a single step's duration to its declared
-	// one, so that one absurd declaration does not outweigh the others.
+	// one.
 	maxLogRatio = 3.0
+	// maxLogDeviation bounds the deviation of a single step's declared duration from the queue's
+	// mean (logarithms), so that one absurd declaration does not decide the slope.
+	maxLogDeviation = 3.0
 	// maxFactor bounds the ratio of a prediction to its declared duration, in both directions.
 	maxFactor = 8.0
 	// priorVariance is the variance of the declared durations' logarithm with which the slope
@@ -45,6 +48,9 @@
 		return
 	}
 	x := math.Log(declared.Seconds())
+	if m.Known() {
+		x = min(max(x, m.declared-maxLogDeviation), m.declared+maxLogDeviation)
+	}
 	y := x + min(max(math.Log(actual.Seconds())-x, -maxLogRatio), maxLogRatio)
 	m.steps++
 	weight := max(1/float64(m.steps), sampleWeight)
--- a/internal/scheduler/estimate/estimate_test.go
+++ b/internal/scheduler/estimate/estimate_test.go
@@ -81,3 +81,15 @@
 	require.LessOrEqual(t, m.Predict(time.Millisecond), maxFactor*time.Millisecond)
 	require.GreaterOrEqual(t, m.Predict(10_000*time.Hour), 10_000/maxFactor*time.Hour)
 }
+
+// Guards against an absurd declaration after which the noise of all others is believed.
+func TestAbsurdDeclarationsDoNotDecideTheSlope(t *testing.T) {
+	for _, declared := range []time.Duration{time.Nanosecond, time.Millisecond, 30 * 24 * time.Hour} {
+		m := &Model{}
+		observeSteps(m, 0.5, 0.9, 1.6)
+		m.Observe(declared, 2*time.Second)
+		// The least squares slope of the others is 0.24.
+		require.InDelta(t, 0.24, m.Slope(), 0.2, declared)
+		require.InDelta(t, 1.6, m.Predict(time.Second).Seconds(), 0.6, declared)
+	}
+}
