scheduler: value waiting jobs by what is known now, as their costs are

Under the regression, jobs that a new leader took before it had learned durations were ranked apart from equal jobs that came later, and those that declare much went first. Cause: the order divides the remaining work, by the present model, by the job's work at its submission. Change: both are by the present model. With the ratio both are the declared work, in the same order of operations, as before.

--- a/internal/scheduler/expected_test.go
+++ b/internal/scheduler/expected_test.go
@@ -96,6 +96,28 @@
 	}
 }
 
+// Guards against a backlog that a new leader took before it had learned durations: its values by
+// declared work would be compared with costs by learned durations, so that jobs that declare much
+// go first, and all of it after equal jobs that come later.
+func TestJobsTakenBeforeDurationsAreLearnedAreRankedAsLaterOnes(t *testing.T) {
+	f := newFixture(t, 1)
+	f.s.policy.DurationEstimates = EstimateRegression
+	f.reportAll(nil)
+	declaring := func(id string, estimate time.Duration) *occurrence {
+		spec := fillerStep("image", 1000)
+		spec.Estimate = estimate
+		f.s.Submit(f.now, Submission{Job: &batch.Job{ID: id, Steps: []batch.Step{spec}}, Queue: testQueue, Pool: "pool"})
+		return f.s.jobs[id].occs[0]
+	}
+	short, long := declaring("short", 400*time.Millisecond), declaring("long", 2500*time.Millisecond)
+	observeNoisySteps(f.s)
+	laterShort, laterLong := declaring("later short", 400*time.Millisecond), declaring("later long", 2500*time.Millisecond)
+	require.InDelta(t, f.s.costPerValue(f.now, laterShort), f.s.costPerValue(f.now, short), 1e-9)
+	require.InDelta(t, f.s.costPerValue(f.now, laterLong), f.s.costPerValue(f.now, long), 1e-9)
+	// Work per value grows with work, as part of a value is fixed.
+	require.Less(t, f.s.costPerValue(f.now, short), f.s.costPerValue(f.now, long))
+}
+
 // BenchmarkRank ranks 4,000 waiting steps. It reports ns per pass over all of them.
 func BenchmarkRank(b *testing.B) {
 	for _, way := range []DurationEstimates{EstimateRatio, EstimateRegression} {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -106,7 +106,7 @@
 	if s.policy.Order != OrderWork {
 		return 0
 	}
-	value := fixedValueShare*s.meanWork[o.job.queue] + (1-fixedValueShare)*o.job.work
+	value := fixedValueShare*s.meanWork[o.job.queue] + (1-fixedValueShare)*s.jobWork(o.job)
 	if value <= 0 {
 		return 0
 	}
