--- a/internal/scheduler/policyfile_test.go
+++ b/internal/scheduler/policyfile_test.go
@@ -29,3 +29,14 @@
 	_, err = LoadPolicy(filepath.Join(t.TempDir(), "absent.jsonc"))
 	require.ErrorContains(t, err, "--policy")
 }
+
+// Guards against a deployment whose processes end at once, as its policy file is not accepted.
+func TestDeployedPolicyFileIsAccepted(t *testing.T) {
+	p, err := LoadPolicy("../../deploy/policy.jsonc")
+	require.NoError(t, err)
+	want := DefaultPolicy()
+	want.DurationEstimates = EstimateRegression
+	require.Equal(t, want, p)
+	_, err = ReadPolicy("policy.jsonc", []byte(`{"duration_estimates": "mean"}`))
+	require.ErrorContains(t, err, "duration_estimates: use ratio or regression")
+}
