scheduler: a long task is not stopped on one sound VM after the other

A task with seven times its siblings' work crawls on every VM. It was stopped, lost its work, and crawled again elsewhere: ten stops in twelve seconds in TestLongTaskIsRelocatedOnce, and it never ended. Now a task that crawled before stays, unless another run crawls on its VM as well.

Completed siblings count for the comparison only if their first report said 0 percent.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -482,6 +482,9 @@
 	if d.Age != 0 {
 		f["age_ms"] = d.Age.Milliseconds()
 	}
+	if d.Outcome != "" {
+		f["outcome"] = d.Outcome
+	}
 	if d.Value != 0 {
 		f["value"] = d.Value
 	}
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -47,7 +47,8 @@
 	switch e.Kind {
 	case batch.EndDone:
 		if r != nil {
-			r.recordDoneRate(now)
+			s.learnSpeed(now, r)
+			s.recordDoneRate(now, r)
 			r.measureDuration(now)
 			s.releaseRun(now, r)
 		}
@@ -124,6 +125,7 @@
 	if t.done {
 		return
 	}
+	s.recordCopyEnd(now, t, number)
 	t.done = true
 	t.doneRun = number
 	t.step.tasksLeft--
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -4,6 +4,8 @@
 const (
 	// EventAdviceNone: the adviser allowed none of the VMs in its request.
 	EventAdviceNone = "advice_none"
+	// EventCopyEnded: a copied task is done.
+	EventCopyEnded = "copy_ended"
 	// EventCrashNoted: a VM ended, or may have ended, with a recent run.
 	EventCrashNoted = "crash_noted"
 	// EventEndDeferred: an end is kept unacknowledged because its job is not known yet.
@@ -41,6 +43,8 @@
 	EventRunNotBegun = "run_not_begun"
 	// EventRunPaced: a filler's pace was changed.
 	EventRunPaced = "run_paced"
+	// EventRunSlow: a remedy for a run that is slower than its siblings was considered.
+	EventRunSlow = "run_slow"
 	// EventRunStarted: a start was ordered.
 	EventRunStarted = "run_started"
 	// EventRunStopped: a stop was ordered.
@@ -67,6 +71,8 @@
 	EventVMResized = "vm_resized"
 	// EventVMRestarted: a VM restarted under the same ID.
 	EventVMRestarted = "vm_restarted"
+	// EventVMSpeeds: periodic summary of the learned speeds.
+	EventVMSpeeds = "vm_speeds"
 	// EventVMSuspected: a VM gets no work for a while because runs failed or stalled there.
 	EventVMSuspected = "vm_suspected"
 	// EventVMUnlisted: a VM was removed from the store's list.
@@ -84,6 +90,7 @@
 // Events lists all events of decisions.
 var Events = []string{
 	EventAdviceNone,
+	EventCopyEnded,
 	EventCrashNoted,
 	EventEndDeferred,
 	EventEndSuperseded,
@@ -102,6 +109,7 @@
 	EventRunLost,
 	EventRunNotBegun,
 	EventRunPaced,
+	EventRunSlow,
 	EventRunStarted,
 	EventRunStopped,
 	EventRunUnwanted,
@@ -115,6 +123,7 @@
 	EventVMListed,
 	EventVMResized,
 	EventVMRestarted,
+	EventVMSpeeds,
 	EventVMSuspected,
 	EventVMUnlisted,
 	EventVMWaitedOut,
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -74,6 +74,9 @@
 	}
 }
 
+// recordRelocation keeps new work off a VM while a run that is slow there is restarted elsewhere.
+func (h *health) recordRelocation(now Time) { h.avoidUntil = max(h.avoidUntil, now+busyDelay) }
+
 func (h *health) recordUnanswered(now Time) { h.avoidUntil = max(h.avoidUntil, now+unansweredDelay) }
 
 // updateHealth updates the health of a run's VM from the run's end.
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -260,5 +260,6 @@
 	if spec.Need.Accelerators == 0 && v.inst.Capacity.Accelerators > 0 {
 		score -= mismatchPenalty
 	}
+	score -= s.slowVMPenalty(now, v, spec)
 	return score, true
 }
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/rattanwall/rattanwall/internal/scheduler/runtimes"
 )
 
 // QueueOrder selects the sort order of waiting jobs.
@@ -109,6 +111,14 @@
 	Copies bool `json:"copies"`
 	// MoveOffDraining moves lasting tasks off VMs that are about to leave.
 	MoveOffDraining bool `json:"evacuate"`
+
+	// Stragglers is when a run that is slower than its siblings is copied or restarted. It has no
+	// effect without Rescue.
+	Stragglers runtimes.Way `json:"stragglers"`
+	// SpeedWeight is the weight of a VM's learned speed in its score: 1 lowers the score of a VM
+	// on which tasks take twice as long by as much as all of its processors being in use. 0
+	// ignores learned speeds.
+	SpeedWeight float64 `json:"speed_weight"`
 }
 
 // DefaultPolicy is the policy of deployments. The sources of its values are documented with the
@@ -120,6 +130,7 @@
 		PurityWeight: 4, EmptyPurity: 0.6, KeepEmpty: 0.1, EffectPenalty: 3, PeakLimit: 0.92, RoomLimit: 0.93, StarvedAfterMS: 2000, StarvedCrowdedMS: 20_000,
 		LearnDurations: true, Learn: true, Pace: true, PaceAtStart: true, PressedAt: 0.88, AimAt: 0.8, BlindAfterMS: 1500, MoveBelow: 20,
 		Quarantine: true, Rescue: true, Copies: true, MoveOffDraining: true,
+		Stragglers: runtimes.WayRate,
 	}
 }
 
@@ -146,6 +157,10 @@
 		return fmt.Errorf("order: use %s, %s or %s", OrderWork, OrderSlack, OrderArrival)
 	case p.Placement != PlacementScored && p.Placement != PlacementFirst && p.Placement != PlacementLeastLoaded:
 		return fmt.Errorf("placement: use %s, %s or %s", PlacementScored, PlacementFirst, PlacementLeastLoaded)
+	case p.Stragglers != runtimes.WayRate && p.Stragglers != runtimes.WayGain && p.Stragglers != runtimes.WayIdle:
+		return fmt.Errorf("stragglers: use %s, %s or %s", runtimes.WayRate, runtimes.WayGain, runtimes.WayIdle)
+	case !(p.SpeedWeight >= 0 && p.SpeedWeight <= maxSpeedWeight):
+		return fmt.Errorf("speed_weight: give 0 to %g, not %g", maxSpeedWeight, p.SpeedWeight)
 	case p.AimAt > p.PressedAt:
 		return fmt.Errorf("aim_at: give at most pressed_at (%g), or slowed fillers are slowed again", p.PressedAt)
 	case p.PressedAt == 0 || p.AimAt == 0:
@@ -160,4 +175,7 @@
 	return nil
 }
 
+// maxSpeedWeight bounds SpeedWeight; beyond it, no other term of the score counts.
+const maxSpeedWeight = 10.0
+
 func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/internal/scheduler/reports.go
+++ b/internal/scheduler/reports.go
@@ -105,7 +105,7 @@
 		return nil
 	}
 	s.recordAlive(now, r)
-	r.recordProgress(now, st.Progress)
+	r.recordProgress(now, st)
 	r.usage, r.hasUsage = st.Usage, st.HasUsage
 	r.recordFullUse(now)
 	if st.Checkpoint != "" {
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rattanwall/rattanwall/internal/batch"
+	"github.com/rattanwall/rattanwall/internal/scheduler/runtimes"
 )
 
 // Time is the leader's monotonic clock, measured from the start of the process.
@@ -72,6 +73,12 @@
 	// reported, at firstProgressAt.
 	progressAt, firstProgressAt Time
 	firstProgress               int
+	// checkpointProgress is the progress when the run's last checkpoint was first reported; 0 for
+	// none.
+	checkpointProgress int
+	// reviewed is set once a remedy for the run's low rate has been considered, speedLearned once
+	// the run counts in the speed of its VM.
+	reviewed, speedLearned bool
 	// startSent is set once the start is sent, most recently at startSentAt. Until then
 	// the run has certainly not begun.
 	startSent   bool
@@ -125,6 +132,13 @@
 	lastRunEnd Time
 	// lastFailedOn is the VM where a run last failed; placement avoids it.
 	lastFailedOn string
+	// slowOn is the VM where a run was last found slow and copied or stopped; "" for none.
+	slowOn string
+	// copyRun is the number of the task's latest copy, started at copiedAt for copyReason; 0 for
+	// none.
+	copyRun    int64
+	copiedAt   Time
+	copyReason string
 }
 
 func (t *task) id() batch.TaskID {
@@ -285,6 +299,8 @@
 	unwantedRuns []unwantedRun
 	// health tracks recent failures; see health.go.
 	health health
+	// speed is learned from the runs that ended here; see unevenness.go.
+	speed runtimes.Speed
 	// otherIncarnation is set when a different incarnation than the one that reported
 	// responds to an order; cleared by the next report.
 	otherIncarnation bool
@@ -408,6 +424,7 @@
 	meanWork map[string]float64
 	// durationRatios relates declared durations to real ones.
 	durationRatios durationRatios
+	unevenness     unevenness
 	images         effectModel
 	reserve        reserve
 	// candidates is the candidate list of the step that is being placed.
@@ -440,7 +457,7 @@
 	return &Scheduler{
 		startBudget: UnlimitedStarts, evacuations: &batch.Evacuations{},
 		settings: settings, policy: policy, fence: fence, maxToken: fence, nextRun: fence << runNumberBits, vms: map[string]*vm{}, jobs: map[string]*job{},
-		timedJobs: map[string]*job{}, dirtyJobs: map[string]*job{}, waves: map[int64]*wave{}, awaitedVMs: map[string]Time{}, recentVMEnds: map[vmIncarnation]vmEnd{}, unconfirmedCrashes: map[vmIncarnation]map[*task]int64{}, startLog: startLog{inherited: map[vmIncarnation][]*inheritedStart{}, lostVMs: map[string]bool{}}, expiredLeases: map[string]ExpiredLease{}, unknownJobsSince: map[string]Time{}, absentJobs: map[string]Time{}, images: newEffectModel(), meanWork: map[string]float64{}, durationRatios: durationRatios{}, logf: log,
+		timedJobs: map[string]*job{}, dirtyJobs: map[string]*job{}, waves: map[int64]*wave{}, awaitedVMs: map[string]Time{}, recentVMEnds: map[vmIncarnation]vmEnd{}, unconfirmedCrashes: map[vmIncarnation]map[*task]int64{}, startLog: startLog{inherited: map[vmIncarnation][]*inheritedStart{}, lostVMs: map[string]bool{}}, expiredLeases: map[string]ExpiredLease{}, unknownJobsSince: map[string]Time{}, absentJobs: map[string]Time{}, images: newEffectModel(), meanWork: map[string]float64{}, durationRatios: durationRatios{}, unevenness: unevenness{spreads: map[string]*runtimes.Spread{}}, logf: log,
 	}
 }
 
@@ -460,6 +477,8 @@
 	Group string
 	// Value is a number that belongs to the reason.
 	Value float64
+	// Outcome tells which run of a copied task was first: CopyWon or CopyLost.
+	Outcome string
 	// MinLifetime is how long a lost run is known to have run, MaxLifetime the longest that
 	// it can have run, which is until a hold to its VM first went unanswered. Runs that end
 	// their VM as they begin live for a few milliseconds each time.
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -1,6 +1,11 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+	"github.com/rattanwall/rattanwall/internal/scheduler/runtimes"
+)
 
 // Some VMs run all tasks several times slower than others, or make no progress on some, while
 // reporting that they are healthy. They are detected by comparing the progress of their runs with
@@ -31,8 +36,12 @@
 	copyDelay = 700 * time.Millisecond
 )
 
-// recordProgress records the progress in a report.
-func (r *run) recordProgress(now Time, progress int) {
+// recordProgress records the progress in a report, before its checkpoint is.
+func (r *run) recordProgress(now Time, st *batch.RunStatus) {
+	progress := st.Progress
+	if st.Checkpoint != "" && st.Checkpoint != r.checkpoint {
+		r.checkpointProgress = progress
+	}
 	if r.firstProgressAt == 0 {
 		r.firstProgressAt, r.firstProgress = now, progress
 	}
@@ -79,8 +88,12 @@
 }
 
 // recordDoneRate adds the rate of a completed run to its step's mean.
-func (r *run) recordDoneRate(now Time) {
-	if took := now - r.confirmedAt; r.confirmedAt > 0 && took > 0 && r.orderedPace >= 100 && r.firstProgress == 0 {
+func (s *Scheduler) recordDoneRate(now Time, r *run) {
+	known := r.firstProgress == 0
+	if s.learnsSpeeds() {
+		known = r.ranAtOwnSpeed()
+	}
+	if took := now - r.confirmedAt; r.confirmedAt > 0 && took > 0 && r.orderedPace >= 100 && known {
 		r.task.step.doneRateSum += 100 / took.Seconds()
 		r.task.step.doneRuns++
 	}
@@ -102,9 +115,13 @@
 		case now-max(r.progressAt, r.paceOrderedAt) > stallTimeout:
 			s.suspectVM(now, v, "stalled runs", r)
 			s.relocate(now, r, "stalled")
-		case s.isCrawling(now, r):
+		case s.policy.Stragglers != runtimes.WayRate:
+			s.reviewSlowRun(now, r)
+		case s.isCrawling(now, r) && !s.isLong(now, r):
 			crawling++
-			s.relocate(now, r, "slow")
+			if s.relocate(now, r, reasonSlow) {
+				s.recordSlowRun(now, r)
+			}
 			if crawling >= minCrawlingRuns && 2*crawling > checked {
 				s.suspectVM(now, v, "slow runs", r)
 			}
@@ -127,6 +144,20 @@
 	return float64(100-r.progress)/rate > minRelocateGain*100/mean
 }
 
+// isLong reports whether a crawling run's task is long rather than its VM slow: the task crawled
+// before, and no other task's run crawls on this VM.
+func (s *Scheduler) isLong(now Time, r *run) bool {
+	if r.task.slowOn == "" {
+		return false
+	}
+	for _, o := range r.vm.runList {
+		if o != r && !o.task.step.spec.Lasting && o.isUnthrottled() && s.isCrawling(now, o) {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *Scheduler) suspectVM(now Time, v *vm, reason string, r *run) {
 	if v.health.recordStall(now) {
 		s.logf(Decision{Event: EventVMSuspected, VM: v.inst.ID, Task: r.task.id(), Run: r.number, Reason: reason, Age: v.health.quarantine, Value: r.progressRate(now)})
@@ -134,31 +165,41 @@
 }
 
 // relocate moves a run's task: it starts a copy if the step allows copies, else it stops the run
-// so that the task restarts elsewhere.
-func (s *Scheduler) relocate(now Time, r *run, reason string) {
+// so that the task restarts elsewhere. It reports whether it did.
+func (s *Scheduler) relocate(now Time, r *run, reason string) bool {
 	if r.task.step.spec.Speculative {
-		s.startCopy(now, r.task, reason)
-		return
+		return s.startCopy(now, r.task, reason)
 	}
-	if s.chooseVM(now, r.task) != nil {
-		s.stop(now, r, reason)
+	if s.chooseVM(now, r.task) == nil {
+		return false
 	}
+	s.stop(now, r, reason)
+	return true
 }
 
-// startCopy starts a second run of a task whose first run may not end soon.
-func (s *Scheduler) startCopy(now Time, t *task, reason string) {
+// startCopy starts a second run of a task whose first run may not end soon. It reports whether it
+// did.
+func (s *Scheduler) startCopy(now Time, t *task, reason string) bool {
 	if len(t.runs) != 1 || t.done || t.step.occ.job.state.Final() || len(t.crashes) > 0 {
 		// A task that may have crashed its VM must not put another VM at risk.
-		return
+		return false
 	}
 	v := s.chooseVM(now, t)
 	if v == nil || v == t.runs[0].vm {
-		return
+		return false
 	}
 	s.logf(Decision{Event: EventRunCopied, Task: t.id(), VM: v.inst.ID, Run: t.runs[0].number, Reason: reason})
-	s.start(now, t, v, s.nextRunNumber())
+	t.copyRun, t.copiedAt, t.copyReason = s.start(now, t, v, s.nextRunNumber()).number, now, reason
+	return true
 }
 
+// reasonSlow is the reason of copies and stops of runs that are slower than their siblings,
+// reasonUnheard that of copies of runs on a VM that does not report.
+const (
+	reasonSlow    = "slow"
+	reasonUnheard = "VM unheard"
+)
+
 // copyUnreachable starts copies of the runs on a VM that has not reported recently.
 func (s *Scheduler) copyUnreachable(now Time, v *vm) {
 	if !s.policy.Copies || now-v.lastReportAt <= v.holdWait+copyDelay {
@@ -166,7 +207,7 @@
 	}
 	for _, r := range v.runList {
 		if r.task.step.spec.Speculative {
-			s.startCopy(now, r.task, "VM unheard")
+			s.startCopy(now, r.task, reasonUnheard)
 		}
 	}
 }
--- a/internal/scheduler/vms.go
+++ b/internal/scheduler/vms.go
@@ -221,6 +221,7 @@
 func (s *Scheduler) Tick(now Time) {
 	s.logLoad(now)
 	s.logInterference(now)
+	s.logSpeeds(now)
 	s.expireAwaited(now)
 	s.expireAbsentJobs(now)
 	s.classifyEnds(now)
