--- a/internal/experiment/load.go
+++ b/internal/experiment/load.go
@@ -136,6 +136,12 @@
 	return max(int(math.Round(mean*g.drawFactor(sigma))), 1)
 }
 
+// happens draws an event of the given probability. Of one that never happens, nothing is drawn:
+// scenarios without it keep their worlds.
+func (g *generator) happens(probability float64) bool {
+	return probability > 0 && g.Float64() < probability
+}
+
 func imageName(prefix string, n int) string { return fmt.Sprintf("%s-%02d", prefix, n) }
 
 func (g *generator) nextID() string {
@@ -177,14 +183,18 @@
 func (g *generator) batchJob(k jobKind, b *Batch, at time.Duration) *job {
 	j := &job{kind: k, arrivesAt: at, spec: &batch.Job{ID: g.nextID()}}
 	meanDuration := b.Seconds * g.drawFactor(lengthSpread)
+	if g.happens(b.LongJobs) {
+		meanDuration *= b.LongTimes
+	}
 	tasks := g.drawCount(b.Tasks, widthSpread)
 	estimateError := math.Exp(g.NormFloat64() * b.EstimateError)
 	criticalPath := 0.0
 	for n := range g.drawCount(b.Steps, stepsSpread) {
 		step := batch.Step{
 			Tasks: tasks, Filler: k == fillerKind, Image: imageName("fill", g.IntN(b.Images)), Checkpoints: g.Float64() < b.Checkpoints,
-			Need:     batch.Resources{MilliCPU: max(int64(1000*b.Cores*g.drawFactor(coresSpread)), 1), MemoryMB: int64(1000 * b.MemoryGB * g.drawFactor(taskSpread))},
-			Estimate: seconds(meanDuration * estimateError),
+			Need:        batch.Resources{MilliCPU: max(int64(1000*b.Cores*g.drawFactor(coresSpread)), 1), MemoryMB: int64(1000 * b.MemoryGB * g.drawFactor(taskSpread))},
+			Estimate:    seconds(meanDuration * estimateError),
+			Speculative: g.happens(b.Copies),
 		}
 		if n > 0 {
 			step.After = []int{n - 1}
@@ -192,6 +202,9 @@
 		taskDurations := make([]time.Duration, tasks)
 		for i := range taskDurations {
 			taskDurations[i] = seconds(meanDuration * g.drawFactor(taskSpread))
+			if g.happens(b.LongTasks) {
+				taskDurations[i] = seconds(taskDurations[i].Seconds() * b.LongTimes)
+			}
 			j.totalWork += taskDurations[i].Seconds() * float64(step.Need.MilliCPU) / 1000
 		}
 		criticalPath += slices.Max(taskDurations).Seconds()
--- a/internal/experiment/play.go
+++ b/internal/experiment/play.go
@@ -57,6 +57,11 @@
 	Crashes      int `json:"crashes,omitempty"`
 	// Restarts counts the restarts of VMs under their IDs.
 	Restarts int `json:"restarts,omitempty"`
+	// Copies counts the copies of runs, CopiesWon those that were done first, SlowStops the runs
+	// that were stopped because they were slow.
+	Copies    int `json:"copies,omitempty"`
+	CopiesWon int `json:"copies_won,omitempty"`
+	SlowStops int `json:"slow_stops,omitempty"`
 	// PaceOrders and Starts count the pace orders and the starts sent to VMs.
 	PaceOrders int `json:"pace_orders"`
 	Starts     int `json:"starts"`
@@ -147,7 +152,7 @@
 		model = p.sched.InterferenceModel()
 	}
 	policy := p.variant.Policy
-	p.sched = scheduler.New(scheduler.Settings{MaxLease: 10 * time.Second, StopTimeout: 500 * time.Millisecond, UnavailableDuration: 4500 * time.Millisecond, Policy: &policy}, p.fence, nil)
+	p.sched = scheduler.New(scheduler.Settings{MaxLease: 10 * time.Second, StopTimeout: 500 * time.Millisecond, UnavailableDuration: 4500 * time.Millisecond, Policy: &policy}, p.fence, p.countDecision)
 	p.sched.ConfirmLeadership(time.Hour)
 	if p.variant.Informed {
 		model = p.fleet.world.trueInterference(p.scenario.Serving.Images, p.scenario.Fillers.Images)
@@ -170,6 +175,18 @@
 	p.sched.RestoreStarts(p.now, segments)
 }
 
+// countDecision counts copies and stops of slow runs.
+func (p *player) countDecision(d scheduler.Decision) {
+	switch {
+	case d.Event == scheduler.EventRunCopied:
+		p.result.Copies++
+	case d.Event == scheduler.EventCopyEnded && d.Outcome == scheduler.CopyWon:
+		p.result.CopiesWon++
+	case d.Event == scheduler.EventRunStopped && d.Reason == scheduler.ReasonSlow:
+		p.result.SlowStops++
+	}
+}
+
 func (p *player) config() *batch.Config {
 	c := &batch.Config{Version: 1}
 	for k, t := range [kindCount]*Terms{&p.scenario.Serving.Terms, &p.scenario.Short.Terms, &p.scenario.Fillers.Terms} {
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -105,6 +105,13 @@
 	// Used is the mean share of its declared processors that a task uses.
 	Used   float64 `json:"used"`
 	Images int     `json:"images"`
+	// LongTasks is the share of tasks, LongJobs that of jobs all of whose tasks, take LongTimes
+	// times as long. A job's declared durations cover LongJobs, but not LongTasks.
+	LongTasks float64 `json:"long_tasks"`
+	LongJobs  float64 `json:"long_jobs"`
+	LongTimes float64 `json:"long_times"`
+	// Copies is the share of steps whose tasks may run in several copies.
+	Copies float64 `json:"copies"`
 	// Checkpoints is the share of steps whose tasks resume from checkpoints.
 	Checkpoints float64 `json:"checkpoints"`
 	// RestoreMS is the time that a task takes to resume from a checkpoint, in milliseconds.
@@ -280,6 +287,9 @@
 		bound{name + ".memory_gb", b.MemoryGB, 0, 1 << 20}, bound{name + ".estimate_error", b.EstimateError, 0, 3},
 		bound{name + ".used", b.Used, 0.01, 1}, bound{name + ".images", float64(b.Images), 1, maxImages},
 		bound{name + ".checkpoints", b.Checkpoints, 0, 1}, bound{name + ".restore_ms", float64(b.RestoreMS), 0, 60_000}, bound{name + ".fails", b.Fails, 0, 0.9}, bound{name + ".worth", b.Worth, 0, 1e6})
+	list = append(list,
+		bound{name + ".long_tasks", b.LongTasks, 0, 1}, bound{name + ".long_jobs", b.LongJobs, 0, 1},
+		bound{name + ".long_times", b.LongTimes, 0, 100}, bound{name + ".copies", b.Copies, 0, 1})
 	for i, burst := range b.Bursts {
 		prefix := fmt.Sprintf("%s.bursts[%d].", name, i)
 		list = append(list, bound{prefix + "at_s", burst.AtS, 0, maxSeconds}, bound{prefix + "for_s", burst.ForS, 0.1, maxSeconds}, bound{prefix + "times", burst.Times, 0, 100})
--- a/internal/experiment/variant.go
+++ b/internal/experiment/variant.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rattanwall/rattanwall/internal/scheduler"
+	"github.com/rattanwall/rattanwall/internal/scheduler/runtimes"
 )
 
 // Variant is a policy to compare, optionally with changed knowledge or interference.
@@ -23,8 +24,8 @@
 // Default names the variant with the default policy, which is the first of every comparison.
 const Default = "default"
 
-// Variants returns the built-in variants: the default policy, baselines, upper bounds, and the
-// default policy with one mechanism disabled each, whose names begin with "no-".
+// Variants returns the built-in variants: the default policy, baselines, upper bounds, the default
+// policy with one question decided otherwise, and the default policy with one mechanism disabled each, whose names begin with "no-".
 func Variants() []Variant {
 	list := []Variant{
 		{Name: Default, Policy: scheduler.DefaultPolicy()},
@@ -33,6 +34,11 @@
 		{Name: "informed", Policy: scheduler.DefaultPolicy(), Informed: true},
 		{Name: "unpressed", Policy: scheduler.DefaultPolicy(), WithoutInterference: true},
 	}
+	for _, alternative := range alternatives {
+		p := scheduler.DefaultPolicy()
+		alternative.set(&p)
+		list = append(list, Variant{Name: alternative.name, Policy: p})
+	}
 	for _, ablation := range ablations {
 		p := scheduler.DefaultPolicy()
 		ablation.set(&p)
@@ -56,6 +62,17 @@
 	return p
 }
 
+// alternatives decide one question otherwise than the default policy.
+var alternatives = []struct {
+	name string
+	set  func(*scheduler.Policy)
+}{
+	{"copies-by-gain", func(p *scheduler.Policy) { p.Stragglers = runtimes.WayGain }},
+	{"copies-if-idle", func(p *scheduler.Policy) { p.Stragglers = runtimes.WayIdle }},
+	{"learned-speeds", func(p *scheduler.Policy) { p.SpeedWeight = 1 }},
+	{"gain-and-speeds", func(p *scheduler.Policy) { p.Stragglers, p.SpeedWeight = runtimes.WayGain, 1 }},
+}
+
 // ablations disable one mechanism of the default policy each.
 var ablations = []struct {
 	name string
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -119,7 +119,7 @@
 			s.reviewSlowRun(now, r)
 		case s.isCrawling(now, r) && !s.isLong(now, r):
 			crawling++
-			if s.relocate(now, r, reasonSlow) {
+			if s.relocate(now, r, ReasonSlow) {
 				s.recordSlowRun(now, r)
 			}
 			if crawling >= minCrawlingRuns && 2*crawling > checked {
@@ -193,10 +193,11 @@
 	return true
 }
 
-// reasonSlow is the reason of copies and stops of runs that are slower than their siblings,
-// reasonUnheard that of copies of runs on a VM that does not report.
+// Reasons of copies and stops.
 const (
-	reasonSlow    = "slow"
+	// ReasonSlow: the run is slower than its siblings.
+	ReasonSlow = "slow"
+	// reasonUnheard: its VM does not report.
 	reasonUnheard = "VM unheard"
 )
 
--- a/internal/scheduler/unevenness.go
+++ b/internal/scheduler/unevenness.go
@@ -154,14 +154,14 @@
 	})
 	switch choice.Remedy {
 	case runtimes.Copy:
-		if s.startCopy(now, r.task, reasonSlow) {
+		if s.startCopy(now, r.task, ReasonSlow) {
 			s.recordSlowRun(now, r)
 		}
 	case runtimes.Restart:
 		if s.chooseVM(now, r.task) != nil {
 			s.recordSlowRun(now, r)
 			r.vm.health.recordRelocation(now)
-			s.stop(now, r, reasonSlow)
+			s.stop(now, r, ReasonSlow)
 		}
 	case runtimes.Leave:
 	}
--- a/internal/scheduler/unevenness_test.go
+++ b/internal/scheduler/unevenness_test.go
@@ -142,7 +142,7 @@
 	f.reportsStarts = true
 	f.submitUneven("j", 6, 7*time.Second, nil)
 	f.runFor(12 * time.Second)
-	require.LessOrEqual(t, f.reasons(EventRunStopped)[reasonSlow], 1)
+	require.LessOrEqual(t, f.reasons(EventRunStopped)[ReasonSlow], 1)
 	require.NotZero(t, f.doneAt["j.0.0.5"], "the long task never ended")
 }
 
@@ -155,7 +155,7 @@
 		f.slowdowns["vm02"] = 5
 		f.submit("j", tasks(6, 6000))
 		f.runFor(5 * time.Second)
-		require.Equal(t, 1, f.reasons(EventRunStopped)[reasonSlow], name)
+		require.Equal(t, 1, f.reasons(EventRunStopped)[ReasonSlow], name)
 		for k := range 6 {
 			at := f.doneAt[fmt.Sprintf("j.0.0.%d", k)]
 			require.NotZero(t, at, "%s: task %d", name, k)
@@ -173,7 +173,7 @@
 	}
 	f.submitUneven("j", 6, 7*time.Second, nil)
 	f.runFor(10 * time.Second)
-	require.Zero(t, f.reasons(EventRunStopped)[reasonSlow])
+	require.Zero(t, f.reasons(EventRunStopped)[ReasonSlow])
 	require.NotZero(t, f.doneAt["j.0.0.5"])
 	for _, d := range f.log {
 		if d.Event == EventRunSlow {
@@ -238,7 +238,7 @@
 	next.slowdowns["vm02"] = 5
 	next.submit("j", tasks(6, 6000))
 	next.runFor(5 * time.Second)
-	require.Equal(t, 1, next.reasons(EventRunStopped)[reasonSlow])
+	require.Equal(t, 1, next.reasons(EventRunStopped)[ReasonSlow])
 }
 
 // Guards against copies of a run whose step does not allow them.
@@ -254,8 +254,8 @@
 		if step.Speculative {
 			copies = 1
 		}
-		require.Equal(t, copies, f.reasons(EventRunCopied)[reasonSlow], name)
-		require.Equal(t, 1-copies, f.reasons(EventRunStopped)[reasonSlow], name)
+		require.Equal(t, copies, f.reasons(EventRunCopied)[ReasonSlow], name)
+		require.Equal(t, 1-copies, f.reasons(EventRunStopped)[ReasonSlow], name)
 	}
 }
 
@@ -275,7 +275,7 @@
 	require.Empty(t, f.reasons(EventRunCopied))
 	slow.crashes = nil
 	f.s.reviewSlowRun(f.now, slow.runs[0])
-	require.Equal(t, 1, f.reasons(EventRunCopied)[reasonSlow], "the run would be copied otherwise")
+	require.Equal(t, 1, f.reasons(EventRunCopied)[ReasonSlow], "the run would be copied otherwise")
 }
 
 // Guards against copies that take processors from waiting tasks although the task is probably
@@ -301,7 +301,7 @@
 			f.s.unevenness.load, f.s.unevenness.loadAt = c.load, f.now+unevenInterval
 			f.runFor(unevenInterval)
 		}
-		require.Equal(t, c.copies, f.reasons(EventRunCopied)[reasonSlow], c.name)
+		require.Equal(t, c.copies, f.reasons(EventRunCopied)[ReasonSlow], c.name)
 	}
 }
 
@@ -321,7 +321,7 @@
 	}
 	require.Len(t, ended, 1)
 	require.Equal(t, CopyWon, ended[0].Outcome)
-	require.Equal(t, reasonSlow, ended[0].Reason)
+	require.Equal(t, ReasonSlow, ended[0].Reason)
 	require.Greater(t, ended[0].Value, 6.0, "processor seconds of the first run")
 }
 
