edge: metrics, log fields and the operators' page for slow runs, copies and learned speeds

rattanwall_leader_copies_total counts copied tasks by reason and by which run was first, rattanwall_leader_copy_wasted_processor_seconds_total what the others cost; slow_vms and vm_speed_spread tell what was learned of speeds. The dump has each VM's speed with its age.

--- a/internal/edge/docs_test.go
+++ b/internal/edge/docs_test.go
@@ -26,6 +26,7 @@
 	m.recordRequest("job_submitted", 0, nil)
 	m.recordDecision(scheduler.Decision{Event: scheduler.EventRunStarted})
 	m.recordDecision(scheduler.Decision{Event: scheduler.EventRunLost})
+	m.recordDecision(scheduler.Decision{Event: scheduler.EventCopyEnded, Reason: scheduler.ReasonSlow, Outcome: scheduler.CopyWon})
 	m.recordEnd(scheduler.EndOpen)
 	families, err := m.registry.Gather()
 	require.NoError(t, err)
--- a/internal/edge/leadermetrics.go
+++ b/internal/edge/leadermetrics.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/rattanwall/rattanwall/internal/leader"
+	"github.com/rattanwall/rattanwall/internal/scheduler"
 )
 
 // leaderMetrics exports the leader's state; values are computed at each scrape. A process that
@@ -13,6 +14,7 @@
 
 	leads, confirmed, fence, vms, lease, runs, ends, endAge *prometheus.Desc
 	window, waiting, relays, relayed, oldestWaiting         *prometheus.Desc
+	slowVMs, speedSpread                                    *prometheus.Desc
 }
 
 func newLeaderMetrics(read func() (leader.Stats, bool)) *leaderMetrics {
@@ -32,6 +34,8 @@
 		window:        desc("start_window", "Starts that may be under way; it shrinks while most of them are slow."),
 		waiting:       desc("starts_waiting", "Starts that wait for their turn."),
 		oldestWaiting: desc("oldest_waiting_seconds", "For how long the oldest step that could run has had a task without a place."),
+		slowVMs:       desc("slow_vms", "VMs on which tasks are known to take three times as long or more."),
+		speedSpread:   desc("vm_speed_spread", "Ratio of the ninth to the first decile of the VMs' known speeds; 0 while none is known."),
 		relays:        desc("relays", "Processes that carry its orders."),
 		relayed:       desc("relayed_vms", "VMs that relays serve; the others it serves itself."),
 	}
@@ -39,7 +43,7 @@
 
 // Describe implements prometheus.Collector.
 func (c *leaderMetrics) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{c.leads, c.confirmed, c.fence, c.vms, c.lease, c.runs, c.ends, c.endAge, c.window, c.waiting, c.relays, c.relayed, c.oldestWaiting} {
+	for _, d := range []*prometheus.Desc{c.leads, c.confirmed, c.fence, c.vms, c.lease, c.runs, c.ends, c.endAge, c.window, c.waiting, c.relays, c.relayed, c.oldestWaiting, c.slowVMs, c.speedSpread} {
 		out <- d
 	}
 }
@@ -63,6 +67,8 @@
 	gauge(c.window, float64(stats.StartWindow))
 	gauge(c.waiting, float64(stats.StartsWaiting))
 	gauge(c.oldestWaiting, stats.OldestWaiting.Seconds())
+	gauge(c.slowVMs, float64(stats.SlowVMs))
+	gauge(c.speedSpread, stats.SpeedSpread)
 	gauge(c.relays, float64(len(stats.Relays)))
 	relayed := 0
 	for _, vms := range stats.Relays {
@@ -107,6 +113,19 @@
 
 const otherReason = "other"
 
+// copyReason maps a reason for a copy to its metric label.
+func copyReason(reason string) string {
+	switch reason {
+	case scheduler.ReasonSlow:
+		return "slow"
+	case scheduler.ReasonStalled:
+		return "stalled"
+	case scheduler.ReasonUnheard:
+		return "unheard"
+	}
+	return otherReason
+}
+
 // givenUpReason maps a reason to its metric label.
 func givenUpReason(reason string) string {
 	if givenUpReasons[reason] {
--- a/internal/edge/operations.go
+++ b/internal/edge/operations.go
@@ -38,7 +38,10 @@
 	// givenUp counts VMs and runs declared lost, by reason; ends counts run ends reported by
 	// VMs, by status.
 	givenUp *prometheus.CounterVec
-	ends    *prometheus.CounterVec
+	// copies counts copied tasks, copyWaste the processor seconds that their other runs cost.
+	copies    *prometheus.CounterVec
+	copyWaste prometheus.Counter
+	ends      *prometheus.CounterVec
 }
 
 // newMetrics returns the process's metrics; readStats returns the leader's statistics.
@@ -75,6 +78,12 @@
 		givenUp: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "rattanwall_leader_given_up_total", Help: "VMs, and runs without a told end, that were given up, by reason.",
 		}, []string{"what", "reason"}),
+		copies: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "rattanwall_leader_copies_total", Help: "Copied tasks that are done, by why they were copied and which run was first.",
+		}, []string{"reason", "outcome"}),
+		copyWaste: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "rattanwall_leader_copy_wasted_processor_seconds_total", Help: "Declared processor time of the runs of copied tasks that were not first.",
+		}),
 		ends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "rattanwall_leader_ends_total", Help: "Ends of runs that VMs told this leader for the first time, by how they stood.",
 		}, []string{"standing"}),
@@ -83,7 +92,7 @@
 		m.delays.WithLabelValues(string(d))
 	}
 	m.registry.MustRegister(
-		m.jobAge, m.jobEnds, m.starts, m.delays, m.requests, m.latency, m.decisions, m.startWait, m.runDuration, m.givenUp, m.ends, newLeaderMetrics(readStats),
+		m.jobAge, m.jobEnds, m.starts, m.delays, m.requests, m.latency, m.decisions, m.startWait, m.runDuration, m.givenUp, m.ends, m.copies, m.copyWaste, newLeaderMetrics(readStats),
 		// Scrapers truncate long responses, and the memory statistics would precede the
 		// rattanwall metrics.
 		collectors.NewGoCollector(collectors.WithGoCollectorMemStatsMetricsDisabled(), collectors.WithGoCollectorRuntimeMetrics(collectors.MetricsScheduler)),
@@ -119,6 +128,9 @@
 		m.jobEnds.WithLabelValues(objectiveLabel(d.Age.Seconds(), d.Value)).Inc()
 	case scheduler.EventRunEnded:
 		m.runDuration.Observe(d.Age.Seconds())
+	case scheduler.EventCopyEnded:
+		m.copies.WithLabelValues(copyReason(d.Reason), d.Outcome).Inc()
+		m.copyWaste.Add(d.Value)
 	case scheduler.EventVMGone:
 		m.givenUp.WithLabelValues("vm", givenUpReason(d.Reason)).Inc()
 	case scheduler.EventRunLost:
--- a/internal/scheduler/dump.go
+++ b/internal/scheduler/dump.go
@@ -47,6 +47,11 @@
 	WorstTail     float64         `json:"worst_tail_ratio"`
 	AvoidForMS    int64           `json:"avoid_for_ms"`
 	LeaseLeftMS   int64           `json:"lease_left_ms"`
+	// Speed is what tasks do here in the time in which they would do 1 elsewhere, as learned from
+	// SpeedRuns runs, the newest of which ended SpeedAgeMS ago; 1 if it is not known.
+	Speed      float64 `json:"speed"`
+	SpeedRuns  int     `json:"speed_runs,omitempty"`
+	SpeedAgeMS int64   `json:"speed_age_ms,omitempty"`
 }
 
 // Dump returns a snapshot of the state.
@@ -68,6 +73,8 @@
 			FillerCPU: v.fillerCPU, AvoidForMS: max(0, v.health.avoidUntil-now).Milliseconds(),
 			LeaseLeftMS: max(0, v.leaseExpiry-now).Milliseconds(),
 		}
+		speed := v.speed.At(now)
+		x.Speed, x.SpeedRuns, x.SpeedAgeMS = speed.Ratio, speed.Runs, speed.Age.Milliseconds()
 		if worst := v.worstServingRun(); worst != nil {
 			x.WorstTail = worst.tailRatio()
 		}
--- a/internal/scheduler/policy_test.go
+++ b/internal/scheduler/policy_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -27,6 +28,9 @@
 		"starved_after_ms":     func(p *Policy) { p.StarvedAfterMS = -1 },
 		"keep_empty":           func(p *Policy) { p.KeepEmpty = 2 },
 		"reserve_most":         func(p *Policy) { p.ReserveMost = 2 },
+		"stragglers":           func(p *Policy) { p.Stragglers = "always" },
+		"speed_weight":         func(p *Policy) { p.SpeedWeight = 11 },
+		"speed_weight: give":   func(p *Policy) { p.SpeedWeight = math.NaN() },
 		"blind_after_ms":       func(p *Policy) { p.BlindAfterMS = -5 },
 		"effect_penalty":       func(p *Policy) { p.EffectPenalty = -2 },
 		"reserve_patience_ms":  func(p *Policy) { p.ReservePatienceMS = -1 },
--- a/internal/scheduler/stats.go
+++ b/internal/scheduler/stats.go
@@ -35,11 +35,15 @@
 	Runs int
 	// OldestWaiting is the longest time since a step with waiting tasks became runnable.
 	OldestWaiting time.Duration
+	// SlowVMs counts the VMs that are known to be slow, and SpeedSpread is the ratio of the ninth
+	// to the first decile of the known speeds; both are 0 while none is known.
+	SlowVMs     int
+	SpeedSpread float64
 }
 
 // Stats returns the current summary.
 func (s *Scheduler) Stats(now Time) Stats {
-	f := Stats{Fence: s.fence, VMs: len(s.vms), Awaited: len(s.awaitedVMs)}
+	f := Stats{Fence: s.fence, VMs: len(s.vms), Awaited: len(s.awaitedVMs), SlowVMs: s.unevenness.slowVMs, SpeedSpread: s.unevenness.spread}
 	for _, st := range s.readySteps {
 		if st.waiting > 0 {
 			f.OldestWaiting = max(f.OldestWaiting, now-st.runnableAt)
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -114,7 +114,7 @@
 		switch {
 		case now-max(r.progressAt, r.paceOrderedAt) > stallTimeout:
 			s.suspectVM(now, v, "stalled runs", r)
-			s.relocate(now, r, "stalled")
+			s.relocate(now, r, ReasonStalled)
 		case s.policy.Stragglers != runtimes.WayRate:
 			s.reviewSlowRun(now, r)
 		case s.isCrawling(now, r) && !s.isLong(now, r):
@@ -197,8 +197,10 @@
 const (
 	// ReasonSlow: the run is slower than its siblings.
 	ReasonSlow = "slow"
-	// reasonUnheard: its VM does not report.
-	reasonUnheard = "VM unheard"
+	// ReasonStalled: the run makes no progress.
+	ReasonStalled = "stalled"
+	// ReasonUnheard: its VM does not report.
+	ReasonUnheard = "VM unheard"
 )
 
 // copyUnreachable starts copies of the runs on a VM that has not reported recently.
@@ -208,7 +210,7 @@
 	}
 	for _, r := range v.runList {
 		if r.task.step.spec.Speculative {
-			s.startCopy(now, r.task, reasonUnheard)
+			s.startCopy(now, r.task, ReasonUnheard)
 		}
 	}
 }
--- a/internal/scheduler/unevenness.go
+++ b/internal/scheduler/unevenness.go
@@ -249,7 +249,7 @@
 		u.load = 1
 	}
 	u.knownVMs = len(speeds)
-	u.spread = 1
+	u.spread = 0
 	if len(speeds) > 0 {
 		slices.Sort(speeds)
 		u.spread = stat.Quantile(0.9, stat.Empirical, speeds, nil) / max(stat.Quantile(0.1, stat.Empirical, speeds, nil), 0.01)
