--- a/internal/scheduler/explore_store_test.go
+++ b/internal/scheduler/explore_store_test.go
@@ -62,7 +62,7 @@
 		return
 	}
 	j := &modelJob{spec: &batch.Job{ID: fmt.Sprintf("j%d", len(w.store.jobs))}, queue: "many", attempts: unlimitedAttempts, acceptedAt: w.now}
-	j.spec.Steps = []batch.Step{tasks(1+w.rng.IntN(2), taskSize)}
+	j.spec.Steps = []batch.Step{tasks(1+w.rng.IntN(w.maxTasks()), taskSize)}
 	if w.chance(20) {
 		j.spec.Steps = append(j.spec.Steps, tasks(1, taskSize))
 		j.spec.Steps[1].After = []int{0}
--- a/internal/scheduler/explore_test.go
+++ b/internal/scheduler/explore_test.go
@@ -59,6 +59,9 @@
 	slowCrashes bool
 	// evacuations requests and withdraws the evacuation of zones, one or all at a time.
 	evacuations bool
+	// uneven makes some VMs several times slower and lets leaders judge slow runs by what a copy
+	// or a restart gains; VMs report the true progress of their runs.
+	uneven bool
 }
 
 // mutations disable safeguards of the scheduler or of the VMs. The explorer has to detect each.
--- a/internal/scheduler/explore_vm_test.go
+++ b/internal/scheduler/explore_vm_test.go
@@ -23,7 +23,8 @@
 type modelRun struct {
 	task   batch.TaskID
 	number int64
-	until  Time
+	// from is when it started.
+	from, until Time
 }
 
 // modelEnd is the end of a run that a VM reports until it is acknowledged.
@@ -56,6 +57,8 @@
 	// lease is the end of the lease by the VM's clock, which runs at rate.
 	lease time.Duration
 	rate  float64
+	// slow is set if runs take slowRunFactor times as long.
+	slow bool
 
 	// cutUntil is when the VM can communicate again, storelessUntil when it reaches the store.
 	cutUntil, storelessUntil Time
@@ -194,6 +197,7 @@
 	if w.faults.restarts {
 		v.born = w.newBorn()
 	}
+	v.slow = w.faults.uneven && w.chance(15)
 	w.vms = append(w.vms, v)
 	w.tracef("%s starts at %s in zone %d", v.id, address, zone)
 	w.heartbeat(v)
@@ -365,7 +369,7 @@
 		report.Ended = append(report.Ended, e.RunEnd)
 	}
 	for _, r := range v.running {
-		report.Running = append(report.Running, batch.RunStatus{Task: r.task, Run: r.number, Progress: w.rng.IntN(100)})
+		report.Running = append(report.Running, batch.RunStatus{Task: r.task, Run: r.number, Progress: w.reportedProgress(r)})
 	}
 	return report, false
 }
@@ -433,10 +437,13 @@
 		w.after(delay, func() { w.crashVM(v, o) })
 	}
 	until := w.now + w.runDuration()
+	if v.slow {
+		until = w.now + min(slowRunFactor*(until-w.now), max(until-w.now, maxSlowRun))
+	}
 	if w.faults.slowCrashes && w.jobs[o.Task.Job].crashes {
 		until = max(until, w.now+2*slowTaskCrashDelay)
 	}
-	v.running = append(v.running, modelRun{task: o.Task, number: o.Run, until: until})
+	v.running = append(v.running, modelRun{task: o.Task, number: o.Run, from: w.now, until: until})
 	return ""
 }
 
