scheduler: only runs beside a slow one show that its VM is sound

A VM that has just turned slow was judged by the runs that had ended there before: with eight sound ones in ten seconds its first slow runs counted as long tasks (TestRunLeavesVMThatTurnedSlow).

--- a/internal/scheduler/runtimes/speed.go
+++ b/internal/scheduler/runtimes/speed.go
@@ -44,9 +44,8 @@
 type SpeedEstimate struct {
 	// Ratio is the speed as a share of that of other VMs; 1 if it is not known.
 	Ratio float64
-	// Runs is the number of recent runs that it is based on; Slow and Sound count those of them
-	// that were slow and that were not.
-	Runs, Slow, Sound int
+	// Runs is the number of recent runs that it is based on, Slow that of the slow ones.
+	Runs, Slow int
 	// Age is the age of the newest of them; 0 if there is none.
 	Age time.Duration
 }
@@ -57,6 +56,18 @@
 // IsSlow reports whether the VM is known to be slow.
 func (e SpeedEstimate) IsSlow() bool { return e.Known() && e.Ratio <= SlowSpeed }
 
+// SoundSince counts the runs ended since a time that show that the VM is sound. Earlier ones say
+// nothing of a run that is slow now: the VM may have turned slow meanwhile.
+func (s *Speed) SoundSince(since time.Duration) int {
+	n := 0
+	for i := range s.samples {
+		if x := &s.samples[i]; x.ratio >= soundSpeed && x.at >= since {
+			n++
+		}
+	}
+	return n
+}
+
 // At estimates the speed by the recent runs: by their median, since a single long task says
 // nothing about its VM, and of an even number by the faster of the two in the middle.
 func (s *Speed) At(now time.Duration) SpeedEstimate {
@@ -73,11 +84,8 @@
 			e.Age = age
 		}
 		ratios = append(ratios, x.ratio)
-		switch {
-		case x.ratio <= SlowSpeed:
+		if x.ratio <= SlowSpeed {
 			e.Slow++
-		case x.ratio >= soundSpeed:
-			e.Sound++
 		}
 	}
 	e.Runs = len(ratios)
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -90,7 +90,7 @@
 // recordDoneRate adds the rate of a completed run to its step's mean.
 func (s *Scheduler) recordDoneRate(now Time, r *run) {
 	known := r.firstProgress == 0
-	if s.learnsSpeeds() {
+	if s.policy.Stragglers != runtimes.WayRate {
 		known = r.ranAtOwnSpeed()
 	}
 	if took := now - r.confirmedAt; r.confirmedAt > 0 && took > 0 && r.orderedPace >= 100 && known {
--- a/internal/scheduler/unevenness.go
+++ b/internal/scheduler/unevenness.go
@@ -22,6 +22,9 @@
 	relocationDelay = 200 * time.Millisecond
 	// usageInterval is the interval at which the processors in use are summed up.
 	usageInterval = 500 * time.Millisecond
+	// maxEvidenceLead is how much earlier than a slow run another one may have begun for its rate
+	// to show that the VM is sound: its rate is a mean since its start.
+	maxEvidenceLead = 2 * time.Second
 	// fullUse is the share of a filler's declared processors from which its rate is not explained
 	// by a lack of them.
 	fullUse = 0.9
@@ -104,12 +107,12 @@
 	speed := r.vm.speed.At(now)
 	e := runtimes.Evidence{
 		SlowElsewhere: r.task.slowOn != "" && r.task.slowOn != r.vm.inst.ID,
-		SlowOthers:    speed.Slow, SoundOthers: speed.Sound, Age: speed.Age,
+		SlowOthers:    speed.Slow, SoundOthers: r.vm.speed.SoundSince(r.firstProgressAt), Age: speed.Age,
 		LongShare:   s.unevenness.spreads[r.task.step.occ.job.queue].TailShare(1 / rateShare),
 		SlowVMShare: runtimes.SlowShare(s.unevenness.slowVMs, s.unevenness.knownVMs),
 	}
 	for _, o := range r.vm.runList {
-		if o == r || o.task.step.spec.Lasting {
+		if o == r || o.firstProgressAt < r.firstProgressAt-maxEvidenceLead || o.task.step.spec.Lasting {
 			continue
 		}
 		mean, n := o.task.step.siblingRate(now, o)
--- a/internal/scheduler/unevenness_test.go
+++ b/internal/scheduler/unevenness_test.go
@@ -194,6 +194,19 @@
 	require.False(t, f.s.vms["vm01"].speed.At(f.now).IsSlow())
 }
 
+// Guards against a VM that has just turned slow and is taken for sound because of its earlier runs.
+func TestRunLeavesVMThatTurnedSlow(t *testing.T) {
+	f := newUnevenFleet(t, 6, byGain)
+	for i := range 3 {
+		f.submit(fmt.Sprintf("w%d", i), tasks(18, 1500))
+		f.runFor(1800 * time.Millisecond)
+	}
+	f.slowdowns["vm02"] = 5
+	f.submit("j", tasks(6, 6000))
+	f.runFor(5 * time.Second)
+	require.Equal(t, 1, f.reasons(EventRunStopped)[ReasonSlow])
+}
+
 // Guards against work that goes to a slow VM while others have room, and against a VM that gets
 // none once it has recovered.
 func TestWorkAvoidsSlowVMUntilItRecovers(t *testing.T) {
