--- a/internal/scheduler/runtimes/runtimes_test.go
+++ b/internal/scheduler/runtimes/runtimes_test.go
@@ -9,10 +9,14 @@
 	"github.com/rattanwall/rattanwall/internal/scheduler/runtimes"
 )
 
-const slowRatio = 0.2
+const (
+	slowRatio = 0.2
+	// now is the time at which the last observed run ended.
+	now = time.Minute
+)
 
 // speedOf returns the speed learned from runs that ended a tenth of a second apart, the last now.
-func speedOf(now time.Duration, ratios ...float64) *runtimes.Speed {
+func speedOf(ratios ...float64) *runtimes.Speed {
 	var s runtimes.Speed
 	for i, ratio := range ratios {
 		s.Observe(now-time.Duration(len(ratios)-1-i)*100*time.Millisecond, ratio)
@@ -21,7 +25,7 @@
 }
 
 func TestSpeedIsUnknownWithoutRuns(t *testing.T) {
-	e := speedOf(time.Minute).At(time.Minute)
+	e := speedOf().At(now)
 	require.False(t, e.Known())
 	require.Equal(t, 1.0, e.Ratio)
 	require.Zero(t, e.Age)
@@ -30,14 +34,14 @@
 // Guards against a sound VM that counts as slow because of one long task.
 func TestOneLongTaskIsNoSlowVM(t *testing.T) {
 	for _, ratios := range [][]float64{{slowRatio}, {1, slowRatio}, {slowRatio, 1.1, 0.9}} {
-		e := speedOf(time.Minute, ratios...).At(time.Minute)
+		e := speedOf(ratios...).At(now)
 		require.False(t, e.IsSlow(), "%v: %+v", ratios, e)
 	}
-	require.Equal(t, 1, speedOf(time.Minute, slowRatio, 1.1, 0.9).At(time.Minute).Slow)
+	require.Equal(t, 1, speedOf(slowRatio, 1.1, 0.9).At(now).Slow)
 }
 
 func TestSlowVMIsLearned(t *testing.T) {
-	e := speedOf(time.Minute, slowRatio, 0.25, slowRatio).At(time.Minute + time.Second)
+	e := speedOf(slowRatio, 0.25, slowRatio).At(now + time.Second)
 	require.True(t, e.IsSlow())
 	require.Equal(t, 3, e.Slow)
 	require.Equal(t, time.Second, e.Age)
@@ -45,13 +49,13 @@
 
 // Guards against a VM that stays without work after it has recovered.
 func TestSpeedIsForgotten(t *testing.T) {
-	s := speedOf(time.Minute, slowRatio, slowRatio)
-	require.True(t, s.At(time.Minute+9*time.Second).IsSlow())
-	require.False(t, s.At(time.Minute+11*time.Second).Known())
+	s := speedOf(slowRatio, slowRatio)
+	require.True(t, s.At(now+9*time.Second).IsSlow())
+	require.False(t, s.At(now+11*time.Second).Known())
 	for range 3 {
-		s.Observe(time.Minute+2*time.Second, 1)
+		s.Observe(now+2*time.Second, 1)
 	}
-	require.False(t, s.At(time.Minute+3*time.Second).IsSlow())
+	require.False(t, s.At(now+3*time.Second).IsSlow())
 }
 
 func TestQuantilesOfSpread(t *testing.T) {
--- a/internal/scheduler/unevenness.go
+++ b/internal/scheduler/unevenness.go
@@ -155,7 +155,12 @@
 		Reason: fmt.Sprintf("%s: saved=%s cost=%s remaining=%s siblings=%s next=%s slow_others=%d sound_others=%d long_share=%.2f load=%.2f",
 			choice.Remedy, rounded(choice.Saved), rounded(choice.Cost), rounded(f.Remaining), rounded(f.Siblings), rounded(f.Next), e.SlowOthers, e.SoundOthers, e.LongShare, f.Load),
 	})
-	switch choice.Remedy {
+	s.applyRemedy(now, r, choice.Remedy)
+}
+
+// applyRemedy copies a slow run or stops it, unless no other VM has room.
+func (s *Scheduler) applyRemedy(now Time, r *run, remedy runtimes.Remedy) {
+	switch remedy {
 	case runtimes.Copy:
 		if s.startCopy(now, r.task, ReasonSlow) {
 			s.recordSlowRun(now, r)
