--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -76,9 +76,10 @@
 	// checkpointProgress is the progress when the run's last checkpoint was first reported; 0 for
 	// none.
 	checkpointProgress int
-	// reviewed is set once a remedy for the run's low rate has been considered, speedLearned once
-	// the run counts in the speed of its VM.
-	reviewed, speedLearned bool
+	// loggedRemedy is the last logged remedy for the run's low rate; "" for none.
+	loggedRemedy runtimes.Remedy
+	// speedLearned is set once the run counts in the speed of its VM.
+	speedLearned bool
 	// startSent is set once the start is sent, most recently at startSentAt. Until then
 	// the run has certainly not begun.
 	startSent   bool
--- a/internal/scheduler/unevenness.go
+++ b/internal/scheduler/unevenness.go
@@ -146,16 +146,20 @@
 	f := r.facts(now, rate, mean)
 	f.SlowVM, f.Load = runtimes.ProbabilityOfSlowVM(e), s.unevenness.load
 	choice := runtimes.Choose(s.policy.Stragglers, f)
-	if choice.Remedy == runtimes.Leave && r.reviewed {
-		return
+	if choice.Remedy != r.loggedRemedy {
+		r.loggedRemedy = choice.Remedy
+		s.logSlowRun(r, choice, &f, &e)
 	}
-	r.reviewed = true
+	s.applyRemedy(now, r, choice.Remedy)
+}
+
+// logSlowRun logs the remedy for a slow run and what it was weighed by.
+func (s *Scheduler) logSlowRun(r *run, choice runtimes.Choice, f *runtimes.Facts, e *runtimes.Evidence) {
 	s.logf(Decision{
 		Event: EventRunSlow, Task: r.task.id(), VM: r.vm.inst.ID, Run: r.number, Age: e.Age, Value: f.SlowVM,
 		Reason: fmt.Sprintf("%s: saved=%s cost=%s remaining=%s siblings=%s next=%s slow_others=%d sound_others=%d long_share=%.2f load=%.2f",
 			choice.Remedy, rounded(choice.Saved), rounded(choice.Cost), rounded(f.Remaining), rounded(f.Siblings), rounded(f.Next), e.SlowOthers, e.SoundOthers, e.LongShare, f.Load),
 	})
-	s.applyRemedy(now, r, choice.Remedy)
 }
 
 // applyRemedy copies a slow run or stops it, unless no other VM has room.
