scheduler: waits for a place in the rack that a task prefers

Tasks whose rack was full ran away from their data at once, far_factor times as long on as much more processor time. Package locality decides from the expected time until a place is free whether a wait costs less; nearplace.go provides the facts and carries it out, for single tasks, groups and gangs. Copies and relocations weigh the rack as well. Effective where the settings give far_factor and jobs name racks. Not measured yet.

--- a/internal/edge/docs_test.go
+++ b/internal/edge/docs_test.go
@@ -27,6 +27,7 @@
 	m.recordDecision(scheduler.Decision{Event: scheduler.EventRunStarted})
 	m.recordDecision(scheduler.Decision{Event: scheduler.EventRunLost})
 	m.recordDecision(scheduler.Decision{Event: scheduler.EventCopyEnded, Reason: scheduler.ReasonSlow, Outcome: scheduler.CopyWon})
+	m.recordDecision(scheduler.Decision{Event: scheduler.EventPlaceWaitEnded})
 	m.recordEnd(scheduler.EndOpen)
 	families, err := m.registry.Gather()
 	require.NoError(t, err)
--- a/internal/edge/operations.go
+++ b/internal/edge/operations.go
@@ -35,6 +35,9 @@
 	jobEnds *prometheus.CounterVec
 	starts  *prometheus.CounterVec
 	delays  *prometheus.HistogramVec
+	// places counts task starts by place, placeWaits holds the waits for places by outcome.
+	places     *prometheus.CounterVec
+	placeWaits *prometheus.HistogramVec
 	// givenUp counts VMs and runs declared lost, by reason; ends counts run ends reported by
 	// VMs, by status.
 	givenUp *prometheus.CounterVec
@@ -72,6 +75,12 @@
 		starts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "rattanwall_leader_starts_total", Help: "Starts that were decided, by the group of the queue.",
 		}, []string{"group"}),
+		places: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "rattanwall_leader_starts_by_place_total", Help: "Starts that were decided, by where they are relative to the rack that the task prefers.",
+		}, []string{"place"}),
+		placeWaits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "rattanwall_leader_place_wait_seconds", Help: "How long steps waited for a place in the rack that they prefer, by where they were then started.", Buckets: prometheus.ExponentialBuckets(0.025, 2, 11),
+		}, []string{"outcome"}),
 		delays: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "rattanwall_leader_delay_seconds", Help: "How long starts and reports waited within this process, and how long plans took.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 13),
 		}, []string{"of"}),
@@ -92,7 +101,7 @@
 		m.delays.WithLabelValues(string(d))
 	}
 	m.registry.MustRegister(
-		m.jobAge, m.jobEnds, m.starts, m.delays, m.requests, m.latency, m.decisions, m.startWait, m.runDuration, m.givenUp, m.ends, m.copies, m.copyWaste, newLeaderMetrics(readStats),
+		m.jobAge, m.jobEnds, m.starts, m.places, m.placeWaits, m.delays, m.requests, m.latency, m.decisions, m.startWait, m.runDuration, m.givenUp, m.ends, m.copies, m.copyWaste, newLeaderMetrics(readStats),
 		// Scrapers truncate long responses, and the memory statistics would precede the
 		// rattanwall metrics.
 		collectors.NewGoCollector(collectors.WithGoCollectorMemStatsMetricsDisabled(), collectors.WithGoCollectorRuntimeMetrics(collectors.MetricsScheduler)),
@@ -122,6 +131,9 @@
 	case scheduler.EventRunStarted:
 		m.startWait.Observe(d.Age.Seconds())
 		m.starts.WithLabelValues(d.Group).Inc()
+		m.places.WithLabelValues(string(d.Place)).Inc()
+	case scheduler.EventPlaceWaitEnded:
+		m.placeWaits.WithLabelValues(string(d.Place)).Observe(d.Age.Seconds())
 	case scheduler.EventJobTaken:
 		m.jobAge.Observe(d.Age.Seconds())
 	case scheduler.EventJobEnded:
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -490,6 +490,9 @@
 	if d.Reason != "" {
 		f["reason"] = d.Reason
 	}
+	if d.Place != "" && d.Place != scheduler.PlaceNoPreference {
+		f["place"] = d.Place
+	}
 	if d.Age != 0 {
 		f["age_ms"] = d.Age.Milliseconds()
 	}
--- a/internal/scheduler/dump.go
+++ b/internal/scheduler/dump.go
@@ -18,6 +18,8 @@
 	Evacuated    []EvacuatedZoneDump `json:"evacuated,omitempty"`
 	VMs          []VMDump            `json:"vms"`
 	Interference string              `json:"interference"`
+	// RackWaits are the waits for places in racks, by rack.
+	RackWaits []RackWaitDump `json:"rack_waits,omitempty"`
 	// ReserveShare is the share of the VMs' capacity kept free of lasting tasks.
 	ReserveShare float64 `json:"reserve_share"`
 }
@@ -30,6 +32,15 @@
 	Runs     int   `json:"runs"`
 }
 
+// RackWaitDump is what waits for places in a rack.
+type RackWaitDump struct {
+	Rack  string `json:"rack"`
+	Steps int    `json:"steps"`
+	Tasks int    `json:"tasks"`
+	// LongestMS is the longest wait so far.
+	LongestMS int64 `json:"longest_ms"`
+}
+
 // VMDump is the state of one VM. CPU amounts are in thousandths of a processor.
 type VMDump struct {
 	ID string `json:"id"`
@@ -66,6 +77,7 @@
 	for _, z := range s.evacuations.Zones {
 		d.Evacuated = append(d.Evacuated, EvacuatedZoneDump{Zone: z.Zone, Revision: z.Revision, Runs: s.runsInZone(z.Zone)})
 	}
+	d.RackWaits = s.rackWaits(now)
 	for _, v := range s.vmList {
 		x := VMDump{
 			ID: v.inst.ID, Born: v.born, Zone: v.inst.Zone, Listed: v.listed, Draining: v.inst.Draining, Closed: v.closed,
@@ -113,8 +125,11 @@
 	// StepsBefore counts the unfinished steps that the step depends on.
 	StepsBefore int `json:"steps_before"`
 	// Obstacles lists how many VMs each obstacle currently rules out.
-	Obstacles string  `json:"obstacles,omitempty"`
-	SlackS    float64 `json:"slack_s"`
+	Obstacles string `json:"obstacles,omitempty"`
+	// Rack is the rack that the tasks wait for, if they do, and RackReason why.
+	Rack       string  `json:"rack,omitempty"`
+	RackReason string  `json:"rack_reason,omitempty"`
+	SlackS     float64 `json:"slack_s"`
 }
 
 // Explain describes a job's state; ok is false if the job is unknown.
@@ -151,6 +166,9 @@
 		return
 	}
 	w := WaitDump{Occurrence: st.occ.number, Step: st.index, Tasks: st.waiting, StepsBefore: st.blockers, SlackS: s.rank(now, st).slack.Seconds()}
+	if st.place.since > 0 {
+		w.Rack, w.RackReason = st.place.rack, string(st.place.decision.Reason)
+	}
 	if st.blockers == 0 {
 		w.Obstacles = s.obstaclesOf(now, unplaced)
 	}
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -31,8 +31,14 @@
 	EventMachineClosed = "machine_closed"
 	// EventMachineMaintained: a machine's maintenance was ordered.
 	EventMachineMaintained = "machine_maintained"
+	// EventPlaceWaitBegun: tasks began to wait for a place in the rack that they prefer.
+	EventPlaceWaitBegun = "place_wait_begun"
+	// EventPlaceWaitEnded: a wait for a place in a rack ended.
+	EventPlaceWaitEnded = "place_wait_ended"
 	// EventRunAdopted: a run started by an earlier leader was adopted.
 	EventRunAdopted = "run_adopted"
+	// EventRunAway: a run was started outside the rack that its task prefers.
+	EventRunAway = "run_away"
 	// EventRunCopied: a copy of a run was started on another VM.
 	EventRunCopied = "run_copied"
 	// EventRunEnded: a VM reported the end of a run.
@@ -103,7 +109,10 @@
 	EventJobTaken,
 	EventMachineClosed,
 	EventMachineMaintained,
+	EventPlaceWaitBegun,
+	EventPlaceWaitEnded,
 	EventRunAdopted,
+	EventRunAway,
 	EventRunCopied,
 	EventRunEnded,
 	EventRunLost,
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -241,6 +241,7 @@
 	for _, number := range slices.Sorted(maps.Keys(j.occs)) {
 		o := j.occs[number]
 		for i := range o.steps {
+			s.endPlaceWait(now, &o.steps[i], PlaceNone)
 			for k := range o.steps[i].tasks {
 				s.stopRuns(now, &o.steps[i].tasks[k], "job "+string(state))
 			}
--- /dev/null
+++ b/internal/scheduler/nearplace.go
@@ -0,0 +1,567 @@
+package scheduler
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/rattanwall/rattanwall/internal/batch"
+	"github.com/rattanwall/rattanwall/internal/scheduler/locality"
+)
+
+// Tasks run faster in the rack of their data or of their step's other tasks. While that rack is
+// full, package locality decides whether they wait for a place there; this file provides the facts
+// and carries the decisions out. Steps without a preferred rack do not come here.
+
+const (
+	// keepFreePenalty lowers the score of VMs in racks that tasks wait for, for tasks that may run
+	// in any rack.
+	keepFreePenalty = 1.0
+	// keepFreeDuration is how long after the last wait a rack is kept free.
+	keepFreeDuration = time.Second
+	// crowdedDuration is how long after a task found no place in the fleet processors count as
+	// short.
+	crowdedDuration = time.Second
+	// overdueShare is the remaining time of a run past its declared duration, as a share of its
+	// age.
+	overdueShare = 0.25
+	// maxForecastRacks bounds the racks that are compared for a group without a rack.
+	maxForecastRacks = 4
+)
+
+// Place is where a run is, relative to the rack that its task prefers.
+type Place string
+
+// The places.
+const (
+	PlaceNear         Place = "near"
+	PlaceAway         Place = "away"
+	PlaceNoPreference Place = "no_preference"
+	// PlaceNone is the outcome of a wait whose job ended.
+	PlaceNone Place = "none"
+)
+
+// placeWait is a step's wait for a place in a rack.
+type placeWait struct {
+	rack string
+	// since is when the wait began, 0 if there is none; earlier is the duration of those before.
+	since   Time
+	earlier time.Duration
+	// tasks wait until the time until; decision is the one about the last of them, idle whether
+	// the job had nothing running then.
+	tasks    int
+	until    Time
+	idle     bool
+	decision locality.Decision
+}
+
+func (w *placeWait) waited(now Time) time.Duration {
+	if w.since == 0 {
+		return w.earlier
+	}
+	return w.earlier + now - w.since
+}
+
+// prefersRack reports whether waits for a place in a rack are considered for the step. Lasting
+// tasks do not wait: their duration says nothing about what they lose elsewhere. Where an adviser
+// chooses the VMs, its answer decides.
+func (s *Scheduler) prefersRack(st *step) bool {
+	spec := st.spec
+	if spec.DataRack == "" && !spec.SameRack {
+		return false
+	}
+	return s.settings.FarFactor > 1 && s.policy.Locality != locality.AtOnce && !spec.Lasting && !s.needsAdvice(st) && !st.isSuspect()
+}
+
+// nearSearch looks for places of a step's tasks in their rack within one pass.
+type nearSearch struct {
+	s    *Scheduler
+	pass *planPass
+	step *step
+	need placementNeed
+	rack string
+	vms  []*vm
+	// full is set once the rack had no place for a task; away is the number of tasks that then
+	// start away.
+	full bool
+	away int
+}
+
+// nearSearchFor returns a search for the step, or nil if it has no preferred rack.
+func (s *Scheduler) nearSearchFor(r *planPass, st *step, need placementNeed) *nearSearch {
+	if !s.prefersRack(st) || st.isSpread() {
+		return nil
+	}
+	n := &nearSearch{s: s, pass: r, step: st, need: need}
+	n.rack = n.wantedRack()
+	n.vms = r.racksOf(s)[n.rack]
+	n.need.rack = n.rack
+	return n
+}
+
+// racksOf returns the VMs by rack.
+func (r *planPass) racksOf(s *Scheduler) map[string][]*vm {
+	if r.racks == nil {
+		r.racks = map[string][]*vm{}
+		for _, v := range s.vmList {
+			rack := v.inst.Rack()
+			r.racks[rack] = append(r.racks[rack], v)
+		}
+	}
+	return r.racks
+}
+
+// isSpread reports whether runs of a step that prefers one rack are in several, so that another
+// one elsewhere costs nothing.
+func (st *step) isSpread() bool {
+	if !st.spec.SameRack {
+		return false
+	}
+	rack := st.currentRack()
+	for k := range st.tasks {
+		for _, r := range st.tasks[k].runs {
+			if r.vm.inst.Rack() != rack {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// isGroup reports whether all waiting tasks need places in the rack, or none gains from one.
+func (n *nearSearch) isGroup() bool { return n.step.spec.Gang || n.step.spec.SameRack }
+
+// wantedRack returns the rack of the data or of the step's runs, or else the rack where the whole
+// group has a place first.
+func (n *nearSearch) wantedRack() string {
+	if rack := n.step.spec.DataRack; rack != "" {
+		return rack
+	}
+	if rack := n.step.currentRack(); rack != "" {
+		return rack
+	}
+	type option struct {
+		rack   string
+		places int
+	}
+	var options []option
+	for rack, vms := range n.pass.racksOf(n.s) {
+		if rack == "" {
+			continue
+		}
+		if places, usable := n.countPlaces(vms); usable {
+			options = append(options, option{rack, places})
+		}
+	}
+	slices.SortFunc(options, func(a, b option) int {
+		return cmp.Or(cmp.Compare(b.places, a.places), cmp.Compare(a.rack, b.rack))
+	})
+	best, earliest := "", locality.Never
+	for i, o := range options {
+		if i == maxForecastRacks || (i == 0 && o.places >= n.step.waiting) {
+			break
+		}
+		if times := n.forecast(n.pass.racks[o.rack], o.rack); times[len(times)-1] < earliest {
+			best, earliest = o.rack, times[len(times)-1]
+		}
+	}
+	if best == "" && len(options) > 0 {
+		best = options[0].rack
+	}
+	return best
+}
+
+// countPlaces returns how many tasks of the step the VMs have places for now, and whether any of
+// the VMs can be used.
+func (n *nearSearch) countPlaces(vms []*vm) (places int, usable bool) {
+	t := &n.step.tasks[0]
+	for _, v := range vms {
+		o := n.s.placementObstacle(n.pass.now, v, t)
+		usable = usable || !o.excludesVM()
+		if o != obstacleNone {
+			continue
+		}
+		room := locality.VM{Free: n.s.freeFor(n.pass.now, v, n.step.spec)}
+		q := n.s.placeRequest(n.step)
+		for _, at := range locality.Forecast([]locality.VM{room}, &q) {
+			if at == 0 {
+				places++
+			}
+		}
+	}
+	return places, usable
+}
+
+// excludesVM reports whether the obstacle stands for a VM that is out of use, not for one that is
+// full.
+func (o obstacle) excludesVM() bool {
+	switch o {
+	case obstacleUnreachable, obstacleRestarted, obstacleDraining, obstacleEvacuated, obstaclePool, obstacleSuspected:
+		return true
+	}
+	return false
+}
+
+// place returns a VM in the rack for the task, or whether the task waits for one. If neither, the
+// task starts wherever there is a place.
+func (n *nearSearch) place(t *task) (v *vm, wait bool) {
+	if n == nil {
+		return nil, false
+	}
+	if !n.full {
+		if !n.pass.isFull(n.need) {
+			v = n.s.bestOf(n.pass.now, t, n.vms)
+		}
+		if v != nil {
+			return v, false
+		}
+		n.recordFull()
+		n.away = n.step.waiting - n.tasksThatWait()
+	}
+	if n.away > 0 {
+		n.away--
+		return nil, false
+	}
+	return nil, true
+}
+
+// placeGang allocates all members of a gang in the rack, or reports whether the gang waits.
+func (n *nearSearch) placeGang() (allocated []*run, wait bool) {
+	if n == nil {
+		return nil, false
+	}
+	if !n.pass.isFull(n.need) {
+		allocated = n.s.allocateGang(n.pass.now, n.step, n.s.nextRunNumber(), func(now Time, t *task) *vm { return n.s.bestOf(now, t, n.vms) })
+	}
+	if allocated != nil {
+		return allocated, false
+	}
+	n.full = true
+	return nil, n.tasksThatWait() > 0
+}
+
+// recordFull keeps steps that need as much in the same rack from looking for it in this pass.
+func (n *nearSearch) recordFull() {
+	n.full = true
+	if n.step.spec.MaxPerVM == 0 {
+		n.pass.full = append(n.pass.full, n.need)
+	}
+}
+
+// tasksThatWait decides how many of the waiting tasks wait for a place in the rack.
+func (n *nearSearch) tasksThatWait() int {
+	w, now, j := &n.step.place, n.pass.now, n.step.occ.job
+	usable := slices.ContainsFunc(n.vms, func(v *vm) bool {
+		return !n.s.placementObstacle(now, v, &n.step.tasks[0]).excludesVM()
+	})
+	if w.since == 0 || w.rack != n.rack || !usable || now >= w.until || w.tasks < n.step.waiting || w.idle != (j.running == 0) {
+		n.decide(usable)
+	}
+	if w.tasks > 0 {
+		n.pass.demand(n.rack, int64(w.tasks)*n.step.spec.Need.MilliCPU)
+		n.s.wantedRacks[n.rack] = now
+	}
+	return w.tasks
+}
+
+// decide decides anew about the waiting tasks, the first of which gets the first place.
+func (n *nearSearch) decide(usable bool) {
+	w, now, st := &n.step.place, n.pass.now, n.step
+	facts := n.facts(usable)
+	policy := locality.Policy{Way: n.s.policy.Locality, ConstantWait: milliseconds(n.s.policy.LocalityWaitMS)}
+	times := []time.Duration{locality.Never}
+	if usable {
+		times = n.forecast(n.vms, n.rack)
+	}
+	staying, d := n.countStaying(policy, facts, times)
+	if d.Reason == locality.ReasonIdle && !d.Wait && !n.isGroup() {
+		// One run is enough for the job to stand still no longer.
+		facts.Idle = false
+		others, _ := n.countStaying(policy, facts, times)
+		staying = min(others, st.waiting-1)
+		facts.Idle = true
+	}
+	w.idle, w.until, w.decision = facts.Idle, d.Until, d
+	if staying == 0 {
+		n.s.endPlaceWait(now, st, PlaceAway)
+		w.rack, w.tasks = n.rack, 0
+		return
+	}
+	if w.since == 0 {
+		w.rack, w.since = n.rack, now
+		n.s.logf(Decision{Event: EventPlaceWaitBegun, Task: st.tasks[0].id(), Reason: n.describe(&facts), Age: now - st.occ.dueAt, Value: float64(staying)})
+	}
+	w.rack, w.tasks = n.rack, staying
+}
+
+// countStaying returns how many tasks wait, by the expected times until they have places, and the
+// decision about the first that does not, or else about the last.
+func (n *nearSearch) countStaying(policy locality.Policy, facts locality.Facts, times []time.Duration) (staying int, d locality.Decision) {
+	until := n.pass.now
+	for _, facts.Expected = range times {
+		if d = policy.Decide(n.pass.now, &facts); !d.Wait {
+			break
+		}
+		staying, until = staying+1, d.Until
+	}
+	if n.isGroup() && staying < len(times) {
+		staying = 0
+	}
+	d.Until = until
+	return staying, d
+}
+
+// facts returns the inputs of decisions about the step's tasks, without the expected wait.
+func (n *nearSearch) facts(usable bool) locality.Facts {
+	s, now, st := n.s, n.pass.now, n.step
+	j := st.occ.job
+	objective := s.objective(j)
+	slack := st.occ.dueAt + objective - now - scaled(st.occ.remaining(), s.durationRatio(j))
+	f := locality.Facts{
+		Usable: usable, Slowdown: s.settings.FarFactor, Remaining: st.expectedDuration(),
+		Crowded: len(n.pass.failed) > 0 || (s.unplacedAt > 0 && now-s.unplacedAt < crowdedDuration),
+		Slack:   slack, LateSlack: slack + (lateObjectiveFactor-1)*objective,
+		Waited: st.place.waited(now), Idle: j.running == 0,
+	}
+	if j.predatesLeader {
+		f.Waited = max(f.Waited, now-j.submittedAt)
+	}
+	f.IdleWaited = j.idleWaited(now)
+	return f
+}
+
+// idleWaited returns for how long the job's tasks have waited for places while it had nothing
+// running. What it waited under earlier leaders is not known: all of its age may be.
+func (j *job) idleWaited(now Time) time.Duration {
+	if j.running > 0 {
+		j.idleMark = 0
+		return 0
+	}
+	if j.idleMark > 0 {
+		j.idleWait += now - j.idleMark
+	}
+	j.idleMark = now
+	if j.predatesLeader {
+		return max(j.idleWait, now-j.submittedAt)
+	}
+	return j.idleWait
+}
+
+// describe returns the inputs of a decision for the log.
+func (n *nearSearch) describe(f *locality.Facts) string {
+	oldest := time.Duration(0)
+	for _, v := range n.vms {
+		oldest = max(oldest, n.pass.now-v.lastReportAt)
+	}
+	d := &n.step.place.decision
+	return fmt.Sprintf("%s rack=%s wait_ms=%d away_ms=%d slack_ms=%d crowded=%t idle_ms=%d reported_ago_ms=%d",
+		d.Reason, n.rack, costMS(d.WaitCost), costMS(d.AwayCost), f.Slack.Milliseconds(), f.Crowded, f.IdleWaited.Milliseconds(), oldest.Milliseconds())
+}
+
+// costMS returns a cost in milliseconds, -1 for Never.
+func costMS(d time.Duration) int64 {
+	if d == locality.Never {
+		return -1
+	}
+	return d.Milliseconds()
+}
+
+// finish ends the step's wait if no task waits any more.
+func (n *nearSearch) finish() {
+	if n != nil && n.step.waiting == 0 {
+		n.s.endPlaceWait(n.pass.now, n.step, PlaceNear)
+	}
+}
+
+// endPlaceWait ends a step's wait, if there is one.
+func (s *Scheduler) endPlaceWait(now Time, st *step, outcome Place) {
+	w := &st.place
+	if w.since == 0 {
+		return
+	}
+	reason := string(w.decision.Reason)
+	switch outcome {
+	case PlaceNear:
+		reason = "place found"
+	case PlaceNone:
+		reason = "job ended"
+	case PlaceAway, PlaceNoPreference:
+	}
+	s.logf(Decision{
+		Event: EventPlaceWaitEnded, Task: st.tasks[0].id(), Place: outcome, Age: now - w.since, Value: float64(st.waiting),
+		Reason: fmt.Sprintf("%s rack=%s wait_ms=%d away_ms=%d", reason, w.rack, costMS(w.decision.WaitCost), costMS(w.decision.AwayCost)),
+	})
+	w.earlier, w.since, w.tasks, w.until = w.waited(now), 0, 0, 0
+}
+
+// demand records processors that waiting tasks want in a rack.
+func (r *planPass) demand(rack string, milliCPU int64) {
+	if r.ahead == nil {
+		r.ahead = map[string]int64{}
+	}
+	r.ahead[rack] += milliCPU
+}
+
+// forecast returns the expected times until the step's waiting tasks have places on the rack's VMs.
+func (n *nearSearch) forecast(vms []*vm, rack string) []time.Duration {
+	spec, now := n.step.spec, n.pass.now
+	q := n.s.placeRequest(n.step)
+	q.Ahead = int(n.pass.ahead[rack] / max(spec.Need.MilliCPU, 1))
+	var rooms []locality.VM
+	for _, v := range vms {
+		switch n.s.placementObstacle(now, v, &n.step.tasks[0]) {
+		case obstacleNone:
+			if _, ok := n.s.score(now, v, spec); !ok {
+				continue
+			}
+		case obstacleProcessor, obstacleMemory, obstacleLeftover:
+		default:
+			continue
+		}
+		room := locality.VM{Free: n.s.freeFor(now, v, spec)}
+		for _, r := range v.runList {
+			if rs := r.task.step.spec; !rs.Lasting && (spec.Filler || !rs.Filler) {
+				room.Releases = append(room.Releases, locality.Release{After: n.s.remaining(now, r), Freed: rs.Need})
+			}
+		}
+		rooms = append(rooms, room)
+	}
+	return locality.Forecast(rooms, &q)
+}
+
+// freeFor returns the VM's free capacity as far as it counts for tasks of the step.
+func (s *Scheduler) freeFor(now Time, v *vm, spec *batch.Step) batch.Resources {
+	free := v.inst.Capacity.Sub(v.used)
+	if spec.Filler {
+		free.MilliCPU = int64(s.fillerHeadroom(now, v))
+	}
+	return free
+}
+
+// placeRequest returns the request for places of all waiting tasks of the step.
+func (s *Scheduler) placeRequest(st *step) locality.Request {
+	q := locality.Request{Need: st.spec.Need, Taken: st.spec.Need, Tasks: st.waiting, Together: st.spec.Gang, Duration: st.expectedDuration()}
+	if st.spec.Filler {
+		q.Need.MilliCPU = int64(fillerUseShare * float64(q.Need.MilliCPU))
+	}
+	return q
+}
+
+// expectedDuration is the duration of the step's tasks in their rack: that of completed runs, or
+// else the declared one.
+func (st *step) expectedDuration() time.Duration {
+	if st.doneRuns > 0 && st.doneRateSum > 0 {
+		return time.Duration(100 * float64(st.doneRuns) / st.doneRateSum * float64(time.Second))
+	}
+	return st.spec.Estimate
+}
+
+// remaining returns the expected time until a run ends, by its progress or else by the declared
+// duration.
+func (s *Scheduler) remaining(now Time, r *run) time.Duration {
+	left, at := 0.0, r.progressAt
+	switch {
+	case r.progress > r.firstProgress && r.progressAt > r.firstProgressAt:
+		left = float64(r.progressAt-r.firstProgressAt) / float64(r.progress-r.firstProgress) * float64(100-r.progress)
+	case r.progress > 0 && !r.resumed && r.confirmedAt > 0 && r.progressAt > r.confirmedAt:
+		left = float64(r.progressAt-r.confirmedAt) / float64(r.progress) * float64(100-r.progress)
+	default:
+		at = r.orderedAt
+		left = float64(r.task.step.expectedDuration())
+		if s.placeOf(r) == PlaceAway {
+			left *= max(s.settings.FarFactor, 1)
+		}
+	}
+	if d := time.Duration(left) - (now - at); d > 0 {
+		return d
+	}
+	return scaled(now-r.orderedAt, overdueShare)
+}
+
+// placeOf returns where a run is, relative to the rack that its task prefers.
+func (s *Scheduler) placeOf(r *run) Place {
+	spec := r.task.step.spec
+	rack := r.vm.inst.Rack()
+	switch {
+	case spec.DataRack != "" && spec.DataRack != rack, spec.SameRack && r.task.step.isSpread():
+		return PlaceAway
+	case spec.DataRack != "" || spec.SameRack:
+		return PlaceNear
+	}
+	return PlaceNoPreference
+}
+
+// recordPlace logs the start of a run away from the rack that its task prefers, and ends the time
+// for which its job had nothing running.
+func (s *Scheduler) recordPlace(now Time, r *run) Place {
+	st := r.task.step
+	st.occ.job.idleMark = 0
+	place := s.placeOf(r)
+	if place == PlaceAway {
+		wanted := st.spec.DataRack
+		if wanted == "" {
+			wanted = st.currentRack()
+		}
+		s.logf(Decision{
+			Event: EventRunAway, Task: r.task.id(), VM: r.vm.inst.ID, Run: r.number, Place: place, Age: st.place.waited(now),
+			Reason: fmt.Sprintf("wants=%s is_in=%s %s", wanted, r.vm.inst.Rack(), st.place.decision.Reason),
+		})
+	}
+	return place
+}
+
+// movePays reports whether a task with a run in its rack may be started on a VM elsewhere.
+func (s *Scheduler) movePays(now Time, t *task, v *vm) bool {
+	if len(t.runs) == 0 || !s.prefersRack(t.step) {
+		return true
+	}
+	r := t.runs[0]
+	rack := r.vm.inst.Rack()
+	if v.inst.Rack() == rack || (t.step.spec.DataRack != "" && rack != t.step.spec.DataRack) {
+		return true
+	}
+	duration := t.step.expectedDuration()
+	here := s.remaining(now, r)
+	switch {
+	case r.vm.isUnresponsive(now) || r.vm.firstUnansweredAt > 0:
+		here = max(0, r.vm.leaseExpiry-now) + duration
+	case r.progressAt > 0 && now-max(r.progressAt, r.paceOrderedAt) > stallTimeout:
+		here = locality.Never
+	}
+	return locality.MovePays(here, duration, s.settings.FarFactor)
+}
+
+// isKeptFree reports whether the VM is kept for tasks that wait for its rack.
+func (s *Scheduler) isKeptFree(now Time, v *vm, spec *batch.Step) bool {
+	if !s.policy.KeepRacksFree || len(s.wantedRacks) == 0 || spec.DataRack != "" || spec.SameRack {
+		return false
+	}
+	at, wanted := s.wantedRacks[v.inst.Rack()]
+	return wanted && now-at < keepFreeDuration
+}
+
+// rackWaits sums up the waits for places by rack.
+func (s *Scheduler) rackWaits(now Time) []RackWaitDump {
+	byRack := map[string]*RackWaitDump{}
+	for _, st := range s.readySteps {
+		w := &st.place
+		if w.since == 0 || st.occ.job.state.Final() {
+			continue
+		}
+		d := byRack[w.rack]
+		if d == nil {
+			d = &RackWaitDump{Rack: w.rack}
+			byRack[w.rack] = d
+		}
+		d.Steps++
+		d.Tasks += w.tasks
+		d.LongestMS = max(d.LongestMS, (now - w.since).Milliseconds())
+	}
+	var list []RackWaitDump
+	for _, rack := range slices.Sorted(maps.Keys(byRack)) {
+		list = append(list, *byRack[rack])
+	}
+	return list
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -29,13 +29,22 @@
 
 // chooseVM returns the best VM for a task, or nil.
 func (s *Scheduler) chooseVM(now Time, t *task) *vm {
+	best := s.bestOf(now, t, s.vmList)
+	if best != nil && !s.movePays(now, t, best) {
+		return nil
+	}
+	return best
+}
+
+// bestOf returns the best of some VMs for a task, or nil.
+func (s *Scheduler) bestOf(now Time, t *task, vms []*vm) *vm {
 	var best *vm
 	bestScore := 0.0
 	rack := ""
 	if t.step.spec.SameRack {
 		rack = t.step.currentRack()
 	}
-	for _, v := range s.vmList {
+	for _, v := range vms {
 		if !s.hasCapacity(now, v, t.step.spec) || s.placementObstacle(now, v, t) != obstacleNone {
 			continue
 		}
@@ -261,5 +270,8 @@
 		score -= mismatchPenalty
 	}
 	score -= s.slowVMPenalty(now, v, spec)
+	if s.isKeptFree(now, v, spec) {
+		score -= keepFreePenalty
+	}
 	return score, true
 }
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -216,6 +216,11 @@
 	now Time
 	// failed holds the needs for which no VM was found in this pass.
 	failed []placementNeed
+	// full holds the needs for which their rack had no VM, ahead the processors wanted in each
+	// rack by waiting tasks, in thousandths. racks holds the VMs by rack once they are needed.
+	full  []placementNeed
+	ahead map[string]int64
+	racks map[string][]*vm
 	// suspectCount counts the suspects considered for a trial in this pass, overdueCount those of
 	// them that have waited longer than maxTrialWait.
 	suspectCount, overdueCount int
@@ -229,14 +234,29 @@
 	image   string
 	filler  bool
 	lasting bool
-	res     batch.Resources
+	// rack is set where only VMs of a rack are considered.
+	rack string
+	res  batch.Resources
+}
+
+// covers reports whether a VM that does not suit n suits no task that needs o.
+func (n *placementNeed) covers(o *placementNeed) bool {
+	return n.pool == o.pool && n.filler == o.filler && n.image == o.image && n.lasting == o.lasting &&
+		(n.label == "" || n.label == o.label) && (n.rack == "" || n.rack == o.rack) && n.res.FitsIn(o.res)
 }
 
 // unplaceable reports whether no VM was found in this pass for a need that asks for no more.
 func (r *planPass) unplaceable(n placementNeed) bool {
-	for i := range r.failed {
-		f := &r.failed[i]
-		if f.pool == n.pool && f.filler == n.filler && f.image == n.image && f.lasting == n.lasting && (f.label == "" || f.label == n.label) && f.res.FitsIn(n.res) {
+	return isCovered(r.failed, &n)
+}
+
+// isFull reports whether no VM was found in this pass for a need in the same rack that asks for no
+// more.
+func (r *planPass) isFull(n placementNeed) bool { return isCovered(r.full, &n) }
+
+func isCovered(failed []placementNeed, n *placementNeed) bool {
+	for i := range failed {
+		if failed[i].covers(n) {
 			return true
 		}
 	}
@@ -255,13 +275,21 @@
 	if (r.unplaceable(n) || len(r.failed) >= maxFailedNeeds) && !s.isStarving(r.now, &st.tasks[0]) {
 		return
 	}
+	near := s.nearSearchFor(r, st, n)
 	if st.spec.Gang {
-		s.startGang(r, st)
+		s.startGang(r, st, near)
 		if st.waiting > 0 && s.needsAdvice(st) {
 			s.askAdvice(r.now, st)
 		}
-		return
+	} else {
+		s.startTasks(r, st, n, near)
 	}
+	near.finish()
+}
+
+// startTasks starts the tasks of a step that is no gang, as far as there are places.
+func (s *Scheduler) startTasks(r *planPass, st *step, n placementNeed, near *nearSearch) {
+	j := st.occ.job
 	var list *candidates
 	for k := range st.tasks {
 		t := &st.tasks[k]
@@ -286,7 +314,14 @@
 			}
 			continue
 		}
-		var v *vm
+		v, wait := near.place(t)
+		if wait {
+			continue
+		}
+		if v != nil {
+			s.start(r.now, t, v, s.nextRunNumber())
+			continue
+		}
 		if s.usesCandidateList(t) {
 			if list == nil {
 				list = s.candidatesFor(r.now, t)
@@ -304,6 +339,7 @@
 				s.askAdvice(r.now, st)
 				return
 			}
+			s.unplacedAt = r.now
 			if st.spec.MaxPerVM == 0 {
 				r.failed = append(r.failed, n)
 			}
@@ -315,7 +351,7 @@
 
 // startGang starts all members at once or none: a single member would hold its resources without
 // making progress.
-func (s *Scheduler) startGang(r *planPass, st *step) {
+func (s *Scheduler) startGang(r *planPass, st *step, near *nearSearch) {
 	for k := range st.tasks {
 		if len(st.tasks[k].runs) > 0 || !s.isStartable(r.now, &st.tasks[k]) {
 			return
@@ -325,7 +361,13 @@
 	if st.isSuspect() {
 		allocated = s.reserveGangTrial(r.now, st)
 	} else {
-		allocated = s.allocateGang(r.now, st, s.nextRunNumber(), s.chooseVM)
+		var wait bool
+		if allocated, wait = near.placeGang(); wait {
+			return
+		}
+		if allocated == nil {
+			allocated = s.allocateGang(r.now, st, s.nextRunNumber(), s.chooseVM)
+		}
 	}
 	if allocated == nil {
 		return
@@ -386,7 +428,7 @@
 	}
 	r.resumed = t.checkpoint != ""
 	s.logStart(r)
-	s.logf(Decision{Event: EventRunStarted, Task: t.id(), VM: v.inst.ID, Run: r.number, Age: now - t.step.occ.dueAt, Group: t.step.rank.group.String(), Value: t.step.rank.slack.Seconds()})
+	s.logf(Decision{Event: EventRunStarted, Task: t.id(), VM: v.inst.ID, Run: r.number, Age: now - t.step.occ.dueAt, Group: t.step.rank.group.String(), Place: s.recordPlace(now, r), Value: t.step.rank.slack.Seconds()})
 	s.orders = append(s.orders, Order{
 		Kind: OrderStart, Instance: v.inst, Task: t.id(), Run: r.number,
 		Start: batch.StartOrder{
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/rattanwall/rattanwall/internal/scheduler/locality"
 	"github.com/rattanwall/rattanwall/internal/scheduler/runtimes"
 )
 
@@ -134,6 +135,15 @@
 	// on which tasks take twice as long by as much as all of its processors being in use. 0
 	// ignores learned speeds.
 	SpeedWeight float64 `json:"speed_weight"`
+
+	// Locality is how long tasks wait for a place in the rack that they prefer, if the settings
+	// say that the rack makes a difference.
+	Locality locality.Way `json:"locality"`
+	// LocalityWaitMS is the wait with Locality "constant", in milliseconds.
+	LocalityWaitMS int64 `json:"locality_wait_ms"`
+	// KeepRacksFree places tasks that may run in any rack in racks that no task waits for, as far
+	// as there are any.
+	KeepRacksFree bool `json:"keep_racks_free"`
 }
 
 // DefaultPolicy is the policy of deployments. The sources of its values are documented with the
@@ -146,6 +156,7 @@
 		LearnDurations: true, DurationEstimates: EstimateRatio, Learn: true, Pace: true, PaceAtStart: true, PressedAt: 0.88, AimAt: 0.8, BlindAfterMS: 1500, MoveBelow: 20,
 		Quarantine: true, Rescue: true, Copies: true, MoveOffDraining: true,
 		Stragglers: runtimes.WayRate,
+		Locality: locality.ExpectedCost, LocalityWaitMS: 1000, KeepRacksFree: false,
 	}
 }
 
@@ -186,6 +197,10 @@
 		return fmt.Errorf("reserve_on: give 1 or more")
 	case p.PurityWeight < 0 || p.EffectPenalty < 0:
 		return fmt.Errorf("purity_weight, effect_penalty: give 0 or more")
+	case !p.Locality.Valid():
+		return fmt.Errorf("locality: use %s, %s or %s", locality.AtOnce, locality.Constant, locality.ExpectedCost)
+	case p.LocalityWaitMS < 0:
+		return fmt.Errorf("locality_wait_ms: give 0 or more milliseconds")
 	case p.ReservePatienceMS < 0 || p.StarvedAfterMS < 0 || p.StarvedCrowdedMS < 0 || p.BlindAfterMS < 0:
 		return fmt.Errorf("reserve_patience_ms, starved_after_ms, starved_crowded_ms, blind_after_ms: give 0 or more milliseconds")
 	}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -23,6 +23,9 @@
 	// UnavailableDuration is how long a lasting task counts as unavailable after a
 	// stop notice. It limits the rate at which lasting tasks are moved.
 	UnavailableDuration time.Duration
+	// FarFactor is how many times as long tasks take in another rack than that of their data or
+	// their group; 0 or 1 if the rack makes no difference.
+	FarFactor float64
 	// Policy tunes the scheduling decisions; nil means DefaultPolicy.
 	Policy *Policy
 }
@@ -180,6 +183,8 @@
 	tailSamples tailSamples
 	// runsPerVM counts the runs on each VM if the step limits them.
 	runsPerVM map[*vm]int
+	// place is the step's wait for a place in the rack that it prefers.
+	place placeWait
 }
 
 // occurrence is one execution of a job's steps.
@@ -216,6 +221,10 @@
 	started      bool
 	// running counts the job's runs.
 	running int
+	// idleWait is how long tasks have waited for a rack while the job had nothing running, up to
+	// idleMark; 0 if they do not.
+	idleWait time.Duration
+	idleMark Time
 	// predatesLeader is set if the job existed before this leader took over: its tasks
 	// may run on VMs that have not reported to this leader yet.
 	predatesLeader bool
@@ -434,6 +443,10 @@
 	reserve    reserve
 	// candidates is the candidate list of the step that is being placed.
 	candidates candidates
+	// unplacedAt is when a task last found no place in the whole fleet.
+	unplacedAt Time
+	// wantedRacks holds the racks that tasks wait for, with the time at which they last did.
+	wantedRacks map[string]Time
 	// crowded is set while lasting and short tasks declare most of all processors.
 	crowded bool
 	// reportedVMs counts the reachable VMs, nonServingVMs those of them without serving runs.
@@ -460,6 +473,7 @@
 		policy = *settings.Policy
 	}
 	return &Scheduler{
+		wantedRacks: map[string]Time{},
 		startBudget: UnlimitedStarts, evacuations: &batch.Evacuations{},
 		settings: settings, policy: policy, fence: fence, maxToken: fence, nextRun: fence << runNumberBits, vms: map[string]*vm{}, jobs: map[string]*job{},
 		timedJobs: map[string]*job{}, dirtyJobs: map[string]*job{}, waves: map[int64]*wave{}, awaitedVMs: map[string]Time{}, recentVMEnds: map[vmIncarnation]vmEnd{}, unconfirmedCrashes: map[vmIncarnation]map[*task]int64{}, startLog: startLog{inherited: map[vmIncarnation][]*inheritedStart{}, lostVMs: map[string]bool{}}, expiredLeases: map[string]ExpiredLease{}, unknownJobsSince: map[string]Time{}, absentJobs: map[string]Time{}, images: newEffectModel(), meanWork: map[string]float64{}, durationRatios: durationRatios{}, estimates: map[string]*estimate.Model{}, unevenness: unevenness{spreads: map[string]*runtimes.Spread{}}, logf: log,
@@ -480,6 +494,8 @@
 	Age time.Duration
 	// Group is the queue group of the step whose task is started.
 	Group string
+	// Place is where a started run is, or how a wait for a place ended.
+	Place Place
 	// Value is a number that belongs to the reason.
 	Value float64
 	// Outcome tells which run of a copied task was first: CopyWon or CopyLost.
