--- a/internal/scheduler/nearplace.go
+++ b/internal/scheduler/nearplace.go
@@ -27,6 +27,9 @@
 	// overdueShare is the remaining time of a run past its declared duration, as a share of its
 	// age.
 	overdueShare = 0.25
+	// minProgress is the progress, in percent, from which it tells a run's duration: it is reported
+	// in whole percents.
+	minProgress = 10
 	// maxForecastRacks bounds the racks that are compared for a group without a rack.
 	maxForecastRacks = 4
 )
@@ -463,9 +466,9 @@
 func (s *Scheduler) remaining(now Time, r *run) time.Duration {
 	left, at := 0.0, r.progressAt
 	switch {
-	case r.progress > r.firstProgress && r.progressAt > r.firstProgressAt:
+	case r.progress >= r.firstProgress+minProgress && r.progressAt > r.firstProgressAt:
 		left = float64(r.progressAt-r.firstProgressAt) / float64(r.progress-r.firstProgress) * float64(100-r.progress)
-	case r.progress > 0 && !r.resumed && r.confirmedAt > 0 && r.progressAt > r.confirmedAt:
+	case r.progress >= minProgress && !r.resumed && r.confirmedAt > 0 && r.progressAt > r.confirmedAt:
 		left = float64(r.progressAt-r.confirmedAt) / float64(r.progress) * float64(100-r.progress)
 	default:
 		at = r.orderedAt
