--- a/internal/experiment/compare.go
+++ b/internal/experiment/compare.go
@@ -156,6 +156,8 @@
 		WastedS: mean(func(o *Outcome) float64 { return o.WastedS }),
 		Copies:  int(mean(func(o *Outcome) float64 { return float64(o.Copies) })), CopiesWon: int(mean(func(o *Outcome) float64 { return float64(o.CopiesWon) })),
 		SlowStops:  int(mean(func(o *Outcome) float64 { return float64(o.SlowStops) })),
+		WastedS:  mean(func(o *Outcome) float64 { return o.WastedS }),
+		RunsAway: int(mean(func(o *Outcome) float64 { return float64(o.RunsAway) })), RackWaitS: mean(func(o *Outcome) float64 { return o.RackWaitS }),
 		PaceOrders: int(mean(func(o *Outcome) float64 { return float64(o.PaceOrders) })), Starts: int(mean(func(o *Outcome) float64 { return float64(o.Starts) })),
 		NsPerDecision:     mean(func(o *Outcome) float64 { return o.NsPerDecision }),
 		AllocsPerDecision: mean(func(o *Outcome) float64 { return o.AllocsPerDecision }),
--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -92,6 +92,8 @@
 	// wastedCoreSeconds sums the processor time of lost or repeated work, usedCoreSeconds that
 	// of all work.
 	wastedCoreSeconds, usedCoreSeconds float64
+	// racksByStep counts the runs by rack of steps that prefer one rack, at the last time step.
+	racksByStep map[stepID]map[string]int
 }
 
 func newFleet(s *Scenario, w *world, seed uint64) *fleet {
@@ -107,7 +109,7 @@
 		v := &vm{
 			inst: batch.Instance{
 				ID: fmt.Sprintf("vm%05d", i), Pool: pool, Address: fmt.Sprintf("10.%d.%d.%d:1", i>>16, i>>8&255, i&255), Zone: zoneName(i % zoneCount),
-				Labels:   []string{"a", fmt.Sprintf("r%d", i/s.Fleet.RackOf)},
+				Labels:   []string{"a", rackName(i / s.Fleet.RackOf)},
 				Capacity: batch.Resources{MilliCPU: int64(1000 * s.Fleet.Cores * size), MemoryMB: int64(1000 * s.Fleet.MemoryGB * size)},
 			},
 			runs: map[batch.TaskID]*run{}, slowdown: 1, bornAt: -initialUptime, lastReportAt: -reportInterval * time.Duration(i) / time.Duration(s.Fleet.VMs),
@@ -274,7 +276,7 @@
 func (f *fleet) advanceBatch(now, dt time.Duration, v *vm, r *run, share float64) {
 	pace := 0.0
 	if v.slowdown > 0 {
-		pace = 1 / v.slowdown
+		pace = 1 / v.slowdown / f.rackFactor(v, r)
 	}
 	if r.spec.Filler {
 		pace *= r.pace * share
--- a/internal/experiment/load.go
+++ b/internal/experiment/load.go
@@ -213,6 +213,7 @@
 		j.usedShares = append(j.usedShares, min(b.Used*(0.75+0.5*g.Float64()), 1))
 		j.spec.Steps = append(j.spec.Steps, step)
 	}
+	g.preferRack(j, &b.Racks)
 	j.objective = seconds(b.Terms.Stretch*criticalPath + b.Terms.SlackS)
 	return j
 }
--- a/internal/experiment/play.go
+++ b/internal/experiment/play.go
@@ -62,6 +62,10 @@
 	Copies    int `json:"copies,omitempty"`
 	CopiesWon int `json:"copies_won,omitempty"`
 	SlowStops int `json:"slow_stops,omitempty"`
+	// RunsAway counts the starts outside the rack that the task prefers, RackWaitS is the time that
+	// steps waited for places in racks, in seconds.
+	RunsAway  int     `json:"runs_away,omitempty"`
+	RackWaitS float64 `json:"rack_wait_s,omitempty"`
 	// PaceOrders and Starts count the pace orders and the starts sent to VMs.
 	PaceOrders int `json:"pace_orders"`
 	Starts     int `json:"starts"`
@@ -153,6 +157,7 @@
 	}
 	policy := p.variant.Policy
 	p.sched = scheduler.New(scheduler.Settings{MaxLease: 10 * time.Second, StopTimeout: 500 * time.Millisecond, UnavailableDuration: 4500 * time.Millisecond, Policy: &policy}, p.fence, p.countDecision)
+	p.sched = scheduler.New(scheduler.Settings{MaxLease: 10 * time.Second, StopTimeout: 500 * time.Millisecond, UnavailableDuration: 4500 * time.Millisecond, FarFactor: p.scenario.Racks.FarFactor, Policy: &policy}, p.fence, p.countPlaces)
 	p.sched.ConfirmLeadership(time.Hour)
 	if p.variant.Informed {
 		model = p.fleet.world.trueInterference(p.scenario.Serving.Images, p.scenario.Fillers.Images)
@@ -216,6 +221,7 @@
 	if !p.noLeader {
 		p.runLeader()
 	}
+	p.fleet.racksByStep = p.fleet.countRacks()
 	for _, v := range p.fleet.vms {
 		p.fleet.advance(p.now, timeStep, v)
 	}
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -33,6 +33,8 @@
 	Serving Serving `json:"serving"`
 	Short   Batch   `json:"short"`
 	Fillers Batch   `json:"fillers"`
+	// Racks is how much the rack of a task matters; see Batch.Racks.
+	Racks Racks `json:"racks"`
 	// Interference is the effect of fillers on serving tasks.
 	Interference Interference `json:"interference"`
 	Faults       []Fault      `json:"faults"`
@@ -122,6 +124,8 @@
 	Worth  float64 `json:"worth"`
 	Terms  Terms   `json:"terms"`
 	Bursts []Burst `json:"bursts"`
+	// Racks are the shares of jobs that prefer a rack.
+	Racks Preferences `json:"racks"`
 }
 
 // Terms are the settings of a queue. A job's objective is to finish within Stretch times its
@@ -249,6 +253,7 @@
 	bounds = append(bounds, s.Short.bounds("short")...)
 	bounds = append(bounds, s.Fillers.bounds("fillers")...)
 	bounds = append(bounds, s.Interference.bounds()...)
+	bounds = append(bounds, s.Racks.bounds()...)
 	for _, b := range bounds {
 		if b.value < b.low || b.value > b.high {
 			d.Fault(b.field, fmt.Sprintf("give %g to %g, not %g", b.low, b.high, b.value))
@@ -281,7 +286,7 @@
 }
 
 func (b *Batch) bounds(name string) []bound {
-	list := append(b.Terms.bounds(name),
+	list := append(append(b.Terms.bounds(name), b.Racks.bounds(name)...),
 		bound{name + ".per_s", b.PerS, 0, maxPerS}, bound{name + ".steps", b.Steps, 1, 20}, bound{name + ".tasks", b.Tasks, 1, maxTasks},
 		bound{name + ".seconds", b.Seconds, 0.01, maxSeconds}, bound{name + ".cores", b.Cores, 0.01, maxCores},
 		bound{name + ".memory_gb", b.MemoryGB, 0, 1 << 20}, bound{name + ".estimate_error", b.EstimateError, 0, 3},
--- a/internal/experiment/variant.go
+++ b/internal/experiment/variant.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rattanwall/rattanwall/internal/scheduler"
+	"github.com/rattanwall/rattanwall/internal/scheduler/locality"
 	"github.com/rattanwall/rattanwall/internal/scheduler/runtimes"
 )
 
@@ -39,6 +40,7 @@
 		alternative.set(&p)
 		list = append(list, Variant{Name: alternative.name, Policy: p})
 	}
+	list = append(list, localityVariants()...)
 	for _, ablation := range ablations {
 		p := scheduler.DefaultPolicy()
 		ablation.set(&p)
@@ -97,6 +99,7 @@
 	{"quarantine", func(p *scheduler.Policy) { p.Quarantine = false }},
 	{"rescue", func(p *scheduler.Policy) { p.Rescue = false }},
 	{"copies", func(p *scheduler.Policy) { p.Copies = false }},
+	{"locality", func(p *scheduler.Policy) { p.Locality = locality.AtOnce }},
 	{"evacuation", func(p *scheduler.Policy) { p.MoveOffDraining = false }},
 }
 
