scheduler: a stopped filler on a full VM keeps its pace

With all fillers at pace 0 and no processors left by serving tasks the limit of their total use divided 0 by 0, and the pace ordered was the least integer. Paces without use now stay as they are.

--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -164,7 +164,7 @@
 	for i := range fillers {
 		sum += fillers[i].use * *pace(&fillers[i])
 	}
-	if sum <= budget {
+	if sum <= max(budget, 0) {
 		return
 	}
 	for i := range fillers {
--- a/internal/scheduler/pace_test.go
+++ b/internal/scheduler/pace_test.go
@@ -238,3 +238,12 @@
 	require.Greater(t, f.now-start, milliseconds(f.s.policy.StarvedAfterMS)+time.Second)
 	require.LessOrEqual(t, f.now-start, milliseconds(f.s.policy.StarvedCrowdedMS)+time.Second)
 }
+
+// Guards against orders of a pace that is not a number, where no filler runs and serving tasks
+// leave no processors for any.
+func TestLimitedUseOfStoppedFillersIsANumber(t *testing.T) {
+	fillers := []pacedFiller{{use: 1, aim: 0}, {use: 0, aim: 1}}
+	limitTotalUse(fillers, -1, aimPace)
+	require.Zero(t, fillers[0].aim)
+	require.InDelta(t, 1, fillers[1].aim, 1e-9)
+}
