--- a/internal/scheduler/nearplace.go
+++ b/internal/scheduler/nearplace.go
@@ -507,9 +507,10 @@
 		if wanted == "" {
 			wanted = st.currentRack()
 		}
+		d := &st.place.decision
 		s.logf(Decision{
 			Event: EventRunAway, Task: r.task.id(), VM: r.vm.inst.ID, Run: r.number, Place: place, Age: st.place.waited(now),
-			Reason: fmt.Sprintf("wants=%s is_in=%s %s", wanted, r.vm.inst.Rack(), st.place.decision.Reason),
+			Reason: fmt.Sprintf("%s wants=%s is_in=%s wait_ms=%d away_ms=%d", d.Reason, wanted, r.vm.inst.Rack(), costMS(d.WaitCost), costMS(d.AwayCost)),
 		})
 	}
 	return place
