--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -50,6 +50,11 @@
 			s.learnSpeed(now, r)
 			s.recordDoneRate(now, r)
 			r.measureDuration(now)
+			r.recordDoneRate(now)
+			s.recordNearDuration(now, r)
+			if s.settings.FarFactor <= 1 || s.placeOf(r) != PlaceAway {
+				r.measureDuration(now)
+			}
 			s.releaseRun(now, r)
 		}
 		s.taskDone(now, t, e.Run)
