--- a/internal/scheduler/nearplace.go
+++ b/internal/scheduler/nearplace.go
@@ -19,8 +19,8 @@
 	// keepFreePenalty lowers the score of VMs in racks that tasks wait for, for tasks that may run
 	// in any rack.
 	keepFreePenalty = 1.0
-	// keepFreeDuration is how long after the last wait a rack is kept free.
-	keepFreeDuration = time.Second
+	// keepFreeDuration is how long a rack is kept free after tasks that prefer it found it full.
+	keepFreeDuration = 10 * time.Second
 	// crowdedDuration is how long after a task found no place in the fleet processors count as
 	// short.
 	crowdedDuration = time.Second
@@ -277,6 +277,8 @@
 	}
 	if w.tasks > 0 {
 		n.pass.demand(n.rack, int64(w.tasks)*n.step.spec.Need.MilliCPU)
+	}
+	if usable {
 		n.s.wantedRacks[n.rack] = now
 	}
 	return w.tasks
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -141,8 +141,8 @@
 	Locality locality.Way `json:"locality"`
 	// LocalityWaitMS is the wait with Locality "constant", in milliseconds.
 	LocalityWaitMS int64 `json:"locality_wait_ms"`
-	// KeepRacksFree places tasks that may run in any rack in racks that no task waits for, as far
-	// as there are any.
+	// KeepRacksFree places tasks that may run in any rack outside those that were full for tasks
+	// that prefer them, as far as there is capacity.
 	KeepRacksFree bool `json:"keep_racks_free"`
 }
 
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -447,7 +447,8 @@
 	candidates candidates
 	// unplacedAt is when a task last found no place in the whole fleet.
 	unplacedAt Time
-	// wantedRacks holds the racks that tasks wait for, with the time at which they last did.
+	// wantedRacks holds the racks that were full for tasks that prefer them, with the time at which
+	// they last were.
 	wantedRacks map[string]Time
 	// crowded is set while lasting and short tasks declare most of all processors.
 	crowded bool
