--- a/internal/scheduler/explore_leader_test.go
+++ b/internal/scheduler/explore_leader_test.go
@@ -107,6 +107,7 @@
 		pendingHolds: map[string]bool{}, cutUntil: map[string]Time{},
 	}
 	l.s = New(Settings{MaxLease: w.maxLease(), Policy: w.policy()}, l.fence, w.traceDecisions(l))
+	l.s = New(Settings{MaxLease: w.maxLease(), FarFactor: w.farFactor(), Policy: declaredDurations()}, l.fence, w.traceDecisions(l))
 	w.store.holder, w.store.keyUntil = l, w.now+keyTTL
 	w.leaders = append(w.leaders, l)
 	w.tracef("leader %d elected in zone %d", l.fence, zone)
@@ -343,6 +344,7 @@
 	for _, o := range l.s.Plan(w.now) {
 		w.dispatch(l, o)
 	}
+	w.checkRackWaits(l)
 	w.flush(l)
 	w.writeStartLog(l)
 }
--- a/internal/scheduler/explore_store_test.go
+++ b/internal/scheduler/explore_store_test.go
@@ -82,6 +82,7 @@
 	if w.faults.scheduledJobs && w.chance(50) {
 		j.spec.Schedule = &batch.Schedule{FirstMS: w.wallMS() + w.upTo(time.Second).Milliseconds(), IntervalMS: 200 + w.upTo(3*time.Second).Milliseconds(), Count: 1 + w.rng.IntN(4)}
 	}
+	w.preferRacks(j.spec)
 	w.store.jobs = append(w.store.jobs, j)
 	w.jobs[j.spec.ID] = j
 	w.publish(jobEvent{at: w.now, job: j})
--- a/internal/scheduler/explore_test.go
+++ b/internal/scheduler/explore_test.go
@@ -62,6 +62,8 @@
 	// uneven makes some VMs several times slower and lets leaders judge slow runs by what a copy
 	// or a restart gains; VMs report the true progress of their runs.
 	uneven bool
+	// racks puts VMs into racks that jobs prefer.
+	racks bool
 }
 
 // mutations disable safeguards of the scheduler or of the VMs. The explorer has to detect each.
@@ -210,6 +212,8 @@
 	{"all, predecessor queries", faults{splitLeaders: true, unlistedVMs: true, lateWatches: true, scheduledJobs: true, attemptLimits: true, revokedKeys: true, predecessorQueries: true}, 160},
 	{"evacuations", faults{evacuations: true}, 160},
 	{"evacuations, unlisted VMs, crashing tasks", faults{evacuations: true, unlistedVMs: true, splitLeaders: true, predecessorQueries: true, crashingTasks: true}, 160},
+	{"racks", faults{racks: true}, 160},
+	{"racks, evacuations, unlisted VMs", faults{racks: true, evacuations: true, unlistedVMs: true, splitLeaders: true, predecessorQueries: true}, 160},
 	{"all", faults{splitLeaders: true, unlistedVMs: true, lateWatches: true, scheduledJobs: true, attemptLimits: true, revokedKeys: true}, 120},
 }
 
@@ -224,6 +228,7 @@
 	{"restarts, predecessor queries", faults{restarts: true, splitLeaders: true, unlistedVMs: true, revokedKeys: true, predecessorQueries: true}, 160},
 	{"restarts as a frozen leader resumes", faults{restarts: true, wakeRestarts: true}, 160},
 	{"evacuations, restarts", faults{restarts: true, evacuations: true, unlistedVMs: true, scheduledJobs: true}, 160},
+	{"racks, restarts, crashing tasks", faults{racks: true, restarts: true, crashingTasks: true}, 160},
 	{"all with restarts", faults{splitLeaders: true, unlistedVMs: true, lateWatches: true, scheduledJobs: true, attemptLimits: true, revokedKeys: true, predecessorQueries: true, restarts: true}, 160},
 }
 
--- a/internal/scheduler/explore_vm_test.go
+++ b/internal/scheduler/explore_vm_test.go
@@ -172,6 +172,7 @@
 		ID: v.id, Born: v.born, Pool: "pool", Address: v.address, Zone: fmt.Sprint(v.zone), Draining: v.drainAnnounced,
 		Stale:    w.now-v.entryWrittenAt > 2*heartbeatInterval,
 		Capacity: batch.Resources{MilliCPU: v.listedMilliCPU, MemoryMB: 2000},
+		Labels:   w.labelsOf(v),
 	}
 }
 
