--- a/internal/scheduler/durations.go
+++ b/internal/scheduler/durations.go
@@ -77,8 +77,7 @@
 }
 
 // measureDuration records the duration of a completed run for its step, unless the run resumed
-// from a checkpoint or was slowed. Runs away from their rack, which take longer for that, are not
-// passed to it.
+// from a checkpoint or was slowed.
 func (r *run) measureDuration(now Time) {
 	if r.confirmedAt == 0 || r.resumed || r.paceOrderedAt > 0 {
 		return
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -51,10 +51,7 @@
 			s.recordDoneRate(now, r)
 			r.measureDuration(now)
 			r.recordDoneRate(now)
-			s.recordNearDuration(now, r)
-			if s.settings.FarFactor <= 1 || s.placeOf(r) != PlaceAway {
-				r.measureDuration(now)
-			}
+			r.measureDuration(now)
 			s.releaseRun(now, r)
 		}
 		s.taskDone(now, t, e.Run)
--- a/internal/scheduler/nearplace.go
+++ b/internal/scheduler/nearplace.go
@@ -215,7 +215,7 @@
 	}
 	if !n.full {
 		if !n.pass.isFull(n.need) {
-			v = n.bestVM(n.pass.now, t)
+			v = n.s.bestOf(n.pass.now, t, n.vms)
 		}
 		if v != nil {
 			return v, false
@@ -230,26 +230,13 @@
 	return nil, true
 }
 
-// bestVM returns the best VM of the rack for a task, or nil. A filler that would be slowed for its
-// effect on serving tasks gains nothing from its rack.
-func (n *nearSearch) bestVM(now Time, t *task) *vm {
-	v := n.s.bestOf(now, t, n.vms)
-	if v == nil || !t.step.spec.Filler {
-		return v
-	}
-	if score, ok := n.s.score(now, v, t.step.spec); !ok || score < -mismatchPenalty {
-		return nil
-	}
-	return v
-}
-
 // placeGang allocates all members of a gang in the rack, or reports whether the gang waits.
 func (n *nearSearch) placeGang() (allocated []*run, wait bool) {
 	if n == nil {
 		return nil, false
 	}
 	if !n.pass.isFull(n.need) {
-		allocated = n.s.allocateGang(n.pass.now, n.step, n.s.nextRunNumber(), n.bestVM)
+		allocated = n.s.allocateGang(n.pass.now, n.step, n.s.nextRunNumber(), func(now Time, t *task) *vm { return n.s.bestOf(now, t, n.vms) })
 	}
 	if allocated != nil {
 		return allocated, false
@@ -467,39 +454,13 @@
 	return q
 }
 
-// expectedDuration is the duration of the step's tasks in their rack: the declared one, corrected by
-// the ratio of the job's completed runs.
+// expectedDuration is the duration of the step's tasks in their rack: that of completed runs, or
+// else the declared one.
 func (st *step) expectedDuration() time.Duration {
-	d := &st.occ.job.nearDurations
-	if d.declared == 0 {
-		return st.spec.Estimate
-	}
-	return scaled(st.spec.Estimate, min(max(d.measured.Seconds()/d.declared.Seconds(), 1/maxDurationError), maxDurationError))
-}
-
-// maxDurationError bounds the factor by which declared durations are corrected for one job.
-const maxDurationError = 10.0
-
-// nearDurations sums up the completed runs of a job whose steps prefer racks: their declared
-// durations and the measured ones, as if all had run in their racks.
-type nearDurations struct{ declared, measured time.Duration }
-
-// recordNearDuration adds a completed run to its job's durations.
-func (s *Scheduler) recordNearDuration(now Time, r *run) {
-	if r.confirmedAt == 0 || r.resumed || r.paceOrderedAt > 0 || s.settings.FarFactor <= 1 {
-		return
-	}
-	took := now - r.confirmedAt
-	switch s.placeOf(r) {
-	case PlaceAway:
-		took = scaled(took, 1/s.settings.FarFactor)
-	case PlaceNoPreference:
-		return
-	case PlaceNear, PlaceNone:
+	if st.doneRuns > 0 && st.doneRateSum > 0 {
+		return time.Duration(100 * float64(st.doneRuns) / st.doneRateSum * float64(time.Second))
 	}
-	d := &r.task.step.occ.job.nearDurations
-	d.declared += r.task.step.spec.Estimate
-	d.measured += took
+	return st.spec.Estimate
 }
 
 // remaining returns the expected time until a run ends, by its progress or else by the declared
--- a/internal/scheduler/nearplace_test.go
+++ b/internal/scheduler/nearplace_test.go
@@ -535,21 +535,3 @@
 	}
 	require.Equal(t, play(0), play(testFarFactor))
 }
-
-// Guards against waits and runs away by declared durations that are off by a factor: the completed
-// runs of a job, wherever they were, tell how long its others take.
-func TestDurationsAreLearnedWithinAJob(t *testing.T) {
-	f := newRackFixture(t, 6, nil)
-	st := nearData(4, "r0", time.Second)
-	f.submit("j", st)
-	runOn := func(vm string) *run {
-		task := &f.s.jobs["j"].occs[0].steps[0].tasks[0]
-		return &run{task: task, vm: f.s.vms[vm], confirmedAt: f.now, orderedAt: f.now}
-	}
-	step := &f.s.jobs["j"].occs[0].steps[0]
-	require.Equal(t, time.Second, step.expectedDuration())
-	f.s.recordNearDuration(f.now+2*time.Second, runOn("vm00"))
-	require.Equal(t, 2*time.Second, step.expectedDuration())
-	f.s.recordNearDuration(f.now+testFarFactor*4*time.Second, runOn("vm05"))
-	require.Equal(t, 3*time.Second, step.expectedDuration())
-}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -225,8 +225,6 @@
 	// idleMark; 0 if they do not.
 	idleWait time.Duration
 	idleMark Time
-	// nearDurations are those of completed runs; see expectedDuration.
-	nearDurations nearDurations
 	// predatesLeader is set if the job existed before this leader took over: its tasks
 	// may run on VMs that have not reported to this leader yet.
 	predatesLeader bool
