--- a/internal/scheduler/nearplace_test.go
+++ b/internal/scheduler/nearplace_test.go
@@ -150,11 +150,11 @@
 	return st
 }
 
-// fillRack occupies a rack for some time.
-func (f *rackFixture) fillRack(rack string, d time.Duration) {
-	f.submit("full-"+rack, nearData(2, rack, d))
+// fillRack occupies the rack r0 for some time.
+func (f *rackFixture) fillRack(d time.Duration) {
+	f.submit("full", nearData(2, "r0", d))
 	f.run(50 * time.Millisecond)
-	near, _ := f.startsByPlace("full-"+rack, rack)
+	near, _ := f.startsByPlace("full", "r0")
 	require.Equal(f.t, 2, near)
 }
 
@@ -162,7 +162,7 @@
 // later.
 func TestTaskWaitsForPlaceNearItsData(t *testing.T) {
 	f := newRackFixture(t, 6, nil)
-	f.fillRack("r0", 600*time.Millisecond)
+	f.fillRack(600*time.Millisecond)
 	f.submit("j", nearData(2, "r0", time.Second))
 	f.run(500 * time.Millisecond)
 	require.NotContains(t, f.started, "j.0.0.0")
@@ -194,7 +194,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newRackFixture(t, 6, nil)
 			change(f)
-			f.fillRack("r0", 600*time.Millisecond)
+			f.fillRack(600*time.Millisecond)
 			f.submit("j", nearData(2, "r0", time.Second))
 			f.run(50 * time.Millisecond)
 			near, away := f.startsByPlace("j", "r0")
@@ -208,7 +208,7 @@
 // Guards against constant waits that end early or late.
 func TestConstantWait(t *testing.T) {
 	f := newRackFixture(t, 6, func(p *Policy) { p.Locality, p.LocalityWaitMS = locality.Constant, 800 })
-	f.fillRack("r0", 10*time.Second)
+	f.fillRack(10*time.Second)
 	f.submit("j", nearData(1, "r0", 2*time.Second))
 	f.run(750 * time.Millisecond)
 	require.NotContains(t, f.started, "j.0.0.0")
@@ -221,7 +221,7 @@
 // 1.5 s with nothing running, then one of its tasks starts away and the others may wait on.
 func TestIdleJobStartsOneTaskAway(t *testing.T) {
 	f := newRackFixture(t, 6, nil)
-	f.fillRack("r0", 2500*time.Millisecond)
+	f.fillRack(2500*time.Millisecond)
 	f.submit("j", nearData(2, "r0", 2*time.Second))
 	f.run(1450 * time.Millisecond)
 	require.NotContains(t, f.started, "j.0.0.0")
@@ -237,7 +237,7 @@
 // Guards against a job that stands still for longer in sum because each of its steps waits anew.
 func TestIdleWaitsOfAllStepsAreBoundedInSum(t *testing.T) {
 	f := newRackFixture(t, 6, nil)
-	f.fillRack("r0", time.Second)
+	f.fillRack(time.Second)
 	second := nearData(1, "r0", 2*time.Second)
 	second.After = []int{0}
 	f.submit("j", nearData(1, "r0", 500*time.Millisecond), second)
@@ -259,7 +259,7 @@
 	f := newRackFixture(t, 6, nil)
 	// Another task finds no place at all, so that processors count as short.
 	f.submit("huge", tasks(1, 50_000))
-	f.fillRack("r0", 1400*time.Millisecond)
+	f.fillRack(1400*time.Millisecond)
 	// The objective is twice the duration and 1 s: 1.4 s may be lost. A run away loses 0.8 s and
 	// costs twice that, the wait 1.35 s.
 	step := nearData(1, "r0", 400*time.Millisecond)
@@ -268,7 +268,7 @@
 	require.NotContains(t, f.started, "j.0.0.0")
 	f = newRackFixture(t, 6, nil)
 	f.submit("huge", tasks(1, 50_000))
-	f.fillRack("r0", 1600*time.Millisecond)
+	f.fillRack(1600*time.Millisecond)
 	f.submit("j", step)
 	f.run(50 * time.Millisecond)
 	require.Contains(t, f.started, "j.0.0.0")
@@ -290,7 +290,7 @@
 				f.list[i].Zone = "lost"
 			}
 			f.s.SetInstances(f.now, f.list)
-			f.fillRack("r0", 1200*time.Millisecond)
+			f.fillRack(1200*time.Millisecond)
 			f.submit("j", nearData(1, "r0", 2*time.Second))
 			f.run(50 * time.Millisecond)
 			require.NotContains(t, f.started, "j.0.0.0")
@@ -314,7 +314,7 @@
 func TestNewLeaderDoesNotStartWaitsAnew(t *testing.T) {
 	for age, waits := range map[time.Duration]time.Duration{time.Second: 500 * time.Millisecond, 2 * time.Second: 0} {
 		f := newRackFixture(t, 6, nil)
-		f.fillRack("r0", 10*time.Second)
+		f.fillRack(10*time.Second)
 		step := nearData(1, "r0", 10*time.Second)
 		f.steps["j"] = []batch.Step{step}
 		f.s.Submit(f.now, Submission{Job: &batch.Job{ID: "j", Steps: f.steps["j"]}, Queue: testQueue, Pool: "pool", Age: age, PredatesLeader: true})
@@ -379,7 +379,7 @@
 // Guards against restarts that ignore the rack: the run of a leaving VM starts again in its rack.
 func TestRestartWaitsForItsRack(t *testing.T) {
 	f := newRackFixture(t, 6, nil)
-	f.fillRack("r0", 700*time.Millisecond)
+	f.fillRack(700*time.Millisecond)
 	f.submit("j", nearData(1, "r0", 2*time.Second))
 	f.run(800 * time.Millisecond)
 	first := f.last("j.0.0.0")
@@ -425,7 +425,7 @@
 // that find no place anywhere from keeping others out of their rack.
 func TestFullRackBlocksNoOthers(t *testing.T) {
 	f := newRackFixture(t, 6, nil)
-	f.fillRack("r0", 600*time.Millisecond)
+	f.fillRack(600*time.Millisecond)
 	for i := range maxFailedNeeds + 20 {
 		st := nearData(1, "r0", time.Second)
 		st.Need.MilliCPU = int64(100 + i)
@@ -466,7 +466,7 @@
 // Guards against a cancelled job whose wait is counted as going on.
 func TestWaitEndsWithItsJob(t *testing.T) {
 	f := newRackFixture(t, 6, nil)
-	f.fillRack("r0", time.Second)
+	f.fillRack(time.Second)
 	f.submit("j", nearData(1, "r0", time.Second))
 	f.run(50 * time.Millisecond)
 	f.s.Cancel(f.now, "j")
@@ -480,7 +480,7 @@
 // jobs of two tasks of a second come within two seconds for a rack with two places, and another
 // thirty that may run anywhere: more work ends in time than with tasks that never wait.
 func TestBurstForOneRack(t *testing.T) {
-	inTime := func(way locality.Way) (n int, last Time) {
+	inTime := func(way locality.Way) (n int) {
 		f := newRackFixture(t, 24, func(p *Policy) { p.Locality = way })
 		submitted := map[string]Time{}
 		for i := range 30 {
@@ -494,7 +494,6 @@
 		for id, at := range submitted {
 			end := max(f.ended[id+".0.0.0"], f.ended[id+".0.0.1"])
 			require.Positive(t, end, id)
-			last = max(last, end)
 			if end-at <= 3*time.Second {
 				n++
 			}
@@ -502,10 +501,10 @@
 		for _, d := range f.events(EventPlaceWaitEnded) {
 			require.LessOrEqual(t, d.Age, lateObjectiveFactor*3*time.Second)
 		}
-		return n, last
+		return n
 	}
-	atOnce, _ := inTime(locality.AtOnce)
-	byCost, _ := inTime(locality.ExpectedCost)
+	atOnce := inTime(locality.AtOnce)
+	byCost := inTime(locality.ExpectedCost)
 	t.Logf("in time: %d of 60 at once, %d by expected cost", atOnce, byCost)
 	require.Greater(t, byCost, atOnce)
 }
--- a/internal/scheduler/policy_test.go
+++ b/internal/scheduler/policy_test.go
@@ -33,6 +33,8 @@
 		"speed_weight: give":   func(p *Policy) { p.SpeedWeight = math.NaN() },
 		"blind_after_ms":       func(p *Policy) { p.BlindAfterMS = -5 },
 		"effect_penalty":       func(p *Policy) { p.EffectPenalty = -2 },
+		"locality: use":        func(p *Policy) { p.Locality = "sometimes" },
+		"locality_wait_ms":     func(p *Policy) { p.LocalityWaitMS = -1 },
 		"reserve_patience_ms":  func(p *Policy) { p.ReservePatienceMS = -1 },
 		"pressed_at, aim_at: ": func(p *Policy) { p.AimAt = 0 },
 	} {
