--- a/internal/scheduler/nearplace.go
+++ b/internal/scheduler/nearplace.go
@@ -323,9 +323,9 @@
 	s, now, st := n.s, n.pass.now, n.step
 	j := st.occ.job
 	objective := s.objective(j)
-	slack := st.occ.dueAt + objective - now - scaled(st.occ.remaining(), s.durationRatio(j))
+	slack := st.occ.dueAt + objective - now - s.remaining(st.occ)
 	f := locality.Facts{
-		Usable: usable, Slowdown: s.settings.FarFactor, Remaining: st.expectedDuration(),
+		Usable: usable, Slowdown: s.settings.FarFactor, Remaining: s.nearDuration(st),
 		Crowded: len(n.pass.failed) > 0 || (s.unplacedAt > 0 && now-s.unplacedAt < crowdedDuration),
 		Slack:   slack, LateSlack: slack + (lateObjectiveFactor-1)*objective,
 		Waited: st.place.waited(now), Idle: j.running == 0,
@@ -428,7 +428,7 @@
 		room := locality.VM{Free: n.s.freeFor(now, v, spec)}
 		for _, r := range v.runList {
 			if rs := r.task.step.spec; !rs.Lasting && (spec.Filler || !rs.Filler) {
-				room.Releases = append(room.Releases, locality.Release{After: n.s.remaining(now, r), Freed: rs.Need})
+				room.Releases = append(room.Releases, locality.Release{After: n.s.remainingOf(now, r), Freed: rs.Need})
 			}
 		}
 		rooms = append(rooms, room)
@@ -447,25 +447,25 @@
 
 // placeRequest returns the request for places of all waiting tasks of the step.
 func (s *Scheduler) placeRequest(st *step) locality.Request {
-	q := locality.Request{Need: st.spec.Need, Taken: st.spec.Need, Tasks: st.waiting, Together: st.spec.Gang, Duration: st.expectedDuration()}
+	q := locality.Request{Need: st.spec.Need, Taken: st.spec.Need, Tasks: st.waiting, Together: st.spec.Gang, Duration: s.nearDuration(st)}
 	if st.spec.Filler {
 		q.Need.MilliCPU = int64(fillerUseShare * float64(q.Need.MilliCPU))
 	}
 	return q
 }
 
-// expectedDuration is the duration of the step's tasks in their rack: that of completed runs, or
+// nearDuration is the duration of the step's tasks in their rack: that of completed runs, or
 // else the declared one.
-func (st *step) expectedDuration() time.Duration {
+func (s *Scheduler) nearDuration(st *step) time.Duration {
 	if st.doneRuns > 0 && st.doneRateSum > 0 {
 		return time.Duration(100 * float64(st.doneRuns) / st.doneRateSum * float64(time.Second))
 	}
-	return st.spec.Estimate
+	return s.expectedDuration(st.occ.job, st.spec)
 }
 
-// remaining returns the expected time until a run ends, by its progress or else by the declared
+// remainingOf returns the expected time until a run ends, by its progress or else by the declared
 // duration.
-func (s *Scheduler) remaining(now Time, r *run) time.Duration {
+func (s *Scheduler) remainingOf(now Time, r *run) time.Duration {
 	left, at := 0.0, r.progressAt
 	switch {
 	case r.progress >= r.firstProgress+minProgress && r.progressAt > r.firstProgressAt:
@@ -474,7 +474,7 @@
 		left = float64(r.progressAt-r.confirmedAt) / float64(r.progress) * float64(100-r.progress)
 	default:
 		at = r.orderedAt
-		left = float64(r.task.step.expectedDuration())
+		left = float64(s.nearDuration(r.task.step))
 		if s.placeOf(r) == PlaceAway {
 			left *= max(s.settings.FarFactor, 1)
 		}
@@ -528,8 +528,8 @@
 	if v.inst.Rack() == rack || (t.step.spec.DataRack != "" && rack != t.step.spec.DataRack) {
 		return true
 	}
-	duration := t.step.expectedDuration()
-	here := s.remaining(now, r)
+	duration := s.nearDuration(t.step)
+	here := s.remainingOf(now, r)
 	switch {
 	case r.vm.isUnresponsive(now) || r.vm.firstUnansweredAt > 0:
 		here = max(0, r.vm.leaseExpiry-now) + duration
