--- a/internal/experiment/play.go
+++ b/internal/experiment/play.go
@@ -156,8 +156,7 @@
 		model = p.sched.InterferenceModel()
 	}
 	policy := p.variant.Policy
-	p.sched = scheduler.New(scheduler.Settings{MaxLease: 10 * time.Second, StopTimeout: 500 * time.Millisecond, UnavailableDuration: 4500 * time.Millisecond, Policy: &policy}, p.fence, p.countDecision)
-	p.sched = scheduler.New(scheduler.Settings{MaxLease: 10 * time.Second, StopTimeout: 500 * time.Millisecond, UnavailableDuration: 4500 * time.Millisecond, FarFactor: p.scenario.Racks.FarFactor, Policy: &policy}, p.fence, p.countPlaces)
+	p.sched = scheduler.New(scheduler.Settings{MaxLease: 10 * time.Second, StopTimeout: 500 * time.Millisecond, UnavailableDuration: 4500 * time.Millisecond, FarFactor: p.scenario.Racks.FarFactor, Policy: &policy}, p.fence, p.countDecision)
 	p.sched.ConfirmLeadership(time.Hour)
 	if p.variant.Informed {
 		model = p.fleet.world.trueInterference(p.scenario.Serving.Images, p.scenario.Fillers.Images)
@@ -182,6 +181,7 @@
 
 // countDecision counts copies and stops of slow runs.
 func (p *player) countDecision(d scheduler.Decision) {
+	p.countPlaces(d)
 	switch {
 	case d.Event == scheduler.EventRunCopied:
 		p.result.Copies++
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -47,11 +47,11 @@
 	switch e.Kind {
 	case batch.EndDone:
 		if r != nil {
-			s.learnSpeed(now, r)
+			if s.settings.FarFactor <= 1 || s.placeOf(r) != PlaceAway {
+				s.learnSpeed(now, r)
+			}
 			s.recordDoneRate(now, r)
 			r.measureDuration(now)
-			r.recordDoneRate(now)
-			r.measureDuration(now)
 			s.releaseRun(now, r)
 		}
 		s.taskDone(now, t, e.Run)
--- a/internal/scheduler/explore_leader_test.go
+++ b/internal/scheduler/explore_leader_test.go
@@ -106,8 +106,7 @@
 		fence: w.fence, zone: zone, renewedAt: w.now, wallOffset: w.upTo(3*time.Second) - 1500*time.Millisecond,
 		pendingHolds: map[string]bool{}, cutUntil: map[string]Time{},
 	}
-	l.s = New(Settings{MaxLease: w.maxLease(), Policy: w.policy()}, l.fence, w.traceDecisions(l))
-	l.s = New(Settings{MaxLease: w.maxLease(), FarFactor: w.farFactor(), Policy: declaredDurations()}, l.fence, w.traceDecisions(l))
+	l.s = New(Settings{MaxLease: w.maxLease(), FarFactor: w.farFactor(), Policy: w.policy()}, l.fence, w.traceDecisions(l))
 	w.store.holder, w.store.keyUntil = l, w.now+keyTTL
 	w.leaders = append(w.leaders, l)
 	w.tracef("leader %d elected in zone %d", l.fence, zone)
--- a/internal/scheduler/explore_mix_test.go
+++ b/internal/scheduler/explore_mix_test.go
@@ -18,8 +18,7 @@
 //
 //	go test ./internal/scheduler -run TestExploreMix -explore.mix crashes,list -explore.first 216 -explore.seeds 1 -v
 var (
-	exploreMix       = flag.String("explore.mix", "", "faults of TestExploreMix, separated by commas; 'everything' for all but carried, evacuations, lapses, latewrites, slowcrashes, successions, uneven and wakes, 'none' for only those of leaders and messages")
-	exploreMix       = flag.String("explore.mix", "", "faults of TestExploreMix, separated by commas; 'everything' for all but carried, evacuations, lapses, latewrites, racks, slowcrashes, successions and wakes, 'none' for only those of leaders and messages")
+	exploreMix       = flag.String("explore.mix", "", "faults of TestExploreMix, separated by commas; 'everything' for all but carried, evacuations, lapses, latewrites, racks, slowcrashes, successions, uneven and wakes, 'none' for only those of leaders and messages")
 	exploreFirst     = flag.Uint64("explore.first", 0, "first seed of TestExploreMix")
 	exploreSeedCount = flag.Uint64("explore.seeds", 1000, "seeds of TestExploreMix")
 	exploreTask      = flag.String("explore.task", "", "job or task whose trace TestExploreMix prints with a single seed; empty for the task of the violation, all for all")
@@ -31,15 +30,13 @@
 		"alone": &f.splitLeaders, "list": &f.unlistedVMs, "late": &f.lateWatches, "timed": &f.scheduledJobs, "attempts": &f.attemptLimits,
 		"revoked": &f.revokedKeys, "crashes": &f.crashingTasks, "resizes": &f.resizes, "asks": &f.predecessorQueries, "restarts": &f.restarts,
 		"carried": &f.staleOrders, "successions": &f.quickSuccessions, "lapses": &f.entryExpiry, "latewrites": &f.lateWrites, "slowcrashes": &f.slowCrashes, "wakes": &f.wakeRestarts,
-		"evacuations": &f.evacuations, "uneven": &f.uneven,
-		"evacuations": &f.evacuations, "racks": &f.racks,
+		"evacuations": &f.evacuations, "uneven": &f.uneven, "racks": &f.racks,
 	}
 }
 
 // excludedFromEverything lists the faults that "everything" leaves out: some still cause violations,
 // and others would change the course of its known seeds.
-var excludedFromEverything = []string{"carried", "evacuations", "lapses", "latewrites", "slowcrashes", "successions", "uneven", "wakes"}
-var excludedFromEverything = []string{"carried", "evacuations", "lapses", "latewrites", "racks", "slowcrashes", "successions", "wakes"}
+var excludedFromEverything = []string{"carried", "evacuations", "lapses", "latewrites", "racks", "slowcrashes", "successions", "uneven", "wakes"}
 
 // parseMix parses the value of -explore.mix.
 func parseMix(mix string) (faults, error) {
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -156,7 +156,7 @@
 		LearnDurations: true, DurationEstimates: EstimateRatio, Learn: true, Pace: true, PaceAtStart: true, PressedAt: 0.88, AimAt: 0.8, BlindAfterMS: 1500, MoveBelow: 20,
 		Quarantine: true, Rescue: true, Copies: true, MoveOffDraining: true,
 		Stragglers: runtimes.WayRate,
-		Locality: locality.ExpectedCost, LocalityWaitMS: 1000, KeepRacksFree: false,
+		Locality:   locality.ExpectedCost, LocalityWaitMS: 1000, KeepRacksFree: false,
 	}
 }
 
