--- a/internal/experiment/play.go
+++ b/internal/experiment/play.go
@@ -62,6 +62,10 @@
 	Copies    int `json:"copies,omitempty"`
 	CopiesWon int `json:"copies_won,omitempty"`
 	SlowStops int `json:"slow_stops,omitempty"`
+	// RunsAway counts the starts outside the rack that the task prefers, RackWaitS is the time that
+	// steps waited for places in racks, in seconds.
+	RunsAway  int     `json:"runs_away,omitempty"`
+	RackWaitS float64 `json:"rack_wait_s,omitempty"`
 	// PaceOrders and Starts count the pace orders and the starts sent to VMs.
 	PaceOrders int `json:"pace_orders"`
 	Starts     int `json:"starts"`
@@ -152,7 +156,7 @@
 		model = p.sched.InterferenceModel()
 	}
 	policy := p.variant.Policy
-	p.sched = scheduler.New(scheduler.Settings{MaxLease: 10 * time.Second, StopTimeout: 500 * time.Millisecond, UnavailableDuration: 4500 * time.Millisecond, Policy: &policy}, p.fence, p.countDecision)
+	p.sched = scheduler.New(scheduler.Settings{MaxLease: 10 * time.Second, StopTimeout: 500 * time.Millisecond, UnavailableDuration: 4500 * time.Millisecond, FarFactor: p.scenario.Racks.FarFactor, Policy: &policy}, p.fence, p.countDecision)
 	p.sched.ConfirmLeadership(time.Hour)
 	if p.variant.Informed {
 		model = p.fleet.world.trueInterference(p.scenario.Serving.Images, p.scenario.Fillers.Images)
@@ -177,6 +181,7 @@
 
 // countDecision counts copies and stops of slow runs.
 func (p *player) countDecision(d scheduler.Decision) {
+	p.countPlaces(d)
 	switch {
 	case d.Event == scheduler.EventRunCopied:
 		p.result.Copies++
@@ -216,6 +221,7 @@
 	if !p.noLeader {
 		p.runLeader()
 	}
+	p.fleet.racksByStep = p.fleet.countRacks()
 	for _, v := range p.fleet.vms {
 		p.fleet.advance(p.now, timeStep, v)
 	}
