admission: refuse at once what can't be done in time, by a leader's forecast; fair shares in the order of waiting jobs

Every job was accepted whatever the load, and no process but the leader knew how long the queue was: callers of the large jobs of a burst waited for tens of seconds for what had no value any more. Nothing decided between queues and zones of callers.

The leader predicts the wait of new jobs by queue and size class from the work before them and the rate at which work was completed while some waited; entry processes fetch it with the state of a job and decide by the policy's field admission. A refusal is a record that is written on condition that the job is not there, and a submission is stored only on condition that the job was not refused since it arrived, so that no delayed write follows a refusal. fair_share orders jobs of equal group and priority by whether their callers were given more than their part, and bounds the wait of each. Both are off by default.

--- a/internal/edge/docs_test.go
+++ b/internal/edge/docs_test.go
@@ -22,7 +22,7 @@
 	m := newMetrics(func() (leader.Stats, bool) { return leader.Stats{}, true })
 	evacuations := newTestEvacuations()
 	evacuations.applyItems([]durable.Item{zoneItem("a", 1)}, 1, true)
-	m.registry.MustRegister(newConfigMetrics(newConfiguration(nil, nil)), newEvacuationMetrics(evacuations))
+	m.registry.MustRegister(newConfigMetrics(newConfiguration(nil, nil)), newEvacuationMetrics(evacuations), newAdmissionMetrics(newTestForecasts()))
 	m.recordRequest("job_submitted", 0, nil)
 	m.recordDecision(scheduler.Decision{Event: scheduler.EventRunStarted})
 	m.recordDecision(scheduler.Decision{Event: scheduler.EventRunLost})
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -132,6 +132,8 @@
 	metrics          *metrics
 	operatorFollower *follow.Follower
 	leaderClient     *leaderClient
+	// forecasts is nil if nothing is refused.
+	forecasts *forecasts
 	// relays are the processes that relay this leader's orders; relay relays the orders of
 	// another leader.
 	relays       *relay.Pool
@@ -184,6 +186,7 @@
 		Peers: e.leaderClient,
 	}
 	local.entry = e.entry
+	e.useAdmission()
 	callers, ready := p.CallerHandlers(e.entry)
 	e.addServer(s.Callers, callers)
 	e.addServer(s.Readiness, ready)
--- a/internal/edge/operations.go
+++ b/internal/edge/operations.go
@@ -17,17 +17,20 @@
 	"github.com/rattanwall/rattanwall/internal/eventlog"
 	"github.com/rattanwall/rattanwall/internal/leader"
 	"github.com/rattanwall/rattanwall/internal/scheduler"
+	"github.com/rattanwall/rattanwall/internal/scheduler/admission"
 )
 
 // metrics holds the process's counters and histograms. Label sets are closed: events, callers'
 // operations and error kinds.
 type metrics struct {
-	registry    *prometheus.Registry
-	requests    *prometheus.CounterVec
-	latency     *prometheus.HistogramVec
-	decisions   *prometheus.CounterVec
-	startWait   prometheus.Histogram
-	runDuration prometheus.Histogram
+	registry  *prometheus.Registry
+	requests  *prometheus.CounterVec
+	latency   *prometheus.HistogramVec
+	decisions *prometheus.CounterVec
+	startWait prometheus.Histogram
+	// predictionError is by how much jobs waited longer than predicted.
+	predictionError prometheus.Histogram
+	runDuration     prometheus.Histogram
 	// jobAge is the age of jobs when the leader accepts them. jobEnds counts ended jobs by
 	// whether they met their objective, starts counts task starts by queue group, and delays
 	// holds waiting and planning times in the leader.
@@ -57,6 +60,9 @@
 		startWait: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "rattanwall_leader_start_wait_seconds", Help: "Time from a job's submission to each start of its tasks.", Buckets: prometheus.ExponentialBuckets(0.01, 2, 14),
 		}),
+		predictionError: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "rattanwall_leader_wait_prediction_error_seconds", Help: "Wait until a job's first start less the wait predicted when it arrived.", Buckets: []float64{-20, -10, -5, -2, -1, -0.5, 0, 0.5, 1, 2, 5, 10, 20},
+		}),
 		runDuration: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "rattanwall_leader_run_seconds", Help: "Time from a start order to the end of its run.", Buckets: prometheus.ExponentialBuckets(0.05, 2, 12),
 		}),
@@ -83,7 +89,7 @@
 		m.delays.WithLabelValues(string(d))
 	}
 	m.registry.MustRegister(
-		m.jobAge, m.jobEnds, m.starts, m.delays, m.requests, m.latency, m.decisions, m.startWait, m.runDuration, m.givenUp, m.ends, newLeaderMetrics(readStats),
+		m.jobAge, m.jobEnds, m.starts, m.delays, m.requests, m.latency, m.decisions, m.startWait, m.predictionError, m.runDuration, m.givenUp, m.ends, newLeaderMetrics(readStats),
 		// Scrapers truncate long responses, and the memory statistics would precede the
 		// rattanwall metrics.
 		collectors.NewGoCollector(collectors.WithGoCollectorMemStatsMetricsDisabled(), collectors.WithGoCollectorRuntimeMetrics(collectors.MetricsScheduler)),
@@ -112,6 +118,9 @@
 	switch d.Event {
 	case scheduler.EventRunStarted:
 		m.startWait.Observe(d.Age.Seconds())
+		if d.HasPrediction {
+			m.predictionError.Observe((d.Age - d.PredictedWait).Seconds())
+		}
 		m.starts.WithLabelValues(d.Group).Inc()
 	case scheduler.EventJobTaken:
 		m.jobAge.Observe(d.Age.Seconds())
@@ -166,9 +175,14 @@
 	// Evacuations are the evacuated availability zones as this process knows them.
 	Evacuations []EvacuationDump `json:"evacuations,omitempty"`
 	// EvacuationsRejected counts the faulty requests.
-	EvacuationsRejected int64           `json:"evacuations_rejected,omitempty"`
-	Leader              leader.Record   `json:"leader"`
-	Scheduler           *scheduler.Dump `json:"scheduler,omitempty"`
+	EvacuationsRejected int64         `json:"evacuations_rejected,omitempty"`
+	Leader              leader.Record `json:"leader"`
+	// Admission is the mode of admission, Forecast what this process knows of waits and
+	// ForecastAgeMS its age; all empty if nothing is refused.
+	Admission     admission.Mode      `json:"admission,omitempty"`
+	Forecast      *admission.Forecast `json:"forecast,omitempty"`
+	ForecastAgeMS int64               `json:"forecast_age_ms,omitempty"`
+	Scheduler     *scheduler.Dump     `json:"scheduler,omitempty"`
 	// Relays maps the processes that relay this leader's orders to the number of VMs that each
 	// serves; empty if the leader serves all VMs directly.
 	Relays map[string]int `json:"relays,omitempty"`
@@ -187,6 +201,12 @@
 		d.Relays = e.relays.Serving()
 	}
 	d.Leader, _ = e.election.Leader()
+	if e.entry.Admission != nil {
+		d.Admission = e.entry.Admission.Mode
+	}
+	if forecast, age := e.forecasts.newest(); forecast != nil {
+		d.Forecast, d.ForecastAgeMS = forecast, age.Milliseconds()
+	}
 	if c := e.config.inForce.Load(); c != nil {
 		d.ConfigVersion, d.Queues = c.Version, len(c.Queues)
 	}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -46,7 +46,12 @@
 	if !leading {
 		return nil, errNotLeading
 	}
-	return &scheduling.JobStateResponse{Known: known, State: string(state)}, nil
+	resp := &scheduling.JobStateResponse{Known: known, State: string(state)}
+	if r.GetForecast() {
+		f, age := p.leader.Forecast()
+		resp.Forecast = encodeForecast(f, age)
+	}
+	return resp, nil
 }
 
 func (p *peerServer) QueueState(_ context.Context, r *scheduling.QueueStateRequest) (*scheduling.QueueStateResponse, error) {
@@ -72,7 +77,7 @@
 }
 
 func (p *peerServer) Submit(ctx context.Context, r *scheduling.SubmitRequest) (*scheduling.SubmitResponse, error) {
-	if err := p.entry.CreateForPeer(ctx, leader.JobKey(r.GetId()), r.GetRecord()); err != nil {
+	if err := p.entry.CreateForPeer(ctx, r.GetId(), r.GetRecord(), entry.Guard{Active: r.GetGuarded(), Revision: r.GetRefusalRevision()}); err != nil {
 		return nil, toTwirpError(err)
 	}
 	return &scheduling.SubmitResponse{}, nil
@@ -164,6 +169,9 @@
 // toTwirpError converts a store error to a code that says whether anything may have been
 // written: Unavailable means that nothing was.
 func toTwirpError(err error) error {
+	if errors.Is(err, entry.ErrRefusedSince) {
+		return twirp.NewError(twirp.Aborted, err.Error())
+	}
 	if errors.Is(err, durable.ErrUnknown) || !errors.Is(err, durable.ErrRefused) {
 		return twirp.NewError(twirp.Unknown, err.Error())
 	}
@@ -177,6 +185,8 @@
 	local    *peerServer
 	client   *http.Client
 
+	// forecasts holds what the leader predicts; nil if nothing is refused.
+	forecasts *forecasts
 	// reachability is that of a remote leader.
 	reachability entry.Reachability
 
@@ -238,7 +248,7 @@
 		return false
 	}
 	switch te.Code() {
-	case twirp.FailedPrecondition, twirp.Unavailable, twirp.Unknown:
+	case twirp.FailedPrecondition, twirp.Unavailable, twirp.Unknown, twirp.Aborted:
 		return true
 	default:
 		return false
@@ -252,13 +262,15 @@
 		return "", false, err
 	}
 	var r *scheduling.JobStateResponse
+	sentAt := steady.Now()
 	err = p.call(ctx, func(ctx context.Context) (err error) {
-		r, err = l.JobState(ctx, &scheduling.JobStateRequest{Id: id})
+		r, err = l.JobState(ctx, &scheduling.JobStateRequest{Id: id, Forecast: p.forecasts.wanted(sentAt)})
 		return err
 	})
 	if err != nil {
 		return "", false, err
 	}
+	p.forecasts.set(sentAt, r.GetForecast())
 	return batch.State(r.GetState()), r.GetKnown(), nil
 }
 
@@ -276,13 +288,13 @@
 }
 
 // Submit implements entry.Peers.
-func (p *leaderClient) Submit(ctx context.Context, id string, record []byte) error {
+func (p *leaderClient) Submit(ctx context.Context, id string, record []byte, guard entry.Guard) error {
 	l, err := p.remoteLeader()
 	if err != nil {
 		return err
 	}
 	return toStoreError(p.call(ctx, func(ctx context.Context) error {
-		_, err := l.Submit(ctx, &scheduling.SubmitRequest{Id: id, Record: record})
+		_, err := l.Submit(ctx, &scheduling.SubmitRequest{Id: id, Record: record, Guarded: guard.Active, RefusalRevision: guard.Revision})
 		return err
 	}))
 }
@@ -334,6 +346,9 @@
 	if errors.Is(err, durable.ErrRefused) {
 		return err
 	}
+	if errors.As(err, &te) && te.Code() == twirp.Aborted {
+		return errors.Mark(err, entry.ErrRefusedSince)
+	}
 	if errors.As(err, &te) && te.Code() == twirp.Unavailable {
 		return errors.Mark(errors.Mark(err, durable.ErrRefused), entry.ErrPeerRefused)
 	}
--- a/internal/edge/peers_test.go
+++ b/internal/edge/peers_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rattanwall/rattanwall/internal/durable"
+	"github.com/rattanwall/rattanwall/internal/entry"
 	"github.com/rattanwall/rattanwall/internal/leader"
 	"github.com/rattanwall/rattanwall/internal/ports"
 )
@@ -33,7 +34,7 @@
 	block, err := ports.Claim()
 	require.NoError(t, err)
 	defer block.Release()
-	err = newTestLeaderClient(block.Address(0)).Submit(t.Context(), "id", nil)
+	err = newTestLeaderClient(block.Address(0)).Submit(t.Context(), "id", nil, entry.Guard{})
 	require.True(t, errors.Is(err, durable.ErrRefused))
 	require.False(t, errors.Is(err, durable.ErrUnknown))
 }
@@ -49,7 +50,7 @@
 	require.True(t, p.reachability.RespondedWithin(maxLeaderResponseAge, 0))
 	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
 	defer cancel()
-	err = p.Submit(ctx, "id", nil)
+	err = p.Submit(ctx, "id", nil, entry.Guard{})
 	require.True(t, errors.Is(err, durable.ErrUnknown))
 	require.False(t, p.reachability.RespondedWithin(maxLeaderResponseAge, 0))
 	p.reachability.RecordResponse()
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -78,7 +78,8 @@
 
 var errUnreachable = errors.Mark(errors.New("not connected"), durable.ErrRefused)
 
-func (unreachablePeers) Submit(context.Context, string, []byte) error { return errUnreachable }
+func (unreachablePeers) Submit(context.Context, string, []byte, Guard) error { return errUnreachable }
+
 func (unreachablePeers) State(context.Context, string) (batch.State, bool, error) {
 	return "", false, errUnreachable
 }
@@ -309,7 +310,7 @@
 // refusingPeers simulates a leader that responds that it does not reach the store either.
 type refusingPeers struct{ unreachablePeers }
 
-func (refusingPeers) Submit(context.Context, string, []byte) error {
+func (refusingPeers) Submit(context.Context, string, []byte, Guard) error {
 	return errors.Mark(errors.Mark(errors.New("not sent"), durable.ErrRefused), ErrPeerRefused)
 }
 
--- a/internal/leader/inspect.go
+++ b/internal/leader/inspect.go
@@ -5,6 +5,7 @@
 
 	"github.com/rattanwall/rattanwall/internal/batch"
 	"github.com/rattanwall/rattanwall/internal/scheduler"
+	"github.com/rattanwall/rattanwall/internal/scheduler/admission"
 	"github.com/rattanwall/rattanwall/internal/steady"
 )
 
@@ -21,6 +22,20 @@
 	return state, known, true
 }
 
+// Forecast returns the predicted waits of new jobs and the age of the prediction; nil when this
+// process is not confirmed as the leader, or its policy refuses nothing.
+func (l *Leader) Forecast() (f *admission.Forecast, age time.Duration) {
+	t := l.currentTerm()
+	if t == nil || !t.tenure.Confirmed() {
+		return nil, 0
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := steady.Now()
+	f = t.sched.Forecast(now)
+	return f, t.sched.ForecastAge(now)
+}
+
 // Waiting returns the number of jobs in a queue none of whose tasks has started.
 func (l *Leader) Waiting(queue string) (n int, leading bool) {
 	t := l.currentTerm()
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -508,6 +508,9 @@
 	if d.Born != 0 {
 		f["born"], f["acked"] = d.Born, d.Acked
 	}
+	if d.HasPrediction {
+		f["predicted_wait_ms"] = d.PredictedWait.Milliseconds()
+	}
 	if d.Zone != "" {
 		f["zone"] = d.Zone
 	}
--- a/internal/leader/records.go
+++ b/internal/leader/records.go
@@ -35,6 +35,8 @@
 	jobsPrefix = "job/"
 	// cancelSuffix is the suffix of the key that marks a job as cancelled.
 	cancelSuffix = "/cancelled"
+	// refusalsPrefix is the prefix of the records of refused jobs.
+	refusalsPrefix = "refused/"
 	// progressPrefix is the prefix of the recorded progress of jobs.
 	progressPrefix = "progress/"
 )
@@ -49,6 +51,9 @@
 // ProgressKey returns the key of a job's progress.
 func ProgressKey(id string) string { return progressPrefix + id }
 
+// RefusalKey returns the key of a job's refusal. Each refusal raises its revision.
+func RefusalKey(id string) string { return refusalsPrefix + id }
+
 // JobRecord is the stored value of an accepted job.
 type JobRecord struct {
 	Queue string `json:"queue"`
@@ -61,6 +66,8 @@
 	// configuration, or one without the queue; otherwise the first failure of a task would end
 	// its job.
 	Terms *batch.Queue `json:"terms,omitempty"`
+	// Zone is the availability zone of the accepting process, "" if unknown.
+	Zone string `json:"zone,omitempty"`
 	// Ended is set once the job's final state is recorded. The key stays, so that the ID is
 	// not accepted again, but without the payload, which is not needed any more.
 	Ended bool `json:"ended,omitempty"`
@@ -82,7 +89,7 @@
 
 // submission converts the record for the scheduler.
 func (r *JobRecord) submission(age time.Duration) scheduler.Submission {
-	return scheduler.Submission{Job: r.Job, Queue: r.Queue, Pool: r.Pool, AcceptedQueue: r.Terms, Age: age}
+	return scheduler.Submission{Job: r.Job, Queue: r.Queue, Pool: r.Pool, AcceptedQueue: r.Terms, Zone: r.Zone, Age: age}
 }
 
 // parseJobKey splits a key under jobsPrefix.
--- a/internal/scheduler/dump.go
+++ b/internal/scheduler/dump.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/rattanwall/rattanwall/internal/batch"
+	"github.com/rattanwall/rattanwall/internal/scheduler/admission"
+	"github.com/rattanwall/rattanwall/internal/scheduler/fairshare"
 )
 
 // Dump is a snapshot of the scheduler's state for operators.
@@ -20,6 +22,13 @@
 	Interference string              `json:"interference"`
 	// ReserveShare is the share of the VMs' capacity kept free of lasting tasks.
 	ReserveShare float64 `json:"reserve_share"`
+	// Forecast is the last prediction of the waits of new jobs, ForecastAgeMS its age; nil if
+	// nothing is refused.
+	Forecast      *admission.Forecast `json:"forecast,omitempty"`
+	ForecastAgeMS int64               `json:"forecast_age_ms,omitempty"`
+	// Shares are what the callers of each queue and zone were given of late, as shares of the
+	// fleet in seconds; empty if the policy has no use for them.
+	Shares []fairshare.Share `json:"shares,omitempty"`
 }
 
 // EvacuatedZoneDump is what still runs in an evacuated availability zone.
@@ -58,6 +67,12 @@
 		}
 	}
 	d.WaitingTasks = s.waitingTasks()
+	if s.demand != nil {
+		d.Forecast, d.ForecastAgeMS = s.demand.forecast, (now - s.demand.forecastAt).Milliseconds()
+	}
+	if s.fairness != nil {
+		d.Shares = s.fairness.shares
+	}
 	for _, z := range s.evacuations.Zones {
 		d.Evacuated = append(d.Evacuated, EvacuatedZoneDump{Zone: z.Zone, Revision: z.Revision, Runs: s.runsInZone(z.Zone)})
 	}
--- a/internal/scheduler/durations.go
+++ b/internal/scheduler/durations.go
@@ -82,11 +82,14 @@
 }
 
 // durationRatio is the ratio of the real durations of a job's steps to their declared ones.
-func (s *Scheduler) durationRatio(j *job) float64 {
+func (s *Scheduler) durationRatio(j *job) float64 { return s.durationRatioOf(j.queue) }
+
+// durationRatioOf is the same for a queue.
+func (s *Scheduler) durationRatioOf(queue string) float64 {
 	if !s.policy.LearnDurations {
 		return 1
 	}
-	return s.durationRatios[j.queue].value()
+	return s.durationRatios[queue].value()
 }
 
 // objective is the target duration of a job from its submission to its completion.
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -126,6 +126,7 @@
 	}
 	t.done = true
 	t.doneRun = number
+	s.recordDone(t)
 	t.step.tasksLeft--
 	if len(t.runs) == 0 {
 		t.step.waiting--
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -15,8 +15,12 @@
 	EventEndUntracked = "end_untracked"
 	// EventEndWithheld: an end is never acknowledged because its task was started again.
 	EventEndWithheld = "end_withheld"
+	// EventFairShare: who was given more than its part of the room, periodically.
+	EventFairShare = "fair_share"
 	// EventFleetLoad: periodic summary of the VMs' capacity and the demand for it.
 	EventFleetLoad = "fleet_load"
+	// EventForecast: the predicted waits of a queue's new jobs, periodically.
+	EventForecast = "forecast"
 	// EventInterference: periodic summary of the interference model.
 	EventInterference = "interference"
 	// EventJobEnded: a job reached its final state.
@@ -51,6 +55,8 @@
 	EventStartRefused = "start_refused"
 	// EventStartUnknown: a start got no response from its VM.
 	EventStartUnknown = "start_unknown"
+	// EventTaskOverdue: a task was started before others since its job had waited for too long.
+	EventTaskOverdue = "task_overdue"
 	// EventTaskStarved: a task of a job without runs was started despite interference with others.
 	EventTaskStarved = "task_starved"
 	// EventTaskWaits: the obstacles that keep the first waiting task from being placed.
@@ -89,7 +95,9 @@
 	EventEndSuperseded,
 	EventEndUntracked,
 	EventEndWithheld,
+	EventFairShare,
 	EventFleetLoad,
+	EventForecast,
 	EventInterference,
 	EventJobEnded,
 	EventJobHeld,
@@ -107,6 +115,7 @@
 	EventRunUnwanted,
 	EventStartRefused,
 	EventStartUnknown,
+	EventTaskOverdue,
 	EventTaskStarved,
 	EventTaskWaits,
 	EventVMDraining,
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -17,6 +17,8 @@
 	// AcceptedQueue is the queue's configuration when the job was accepted. It applies if
 	// the current configuration is not known yet or lacks the queue. May be nil.
 	AcceptedQueue *batch.Queue
+	// Zone is the availability zone in which the job was accepted, "" if unknown.
+	Zone string
 	// Age is how long ago the caller submitted the job.
 	Age time.Duration
 	// PredatesLeader is set if the submission is older than this leader.
@@ -40,7 +42,7 @@
 		return
 	}
 	j := &job{
-		spec: sub.Job, queue: sub.Queue, pool: sub.Pool, submittedAt: now - sub.Age, state: batch.Queued,
+		spec: sub.Job, queue: sub.Queue, pool: sub.Pool, zone: sub.Zone, submittedAt: now - sub.Age, state: batch.Queued,
 		predatesLeader: sub.PredatesLeader || s.mayPredateTenure(sub.CreatedRevision), occs: map[int]*occurrence{}, doneOccs: map[int]bool{}, recordRevision: sub.RecordRevision,
 		criticalPath: sub.Job.CriticalPath(), work: sub.Job.Work(), maxAttempts: 1, stretch: 1,
 	}
@@ -68,6 +70,9 @@
 	default:
 		s.openJob(now, j)
 	}
+	if !sub.PredatesLeader {
+		s.recordArrival(now, j)
+	}
 	s.processDeferred(now, sub.Job.ID)
 	s.planNeeded = true
 }
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -21,6 +21,8 @@
 type rank struct {
 	group    rankGroup
 	priority int
+	// overShare is set if the job's user was given more than its part of the room.
+	overShare bool
 	// costPerValue is the remaining work per value of the job. Under overload, ordering by it
 	// completes more jobs, more work and more of the largest tenth of jobs than ordering by
 	// slack, which starts all jobs and finishes them late: 0.63 instead of 0.54 of the work on
@@ -77,7 +79,7 @@
 	}
 	remaining, objective := scaled(o.remaining(), s.durationRatio(j)), s.objective(j)
 	slack := o.dueAt + objective - now - remaining
-	r := rank{group: groupOnTime, priority: j.priority, costPerValue: s.costPerValue(now, o), slack: slack}
+	r := rank{group: groupOnTime, priority: j.priority, overShare: s.isOverShare(j), costPerValue: s.costPerValue(now, o), slack: slack}
 	if isShort(st.spec) && s.policy.ShortFirst {
 		r.group = groupShort
 	}
@@ -177,7 +179,18 @@
 }
 
 func compareRanks(a, b rank) int {
-	return cmp.Or(cmp.Compare(a.group, b.group), cmp.Compare(a.priority, b.priority), cmp.Compare(a.costPerValue, b.costPerValue), cmp.Compare(a.slack, b.slack))
+	return cmp.Or(cmp.Compare(a.group, b.group), cmp.Compare(a.priority, b.priority), compareBools(a.overShare, b.overShare), cmp.Compare(a.costPerValue, b.costPerValue), cmp.Compare(a.slack, b.slack))
+}
+
+// compareBools orders false before true.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
 }
 
 // SetStartBudget bounds the starts that plans may decide until the next call. A leader that is
@@ -203,6 +216,7 @@
 		if s.startBudget.Starts > 0 {
 			s.startWaiting(now)
 		}
+		s.sampleDemand(now)
 		if s.startBudget.exhausted() {
 			// Plan again as soon as the budget allows.
 			s.planNeeded = true
@@ -222,13 +236,19 @@
 		}
 		return drop
 	})
+	s.updateShares(now)
 	for _, st := range s.readySteps {
 		st.rank = s.rank(now, st)
 	}
 	slices.SortStableFunc(s.readySteps, func(a, b *step) int { return compareRanks(a.rank, b.rank) })
 	s.updateShortUse(now)
 	pass := &planPass{now: now}
+	overdue := s.overdueSteps(now)
 	for _, st := range s.readySteps {
+		for len(overdue) > 0 && overdue[0].rank.group <= st.rank.group {
+			s.startOverdue(pass, overdue[0])
+			overdue = overdue[1:]
+		}
 		if !s.mayStart(st) {
 			return
 		}
@@ -415,8 +435,13 @@
 		s.startBudget.Batch--
 	}
 	r.resumed = t.checkpoint != ""
+	s.chargeShare(now, t)
 	s.logStart(r)
-	s.logf(Decision{Event: EventRunStarted, Task: t.id(), VM: v.inst.ID, Run: r.number, Age: now - t.step.occ.dueAt, Group: t.step.rank.group.String(), Value: t.step.rank.slack.Seconds()})
+	s.logf(Decision{
+		Event: EventRunStarted, Task: t.id(), VM: v.inst.ID, Run: r.number, Age: now - t.step.occ.dueAt, Group: t.step.rank.group.String(), Value: t.step.rank.slack.Seconds(),
+		HasPrediction: j.hasPrediction, PredictedWait: j.predictedWait,
+	})
+	j.hasPrediction = false
 	s.orders = append(s.orders, Order{
 		Kind: OrderStart, Instance: v.inst, Task: t.id(), Run: r.number,
 		Start: batch.StartOrder{
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/rattanwall/rattanwall/internal/scheduler/admission"
 )
 
 // QueueOrder selects the sort order of waiting jobs.
@@ -109,6 +111,32 @@
 	Copies bool `json:"copies"`
 	// MoveOffDraining moves lasting tasks off VMs that are about to leave.
 	MoveOffDraining bool `json:"evacuate"`
+	// Admission selects which jobs entry processes refuse.
+	Admission admission.Mode `json:"admission"`
+	// FairShare puts jobs of queues and callers' zones that were given more than their part of the
+	// room behind others of equal group and priority, and bounds the wait of each job.
+	FairShare bool `json:"fair_share"`
+	// FairShareTolerance is the fraction by which a user may exceed its part.
+	FairShareTolerance float64 `json:"fair_share_tolerance"`
+	// FairShareWindowMS is for how long what a user was given counts, in milliseconds.
+	FairShareWindowMS int64 `json:"fair_share_window_ms"`
+	// FairSharePatienceMS is how long a job may have a runnable step and nothing running before
+	// one of its tasks is tried before all others of its group, in milliseconds; 0 is no bound.
+	FairSharePatienceMS int64 `json:"fair_share_patience_ms"`
+}
+
+// UsesZones reports whether decisions depend on the availability zones in which jobs were
+// accepted; nil is DefaultPolicy.
+func (p *Policy) UsesZones() bool {
+	return p != nil && (p.FairShare || p.Admission == admission.RefuseByShare)
+}
+
+// AdmissionMode returns the mode of admission; nil is that of DefaultPolicy.
+func (p *Policy) AdmissionMode() admission.Mode {
+	if p == nil {
+		return admission.AcceptAll
+	}
+	return p.Admission
 }
 
 // DefaultPolicy is the policy of deployments. The sources of its values are documented with the
@@ -120,6 +148,7 @@
 		PurityWeight: 4, EmptyPurity: 0.6, KeepEmpty: 0.1, EffectPenalty: 3, PeakLimit: 0.92, RoomLimit: 0.93, StarvedAfterMS: 2000, StarvedCrowdedMS: 20_000,
 		LearnDurations: true, Learn: true, Pace: true, PaceAtStart: true, PressedAt: 0.88, AimAt: 0.8, BlindAfterMS: 1500, MoveBelow: 20,
 		Quarantine: true, Rescue: true, Copies: true, MoveOffDraining: true,
+		Admission: admission.AcceptAll, FairShareTolerance: 0.1, FairShareWindowMS: 5000, FairSharePatienceMS: 10_000,
 	}
 }
 
@@ -136,6 +165,7 @@
 		{"pressed_at", p.PressedAt},
 		{"aim_at", p.AimAt},
 		{"move_below", float64(p.MoveBelow) / 100},
+		{"fair_share_tolerance", p.FairShareTolerance},
 	} {
 		if share.value < 0 || share.value > 1 {
 			return fmt.Errorf("%s: give a share from 0 to 1 (move_below: 0 to 100), not %g", share.name, share.value)
@@ -156,6 +186,12 @@
 		return fmt.Errorf("purity_weight, effect_penalty: give 0 or more")
 	case p.ReservePatienceMS < 0 || p.StarvedAfterMS < 0 || p.StarvedCrowdedMS < 0 || p.BlindAfterMS < 0:
 		return fmt.Errorf("reserve_patience_ms, starved_after_ms, starved_crowded_ms, blind_after_ms: give 0 or more milliseconds")
+	case !p.Admission.Valid():
+		return fmt.Errorf("admission: use %s, %s or %s", admission.AcceptAll, admission.RefuseLate, admission.RefuseByShare)
+	case p.FairShareWindowMS < 1:
+		return fmt.Errorf("fair_share_window_ms: give 1 or more milliseconds")
+	case p.FairSharePatienceMS < 0:
+		return fmt.Errorf("fair_share_patience_ms: give 0 or more milliseconds")
 	}
 	return nil
 }
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -183,6 +183,12 @@
 	pool  string
 	// submittedAt is when the caller first submitted the job, as far as known.
 	submittedAt Time
+	// zone is the availability zone in which the job was accepted, "" if unknown.
+	zone string
+	// predictedWait is the wait that was predicted when the job arrived, until its first start;
+	// it is set if hasPrediction is.
+	predictedWait time.Duration
+	hasPrediction bool
 	// criticalPath is the longest chain of steps by their declared durations.
 	criticalPath time.Duration
 	// stretch and slack define the objective; see Scheduler.objective.
@@ -410,6 +416,9 @@
 	durationRatios durationRatios
 	images         effectModel
 	reserve        reserve
+	// fairness and demand are nil unless the policy uses them.
+	fairness *fairness
+	demand   *demand
 	// candidates is the candidate list of the step that is being placed.
 	candidates candidates
 	// crowded is set while lasting and short tasks declare most of all processors.
@@ -438,6 +447,7 @@
 		policy = *settings.Policy
 	}
 	return &Scheduler{
+		fairness: newFairness(&policy), demand: newDemand(&policy),
 		startBudget: UnlimitedStarts, evacuations: &batch.Evacuations{},
 		settings: settings, policy: policy, fence: fence, maxToken: fence, nextRun: fence << runNumberBits, vms: map[string]*vm{}, jobs: map[string]*job{},
 		timedJobs: map[string]*job{}, dirtyJobs: map[string]*job{}, waves: map[int64]*wave{}, awaitedVMs: map[string]Time{}, recentVMEnds: map[vmIncarnation]vmEnd{}, unconfirmedCrashes: map[vmIncarnation]map[*task]int64{}, startLog: startLog{inherited: map[vmIncarnation][]*inheritedStart{}, lostVMs: map[string]bool{}}, expiredLeases: map[string]ExpiredLease{}, unknownJobsSince: map[string]Time{}, absentJobs: map[string]Time{}, images: newEffectModel(), meanWork: map[string]float64{}, durationRatios: durationRatios{}, logf: log,
@@ -458,6 +468,10 @@
 	Age time.Duration
 	// Group is the queue group of the step whose task is started.
 	Group string
+	// PredictedWait is the wait until the job's first start that was predicted when the job
+	// arrived. It is set for that start if HasPrediction is.
+	PredictedWait time.Duration
+	HasPrediction bool
 	// Value is a number that belongs to the reason.
 	Value float64
 	// MinLifetime is how long a lost run is known to have run, MaxLifetime the longest that
