--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -41,7 +41,7 @@
 
 var errNotLeading = twirp.NewError(twirp.FailedPrecondition, "this process does not lead")
 
-func (p *peerServer) JobState(_ context.Context, r *scheduling.JobStateRequest) (*scheduling.JobStateResponse, error) {
+func (p *peerServer) JobState(ctx context.Context, r *scheduling.JobStateRequest) (*scheduling.JobStateResponse, error) {
 	state, known, leading := p.leader.State(r.GetId())
 	if !leading {
 		return nil, errNotLeading
@@ -51,6 +51,10 @@
 		f, age := p.leader.Forecast()
 		resp.Forecast = encodeForecast(f, age)
 	}
+	if r.GetRefusal() {
+		revision, err := p.entry.RefusalRevisionForPeer(ctx, r.GetId())
+		resp.RefusalRead, resp.RefusalRevision = err == nil, revision
+	}
 	return resp, nil
 }
 
@@ -274,6 +278,26 @@
 	return batch.State(r.GetState()), r.GetKnown(), nil
 }
 
+// errRefusalUnread is returned if the leader does not reach the store either.
+var errRefusalUnread = errors.New("the leader can't read the job's refusal")
+
+// RefusalRevision implements entry.Peers.
+func (p *leaderClient) RefusalRevision(ctx context.Context, id string) (int64, error) {
+	l, err := p.remoteLeader()
+	if err != nil {
+		return 0, err
+	}
+	var r *scheduling.JobStateResponse
+	err = p.call(ctx, func(ctx context.Context) (err error) {
+		r, err = l.JobState(ctx, &scheduling.JobStateRequest{Id: id, Refusal: true})
+		return err
+	})
+	if err == nil && !r.GetRefusalRead() {
+		err = errRefusalUnread
+	}
+	return r.GetRefusalRevision(), err
+}
+
 // Waiting implements entry.Peers.
 func (p *leaderClient) Waiting(ctx context.Context, queue string) (int, error) {
 	l, err := p.leader()
--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -97,8 +97,10 @@
 	if !a.decision.Refuse {
 		return a
 	}
-	if err == nil {
+	if err == nil && e.StoreReachable() {
 		err = e.recordRefusal(ctx, job.ID, a.guard)
+	} else if err == nil {
+		err = errStoreUnresponsive
 	}
 	switch {
 	case err == nil:
@@ -124,13 +126,23 @@
 	}
 }
 
-// refusalRevision returns the revision of the job's refusal, 0 for none.
+// refusalRevision returns the revision of the job's refusal, 0 for none. A process without the
+// store asks the leader: without the revision it could not accept callers who return.
 func (e *Entry) refusalRevision(ctx context.Context, id string) (int64, error) {
+	ctx, cancel := e.withTimeout(ctx, refusalReadTimeout)
+	defer cancel()
+	revision, err := e.RefusalRevisionForPeer(ctx, id)
+	if errors.Is(err, errStoreUnresponsive) && e.LeaderReachable() {
+		return e.Peers.RefusalRevision(ctx, id)
+	}
+	return revision, err
+}
+
+// RefusalRevisionForPeer reads the revision of a job's refusal on behalf of another process.
+func (e *Entry) RefusalRevisionForPeer(ctx context.Context, id string) (int64, error) {
 	if !e.StoreReachable() {
 		return 0, errStoreUnresponsive
 	}
-	ctx, cancel := e.withTimeout(ctx, refusalReadTimeout)
-	defer cancel()
 	item, err := e.Store.Get(ctx, leader.RefusalKey(id))
 	if err != nil || item == nil {
 		return 0, err
--- a/internal/entry/admission_test.go
+++ b/internal/entry/admission_test.go
@@ -221,9 +221,11 @@
 func (submitFunc) State(context.Context, string) (batch.State, bool, error) {
 	return "", false, errUnreachable
 }
-func (submitFunc) Waiting(context.Context, string) (int, error)   { return 0, errUnreachable }
-func (submitFunc) Announce(context.Context, string, []byte) error { return errUnreachable }
-func (submitFunc) Cancel(context.Context, string) (bool, error)   { return false, errUnreachable }
+
+func (submitFunc) RefusalRevision(context.Context, string) (int64, error) { return 0, errUnreachable }
+func (submitFunc) Waiting(context.Context, string) (int, error)           { return 0, errUnreachable }
+func (submitFunc) Announce(context.Context, string, []byte) error         { return errUnreachable }
+func (submitFunc) Cancel(context.Context, string) (bool, error)           { return false, errUnreachable }
 
 // Guards against the same after a job was refused, submitted again and refused once more: the
 // second submission's write must not follow the second refusal.
@@ -280,6 +282,45 @@
 	}
 }
 
+// leaderWithStore simulates a leader that reaches the store.
+type leaderWithStore struct {
+	unreachablePeers
+	*Entry
+}
+
+func (l leaderWithStore) RefusalRevision(ctx context.Context, id string) (int64, error) {
+	return l.RefusalRevisionForPeer(ctx, id)
+}
+
+func (l leaderWithStore) Submit(ctx context.Context, id string, record []byte, guard Guard) error {
+	return l.CreateForPeer(ctx, id, record, guard)
+}
+
+func (l leaderWithStore) State(context.Context, string) (batch.State, bool, error) {
+	return "", false, errUnreachable
+}
+
+func (l leaderWithStore) Waiting(context.Context, string) (int, error) { return 0, errUnreachable }
+
+func (l leaderWithStore) Announce(context.Context, string, []byte) error { return errUnreachable }
+
+func (l leaderWithStore) Cancel(context.Context, string) (bool, error) { return false, errUnreachable }
+
+// Guards against turning a returning caller away for want of the store: a process that is cut off
+// from it learns of the earlier refusal from the leader, and lets it store the job.
+func TestReturningCallerIsAcceptedWithoutTheStore(t *testing.T) {
+	store := newConditionalStore()
+	g := newGuardedEntry(store)
+	requireRefused(t, g.submitTest(t))
+	cutOff := newGuardedEntry(&fakeStore{resetsConnections: true})
+	cutOff.storeRespondedAt.Store(0)
+	cutOff.Entry.LeaderReachable = func() bool { return true }
+	cutOff.Entry.Peers = leaderWithStore{Entry: g.Entry}
+	require.NoError(t, cutOff.submitTest(t), "nothing is refused without the store, whatever is predicted")
+	require.True(t, store.hasJob())
+	require.Equal(t, []admission.Reason{admission.AcceptedUnproven}, cutOff.reasons)
+}
+
 // countingPeers simulates a leader that may know the job, and counts what it is asked.
 type countingPeers struct {
 	unreachablePeers
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -44,6 +44,8 @@
 type Peers interface {
 	// State returns a job's state; known is false if the leader has no such job.
 	State(ctx context.Context, id string) (state batch.State, known bool, err error)
+	// RefusalRevision makes the leader read the revision of a job's refusal, 0 for none.
+	RefusalRevision(ctx context.Context, id string) (int64, error)
 	// Waiting returns the number of a queue's jobs of which no task has started.
 	Waiting(ctx context.Context, queue string) (int, error)
 	// Submit makes the leader store a job. It returns durable.ErrRefused, ErrUnknown or
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -84,6 +84,10 @@
 	return "", false, errUnreachable
 }
 
+func (unreachablePeers) RefusalRevision(context.Context, string) (int64, error) {
+	return 0, errUnreachable
+}
+
 func (unreachablePeers) Announce(context.Context, string, []byte) error { return errUnreachable }
 
 type entryFixture struct {
--- a/internal/experiment/compare.go
+++ b/internal/experiment/compare.go
@@ -151,7 +151,9 @@
 	mean := func(metric func(*Outcome) float64) float64 { return stat.Mean(metricValues(outcomes, metric), nil) }
 	m := Outcome{
 		Service: mean(func(o *Outcome) float64 { return o.Service }), Kinds: map[string]float64{},
-		Largest: mean(func(o *Outcome) float64 { return o.Largest }), Smallest: mean(func(o *Outcome) float64 { return o.Smallest }),
+		WorstZone: mean(func(o *Outcome) float64 { return o.WorstZone }), BestZone: mean(func(o *Outcome) float64 { return o.BestZone }),
+		Refusals: int(mean(func(o *Outcome) float64 { return float64(o.Refusals) })),
+		Largest:  mean(func(o *Outcome) float64 { return o.Largest }), Smallest: mean(func(o *Outcome) float64 { return o.Smallest }),
 		HarmS: mean(func(o *Outcome) float64 { return o.HarmS }), Used: mean(func(o *Outcome) float64 { return o.Used }),
 		WastedS:    mean(func(o *Outcome) float64 { return o.WastedS }),
 		PaceOrders: int(mean(func(o *Outcome) float64 { return float64(o.PaceOrders) })), Starts: int(mean(func(o *Outcome) float64 { return float64(o.Starts) })),
@@ -164,6 +166,7 @@
 	// The longest durations are the maxima over all seeds, not means.
 	for i := range outcomes {
 		m.LongestHarmS = max(m.LongestHarmS, outcomes[i].LongestHarmS)
+		m.LongestUnservedS = max(m.LongestUnservedS, outcomes[i].LongestUnservedS)
 		m.LongestWaitS = max(m.LongestWaitS, outcomes[i].LongestWaitS)
 	}
 	return m
--- a/internal/experiment/load.go
+++ b/internal/experiment/load.go
@@ -48,6 +48,9 @@
 	tasksLeft int
 	endedAt   time.Duration
 	failed    bool
+	// accepted is set once the job was accepted; tries counts its refusals.
+	accepted  bool
+	tries     int
 	cancelled bool
 	// isCrashing is set if the first task crashes every VM on which it starts.
 	isCrashing bool
--- a/internal/experiment/play.go
+++ b/internal/experiment/play.go
@@ -47,6 +47,14 @@
 	LongestHarmS float64 `json:"longest_harm_s"`
 	// LongestWaitS is the longest wait of a short job for the start of its first task.
 	LongestWaitS float64 `json:"longest_short_wait_s"`
+	// WorstZone and BestZone are the service of batch work by zone of callers, and
+	// LongestUnservedS the age of the oldest accepted batch job that has not ended; they are
+	// given if the scenario names zones.
+	WorstZone        float64 `json:"worst_zone,omitempty"`
+	BestZone         float64 `json:"best_zone,omitempty"`
+	LongestUnservedS float64 `json:"longest_unserved_s,omitempty"`
+	// Refusals counts the refused submissions.
+	Refusals int `json:"refusals,omitempty"`
 	// Used is the mean share of all processors in use during the play.
 	Used float64 `json:"used"`
 	// WastedS is lost or repeated work, in processor seconds.
@@ -76,8 +84,12 @@
 	fence    int64
 	now      time.Duration
 	// arrivals are the jobs not yet submitted, by arrival time.
-	arrivals          []*job
-	submittedJobs     []*job
+	arrivals      []*job
+	submittedJobs []*job
+	// returning are the refused jobs whose callers will submit them again; forecasts are the
+	// leader's of late.
+	returning         []returningJob
+	forecasts         []timedForecast
 	store             map[string]*scheduler.Progress
 	startSegments     map[scheduler.SegmentID]scheduler.StartSegment
 	faults            []Fault
@@ -159,7 +171,7 @@
 	p.sched.SetEvacuations(p.evacuations)
 	p.sched.SetInstances(p.now, p.fleet.instances())
 	for _, j := range p.submittedJobs {
-		if !j.cancelled {
+		if j.accepted && !j.cancelled {
 			p.submit(j, true)
 		}
 	}
@@ -182,7 +194,7 @@
 
 func (p *player) submit(j *job, predatesLeader bool) {
 	p.sched.Submit(p.now, scheduler.Submission{
-		Job: j.spec, Queue: kindNames[j.kind], Pool: pool, Age: p.now - j.arrivesAt, PredatesLeader: predatesLeader, Progress: p.store[j.spec.ID],
+		Job: j.spec, Queue: kindNames[j.kind], Pool: pool, Zone: p.scenario.Callers.zoneOf(j.spec.ID), Age: p.now - j.arrivesAt, PredatesLeader: predatesLeader, Progress: p.store[j.spec.ID],
 	})
 }
 
@@ -215,8 +227,11 @@
 		p.fleet.jobs[j.spec.ID] = j
 		p.markCrashing(j)
 		p.submittedJobs = append(p.submittedJobs, j)
-		p.submit(j, false)
+		if !p.refuses(j) {
+			p.accept(j)
+		}
 	}
+	p.submitReturning()
 	for _, j := range p.submittedJobs {
 		if j.cancelAt > 0 && p.now >= j.cancelAt && !j.cancelled && !p.noLeader {
 			j.cancelled = true
@@ -225,6 +240,12 @@
 	}
 }
 
+// accept accepts a job.
+func (p *player) accept(j *job) {
+	j.accepted = true
+	p.submit(j, false)
+}
+
 // runLeader executes one round of the leader: it collects reports, runs timers, plans, and
 // executes the orders.
 func (p *player) runLeader() {
@@ -248,6 +269,7 @@
 	p.sched.SetStartBudget(p.backlog.Budget(p.now, 0))
 	p.sched.Tick(p.now)
 	orders := p.sched.Plan(p.now)
+	p.keepForecast()
 	p.schedulerTime += time.Since(startedAt)
 	onSent := p.backlog.RecordPlan(p.now, scheduler.CountStarts(orders), p.sched.StartBudgetLeft())
 	for _, o := range orders {
--- a/internal/experiment/rate.go
+++ b/internal/experiment/rate.go
@@ -88,6 +88,7 @@
 	o.Service = ratio(earned, requestedValue)
 	slices.SortStableFunc(fillers, func(a, b *job) int { return cmp.Compare(a.totalWork, b.totalWork) })
 	o.Largest, o.Smallest = earnedShare(fillers[len(fillers)*9/10:]), earnedShare(fillers[:len(fillers)/2])
+	p.rateZones(&o)
 	capacity := 0.0
 	for _, v := range p.fleet.vms {
 		capacity += float64(v.inst.Capacity.MilliCPU) / 1000
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -5,7 +5,7 @@
 // the periodic load of serving tasks; interference between images, which the scheduler has to
 // infer; delayed and inaccurate reports; VMs that slow down, stall, fail tasks, crash, restart,
 // shrink or are lost; and changes of the leader. It does not include the store, the network and
-// callers' retries. docs/POLICY.md compares its results with those of whole deployments.
+// callers' retries other than those of refused jobs. docs/POLICY.md compares its results with those of whole deployments.
 package experiment
 
 import (
@@ -36,6 +36,7 @@
 	// Interference is the effect of fillers on serving tasks.
 	Interference Interference `json:"interference"`
 	Faults       []Fault      `json:"faults"`
+	Callers      Callers      `json:"callers"`
 }
 
 // Fleet describes the VMs.
@@ -247,6 +248,7 @@
 			d.Fault(b.field, fmt.Sprintf("give %g to %g, not %g", b.low, b.high, b.value))
 		}
 	}
+	s.Callers.check(d)
 	s.checkFaults(d)
 }
 
--- a/internal/experiment/variant.go
+++ b/internal/experiment/variant.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rattanwall/rattanwall/internal/scheduler"
+	"github.com/rattanwall/rattanwall/internal/scheduler/admission"
 )
 
 // Variant is a policy to compare, optionally with changed knowledge or interference.
@@ -31,6 +32,9 @@
 		{Name: "first-come", Policy: firstComePolicy()},
 		{Name: "least-loaded", Policy: leastLoadedPolicy()},
 		{Name: "informed", Policy: scheduler.DefaultPolicy(), Informed: true},
+		{Name: "refuse-late", Policy: admissionPolicy(admission.RefuseLate)},
+		{Name: "refuse-by-share", Policy: admissionPolicy(admission.RefuseByShare)},
+		{Name: "fair-share", Policy: fairSharePolicy()},
 		{Name: "unpressed", Policy: scheduler.DefaultPolicy(), WithoutInterference: true},
 	}
 	for _, ablation := range ablations {
@@ -41,6 +45,20 @@
 	return list
 }
 
+// admissionPolicy refuses jobs that can't be done in time.
+func admissionPolicy(mode admission.Mode) scheduler.Policy {
+	p := scheduler.DefaultPolicy()
+	p.Admission = mode
+	return p
+}
+
+// fairSharePolicy divides scarce room among queues and zones of callers.
+func fairSharePolicy() scheduler.Policy {
+	p := scheduler.DefaultPolicy()
+	p.FairShare = true
+	return p
+}
+
 // firstComePolicy orders jobs first come, first served, and places tasks by first fit.
 func firstComePolicy() scheduler.Policy {
 	p := scheduler.DefaultPolicy()
--- a/internal/scheduler/fairness.go
+++ b/internal/scheduler/fairness.go
@@ -139,7 +139,7 @@
 // that have waited for longer than the policy's bound. They are ordered by group, the longest
 // waiting first.
 func (s *Scheduler) overdueSteps(now Time) []*step {
-	if !s.policy.FairShare {
+	if s.policy.FairSharePatienceMS == 0 {
 		return nil
 	}
 	var list []*step
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -114,14 +114,15 @@
 	// Admission selects which jobs entry processes refuse.
 	Admission admission.Mode `json:"admission"`
 	// FairShare puts jobs of queues and callers' zones that were given more than their part of the
-	// room behind others of equal group and priority, and bounds the wait of each job.
+	// room behind others of equal group and priority.
 	FairShare bool `json:"fair_share"`
 	// FairShareTolerance is the fraction by which a user may exceed its part.
 	FairShareTolerance float64 `json:"fair_share_tolerance"`
 	// FairShareWindowMS is for how long what a user was given counts, in milliseconds.
 	FairShareWindowMS int64 `json:"fair_share_window_ms"`
 	// FairSharePatienceMS is how long a job may have a runnable step and nothing running before
-	// one of its tasks is tried before all others of its group, in milliseconds; 0 is no bound.
+	// one of its tasks is tried before all others of its group, in milliseconds; 0 is no bound. It
+	// applies with and without FairShare.
 	FairSharePatienceMS int64 `json:"fair_share_patience_ms"`
 }
 
@@ -148,7 +149,7 @@
 		PurityWeight: 4, EmptyPurity: 0.6, KeepEmpty: 0.1, EffectPenalty: 3, PeakLimit: 0.92, RoomLimit: 0.93, StarvedAfterMS: 2000, StarvedCrowdedMS: 20_000,
 		LearnDurations: true, Learn: true, Pace: true, PaceAtStart: true, PressedAt: 0.88, AimAt: 0.8, BlindAfterMS: 1500, MoveBelow: 20,
 		Quarantine: true, Rescue: true, Copies: true, MoveOffDraining: true,
-		Admission: admission.AcceptAll, FairShareTolerance: 0.1, FairShareWindowMS: 5000, FairSharePatienceMS: 10_000,
+		Admission: admission.AcceptAll, FairShareTolerance: 0.1, FairShareWindowMS: 5000,
 	}
 }
 
