--- a/internal/entry/admission_test.go
+++ b/internal/entry/admission_test.go
@@ -223,9 +223,10 @@
 }
 
 func (submitFunc) RefusalRevision(context.Context, string) (int64, error) { return 0, errUnreachable }
-func (submitFunc) Waiting(context.Context, string) (int, error)           { return 0, errUnreachable }
-func (submitFunc) Announce(context.Context, string, []byte) error         { return errUnreachable }
-func (submitFunc) Cancel(context.Context, string) (bool, error)           { return false, errUnreachable }
+
+func (submitFunc) Waiting(context.Context, string) (int, error)   { return 0, errUnreachable }
+func (submitFunc) Announce(context.Context, string, []byte) error { return errUnreachable }
+func (submitFunc) Cancel(context.Context, string) (bool, error)   { return false, errUnreachable }
 
 // Guards against the same after a job was refused, submitted again and refused once more: the
 // second submission's write must not follow the second refusal.
--- a/internal/scheduler/fairness.go
+++ b/internal/scheduler/fairness.go
@@ -35,7 +35,7 @@
 	if !p.UsesZones() {
 		return nil
 	}
-	return &fairness{ledger: fairshare.NewLedger(milliseconds(p.FairShareWindowMS)), updatedAt: -sharesInterval}
+	return &fairness{ledger: fairshare.NewLedger(milliseconds(p.FairShareWindowMS)), updatedAt: -sharesInterval, loggedAt: -sharesLogInterval}
 }
 
 // user returns who a job's room is charged to.
