--- a/internal/edge/forecasts.go
+++ b/internal/edge/forecasts.go
@@ -104,8 +104,9 @@
 		w := &scheduling.QueueForecast{
 			Queue: q.Queue, Confidence: float32(q.Confidence), MeanWork: float32(q.MeanWork), DurationRatio: float32(q.DurationRatio), OverZones: q.OverZones,
 		}
-		for _, wait := range q.Waits {
-			w.WaitMs = append(w.WaitMs, wait.Milliseconds())
+		for class := range q.Waits {
+			w.WaitMs = append(w.WaitMs, q.Waits[class].Milliseconds())
+			w.LateWaitMs = append(w.LateWaitMs, q.LateWaits[class].Milliseconds())
 		}
 		wire.Queues = append(wire.Queues, w)
 	}
@@ -116,14 +117,15 @@
 func decodeForecast(wire *scheduling.Forecast) (*admission.Forecast, time.Duration) {
 	f := &admission.Forecast{Fence: wire.GetFence()}
 	for _, w := range wire.GetQueues() {
-		if len(w.GetWaitMs()) != admission.Classes {
+		if len(w.GetWaitMs()) != admission.Classes || len(w.GetLateWaitMs()) != admission.Classes {
 			continue
 		}
 		q := admission.QueueForecast{
 			Queue: w.GetQueue(), Confidence: float64(w.GetConfidence()), MeanWork: float64(w.GetMeanWork()), DurationRatio: float64(w.GetDurationRatio()), OverZones: w.GetOverZones(),
 		}
-		for class, ms := range w.GetWaitMs() {
-			q.Waits[class] = time.Duration(ms) * time.Millisecond
+		for class := range q.Waits {
+			q.Waits[class] = time.Duration(w.GetWaitMs()[class]) * time.Millisecond
+			q.LateWaits[class] = time.Duration(w.GetLateWaitMs()[class]) * time.Millisecond
 		}
 		f.Queues = append(f.Queues, q)
 	}
--- a/internal/scheduler/admission/admission.go
+++ b/internal/scheduler/admission/admission.go
@@ -120,7 +120,12 @@
 func decide(mode Mode, job Job, q *QueueForecast) Decision {
 	path := time.Duration(float64(job.CriticalPath) * max(q.DurationRatio, 1))
 	objective := time.Duration(job.Stretch*float64(path)) + job.Slack
-	d := Decision{Reason: AcceptedFits, Wait: q.Waits[ClassOf(job.Work, q.MeanWork)], Limit: LateFactor * objective}
+	class := ClassOf(job.Work, q.MeanWork)
+	d := Decision{Reason: AcceptedFits, Wait: q.Waits[class], Limit: LateFactor * objective}
+	room := d.Wait - (objective - path)
+	if room > 0 {
+		d.Wait = max(d.Wait, q.LateWaits[class])
+	}
 	d.End = d.Wait + path
 	if d.End <= d.Limit {
 		return d
@@ -133,7 +138,7 @@
 		}
 	}
 	d.Refuse, d.Reason = true, RefusedLate
-	d.RetryAfter = retryAfter(d.Wait-(objective-path), job.Spread)
+	d.RetryAfter = retryAfter(room, job.Spread)
 	return d
 }
 
--- a/internal/scheduler/admission/forecast.go
+++ b/internal/scheduler/admission/forecast.go
@@ -34,6 +34,9 @@
 	Queue string `json:"queue"`
 	// Waits are the times until the first start of a job that arrives now, by size class.
 	Waits [Classes]time.Duration `json:"waits_ns"`
+	// LateWaits are the same of a job that does not end within its objective: it then comes behind
+	// all that can.
+	LateWaits [Classes]time.Duration `json:"late_waits_ns"`
 	// Confidence is between 0 and 1.
 	Confidence float64 `json:"confidence"`
 	// MeanWork is the mean work of the queue's jobs, in core-seconds.
@@ -63,10 +66,8 @@
 
 // Load is what stands before a new job of a queue.
 type Load struct {
-	// Ahead is the work without a run that precedes a new job, by its size class, in core-seconds.
-	Ahead [Classes]float64
-	// Arriving is the rate at which such work arrives, in core-seconds a second.
-	Arriving [Classes]float64
+	// OnTime precedes a job that can end within its objective, Late one that can't.
+	OnTime, Late Before
 	// Rate is the rate at which work was completed while some waited; see Meter.
 	Rate Rate
 	// Capacity is the fleet's usable capacity now, in the unit of Rate.Capacity.
@@ -75,6 +76,14 @@
 	Unheard float64
 }
 
+// Before is the work that precedes new jobs.
+type Before struct {
+	// Ahead is the work without a run that precedes a new job, by its size class, in core-seconds.
+	Ahead [Classes]float64
+	// Arriving is the rate at which such work arrives, in core-seconds a second.
+	Arriving [Classes]float64
+}
+
 const (
 	// maxWait bounds a predicted wait.
 	maxWait = time.Minute
@@ -86,22 +95,27 @@
 	trustedUnheard = 0.5
 )
 
-// Predict returns the waits by size class, and how far they are to be trusted. Work that arrives
-// during the wait and precedes the job is counted for the wait that there is without it: that
-// arrivals go on for longer is not known.
-func Predict(l *Load) (waits [Classes]time.Duration, confidence float64) {
+// Predict sets the waits of a forecast, and how far they are to be trusted.
+func (f *QueueForecast) Predict(l *Load) {
 	rate := l.Rate.PerSecond
 	if l.Rate.Capacity > 0 {
 		rate *= max(l.Capacity/l.Rate.Capacity, minCapacityShare)
 	}
 	if rate <= 0 {
-		return waits, 0
+		f.Confidence = 0
+		return
 	}
+	f.Waits, f.LateWaits = l.OnTime.waits(rate), l.Late.waits(rate)
+	f.Confidence = min(l.Rate.Measured.Seconds()/fullyMeasured.Seconds(), 1) * max(1-l.Unheard/trustedUnheard, 0)
+}
+
+// waits returns the waits by size class. Work that arrives during the wait and precedes the job is
+// counted for the wait that there is without it: that arrivals go on for longer is not known.
+func (b *Before) waits(rate float64) (waits [Classes]time.Duration) {
 	for class := range waits {
-		wait := l.Ahead[class] / rate
-		wait += l.Arriving[class] * wait / rate
+		wait := b.Ahead[class] / rate
+		wait += b.Arriving[class] * wait / rate
 		waits[class] = min(time.Duration(min(wait, maxWait.Seconds())*float64(time.Second)), maxWait)
 	}
-	confidence = min(l.Rate.Measured.Seconds()/fullyMeasured.Seconds(), 1)
-	return waits, confidence * max(1-l.Unheard/trustedUnheard, 0)
+	return waits
 }
--- a/internal/scheduler/forecast.go
+++ b/internal/scheduler/forecast.go
@@ -150,7 +150,7 @@
 		q := d.queues[name]
 		load := s.loadBefore(now, name, q)
 		forecast := admission.QueueForecast{Queue: name, MeanWork: s.meanWork[name], DurationRatio: s.durationRatioOf(name), OverZones: s.overZones(name)}
-		forecast.Waits, forecast.Confidence = admission.Predict(&load)
+		forecast.Predict(&load)
 		if s.isStartLimited(now) {
 			// Starts are scarce, not processors: the measured rate is the leader's.
 			forecast.Confidence = 0
@@ -170,45 +170,65 @@
 		return
 	}
 	s.logf(Decision{Event: EventForecast, Value: f.Confidence, Reason: fmt.Sprintf(
-		"queue=%s wait_s=%.1f/%.1f/%.1f rate=%.0f capacity=%.0f/%.0f unheard=%.2f over=%v",
-		f.Queue, f.Waits[0].Seconds(), f.Waits[2].Seconds(), f.Waits[admission.Classes-1].Seconds(), l.Rate.PerSecond, l.Capacity, l.Rate.Capacity, l.Unheard, f.OverZones)})
+		"queue=%s wait_s=%.1f/%.1f/%.1f late_wait_s=%.1f/%.1f/%.1f rate=%.0f capacity=%.0f/%.0f unheard=%.2f over=%v",
+		f.Queue, f.Waits[0].Seconds(), f.Waits[2].Seconds(), f.Waits[admission.Classes-1].Seconds(),
+		f.LateWaits[0].Seconds(), f.LateWaits[2].Seconds(), f.LateWaits[admission.Classes-1].Seconds(), l.Rate.PerSecond, l.Capacity, l.Rate.Capacity, l.Unheard, f.OverZones)})
 }
 
 // loadBefore sums up what precedes new jobs of a queue.
 func (s *Scheduler) loadBefore(now Time, queue string, q *queueDemand) admission.Load {
 	l := admission.Load{Rate: s.demand.meter(q.room).Rate()}
 	l.Capacity, l.Unheard = s.usableCapacity(now, q.room.pool)
-	var ranks [admission.Classes]rank
-	for class := range ranks {
-		ranks[class] = s.rankOfNew(queue, q, admission.ClassSize(class))
+	var onTime, late [admission.Classes]rank
+	for class := range onTime {
+		onTime[class] = s.rankOfNew(queue, q, admission.ClassSize(class))
+		late[class] = onTime[class].whenLate()
 	}
 	for _, j := range s.jobs {
 		if j.state.Final() || !j.isPredicted() {
 			continue
 		}
 		for _, o := range j.occs {
-			s.addAhead(now, o, q.room, &ranks, &l)
+			s.addAhead(now, o, q.room, &onTime, &late, &l)
 		}
 	}
 	for name, other := range s.demand.queues {
 		if other.room != q.room {
 			continue
 		}
-		for class := range ranks {
+		for class := range admission.Classes {
 			r := s.rankOfNew(name, other, admission.ClassSize(class))
 			perSecond := other.arrivals.PerSecond(now, class)
-			for c := range ranks {
-				if compareRanks(r, ranks[c]) < 0 {
-					l.Arriving[c] += perSecond
-				}
-			}
+			addBefore(&l.OnTime.Arriving, &onTime, r, perSecond)
+			addBefore(&l.Late.Arriving, &late, r, perSecond)
 		}
 	}
 	return l
 }
 
+// addBefore adds an amount of rank r to the classes that it precedes.
+func addBefore(sums *[admission.Classes]float64, ranks *[admission.Classes]rank, r rank, amount float64) {
+	for class := range ranks {
+		if compareRanks(r, ranks[class]) < 0 {
+			sums[class] += amount
+		}
+	}
+}
+
+// whenLate is the rank of the same job once it can't meet its objective any more.
+func (r rank) whenLate() rank {
+	switch r.group {
+	case groupShort:
+		r.group = groupShortLate
+	case groupOnTime:
+		r.group = groupLate
+	case groupRestart, groupLasting, groupShortLate, groupLate, groupHopeless:
+	}
+	return r
+}
+
 // addAhead adds the work of an occurrence without a run to the classes that it precedes.
-func (s *Scheduler) addAhead(now Time, o *occurrence, r room, ranks *[admission.Classes]rank, l *admission.Load) {
+func (s *Scheduler) addAhead(now Time, o *occurrence, r room, onTime, late *[admission.Classes]rank, l *admission.Load) {
 	work := 0.0
 	var first *step
 	for i := range o.steps {
@@ -225,11 +245,8 @@
 		return
 	}
 	its := s.rank(now, first)
-	for class := range ranks {
-		if compareRanks(its, ranks[class]) < 0 {
-			l.Ahead[class] += work
-		}
-	}
+	addBefore(&l.OnTime.Ahead, onTime, its, work)
+	addBefore(&l.Late.Ahead, late, its, work)
 }
 
 // rankOfNew is the rank of a new job of a queue, whose work is size times the mean.
