--- a/internal/entry/admission_test.go
+++ b/internal/entry/admission_test.go
@@ -126,8 +126,8 @@
 
 func newGuardedEntry(store durable.Store) *guardedEntry {
 	g := &guardedEntry{entryFixture: newEntryFixture()}
-	g.Entry.Store = store
-	g.Entry.Admission = &Admission{
+	g.Store = store
+	g.Admission = &Admission{
 		Mode: admission.RefuseLate, Forecast: func(string) admission.Known { return g.known },
 		Observe: func(r admission.Reason) { g.reasons = append(g.reasons, r) },
 	}
@@ -200,8 +200,8 @@
 	first.predict(0)
 	store.delayNext = true
 	refused := false
-	first.Entry.LeaderReachable = func() bool { return true }
-	first.Entry.Peers = submitFunc(func() error {
+	first.LeaderReachable = func() bool { return true }
+	first.Peers = submitFunc(func() error {
 		// The first process is still at it when the caller has gone on to another one.
 		if !refused {
 			refused = true
@@ -315,8 +315,8 @@
 	requireRefused(t, g.submitTest(t))
 	cutOff := newGuardedEntry(&fakeStore{resetsConnections: true})
 	cutOff.storeRespondedAt.Store(0)
-	cutOff.Entry.LeaderReachable = func() bool { return true }
-	cutOff.Entry.Peers = leaderWithStore{Entry: g.Entry}
+	cutOff.LeaderReachable = func() bool { return true }
+	cutOff.Peers = leaderWithStore{Entry: g.Entry}
 	require.NoError(t, cutOff.submitTest(t), "nothing is refused without the store, whatever is predicted")
 	require.True(t, store.hasJob())
 	require.Equal(t, []admission.Reason{admission.AcceptedUnproven}, cutOff.reasons)
@@ -340,7 +340,7 @@
 	store := newConditionalStore()
 	g := newGuardedEntry(store)
 	peers := &countingPeers{}
-	g.Entry.Peers = peers
+	g.Peers = peers
 	g.known.Age = admission.MaxForecastAge + time.Second
 	require.NoError(t, g.submitTest(t))
 	asked := peers.asked.Load()
@@ -348,12 +348,12 @@
 	require.Equal(t, []admission.Reason{admission.AcceptedStale}, g.reasons)
 	g.known.Age = 0
 	requireAfter := newGuardedEntry(newConditionalStore())
-	requireAfter.Entry.Peers = peers
+	requireAfter.Peers = peers
 	requireRefused(t, requireAfter.submitTest(t))
 	require.Equal(t, asked, peers.asked.Load(), "a new forecast is not refreshed")
 
 	known := newGuardedEntry(newConditionalStore())
-	known.Entry.Peers = &countingPeers{knowsJob: true}
+	known.Peers = &countingPeers{knowsJob: true}
 	known.known.Age = time.Hour
 	require.NoError(t, known.submitTest(t))
 	require.Equal(t, []admission.Reason{admission.AcceptedKnown}, known.reasons)
--- a/internal/scheduler/admission/admission.go
+++ b/internal/scheduler/admission/admission.go
@@ -31,8 +31,9 @@
 	LateFactor = 3
 	// underservedFactor is how much later a job of a user below its part may be than others.
 	underservedFactor = 2
-	// MinRetryAfter and MaxRetryAfter bound the delay suggested to refused callers.
+	// MinRetryAfter is the shortest delay suggested to refused callers.
 	MinRetryAfter = time.Second
+	// MaxRetryAfter is the longest one.
 	MaxRetryAfter = 10 * time.Second
 )
 
