admission: what misses its objective is predicted to wait for what waits now, not for arrivals as well

Late jobs come behind all arrivals that can be in time, but a burst ends. Only what is known to be too late should be refused.

--- a/internal/edge/peers_test.go
+++ b/internal/edge/peers_test.go
@@ -56,3 +56,13 @@
 	p.reachability.RecordResponse()
 	require.True(t, p.reachability.RespondedWithin(maxLeaderResponseAge, 0))
 }
+
+// Guards against taking a job that was refused meanwhile for one whose outcome is unknown, or for
+// one that only this path did not store: its caller must be told that it does not run.
+func TestRefusedSinceIsToldBetweenPeers(t *testing.T) {
+	err := toTwirpError(entry.ErrRefusedSince)
+	require.True(t, isLeaderResponse(err))
+	err = toStoreError(err)
+	require.True(t, errors.Is(err, entry.ErrRefusedSince))
+	require.False(t, errors.Is(err, durable.ErrUnknown))
+}
--- a/internal/scheduler/admission/forecast.go
+++ b/internal/scheduler/admission/forecast.go
@@ -66,7 +66,8 @@
 
 // Load is what stands before a new job of a queue.
 type Load struct {
-	// OnTime precedes a job that can end within its objective, Late one that can't.
+	// OnTime precedes a job that can end within its objective, Late one that can't. Arrivals are
+	// not counted for the latter: they would all precede it, but a burst may end before.
 	OnTime, Late Before
 	// Rate is the rate at which work was completed while some waited; see Meter.
 	Rate Rate
--- a/internal/scheduler/admission/replay_test.go
+++ b/internal/scheduler/admission/replay_test.go
@@ -106,11 +106,8 @@
 				load.Late.Ahead[class] += j.left
 			}
 		}
-		for c := range Classes {
-			if c < class {
-				load.OnTime.Arriving[class] += r.arrivals.PerSecond(r.now, c)
-			}
-			load.Late.Arriving[class] += r.arrivals.PerSecond(r.now, c)
+		for c := range class {
+			load.OnTime.Arriving[class] += r.arrivals.PerSecond(r.now, c)
 		}
 	}
 	q := &QueueForecast{Queue: "q", MeanWork: replayWork, DurationRatio: 1, OverZones: r.overZones()}
--- a/internal/scheduler/forecast.go
+++ b/internal/scheduler/forecast.go
@@ -200,7 +200,6 @@
 			r := s.rankOfNew(name, other, admission.ClassSize(class))
 			perSecond := other.arrivals.PerSecond(now, class)
 			addBefore(&l.OnTime.Arriving, &onTime, r, perSecond)
-			addBefore(&l.Late.Arriving, &late, r, perSecond)
 		}
 	}
 	return l
