--- a/internal/scheduler/admission/admission.go
+++ b/internal/scheduler/admission/admission.go
@@ -70,7 +70,8 @@
 	// durations.
 	Work         float64
 	CriticalPath time.Duration
-	// Objective is Stretch times the corrected critical path plus Slack.
+	// Stretch and Slack are the queue's: the objective is Stretch times the corrected critical path,
+	// plus Slack.
 	Stretch float64
 	Slack   time.Duration
 	// Unpredicted is set for lasting and timed jobs, which are always accepted.
