--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rattanwall/rattanwall/internal/scheduler/admission"
+	"github.com/rattanwall/rattanwall/internal/scheduler/runtimes"
 )
 
 // QueueOrder selects the sort order of waiting jobs.
@@ -139,6 +140,14 @@
 	// one of its tasks is tried before all others of its group, in milliseconds; 0 is no bound. It
 	// applies with and without FairShare.
 	FairSharePatienceMS int64 `json:"fair_share_patience_ms"`
+
+	// Stragglers is when a run that is slower than its siblings is copied or restarted. It has no
+	// effect without Rescue.
+	Stragglers runtimes.Way `json:"stragglers"`
+	// SpeedWeight is the weight of a VM's learned speed in its score: 1 lowers the score of a VM
+	// on which tasks take twice as long by as much as all of its processors being in use. 0
+	// ignores learned speeds.
+	SpeedWeight float64 `json:"speed_weight"`
 }
 
 // UsesZones reports whether decisions depend on the availability zones in which jobs were
@@ -165,6 +174,7 @@
 		LearnDurations: true, DurationEstimates: EstimateRatio, Learn: true, Pace: true, PaceAtStart: true, PressedAt: 0.88, AimAt: 0.8, BlindAfterMS: 1500, MoveBelow: 20,
 		Quarantine: true, Rescue: true, Copies: true, MoveOffDraining: true,
 		Admission: admission.AcceptAll, FairShareTolerance: 0.1, FairShareWindowMS: 5000,
+		Stragglers: runtimes.WayRate,
 	}
 }
 
@@ -194,6 +204,10 @@
 		return fmt.Errorf("placement: use %s, %s or %s", PlacementScored, PlacementFirst, PlacementLeastLoaded)
 	case p.DurationEstimates != EstimateRatio && p.DurationEstimates != EstimateRegression:
 		return fmt.Errorf("duration_estimates: use %s or %s", EstimateRatio, EstimateRegression)
+	case p.Stragglers != runtimes.WayRate && p.Stragglers != runtimes.WayGain && p.Stragglers != runtimes.WayIdle:
+		return fmt.Errorf("stragglers: use %s, %s or %s", runtimes.WayRate, runtimes.WayGain, runtimes.WayIdle)
+	case !(p.SpeedWeight >= 0 && p.SpeedWeight <= maxSpeedWeight):
+		return fmt.Errorf("speed_weight: give 0 to %g, not %g", maxSpeedWeight, p.SpeedWeight)
 	case p.AimAt > p.PressedAt:
 		return fmt.Errorf("aim_at: give at most pressed_at (%g), or slowed fillers are slowed again", p.PressedAt)
 	case p.PressedAt == 0 || p.AimAt == 0:
@@ -214,4 +228,7 @@
 	return nil
 }
 
+// maxSpeedWeight bounds SpeedWeight; beyond it, no other term of the score counts.
+const maxSpeedWeight = 10.0
+
 func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
