admission: a removed queue is forecast no more

Cause: the queues of which jobs had arrived were never forgotten.

Change: each forecast first forgets the queues that the configuration lacks. Queues that are in it are predicted as before.

Measured: TestRemovedQueueIsForecastNoMore fails without the change (the removed queue is predicted 6.0 s), passes with it. Not measured: the cost on a leader.

--- a/internal/scheduler/admissionpolicy_test.go
+++ b/internal/scheduler/admissionpolicy_test.go
@@ -186,6 +186,17 @@
 	require.Less(t, q.Confidence, admission.MinConfidence)
 }
 
+// Guards against forecasts, log lines and metrics of each queue that there ever was, in a deployment
+// that adds and removes queues all day.
+func TestRemovedQueueIsForecastNoMore(t *testing.T) {
+	f, _ := newBusyFixture(t)
+	require.NotNil(t, f.s.Forecast(f.now).Queue(testQueue))
+	f.s.SetConfig(&batch.Config{Version: f.s.config.Version + 1})
+	f.advance(forecastInterval)
+	require.Nil(t, f.s.Forecast(f.now).Queue(testQueue))
+	require.Empty(t, f.s.demand.queues)
+}
+
 // Guards against trust in a rate that the leader's own processor has set.
 func TestForecastIsNotTrustedWhileStartsAreScarce(t *testing.T) {
 	f, _ := newBusyFixture(t)
--- a/internal/scheduler/forecast.go
+++ b/internal/scheduler/forecast.go
@@ -145,6 +145,7 @@
 	if d.forecast != nil && now-d.forecastAt < forecastInterval {
 		return d.forecast
 	}
+	s.forgetRemovedQueues()
 	f := &admission.Forecast{Fence: s.fence}
 	for _, name := range slices.Sorted(maps.Keys(d.queues)) {
 		q := d.queues[name]
@@ -165,6 +166,18 @@
 	return f
 }
 
+// forgetRemovedQueues bounds the forecasts by the configuration.
+func (s *Scheduler) forgetRemovedQueues() {
+	if s.config == nil {
+		return
+	}
+	for name := range s.demand.queues {
+		if s.config.Queue(name) == nil {
+			delete(s.demand.queues, name)
+		}
+	}
+}
+
 func (s *Scheduler) logForecast(now Time, f *admission.QueueForecast, l *admission.Load) {
 	if now-s.demand.loggedAt < forecastLogInterval || f.Waits[admission.Classes-1] == 0 {
 		return
