admission: an unproven refusal is logged with its cause

Seen by: operators: job_submitted lines with refusal_unproven, and nothing that tells whether the store turned away the lease, the write or the read, or was not reached.

Cause: the error was dropped with the decision to accept.

Change: the line has it as admission_error.

Measured: TestUnprovenRefusalIsLoggedWithItsCause fails without the change, passes with it.

--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -81,6 +81,8 @@
 	guard    Guard
 	// stored is set if the job was stored before.
 	stored bool
+	// unproven is why a refusal could not be proven; nil if none was tried, or it was.
+	unproven error
 }
 
 // admit decides about a submission. A refusal is returned only once it is in the store.
@@ -111,7 +113,7 @@
 		a.decision.Reason = admission.RefusedConcurrently
 		return a
 	default:
-		a.decision.Reason = admission.AcceptedUnproven
+		a.decision.Reason, a.unproven = admission.AcceptedUnproven, err
 	}
 	a.decision.Refuse = false
 	return a
@@ -210,6 +212,9 @@
 // logFields returns the decision with its inputs and their age.
 func (a *admitted) logFields() eventlog.Fields {
 	f := eventlog.Fields{"admission": string(a.decision.Reason)}
+	if a.unproven != nil {
+		f["admission_error"] = a.unproven.Error()
+	}
 	if a.known.Queue == nil {
 		return f
 	}
--- a/internal/entry/admission_test.go
+++ b/internal/entry/admission_test.go
@@ -9,11 +9,13 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	"github.com/rattanwall/rattanwall/internal/batch"
 	"github.com/rattanwall/rattanwall/internal/durable"
 	"github.com/rattanwall/rattanwall/internal/errkind"
+	"github.com/rattanwall/rattanwall/internal/eventlog"
 	"github.com/rattanwall/rattanwall/internal/leader"
 	"github.com/rattanwall/rattanwall/internal/scheduler/admission"
 )
@@ -283,6 +285,19 @@
 	}
 }
 
+// Guards against refusals that fail unnoticed: the line of the submission tells what the store said.
+func TestUnprovenRefusalIsLoggedWithItsCause(t *testing.T) {
+	store := newConditionalStore()
+	store.refusesLeases = true
+	g := newGuardedEntry(store)
+	lines := make(lineWriter, 2)
+	g.Log = eventlog.New(lines, logrus.InfoLevel)
+	require.NoError(t, g.submitTest(t))
+	line := <-lines
+	require.Contains(t, line, string(admission.AcceptedUnproven))
+	require.Contains(t, line, `"admission_error":"429"`)
+}
+
 // leaderWithStore simulates a leader that reaches the store.
 type leaderWithStore struct {
 	unreachablePeers
