admission: a forecast ranks the waiting work once, not once a queue

Seen by: callers of a deployment with many queues and admission on: all that waits for the leader's lock (states, starts, reports) waited for the forecasts as well, which are made five times a second.

Cause: for each queue the ranks of all jobs were computed anew, and compared with each of its classes.

Change: the work is ranked once a forecast and room, sorted, and summed up; a queue looks up what precedes it. What is counted is the same (TestForecastCountsWhatPrecedes counts it the long way); the sums no longer depend on the order of a map.

Not measured: a leader under load.

--- a/internal/scheduler/admissionpolicy_test.go
+++ b/internal/scheduler/admissionpolicy_test.go
@@ -197,6 +197,44 @@
 	require.Empty(t, f.s.demand.queues)
 }
 
+// Guards against a forecast that counts other work than what precedes a new job.
+func TestForecastCountsWhatPrecedes(t *testing.T) {
+	f, _ := newBusyFixture(t)
+	f.s.Forecast(f.now)
+	q := f.s.demand.queues[testQueue]
+	l := f.s.loadBefore(f.now, testQueue, q, f.s.demandByRoom(f.now)[q.room])
+	positive := 0
+	for class := range admission.Classes {
+		r := f.s.rankOfNew(testQueue, q, admission.ClassSize(class))
+		onTime, late, arriving := 0.0, 0.0, 0.0
+		for _, j := range f.s.jobs {
+			for _, o := range j.occs {
+				for i := range o.steps {
+					st := &o.steps[i]
+					if !j.state.Final() && compareRanks(f.s.rank(f.now, st), r) < 0 {
+						onTime += float64(st.waiting) * st.taskWork()
+					}
+					if !j.state.Final() && compareRanks(f.s.rank(f.now, st), r.whenLate()) < 0 {
+						late += float64(st.waiting) * st.taskWork()
+					}
+				}
+			}
+		}
+		for other := range admission.Classes {
+			if compareRanks(f.s.rankOfNew(testQueue, q, admission.ClassSize(other)), r) < 0 {
+				arriving += q.arrivals.PerSecond(f.now, other)
+			}
+		}
+		require.InDelta(t, onTime, l.OnTime.Ahead[class], 1e-6)
+		require.InDelta(t, late, l.Late.Ahead[class], 1e-6)
+		require.InDelta(t, arriving, l.OnTime.Arriving[class], 1e-6)
+		if onTime > 0 && late > onTime {
+			positive++
+		}
+	}
+	require.Positive(t, positive)
+}
+
 // Guards against trust in a rate that the leader's own processor has set.
 func TestForecastIsNotTrustedWhileStartsAreScarce(t *testing.T) {
 	f, _ := newBusyFixture(t)
--- a/internal/scheduler/forecast.go
+++ b/internal/scheduler/forecast.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -147,9 +148,10 @@
 	}
 	s.forgetRemovedQueues()
 	f := &admission.Forecast{Fence: s.fence}
+	rooms := s.demandByRoom(now)
 	for _, name := range slices.Sorted(maps.Keys(d.queues)) {
 		q := d.queues[name]
-		load := s.loadBefore(now, name, q)
+		load := s.loadBefore(now, name, q, rooms[q.room])
 		forecast := admission.QueueForecast{Queue: name, MeanWork: s.meanWork[name], DurationRatio: s.durationRatioOf(name), OverZones: s.overZones(name)}
 		forecast.Predict(&load)
 		if s.isStartLimited(now) {
@@ -188,43 +190,86 @@
 		f.LateWaits[0].Seconds(), f.LateWaits[2].Seconds(), f.LateWaits[admission.Classes-1].Seconds(), l.Rate.PerSecond, l.Capacity, l.Rate.Capacity, l.Unheard, f.OverZones)})
 }
 
-// loadBefore sums up what precedes new jobs of a queue.
-func (s *Scheduler) loadBefore(now Time, queue string, q *queueDemand) admission.Load {
-	l := admission.Load{Rate: s.demand.meter(q.room).Rate()}
-	l.Capacity, l.Unheard = s.usableCapacity(now, q.room.pool)
-	var onTime, late [admission.Classes]rank
-	for class := range onTime {
-		onTime[class] = s.rankOfNew(queue, q, admission.ClassSize(class))
-		late[class] = onTime[class].whenLate()
+// roomDemand is the work that stands before new jobs of a room.
+type roomDemand struct {
+	// ahead has no run yet; arriving is per second.
+	ahead, arriving workByRank
+}
+
+// workByRank sums up amounts of work in the order of their ranks.
+type workByRank struct {
+	items []rankedWork
+	// before[i] is the sum of the first i items.
+	before []float64
+}
+
+type rankedWork struct {
+	rank   rank
+	amount float64
+}
+
+func (w *workByRank) add(r rank, amount float64) {
+	w.items = append(w.items, rankedWork{r, amount})
+}
+
+// sum is called once after all additions.
+func (w *workByRank) sum() {
+	slices.SortFunc(w.items, func(a, b rankedWork) int {
+		return cmp.Or(compareRanks(a.rank, b.rank), cmp.Compare(a.amount, b.amount))
+	})
+	w.before = make([]float64, len(w.items)+1)
+	for i := range w.items {
+		w.before[i+1] = w.before[i] + w.items[i].amount
+	}
+}
+
+// preceding returns the sum of what precedes r.
+func (w *workByRank) preceding(r rank) float64 {
+	n, _ := slices.BinarySearchFunc(w.items, r, func(item rankedWork, r rank) int { return compareRanks(item.rank, r) })
+	return w.before[n]
+}
+
+// demandByRoom sums up the demand of all rooms that queues use.
+func (s *Scheduler) demandByRoom(now Time) map[room]*roomDemand {
+	rooms := map[room]*roomDemand{}
+	for _, q := range s.demand.queues {
+		rooms[q.room] = &roomDemand{}
 	}
 	for _, j := range s.jobs {
 		if j.state.Final() || !j.isPredicted() {
 			continue
 		}
 		for _, o := range j.occs {
-			s.addAhead(now, o, q.room, &onTime, &late, &l)
+			for _, filler := range []bool{false, true} {
+				r := room{pool: j.pool, filler: filler}
+				if d := rooms[r]; d != nil {
+					s.addAhead(now, o, r, &d.ahead)
+				}
+			}
 		}
 	}
-	for name, other := range s.demand.queues {
-		if other.room != q.room {
-			continue
-		}
+	for name, q := range s.demand.queues {
 		for class := range admission.Classes {
-			r := s.rankOfNew(name, other, admission.ClassSize(class))
-			perSecond := other.arrivals.PerSecond(now, class)
-			addBefore(&l.OnTime.Arriving, &onTime, r, perSecond)
+			rooms[q.room].arriving.add(s.rankOfNew(name, q, admission.ClassSize(class)), q.arrivals.PerSecond(now, class))
 		}
 	}
-	return l
+	for _, d := range rooms {
+		d.ahead.sum()
+		d.arriving.sum()
+	}
+	return rooms
 }
 
-// addBefore adds an amount of rank r to the classes that it precedes.
-func addBefore(sums *[admission.Classes]float64, ranks *[admission.Classes]rank, r rank, amount float64) {
-	for class := range ranks {
-		if compareRanks(r, ranks[class]) < 0 {
-			sums[class] += amount
-		}
+// loadBefore sums up what precedes new jobs of a queue.
+func (s *Scheduler) loadBefore(now Time, queue string, q *queueDemand, d *roomDemand) admission.Load {
+	l := admission.Load{Rate: s.demand.meter(q.room).Rate()}
+	l.Capacity, l.Unheard = s.usableCapacity(now, q.room.pool)
+	for class := range admission.Classes {
+		r := s.rankOfNew(queue, q, admission.ClassSize(class))
+		l.OnTime.Ahead[class], l.OnTime.Arriving[class] = d.ahead.preceding(r), d.arriving.preceding(r)
+		l.Late.Ahead[class] = d.ahead.preceding(r.whenLate())
 	}
+	return l
 }
 
 // whenLate is the rank of the same job once it can't meet its objective any more.
@@ -239,8 +284,8 @@
 	return r
 }
 
-// addAhead adds the work of an occurrence without a run to the classes that it precedes.
-func (s *Scheduler) addAhead(now Time, o *occurrence, r room, onTime, late *[admission.Classes]rank, l *admission.Load) {
+// addAhead adds the work of an occurrence without a run in a room.
+func (s *Scheduler) addAhead(now Time, o *occurrence, r room, ahead *workByRank) {
 	work := 0.0
 	var first *step
 	for i := range o.steps {
@@ -253,12 +298,9 @@
 		}
 		work += float64(st.waiting) * st.taskWork()
 	}
-	if first == nil {
-		return
+	if first != nil {
+		ahead.add(s.rank(now, first), work)
 	}
-	its := s.rank(now, first)
-	addBefore(&l.OnTime.Ahead, onTime, its, work)
-	addBefore(&l.Late.Ahead, late, its, work)
 }
 
 // rankOfNew is the rank of a new job of a queue, whose work is size times the mean.
