admission: the test of refusals says what it plays

The comment spoke of two submissions in any order, the design of all orders: it plays three that follow each other, with all patterns of delayed writes. Nothing that is checked has changed.

--- a/internal/entry/admission_test.go
+++ b/internal/entry/admission_test.go
@@ -374,8 +374,8 @@
 	require.Equal(t, []admission.Reason{admission.AcceptedKnown}, known.reasons)
 }
 
-// Guards against a change of outcome for any order of two submissions' calls to the store and of
-// their delayed writes: whatever a caller is told last, a job that was refused last is not stored,
+// Guards against a change of outcome for three submissions that follow each other, whichever of them
+// refuse, and whichever of their writes are delayed and until when: whatever a caller is told last, a job that was refused last is not stored,
 // and a job that was accepted is.
 func TestRefusalsAreTrueInAnyOrder(t *testing.T) {
 	const writes = 3
