admission: a forecast that was never made has no age

Seen by: operators: forecast_age_ms in a new leader's dump, without a forecast, counted from the leader's beginning.

Change: it is told with a forecast only.

Measured: TestDumpWithoutForecastHasNoAge fails without the change (2000 of 0 ms), passes with it.

--- a/internal/scheduler/admissionpolicy_test.go
+++ b/internal/scheduler/admissionpolicy_test.go
@@ -235,6 +235,15 @@
 	require.Positive(t, positive)
 }
 
+// Guards against the age of a forecast that was never made.
+func TestDumpWithoutForecastHasNoAge(t *testing.T) {
+	f := newPolicyFixture(t, 1, func(p *Policy) { p.Admission = admission.RefuseLate })
+	f.advance(time.Second)
+	d := f.s.Dump(f.now)
+	require.Nil(t, d.Forecast)
+	require.Zero(t, d.ForecastAgeMS)
+}
+
 // Guards against trust in a rate that the leader's own processor has set.
 func TestForecastIsNotTrustedWhileStartsAreScarce(t *testing.T) {
 	f, _ := newBusyFixture(t)
--- a/internal/scheduler/dump.go
+++ b/internal/scheduler/dump.go
@@ -72,7 +72,7 @@
 		}
 	}
 	d.WaitingTasks = s.waitingTasks()
-	if s.demand != nil {
+	if s.demand != nil && s.demand.forecast != nil {
 		d.Forecast, d.ForecastAgeMS = s.demand.forecast, (now - s.demand.forecastAt).Milliseconds()
 	}
 	if s.fairness != nil {
