--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -130,6 +130,7 @@
 	s.recordCopyEnd(now, t, number)
 	t.done = true
 	t.doneRun = number
+	s.recordDone(t)
 	t.step.tasksLeft--
 	if len(t.runs) == 0 {
 		t.step.waiting--
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -204,6 +204,12 @@
 	pool  string
 	// submittedAt is when the caller first submitted the job, as far as known.
 	submittedAt Time
+	// zone is the availability zone in which the job was accepted, "" if unknown.
+	zone string
+	// predictedWait is the wait that was predicted when the job arrived, until its first start;
+	// it is set if hasPrediction is.
+	predictedWait time.Duration
+	hasPrediction bool
 	// criticalPath is the longest chain of steps by their declared durations.
 	criticalPath time.Duration
 	// stretch and slack define the objective; see Scheduler.objective.
@@ -441,6 +447,9 @@
 	unevenness unevenness
 	images     effectModel
 	reserve    reserve
+	// fairness and demand are nil unless the policy uses them.
+	fairness *fairness
+	demand   *demand
 	// candidates is the candidate list of the step that is being placed.
 	candidates candidates
 	// unplacedAt is when a task last found no place in the whole fleet.
@@ -475,6 +484,7 @@
 	}
 	return &Scheduler{
 		wantedRacks: map[string]Time{},
+		fairness:    newFairness(&policy), demand: newDemand(&policy),
 		startBudget: UnlimitedStarts, evacuations: &batch.Evacuations{},
 		settings: settings, policy: policy, fence: fence, maxToken: fence, nextRun: fence << runNumberBits, vms: map[string]*vm{}, jobs: map[string]*job{},
 		timedJobs: map[string]*job{}, dirtyJobs: map[string]*job{}, waves: map[int64]*wave{}, awaitedVMs: map[string]Time{}, recentVMEnds: map[vmIncarnation]vmEnd{}, unconfirmedCrashes: map[vmIncarnation]map[*task]int64{}, startLog: startLog{inherited: map[vmIncarnation][]*inheritedStart{}, lostVMs: map[string]bool{}}, expiredLeases: map[string]ExpiredLease{}, unknownJobsSince: map[string]Time{}, absentJobs: map[string]Time{}, images: newEffectModel(), meanWork: map[string]float64{}, durationRatios: durationRatios{}, estimates: map[string]*estimate.Model{}, unevenness: unevenness{spreads: map[string]*runtimes.Spread{}}, logf: log,
@@ -497,6 +507,10 @@
 	Group string
 	// Place is where a started run is, or how a wait for a place ended.
 	Place Place
+	// PredictedWait is the wait until the job's first start that was predicted when the job
+	// arrived. It is set for that start if HasPrediction is.
+	PredictedWait time.Duration
+	HasPrediction bool
 	// Value is a number that belongs to the reason.
 	Value float64
 	// Outcome tells which run of a copied task was first: CopyWon or CopyLost.
