entry: Retry-After grows with an outage that peers see, too

Cause: the longer Retry-After of 1 to 3 s is sent only if the leader itself was reached and refused. Where leaders stop in turn, nobody is reached.

Change: a process that the store does not answer asks its peers for the configuration anyway. If some respond and none of them has a recent response of the store, the outage is one for all, and the same Retry-After is sent. A round for a waiting caller asks for more than that and says nothing.

Tests: TestRetryAfterGrowsWithAnOutageThatPeersSee, TestPeersTellAnOutageForAllFromACut.

--- a/internal/edge/configfetcher.go
+++ b/internal/edge/configfetcher.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rattanwall/rattanwall/internal/batch"
@@ -30,6 +31,9 @@
 	// minRoundInterval is the minimum time between the starts of two rounds, whatever the
 	// number of waiting callers.
 	minRoundInterval = 100 * time.Millisecond
+	// maxRoundAge is how long the result of a round says something about the store: the longest
+	// pause between rounds, and a round.
+	maxRoundAge = maxAskPeersInterval + time.Second
 	// peerAnswerTimeout bounds one call to a peer.
 	peerAnswerTimeout = 400 * time.Millisecond
 	// peerValueTimeout bounds the transfer of a configuration from a peer. A large one takes a
@@ -55,6 +59,11 @@
 	log            *eventlog.Log
 	// wake interrupts the pause between rounds.
 	wake chan struct{}
+	// responses counts the peers that responded in the current round; peersLackStoreAt is when a
+	// round last ended in which peers responded and none confirmed the configuration by a recent
+	// response of the store, 0 if the last round was another. It is on the monotonic clock.
+	responses        atomic.Int32
+	peersLackStoreAt atomic.Int64
 	// transfer is held while a configuration is transferred: several at a time would each take
 	// several times as long on a narrow link.
 	transfer sync.Mutex
@@ -93,7 +102,9 @@
 			maxAge = maxConfirmationAge / 2
 		}
 		began = steady.Now()
-		if p.askPeers(ctx, maxAge) {
+		confirmed := p.askPeers(ctx, maxAge)
+		p.recordRound(confirmed, woken)
+		if confirmed {
 			wait, retry = minAskPeersInterval, minAskPeersInterval
 		} else {
 			wait, retry = retry, min(2*retry, maxAskPeersInterval)
@@ -101,6 +112,29 @@
 	}
 }
 
+// recordRound records whether the peers that responded lack the store as well. A round for a
+// waiting caller asks for more than a recent response of the store: without a confirmation it says
+// nothing.
+func (p *configFetcher) recordRound(confirmed, forCaller bool) {
+	responses := p.responses.Swap(0)
+	switch {
+	case confirmed:
+		p.peersLackStoreAt.Store(0)
+	case forCaller:
+	case responses > 0:
+		p.peersLackStoreAt.Store(int64(steady.Now()))
+	default:
+		p.peersLackStoreAt.Store(0)
+	}
+}
+
+// peersLackStore reports whether the last round, if it ended recently, found that the peers that
+// respond have no response from the store either.
+func (p *configFetcher) peersLackStore() bool {
+	at := time.Duration(p.peersLackStoreAt.Load())
+	return at > 0 && steady.Now()-at < maxRoundAge
+}
+
 // waitOrWake waits for d or until trigger is called, and reports whether it was woken by
 // trigger.
 func (p *configFetcher) waitOrWake(ctx context.Context, d time.Duration) bool {
@@ -178,6 +212,7 @@
 		p.log.Event("config_peer_failed", eventlog.Fields{"peer": address, "error": err.Error()})
 		return false
 	}
+	p.responses.Add(1)
 	p.onPeerResponse(address)
 	p.peers.add(r.GetPeers()...)
 	if fence := r.GetLeaderFence(); fence > 0 {
--- a/internal/edge/configfetcher_test.go
+++ b/internal/edge/configfetcher_test.go
@@ -173,3 +173,26 @@
 	a.remove(first)
 	require.NotContains(t, a.list(""), first)
 }
+
+// Guards against callers that are told to come back at once during an outage for all, and against
+// callers that wait although only this process has lost the store.
+func TestPeersTellAnOutageForAllFromACut(t *testing.T) {
+	peer := &fakeConfigPeer{config: newTestConfiguration()}
+	peer.config.install(versionItem(1), "store")
+	address := servePeer(t, peer)
+	c := newTestConfiguration()
+	c.install(versionItem(1), "store")
+	p := &configFetcher{
+		config: c, evacuations: newTestEvacuations(), peers: &peerAddresses{self: "127.0.0.1:2"}, leader: func() (leader.Record, bool) { return leader.Record{Address: address}, true },
+		onLeaderReported: func(leader.Record, int64, string) {}, onPeerResponse: func(string) {},
+		client: &http.Client{}, log: quietLog(), wake: make(chan struct{}, 1),
+	}
+	round := func(forCaller bool) { p.recordRound(p.askPeers(t.Context(), 0), forCaller) }
+	round(true)
+	require.False(t, p.peersLackStore(), "a round for a caller asks for more than a recent response")
+	round(false)
+	require.True(t, p.peersLackStore())
+	peer.config.recordStoreRead(steady.Now())
+	round(false)
+	require.False(t, p.peersLackStore())
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -182,7 +182,7 @@
 	e.leaderClient = &leaderClient{self: s.Peers, election: e.election, local: local, client: p.PeerClient}
 	e.entry = &entry.Entry{
 		Store: p.Store, InForce: e.config.inForce.Load, ConfirmedAge: e.config.inForceConfirmedAge, ConfirmConfig: e.confirmConfig, Accepting: e.ready, WallMS: wallMS, Log: log,
-		Observe: e.metrics.recordRequest, StoreRespondedAt: e.operatorFollower.LastResponseAt, LeaderReachable: e.leaderReachable,
+		Observe: e.metrics.recordRequest, StoreRespondedAt: e.operatorFollower.LastResponseAt, LeaderReachable: e.leaderReachable, PeersLackStore: e.configFetcher.peersLackStore,
 		Peers: e.leaderClient,
 	}
 	local.entry = e.entry
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -75,6 +75,9 @@
 	// StoreRespondedAt returns when the store last responded to this process's reads and
 	// watches of the configuration, on the monotonic clock; 0 for never.
 	StoreRespondedAt func() time.Duration
+	// PeersLackStore reports whether other processes have responded recently and none of them
+	// had a response from the store either; may be nil.
+	PeersLackStore func() bool
 	// LeaderReachable reports whether the leader has responded to this process recently.
 	LeaderReachable func() bool
 	// WallMS returns the wall clock time in milliseconds since 1970.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -339,3 +339,17 @@
 	f.Peers = unreachablePeers{}
 	require.Equal(t, unavailableRetryAfter, retryAfter(time.Minute))
 }
+
+// Guards against callers that use up their retries within an outage of the store in which no leader
+// can be reached: other processes tell as well that the store is away for all.
+func TestRetryAfterGrowsWithAnOutageThatPeersSee(t *testing.T) {
+	f := newEntryFixture()
+	lacking := true
+	f.PeersLackStore = func() bool { return lacking }
+	f.storeRespondedAt.Store(int64(steady.Now() - 2500*time.Millisecond))
+	err := errkind.From(f.submit(t.Context()))
+	require.Equal(t, errkind.StoreUnavailable, err.Kind)
+	require.InDelta(t, 2500*time.Millisecond, err.RetryAfter, float64(200*time.Millisecond))
+	lacking = false
+	require.Equal(t, unavailableRetryAfter, errkind.From(f.submit(t.Context())).RetryAfter, "only this process is cut off")
+}
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -15,14 +15,14 @@
 const unavailableRetryAfter = time.Second
 
 // maxOutageRetryAfter bounds the delay for callers that are refused during an outage of the store
-// that the leader sees as well. No process can accept them before its end, and callers repeat
+// that other processes see as well. No process can accept them before its end, and callers repeat
 // only so often. An outage that has lasted for some time is assumed to last as long again.
 const maxOutageRetryAfter = 3 * time.Second
 
 // refusal returns the error for a job that was certainly not accepted.
 func (e *Entry) refusal(cause error) *errkind.Error {
 	err := unavailableError("not accepted", cause)
-	if errors.Is(cause, errLeaderRefused) {
+	if errors.Is(cause, errLeaderRefused) || (e.PeersLackStore != nil && e.PeersLackStore()) {
 		err.RetryAfter = min(max(e.sinceStoreResponse(), unavailableRetryAfter), maxOutageRetryAfter)
 	}
 	return err
