scheduler: regression of durations only where declarations are mostly noise

Cause: where declarations are accurate a regression says little more than the ratio, and draws jobs to the mean of a long-tailed queue.

Change: it is used where its slope is below 0.4, that is where the errors of declared durations vary more than the durations themselves, and the ratio elsewhere. Test: TestAccurateDeclarationsKeepTheirRatio.

--- a/internal/scheduler/estimate/estimate.go
+++ b/internal/scheduler/estimate/estimate.go
@@ -27,6 +27,9 @@
 	maxLogDeviation = 3.0
 	// maxFactor bounds the ratio of a prediction to its declared duration, in both directions.
 	maxFactor = 8.0
+	// noisySlope is the slope below which declared durations are mostly noise: their errors vary
+	// more than the durations themselves.
+	noisySlope = 0.4
 	// priorVariance is the variance of the declared durations' logarithm with which the slope
 	// starts at 1: declared durations that hardly differ say nothing about the slope.
 	priorVariance = 0.02
@@ -64,6 +67,9 @@
 // Known reports whether enough steps have been observed for predictions.
 func (m *Model) Known() bool { return m != nil && m.steps >= minSteps }
 
+// IsNoisy reports whether declared durations are known to say little about single steps.
+func (m *Model) IsNoisy() bool { return m.Known() && m.Slope() < noisySlope }
+
 // Slope is the share of a declared duration's deviation from the queue's mean that is believed,
 // from 0 to 1.
 func (m *Model) Slope() float64 {
--- a/internal/scheduler/expected.go
+++ b/internal/scheduler/expected.go
@@ -20,15 +20,16 @@
 	s.estimates[queue].Observe(st.spec.Estimate, st.longestRun)
 }
 
-// usesRegression reports whether durations are predicted by estimate.Model.
-func (s *Scheduler) usesRegression() bool {
-	return s.policy.LearnDurations && s.policy.DurationEstimates == EstimateRegression
+// usesRegression reports whether the durations of a queue are predicted by estimate.Model: only
+// where declared durations are mostly noise. Elsewhere a regression gains nothing over the ratio.
+func (s *Scheduler) usesRegression(queue string) bool {
+	return s.policy.LearnDurations && s.policy.DurationEstimates == EstimateRegression && s.estimates[queue].IsNoisy()
 }
 
-// expectedDuration is the expected duration of one of the job's steps. Under EstimateRatio it is the
-// declared one, and sums of durations are corrected as a whole; see pathFactor.
+// expectedDuration is the expected duration of one of the job's steps. Without a regression it is
+// the declared one, and sums of durations are corrected as a whole; see pathFactor.
 func (s *Scheduler) expectedDuration(j *job, spec *batch.Step) time.Duration {
-	if s.usesRegression() {
+	if s.usesRegression(j.queue) {
 		return s.estimates[j.queue].Predict(spec.Estimate)
 	}
 	return spec.Estimate
@@ -36,14 +37,14 @@
 
 // pathFactor is the factor by which paths of expected durations are corrected.
 func (s *Scheduler) pathFactor(j *job) float64 {
-	if s.usesRegression() {
+	if s.usesRegression(j.queue) {
 		return 1
 	}
 	return s.durationRatio(j)
 }
 
-// expectedWork is the expected work of the tasks, in processor seconds. Under EstimateRatio it is
-// the declared work: a ratio common to a queue does not change the order of its jobs.
+// expectedWork is the expected work of the tasks, in processor seconds. Without a regression it
+// is the declared work: a ratio common to a queue does not change the order of its jobs.
 func (s *Scheduler) expectedWork(j *job, spec *batch.Step, tasks int) float64 {
 	return float64(tasks) * float64(spec.Need.MilliCPU) / 1000 * s.expectedDuration(j, spec).Seconds()
 }
@@ -78,7 +79,7 @@
 // objective is the target duration of a job from its submission to its completion.
 func (s *Scheduler) objective(j *job) time.Duration {
 	path := j.criticalPath
-	if s.usesRegression() {
+	if s.usesRegression(j.queue) {
 		path = s.longestPath(j, func(int) bool { return true })
 	}
 	return scaled(path, j.stretch*s.pathFactor(j)) + j.slack
--- a/internal/scheduler/expected_test.go
+++ b/internal/scheduler/expected_test.go
@@ -142,3 +142,23 @@
 		})
 	}
 }
+
+// Guards against a regression where declared durations are accurate: it made the order of jobs follow
+// the long tails of their durations.
+func TestAccurateDeclarationsKeepTheirRatio(t *testing.T) {
+	f := newFixture(t, 1)
+	f.reportAll(nil)
+	rng := rand.New(rand.NewPCG(7, 8))
+	for range 200 {
+		mean := math.Exp(0.5 * rng.NormFloat64())
+		f.s.observeStepDuration(&step{
+			spec: &batch.Step{Tasks: 4, Estimate: time.Duration(mean * float64(time.Second))}, occ: &occurrence{job: &job{queue: testQueue}},
+			measuredRuns: 4, longestRun: time.Duration(1.5 * mean * math.Exp(0.2*rng.NormFloat64()) * float64(time.Second)),
+		})
+	}
+	j := &job{queue: testQueue, spec: &batch.Job{Steps: []batch.Step{{Tasks: 4, Estimate: 3 * time.Second, Need: batch.Resources{MilliCPU: 1000}}}}}
+	ratio := f.s.jobWork(j)
+	f.s.policy.DurationEstimates = EstimateRegression
+	require.Equal(t, ratio, f.s.jobWork(j))
+	require.Equal(t, 3*time.Second, f.s.expectedDuration(j, &j.spec.Steps[0]))
+}
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -44,7 +44,8 @@
 	// that says something about a single job.
 	EstimateRatio DurationEstimates = "ratio"
 	// EstimateRegression weighs declared durations against the mean of their queue by how much
-	// they have said about earlier steps.
+	// they have said about earlier steps, in queues where they are mostly noise. In others it is
+	// EstimateRatio.
 	EstimateRegression DurationEstimates = "regression"
 )
 
