--- a/internal/edge/configfetcher.go
+++ b/internal/edge/configfetcher.go
@@ -116,16 +116,15 @@
 // waiting caller asks for more than a recent response of the store: without a confirmation it says
 // nothing.
 func (p *configFetcher) recordRound(confirmed, forCaller bool) {
-	responses := p.responses.Swap(0)
-	switch {
-	case confirmed:
-		p.peersLackStoreAt.Store(0)
-	case forCaller:
-	case responses > 0:
-		p.peersLackStoreAt.Store(int64(steady.Now()))
-	default:
-		p.peersLackStoreAt.Store(0)
+	responded := p.responses.Swap(0) > 0
+	if forCaller && !confirmed {
+		return
+	}
+	at := time.Duration(0)
+	if responded && !confirmed {
+		at = steady.Now()
 	}
+	p.peersLackStoreAt.Store(int64(at))
 }
 
 // peersLackStore reports whether the last round, if it ended recently, found that the peers that
--- a/internal/experiment/noisy_test.go
+++ b/internal/experiment/noisy_test.go
@@ -13,15 +13,7 @@
 // an order of jobs that follows such declarations: jobs that only declare little go first, and
 // others count as late while they can still be in time.
 func TestNoisyDeclarationsDoNotDecideTheOrderUnderOverload(t *testing.T) {
-	s, err := Find("noisy-350")
-	require.NoError(t, err)
-	const share = 10
-	s.Fleet.VMs /= share
-	s.Serving.Jobs /= share
-	s.Serving.PerS /= share
-	s.Short.PerS /= share
-	s.Fillers.PerS /= share
-	s.AfterS = 12
+	s := reducedScenario(t, "noisy-350", 10)
 	variant := func(way scheduler.DurationEstimates) Variant {
 		p := scheduler.DefaultPolicy()
 		p.DurationEstimates = way
--- a/internal/experiment/racks_test.go
+++ b/internal/experiment/racks_test.go
@@ -8,18 +8,7 @@
 )
 
 // racksScenario returns racks-350 on a tenth of its fleet, until shortly after the load.
-func racksScenario(t *testing.T) Scenario {
-	const share = 10
-	s, err := Find("racks-350")
-	require.NoError(t, err)
-	s.Fleet.VMs /= share
-	s.Serving.Jobs /= share
-	s.Serving.PerS /= share
-	s.Short.PerS /= share
-	s.Fillers.PerS /= share
-	s.AfterS = 12
-	return s
-}
+func racksScenario(t *testing.T) Scenario { return reducedScenario(t, "racks-350", 10) }
 
 // Guards against waits for places that serve callers no better than runs away at once, with data in
 // racks and with groups.
--- a/internal/experiment/shifted_test.go
+++ b/internal/experiment/shifted_test.go
@@ -9,18 +9,7 @@
 
 // shiftedScenario returns shifted-350 on a tenth of its fleet, with an evacuated zone and a burst,
 // until shortly after the load.
-func shiftedScenario(t *testing.T) Scenario {
-	const share = 10
-	s, err := Find("shifted-350")
-	require.NoError(t, err)
-	s.Fleet.VMs /= share
-	s.Serving.Jobs /= share
-	s.Serving.PerS /= share
-	s.Short.PerS /= share
-	s.Fillers.PerS /= share
-	s.AfterS = 12
-	return s
-}
+func shiftedScenario(t *testing.T) Scenario { return reducedScenario(t, "shifted-350", 10) }
 
 // More work arrives than the fleet can do without the evacuated zone. Objectives computed from the
 // declared mean durations count jobs as late while they can still be in time, and the work that was
--- a/internal/experiment/uneven_test.go
+++ b/internal/experiment/uneven_test.go
@@ -8,18 +8,7 @@
 )
 
 // unevenScenario returns uneven-350 on a fifth of its fleet, until shortly after the load.
-func unevenScenario(t *testing.T) Scenario {
-	const share = 5
-	s, err := Find("uneven-350")
-	require.NoError(t, err)
-	s.Fleet.VMs /= share
-	s.Serving.Jobs /= share
-	s.Serving.PerS /= share
-	s.Short.PerS /= share
-	s.Fillers.PerS /= share
-	s.AfterS = 12
-	return s
-}
+func unevenScenario(t *testing.T) Scenario { return reducedScenario(t, "uneven-350", 5) }
 
 // Short jobs with long tasks arrive while a sixth of the VMs are slow, and processors are scarce.
 // Acting by the rate of a run alone stops long tasks on sound VMs and throws their work away.
