--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -70,29 +70,36 @@
 	edges []*edge
 }
 
-// start starts the stand-ins and the processes, and waits for a leader. machines and store start
-// other stand-ins in place of those of the project; they may be nil.
-func start(r *record, machines, store func(*platformtest.Deployment) (address string, err error)) (*deployment, error) {
+// options are the stand-ins of a case.
+type options struct {
+	// workers is the number of the project's own workers.
+	workers int
+	// machines and store start other stand-ins in place of the project's; they may be nil.
+	machines, store func(*platformtest.Deployment) (address string, err error)
+}
+
+// start starts the stand-ins and the processes, and waits for a leader.
+func start(r *record, o options) (*deployment, error) {
 	dir, err := os.MkdirTemp("", "rattanwall-review")
 	if err != nil {
 		return nil, err
 	}
 	d := &deployment{record: r, dir: dir}
 	d.Deployment, err = platformtest.Start(platformtest.Options{
-		Workers: workerCount, MaxLease: maxLease, Zones: zoneCount, Racks: rackCount, WorkerCPU: 32_000,
+		Workers: o.workers, MaxLease: maxLease, Zones: zoneCount, Racks: rackCount, WorkerCPU: 32_000,
 	})
 	if err != nil {
 		return nil, err
 	}
 	machinesAddress := d.MachinesAddress()
-	if machines != nil {
-		if machinesAddress, err = machines(d.Deployment); err != nil {
+	if o.machines != nil {
+		if machinesAddress, err = o.machines(d.Deployment); err != nil {
 			return d, err
 		}
 	}
 	storeAddress := d.StoreAddress()
-	if store != nil {
-		if storeAddress, err = store(d.Deployment); err != nil {
+	if o.store != nil {
+		if storeAddress, err = o.store(d.Deployment); err != nil {
 			return d, err
 		}
 	}
--- a/review/standin/latesubmission.go
+++ b/review/standin/latesubmission.go
@@ -38,10 +38,10 @@
 // lateSubmission makes the store lose answers, while clients hand jobs in and cancel them.
 func lateSubmission(r *record, trouble bool) (int, error) {
 	s := &losingStore{r: r}
-	d, err := start(r, nil, func(p *platformtest.Deployment) (string, error) {
+	d, err := start(r, options{workers: workerCount, store: func(p *platformtest.Deployment) (string, error) {
 		s.store = p.Store
 		return s.serve()
-	})
+	}})
 	if d != nil {
 		defer d.stop()
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,7 +23,7 @@
 	// The processes that this thread starts end with it, however this program ends.
 	runtime.LockOSThread()
 	cases := map[string]func(r *record, trouble bool) (int, error){
-		"late-submission": lateSubmission, "stale-upkeep": staleUpkeep,
+		"crashing-rack": crashingRack, "late-submission": lateSubmission, "stale-upkeep": staleUpkeep,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		_, _ = fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
--- a/review/standin/staleupkeep.go
+++ b/review/standin/staleupkeep.go
@@ -28,7 +28,7 @@
 // for machines of the wave.
 func staleUpkeep(r *record, trouble bool) (int, error) {
 	m := &machineService{r: r}
-	d, err := start(r, m.serve, nil)
+	d, err := start(r, options{workers: workerCount, machines: m.serve})
 	if d != nil {
 		defer d.stop()
 	}
