entry: a cancellation of an unknown job voids its submissions under way

Cause: the cancellation rested on one read. Where there was no job it left nothing in the store, while a write of the submission, conditional only on the absence of the job, was still to be carried out.

Change: a job that is not stored gets a tombstone (tombstone/ID), written on condition that the job is still not there, and a job is stored only while its ID has none. If the job is stored between the read and the write, it is cancelled as usual. Both writes being conditional on each other, either the job is stored and cancelled or it is never stored. Tombstones are below a prefix of their own, so that they show no job to anybody, and no leader reads them. They share the lease of refusals, granted once a minute and never renewed, and last two to three minutes.

Cost: nothing more for a job that is stored (a read, a write) but one condition with its creation; a write for one that is not, and a lease a minute for each process that has any. Cancellations of unknown jobs are therefore limited, 2 a second and 100 at once for a process, half of it for a queue. What is over that is refused with Retry-After, before anything is sent to the store, unless the leader knows the job.

An empty conflict no longer counts as a stored job, since there are three reasons for one now.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -173,8 +173,13 @@
 // toTwirpError converts a store error to a code that says whether anything may have been
 // written: Unavailable means that nothing was.
 func toTwirpError(err error) error {
-	if errors.Is(err, entry.ErrRefusedSince) {
+	switch {
+	case errors.Is(err, entry.ErrRefusedSince):
 		return twirp.NewError(twirp.Aborted, err.Error())
+	case errors.Is(err, entry.ErrCancelledBefore):
+		return twirp.NewError(twirp.AlreadyExists, err.Error())
+	case errors.Is(err, entry.ErrCancelLimit):
+		return twirp.NewError(twirp.Unavailable, err.Error())
 	}
 	if errors.Is(err, durable.ErrUnknown) || !errors.Is(err, durable.ErrRefused) {
 		return twirp.NewError(twirp.Unknown, err.Error())
@@ -252,7 +257,7 @@
 		return false
 	}
 	switch te.Code() {
-	case twirp.FailedPrecondition, twirp.Unavailable, twirp.Unknown, twirp.Aborted:
+	case twirp.FailedPrecondition, twirp.Unavailable, twirp.Unknown, twirp.Aborted, twirp.AlreadyExists:
 		return true
 	default:
 		return false
@@ -370,11 +375,17 @@
 	if errors.Is(err, durable.ErrRefused) {
 		return err
 	}
-	if errors.As(err, &te) && te.Code() == twirp.Aborted {
-		return errors.Mark(err, entry.ErrRefusedSince)
+	if !errors.As(err, &te) {
+		return errors.Mark(err, durable.ErrUnknown)
 	}
-	if errors.As(err, &te) && te.Code() == twirp.Unavailable {
+	switch te.Code() {
+	case twirp.Aborted:
+		return errors.Mark(err, entry.ErrRefusedSince)
+	case twirp.AlreadyExists:
+		return errors.Mark(err, entry.ErrCancelledBefore)
+	case twirp.Unavailable:
 		return errors.Mark(errors.Mark(err, durable.ErrRefused), entry.ErrPeerRefused)
+	default:
+		return errors.Mark(err, durable.ErrUnknown)
 	}
-	return errors.Mark(err, durable.ErrUnknown)
 }
--- a/internal/edge/peers_test.go
+++ b/internal/edge/peers_test.go
@@ -66,3 +66,18 @@
 	require.True(t, errors.Is(err, entry.ErrRefusedSince))
 	require.False(t, errors.Is(err, durable.ErrUnknown))
 }
+
+// Guards against an unknown outcome for a job that was cancelled before it was stored, or for a
+// cancellation that the leader did not record because of its limit.
+func TestRefusalsForCancellationsAreToldBetweenPeers(t *testing.T) {
+	err := toTwirpError(entry.ErrCancelledBefore)
+	require.True(t, isLeaderResponse(err))
+	err = toStoreError(err)
+	require.True(t, errors.Is(err, entry.ErrCancelledBefore))
+	require.False(t, errors.Is(err, entry.ErrRefusedSince))
+	require.False(t, errors.Is(err, durable.ErrUnknown))
+
+	err = toStoreError(toTwirpError(entry.ErrCancelLimit))
+	require.True(t, errors.Is(err, durable.ErrRefused))
+	require.False(t, errors.Is(err, durable.ErrUnknown))
+}
--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -37,7 +37,6 @@
 	// refreshedAt is when the leader was last asked for a forecast, in nanoseconds of the
 	// monotonic clock.
 	refreshedAt atomic.Int64
-	lease       refusalLease
 }
 
 const (
@@ -172,13 +171,13 @@
 func (e *Entry) recordRefusal(ctx context.Context, id string, g Guard) error {
 	ctx, cancel := e.withTimeout(ctx, commitTimeout)
 	defer cancel()
-	lease, err := e.Admission.lease.get(ctx, e.Store)
+	lease, err := e.recordLease.get(ctx, e.Store)
 	if err != nil {
 		return err
 	}
 	_, err = e.Store.Commit(ctx, durable.Txn{
 		Conditions: g.conditions(id),
-		Writes:     []durable.Write{{Key: leader.RefusalKey(id), Value: []byte("{}"), Lease: lease}},
+		Writes:     []durable.Write{{Key: leader.RefusalKey(id), Value: emptyRecord, Lease: lease}},
 	})
 	var conflict *durable.ConflictError
 	switch {
@@ -187,7 +186,7 @@
 	case errors.As(err, &conflict):
 		return ErrRefusedSince
 	case errors.Is(err, durable.ErrLeaseGone):
-		e.Admission.lease.drop(lease)
+		e.recordLease.drop(lease)
 	}
 	return err
 }
--- a/internal/entry/admission_test.go
+++ b/internal/entry/admission_test.go
@@ -29,6 +29,8 @@
 	leases   int64
 	// delayNext holds the next commit back, without a response, until deliver is called.
 	delayNext bool
+	// delayAll holds all commits back like that.
+	delayAll bool
 	// loseNext carries out the next commit and loses its response.
 	loseNext bool
 	// beforeCommit is called once before the next commit.
@@ -37,15 +39,21 @@
 	refusesReads   bool
 	refusesLeases  bool
 	leaseOfRefusal int64
+	// leaseOf holds the lease of each key; endedLease is one that has ended, 0 for none.
+	leaseOf    map[string]int64
+	endedLease int64
+	// commits and reads count the calls.
+	commits, reads int
 }
 
 func newConditionalStore() *conditionalStore {
-	return &conditionalStore{items: map[string]durable.Item{}}
+	return &conditionalStore{items: map[string]durable.Item{}, leaseOf: map[string]int64{}}
 }
 
 var errLost = errors.Mark(errors.New("no response"), durable.ErrUnknown)
 
 func (s *conditionalStore) Get(_ context.Context, key string) (*durable.Item, error) {
+	s.reads++
 	if s.refusesReads {
 		return nil, errors.Mark(errors.New("429"), durable.ErrRefused)
 	}
@@ -64,11 +72,12 @@
 }
 
 func (s *conditionalStore) Commit(_ context.Context, txn durable.Txn) (int64, error) {
+	s.commits++
 	if f := s.beforeCommit; f != nil {
 		s.beforeCommit = nil
 		f()
 	}
-	if s.delayNext {
+	if s.delayNext || s.delayAll {
 		s.delayNext = false
 		s.delayed = append(s.delayed, txn)
 		return 0, errLost
@@ -102,8 +111,14 @@
 	if !holds {
 		return conflict
 	}
+	for _, w := range txn.Writes {
+		if w.Lease != 0 && w.Lease == s.endedLease {
+			return durable.ErrLeaseGone
+		}
+	}
 	s.revision++
 	for _, w := range txn.Writes {
+		s.leaseOf[w.Key] = w.Lease
 		s.items[w.Key] = durable.Item{Key: w.Key, Value: w.Value, Revision: s.revision}
 		if w.Key == leader.RefusalKey(testID) {
 			s.leaseOfRefusal = w.Lease
@@ -112,11 +127,13 @@
 	return nil
 }
 
-func (s *conditionalStore) hasJob() bool {
-	_, ok := s.items[leader.JobKey(testID)]
+func (s *conditionalStore) has(key string) bool {
+	_, ok := s.items[key]
 	return ok
 }
 
+func (s *conditionalStore) hasJob() bool { return s.has(leader.JobKey(testID)) }
+
 const testID = "00000000000000aa"
 
 // guardedEntry is a process that refuses what it knows to be late.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -48,13 +48,14 @@
 	RefusalRevision(ctx context.Context, id string) (int64, error)
 	// Waiting returns the number of a queue's jobs of which no task has started.
 	Waiting(ctx context.Context, queue string) (int, error)
-	// Submit makes the leader store a job. It returns durable.ErrRefused, ErrUnknown or
-	// ErrRefusedSince like the store itself.
+	// Submit makes the leader store a job. It returns durable.ErrRefused, ErrUnknown,
+	// ErrRefusedSince or ErrCancelledBefore like the store itself.
 	Submit(ctx context.Context, id string, record []byte, guard Guard) error
 	// Announce informs the leader of a job that is in the store or, without a record, of its
 	// cancellation.
 	Announce(ctx context.Context, id string, record []byte) error
-	// Cancel makes the leader store a cancellation; known is false if there is no such job.
+	// Cancel makes the leader record a cancellation; known is false if there is no such job, and no
+	// submission under way will store it.
 	Cancel(ctx context.Context, id string) (known bool, err error)
 }
 
@@ -93,6 +94,9 @@
 	// reachability is that of the store; probing is true while a probe runs.
 	reachability Reachability
 	probing      atomic.Bool
+	// recordLease is that of refusals and tombstones.
+	recordLease    recordLease
+	unknownCancels unknownCancels
 }
 
 // Config returns the configuration in force, nil if there is none.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -48,7 +48,7 @@
 	}
 	key := txn.Writes[0].Key
 	if s.keys[key] {
-		return 0, &durable.ConflictError{}
+		return 0, &durable.ConflictError{Current: []durable.Item{{Key: key}}}
 	}
 	s.keys[key] = true
 	if s.loseNextResponse {
@@ -88,6 +88,8 @@
 	return 0, errUnreachable
 }
 
+func (unreachablePeers) Cancel(context.Context, string) (bool, error) { return false, errUnreachable }
+
 func (unreachablePeers) Announce(context.Context, string, []byte) error { return errUnreachable }
 
 type entryFixture struct {
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -38,3 +38,11 @@
 	err.RetryAfter = unavailableRetryAfter
 	return err
 }
+
+// cancelledBefore returns the error for a job that was cancelled before it was stored. Its ID can
+// be used again once the tombstone has been removed.
+func cancelledBefore(cause error) *errkind.Error {
+	err := errkind.New(errkind.AlreadyExists, "not accepted: the job was cancelled", cause)
+	err.RetryAfter = voidingTTL
+	return err
+}
--- a/internal/entry/storepath.go
+++ b/internal/entry/storepath.go
@@ -27,7 +27,7 @@
 	sentAt := steady.Now()
 	err := createJob(ctx, e.Store, id, record, guard)
 	switch {
-	case err == nil, errors.Is(err, ErrRefusedSince):
+	case err == nil, errors.Is(err, ErrRefusedSince), errors.Is(err, ErrCancelledBefore):
 		e.reachability.RecordResponse()
 	case errors.Is(err, durable.ErrUnknown) && ctx.Err() == nil:
 		e.reachability.RecordReset(sentAt)
@@ -50,14 +50,6 @@
 	return e.create(ctx, id, record, guard)
 }
 
-// CancelForPeer stores a cancellation on behalf of another process, like CreateForPeer.
-func (e *Entry) CancelForPeer(ctx context.Context, id string) (known bool, err error) {
-	if !e.StoreReachable() {
-		return false, errStoreUnresponsive
-	}
-	return StoreCancel(ctx, e.Store, id)
-}
-
 // probe reads from the store until it responds, one read at a time, so that its recovery is
 // detected without risking a caller's job.
 func (e *Entry) probe() {
@@ -110,7 +102,7 @@
 		return nil
 	}
 	switch {
-	case errors.Is(leaderErr, ErrRefusedSince):
+	case errors.Is(leaderErr, ErrRefusedSince), errors.Is(leaderErr, ErrCancelledBefore):
 		// The write from here had the same condition, so it has not stored the job and never will.
 		return leaderErr
 	case errors.Is(err, durable.ErrUnknown), errors.Is(leaderErr, durable.ErrUnknown):
@@ -121,32 +113,33 @@
 	return err
 }
 
+// ErrCancelledBefore is returned for a job that was cancelled before it was stored. Nothing of this
+// submission was or will be stored.
+var ErrCancelledBefore = errors.New("the job was cancelled before it was stored")
+
+// errContradictoryConflict is returned if the store names none of the keys that can prevent a job
+// from being stored.
+var errContradictoryConflict = errors.Mark(errors.New("the store reports a conflict without an item"), durable.ErrUnknown)
+
+// emptyRecord is the value of keys that only need to exist.
+var emptyRecord = []byte("{}")
+
 // createJob stores a job. It succeeds if the job is stored already.
 func createJob(ctx context.Context, store durable.Store, id string, record []byte, guard Guard) error {
 	_, err := store.Commit(ctx, durable.Txn{
-		Conditions: guard.conditions(id),
+		Conditions: append(guard.conditions(id), durable.Condition{Key: leader.TombstoneKey(id)}),
 		Writes:     []durable.Write{{Key: leader.JobKey(id), Value: record}},
 	})
 	var conflict *durable.ConflictError
 	switch {
 	case !errors.As(err, &conflict):
 		return err
-	case guard.Active && conflict.Item(leader.JobKey(id)) == nil:
-		return ErrRefusedSince
-	}
-	return nil
-}
-
-// Create creates a key. It succeeds if the key exists already, since then an earlier attempt or
-// another process has created it for the same ID.
-func Create(ctx context.Context, store durable.Store, key string, value []byte) error {
-	_, err := store.Commit(ctx, durable.Txn{
-		Conditions: []durable.Condition{{Key: key}},
-		Writes:     []durable.Write{{Key: key, Value: value}},
-	})
-	var conflict *durable.ConflictError
-	if errors.As(err, &conflict) {
+	case conflict.Item(leader.JobKey(id)) != nil:
 		return nil
+	case conflict.Item(leader.TombstoneKey(id)) != nil:
+		return ErrCancelledBefore
+	case guard.Active:
+		return ErrRefusedSince
 	}
-	return err
+	return errContradictoryConflict
 }
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -45,8 +45,12 @@
 	case a.decision.Refuse:
 		err = a.refusalError()
 	case !a.stored:
-		if err = e.store(ctx, job.ID, record, a.guard); errors.Is(err, ErrRefusedSince) {
+		err = e.store(ctx, job.ID, record, a.guard)
+		switch {
+		case errors.Is(err, ErrRefusedSince):
 			a.decision.Reason = admission.RefusedConcurrently
+		case errors.Is(err, ErrCancelledBefore):
+			a.decision.Reason = admission.RefusedCancelled
 		}
 	}
 	if e.Admission.Observe != nil {
@@ -98,6 +102,8 @@
 			return nil
 		case errors.Is(err, ErrRefusedSince):
 			return refusedConcurrently(err)
+		case errors.Is(err, ErrCancelledBefore):
+			return cancelledBefore(err)
 		case errors.Is(err, durable.ErrUnknown):
 			outcomeUnknown = true
 		case !outcomeUnknown:
@@ -122,7 +128,7 @@
 		err = e.create(tryCtx, id, record, guard)
 		cancel()
 	}
-	if errors.Is(err, ErrRefusedSince) {
+	if errors.Is(err, ErrRefusedSince) || errors.Is(err, ErrCancelledBefore) {
 		return err
 	}
 	return e.fallBackToLeader(ctx, err, func(ctx context.Context) error { return e.Peers.Submit(ctx, id, record, guard) })
--- a/internal/leader/records.go
+++ b/internal/leader/records.go
@@ -37,6 +37,8 @@
 	cancelSuffix = "/cancelled"
 	// refusalsPrefix is the prefix of the records of refused jobs.
 	refusalsPrefix = "refused/"
+	// tombstonesPrefix is the prefix of the records of jobs that were cancelled and not stored.
+	tombstonesPrefix = "tombstone/"
 	// progressPrefix is the prefix of the recorded progress of jobs.
 	progressPrefix = "progress/"
 )
@@ -54,6 +56,10 @@
 // RefusalKey returns the key of a job's refusal. Each refusal raises its revision.
 func RefusalKey(id string) string { return refusalsPrefix + id }
 
+// TombstoneKey returns the key that marks a job as cancelled before it was stored. A job is stored
+// only while its tombstone does not exist.
+func TombstoneKey(id string) string { return tombstonesPrefix + id }
+
 // JobRecord is the stored value of an accepted job.
 type JobRecord struct {
 	Queue string `json:"queue"`
--- a/internal/scheduler/admission/admission.go
+++ b/internal/scheduler/admission/admission.go
@@ -56,12 +56,14 @@
 	RefusedLate      Reason = "too_late"
 	// RefusedConcurrently: another process refused the same submission meanwhile.
 	RefusedConcurrently Reason = "refused_elsewhere"
+	// RefusedCancelled: the job was cancelled before it was stored.
+	RefusedCancelled Reason = "cancelled_before"
 )
 
 // Reasons lists all reasons.
 var Reasons = []Reason{
 	AcceptedFits, AcceptedNotPredicted, AcceptedNoForecast, AcceptedStale, AcceptedOtherTenure, AcceptedLowConfidence, AcceptedUnderserved,
-	AcceptedKnown, AcceptedUnproven, RefusedLate, RefusedConcurrently,
+	AcceptedKnown, AcceptedUnproven, RefusedLate, RefusedConcurrently, RefusedCancelled,
 }
 
 // Job is what decides about a new job.
