entry: the mark of a cancellation is conditional on its job

Not seen by a caller; found while the paths related to the late submission were read. The mark (job/ID/cancelled) was written on the absence of the mark only. If the job was removed between the read and the write, or before a delayed write was carried out, ten minutes after its end at the earliest, nothing ever removed the mark: it stayed in what each new leader reads, and would have cancelled a later job of the same ID.

Change: the mark is written on condition that the job has the revision that was read. The revision changes once, when the job ends; then the write is made again with the new one, one call more.

--- a/internal/entry/cancel.go
+++ b/internal/entry/cancel.go
@@ -110,7 +110,8 @@
 }
 
 // recordCancel records a cancellation in the store; known is false if there is no such job, which
-// then has a tombstone. A job that is stored meanwhile is cancelled.
+// then has a tombstone. Each write is conditional on what it is based on: a job that is stored
+// meanwhile is cancelled, and one that was removed leaves no cancellation behind.
 func (e *Entry) recordCancel(ctx context.Context, c *cancellation) (known bool, err error) {
 	if !c.admitted && e.unknownCancels.exhausted(c.queue) && !e.mayBeKnown(ctx, c.id) {
 		return false, ErrCancelLimit
@@ -121,7 +122,7 @@
 	}
 	for range maxCancelAttempts {
 		if job != nil {
-			err = e.markCancelled(ctx, c.id)
+			err = e.markCancelled(ctx, c.id, job.Revision)
 		} else {
 			err = e.writeTombstone(ctx, c)
 		}
@@ -145,10 +146,10 @@
 	return err != nil || known
 }
 
-// markCancelled marks a stored job as cancelled. The mark is removed with the job.
-func (e *Entry) markCancelled(ctx context.Context, id string) error {
+// markCancelled marks the job with a revision as cancelled. The mark is removed with the job.
+func (e *Entry) markCancelled(ctx context.Context, id string, jobRevision int64) error {
 	_, err := e.Store.Commit(ctx, durable.Txn{
-		Conditions: []durable.Condition{{Key: leader.CancelKey(id)}},
+		Conditions: []durable.Condition{{Key: leader.JobKey(id), Revision: jobRevision}, {Key: leader.CancelKey(id)}},
 		Writes:     []durable.Write{{Key: leader.CancelKey(id), Value: emptyRecord}},
 	})
 	return err
--- a/internal/entry/cancel_test.go
+++ b/internal/entry/cancel_test.go
@@ -230,3 +230,30 @@
 	}
 	require.Len(t, u.byQueue, 1)
 }
+
+// Guards against a cancellation that outlives its job: the job was removed after the cancellation
+// had read it, and nothing would ever remove a mark that is written then.
+func TestCancellationOfARemovedJobLeavesNoMark(t *testing.T) {
+	store := newConditionalStore()
+	f := newStoreEntry(store)
+	require.NoError(t, f.submitTest(t))
+	store.beforeCommit = func() { delete(store.items, leader.JobKey(testID)) }
+	require.True(t, errkind.Is(f.cancelTest(t), errkind.NotFound))
+	require.False(t, store.has(leader.CancelKey(testID)))
+}
+
+// Guards against a job that is cancelled by a delayed write of the cancellation of an earlier job
+// with its ID, which was removed.
+func TestDelayedCancellationDoesNotReachALaterJobOfItsID(t *testing.T) {
+	store := newConditionalStore()
+	f := newStoreEntry(store)
+	require.NoError(t, f.submitTest(t))
+	store.delayNext = true
+	require.NoError(t, f.cancelTest(t))
+	delete(store.items, leader.JobKey(testID))
+	delete(store.items, leader.CancelKey(testID))
+	require.NoError(t, f.submitTest(t))
+	store.deliver()
+	require.True(t, store.hasJob())
+	require.False(t, store.has(leader.CancelKey(testID)))
+}
