entry: fewer cancellations of unknown jobs at once

Change: 16 at once for a process instead of 100, 8 for a queue instead of 50; the long run stays at 2 and 1 a second. So all processes together make 72 writes at once for a flood in one queue (144 in several) of 400, 360 (720) of 1,200 with 45 processes, 1,176 (2,352) of 3,200 with 147.

--- a/internal/entry/cancel_test.go
+++ b/internal/entry/cancel_test.go
@@ -182,6 +182,20 @@
 
 func (knowingPeers) Announce(context.Context, string, []byte) error { return nil }
 
+// Guards against cancellations that cost more calls to the store than a read and a write.
+func TestCancellationTakesAReadAndAWrite(t *testing.T) {
+	store := newConditionalStore()
+	f := newStoreEntry(store)
+	require.NoError(t, f.submitTest(t))
+	for _, id := range []string{testID, testID, "0000000000000001", "0000000000000001", "0000000000000002"} {
+		reads, commits := store.reads, store.commits
+		_ = f.cancelJob(t, "q", id)
+		require.Equal(t, 1, store.reads-reads, id)
+		require.Equal(t, 1, store.commits-commits, id)
+	}
+	require.Equal(t, int64(1), store.leases)
+}
+
 // Guards against a flood of cancellations of unknown jobs that fills the store, uses up its calls,
 // or delays the cancellations of other callers: those of known jobs, and those of other queues.
 func TestFloodOfUnknownCancellationsIsBounded(t *testing.T) {
--- a/internal/entry/unknowncancels.go
+++ b/internal/entry/unknowncancels.go
@@ -9,13 +9,12 @@
 
 const (
 	// unknownCancelRate is how many cancellations of unknown jobs a process records per second in
-	// the long run, and unknownCancelBurst how many at once. Each is a write, so that a hundred
-	// processes use less than a tenth of what their store carries, and leaves a record for
-	// voidingTTL.
-	unknownCancelRate, unknownCancelBurst = 2, 100
+	// the long run, and unknownCancelBurst how many at once. Each is a write and leaves a record for
+	// voidingTTL. All processes of a deployment share the writes that the store accepts.
+	unknownCancelRate, unknownCancelBurst = 2, 16
 	// queueCancelRate and queueCancelBurst are the limits of each queue, so that the callers of
 	// one leave room for those of others.
-	queueCancelRate, queueCancelBurst = 1, 50
+	queueCancelRate, queueCancelBurst = 1, 8
 )
 
 // unknownCancels limits the cancellations of unknown jobs. The zero value is ready for use.
