leader: a removal of jobs whose response was lost is not repeated

If the removal was carried out and its response lost, the next one conflicts, since the job's record is gone. It took over the revision 0 and deleted the keys once more, with whatever was stored under the ID meanwhile.

Change: a job whose record is gone was removed, and is dropped. The store is read for a later job of its ID, which counted as known until then; if that fails, it is tried again with the next removal.

TestRemovalWithoutResponseLeavesALaterJobOfItsID fails without the change: the later job is deleted.

--- a/internal/leader/forget_test.go
+++ b/internal/leader/forget_test.go
@@ -20,6 +20,19 @@
 	revisions map[string]int64
 	delayNext bool
 	delayed   []durable.Txn
+	// loseNext carries out the next commit and loses its response.
+	loseNext bool
+}
+
+func (s *lateStore) Get(context.Context, string) (*durable.Item, error) { return nil, nil }
+
+// Range returns the job with the key prefix, if there is one.
+func (s *lateStore) Range(_ context.Context, prefix string) ([]durable.Item, int64, error) {
+	revision, ok := s.revisions[prefix]
+	if !ok {
+		return nil, s.revision, nil
+	}
+	return []durable.Item{{Key: prefix, Value: queuedJobItem.Value, Revision: revision, Created: revision}}, s.revision, nil
 }
 
 func (s *lateStore) Commit(_ context.Context, txn durable.Txn) (int64, error) {
@@ -46,6 +59,10 @@
 	for _, key := range txn.Deletes {
 		delete(s.revisions, key)
 	}
+	if s.loseNext {
+		s.loseNext = false
+		return 0, durable.ErrUnknown
+	}
 	return s.revision, nil
 }
 
@@ -83,6 +100,24 @@
 	require.Contains(t, store.revisions, JobKey("j0"))
 }
 
+// Guards against an accepted job that is removed, or never started, because the response to the
+// removal of an earlier job of its ID was lost.
+func TestRemovalWithoutResponseLeavesALaterJobOfItsID(t *testing.T) {
+	store := &lateStore{revision: 10, revisions: map[string]int64{}}
+	te := newForgettingTerm(t, store, 1)
+	store.loseNext = true
+	te.forget(t.Context())
+	store.revisions[JobKey("j0")] = 20
+	te.observeJobs([]durable.Item{{Key: JobKey("j0"), Value: queuedJobItem.Value, Created: 20}}, false)
+	for range 3 {
+		te.forget(t.Context())
+	}
+	require.Contains(t, store.revisions, JobKey("j0"))
+	state, known := te.sched.State("j0")
+	require.True(t, known)
+	require.Equal(t, batch.Queued, state)
+}
+
 // Guards against records that are never removed, since the response to the last write of one was
 // lost: the removal adopts the stored revision.
 func TestRemovalAdoptsTheStoredRevision(t *testing.T) {
--- a/internal/leader/progress.go
+++ b/internal/leader/progress.go
@@ -243,9 +243,9 @@
 		return
 	}
 	revision, err := t.commit(ctx, txn)
-	t.adoptRecordRevisions(err, ended)
 	if err != nil {
 		t.log.Warn("jobs_not_removed", err, eventlog.Fields{"jobs": len(ended)})
+		t.resolveRemovalConflict(ctx, err, ended)
 		return
 	}
 	t.mu.Lock()
@@ -256,6 +256,46 @@
 	}
 }
 
+// resolveRemovalConflict handles a removal that failed because the jobs' records have other
+// revisions: the response to the last write of a record was lost, or, where there is no record any
+// more, the response to the removal of the job.
+func (t *term) resolveRemovalConflict(ctx context.Context, err error, jobs []string) {
+	var conflict *durable.ConflictError
+	if !errors.As(err, &conflict) {
+		return
+	}
+	var recorded []string
+	for _, id := range jobs {
+		if conflict.Item(ProgressKey(id)) != nil {
+			recorded = append(recorded, id)
+			continue
+		}
+		if err := t.dropRemoved(ctx, id); err != nil {
+			t.log.Warn("job_not_read", err, eventlog.Fields{"job": id})
+		}
+	}
+	t.adoptRecordRevisions(err, recorded)
+}
+
+// dropRemoved drops a job that was removed from the store, and submits a later job of its ID, which
+// counted as known until now.
+func (t *term) dropRemoved(ctx context.Context, id string) error {
+	items, progress, err := t.readJob(ctx, id)
+	if err != nil {
+		return err
+	}
+	if !t.lockConfirmed() {
+		return errDeposed
+	}
+	defer t.mu.Unlock()
+	now := steady.Now()
+	t.removed[id] = removal{at: now, revision: t.sched.RecordRevision(id)}
+	t.sched.DropJobs([]string{id})
+	t.submitJobs(now, items, progress)
+	t.requestPlan()
+	return nil
+}
+
 // removal records when a job was removed from the store.
 type removal struct {
 	at       time.Duration
--- a/internal/leader/unknown_jobs.go
+++ b/internal/leader/unknown_jobs.go
@@ -43,15 +43,36 @@
 // readUnknownJob reads and submits one job, or records that it does not exist. Only a
 // successful read shows that: a job's key is created before the job is started.
 func (t *term) readUnknownJob(ctx context.Context, id string) error {
+	items, progress, err := t.readJob(ctx, id)
+	if err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := steady.Now()
+	switch submitted := t.submitJobs(now, items, progress); {
+	case submitted > 0:
+	case len(items) > 0:
+		t.sched.JobUnreadable(now, id)
+	default:
+		t.log.Event("job_absent", eventlog.Fields{"job": id})
+		t.sched.JobAbsent(now, id)
+	}
+	t.requestPlan()
+	return nil
+}
+
+// readJob reads a job's keys and its progress from the store, for submitJobs.
+func (t *term) readJob(ctx context.Context, id string) ([]durable.Item, map[string]durable.Item, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeReadTimeout)
 	defer cancel()
 	progress, err := t.Store.Get(ctx, ProgressKey(id))
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
 	items, _, err := t.Store.Range(ctx, JobKey(id))
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
 	// Longer IDs may have the same prefix.
 	items = slices.DeleteFunc(items, func(item durable.Item) bool {
@@ -62,17 +83,5 @@
 	if progress != nil {
 		found[id] = *progress
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := steady.Now()
-	switch submitted := t.submitJobs(now, items, found); {
-	case submitted > 0:
-	case len(items) > 0:
-		t.sched.JobUnreadable(now, id)
-	default:
-		t.log.Event("job_absent", eventlog.Fields{"job": id})
-		t.sched.JobAbsent(now, id)
-	}
-	t.requestPlan()
-	return nil
+	return items, found, nil
 }
