--- a/internal/entry/cancel.go
+++ b/internal/entry/cancel.go
@@ -15,17 +15,17 @@
 )
 
 const (
-	// peersQueue is the queue for which cancellations of unknown jobs are counted that other
-	// processes pass on, without naming the queue.
+	// peersQueue stands for the queues of cancellations that other processes pass on, which don't
+	// name them.
 	peersQueue = ""
 	// maxCancelAttempts bounds the writes of a cancellation whose condition does not hold: the
 	// job may be stored, end and be removed meanwhile.
 	maxCancelAttempts = 4
-	// knownJobTimeout bounds the question to the leader whether it knows a job, which delays the
+	// knownJobTimeout bounds the call that asks the leader whether it knows a job. It delays the
 	// caller.
 	knownJobTimeout = 150 * time.Millisecond
-	// cancelLimitRetryAfter is the delay for callers who cancel more unknown jobs than are
-	// recorded.
+	// cancelLimitRetryAfter is the delay for callers whose cancellation is over the limit: the time in
+	// which a queue may have one more.
 	cancelLimitRetryAfter = time.Second
 )
 
--- a/internal/leader/progress.go
+++ b/internal/leader/progress.go
@@ -28,7 +28,8 @@
 	// endedJobRetention is how long ended jobs are remembered: longer than callers may ask for
 	// them, and longer than a repeated submission may be delayed.
 	endedJobRetention = 10 * time.Minute
-	forgetInterval    = 700 * time.Millisecond
+	// forgetInterval allows for ten jobs a second with maxJobsPerForget.
+	forgetInterval = 700 * time.Millisecond
 	// maxJobsPerForget bounds the jobs removed in one transaction, at three keys and a condition
 	// each.
 	maxJobsPerForget = maxTxnEntries / 4
