entry, leader: one way to write voiding records, one test for voided submissions

A refusal and a tombstone were written by two copies of the same steps: get the lease, write with it, drop it if it has ended. writeVoidingRecord does it for both. Three places asked for the same two errors; isVoided tells. Each write of progress made a list of its jobs that only a failed write needs; it is made after the failure now. Not measured: the list is a slice of at most 15 strings, 25 times a second at the most.

The tests of entry, leader and edge pass with the race detector, linters are clean.

--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -171,22 +171,13 @@
 func (e *Entry) recordRefusal(ctx context.Context, id string, g Guard) error {
 	ctx, cancel := e.withTimeout(ctx, commitTimeout)
 	defer cancel()
-	lease, err := e.recordLease.get(ctx, e.Store)
-	if err != nil {
-		return err
-	}
-	_, err = e.Store.Commit(ctx, durable.Txn{
-		Conditions: g.conditions(id),
-		Writes:     []durable.Write{{Key: leader.RefusalKey(id), Value: emptyRecord, Lease: lease}},
-	})
+	err := e.writeVoidingRecord(ctx, leader.RefusalKey(id), g.conditions(id))
 	var conflict *durable.ConflictError
 	switch {
 	case errors.As(err, &conflict) && conflict.Item(leader.JobKey(id)) != nil:
 		return errAlreadyStored
 	case errors.As(err, &conflict):
 		return ErrRefusedSince
-	case errors.Is(err, durable.ErrLeaseGone):
-		e.recordLease.drop(lease)
 	}
 	return err
 }
--- a/internal/entry/cancel.go
+++ b/internal/entry/cancel.go
@@ -164,18 +164,7 @@
 		}
 		c.admitted = true
 	}
-	lease, err := e.recordLease.get(ctx, e.Store)
-	if err != nil {
-		return err
-	}
-	_, err = e.Store.Commit(ctx, durable.Txn{
-		Conditions: []durable.Condition{{Key: leader.JobKey(c.id)}},
-		Writes:     []durable.Write{{Key: leader.TombstoneKey(c.id), Value: emptyRecord, Lease: lease}},
-	})
-	if errors.Is(err, durable.ErrLeaseGone) {
-		e.recordLease.drop(lease)
-	}
-	return err
+	return e.writeVoidingRecord(ctx, leader.TombstoneKey(c.id), []durable.Condition{{Key: leader.JobKey(c.id)}})
 }
 
 // CancelForPeer records a cancellation on behalf of another process, like CreateForPeer.
--- a/internal/entry/recordlease.go
+++ b/internal/entry/recordlease.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/rattanwall/rattanwall/internal/durable"
 	"github.com/rattanwall/rattanwall/internal/steady"
 )
@@ -17,6 +19,22 @@
 	recordLeaseUse = time.Minute
 )
 
+// writeVoidingRecord writes a refusal or a tombstone, which is removed after voidingTTL.
+func (e *Entry) writeVoidingRecord(ctx context.Context, key string, conditions []durable.Condition) error {
+	lease, err := e.recordLease.get(ctx, e.Store)
+	if err != nil {
+		return err
+	}
+	_, err = e.Store.Commit(ctx, durable.Txn{
+		Conditions: conditions,
+		Writes:     []durable.Write{{Key: key, Value: emptyRecord, Lease: lease}},
+	})
+	if errors.Is(err, durable.ErrLeaseGone) {
+		e.recordLease.drop(lease)
+	}
+	return err
+}
+
 // recordLease is a lease that is never renewed, so that the records with it are removed from the
 // store even if the process that wrote them has ended.
 type recordLease struct {
--- a/internal/entry/storepath.go
+++ b/internal/entry/storepath.go
@@ -27,7 +27,7 @@
 	sentAt := steady.Now()
 	err := createJob(ctx, e.Store, id, record, guard)
 	switch {
-	case err == nil, errors.Is(err, ErrRefusedSince), errors.Is(err, ErrCancelledBefore):
+	case err == nil, isVoided(err):
 		e.reachability.RecordResponse()
 	case errors.Is(err, durable.ErrUnknown) && ctx.Err() == nil:
 		e.reachability.RecordReset(sentAt)
@@ -102,7 +102,7 @@
 		return nil
 	}
 	switch {
-	case errors.Is(leaderErr, ErrRefusedSince), errors.Is(leaderErr, ErrCancelledBefore):
+	case isVoided(leaderErr):
 		// The write from here had the same condition, so it has not stored the job and never will.
 		return leaderErr
 	case errors.Is(err, durable.ErrUnknown), errors.Is(leaderErr, durable.ErrUnknown):
@@ -117,6 +117,11 @@
 // submission was or will be stored.
 var ErrCancelledBefore = errors.New("the job was cancelled before it was stored")
 
+// isVoided reports whether a submission failed because a refusal or a tombstone voids it.
+func isVoided(err error) bool {
+	return errors.Is(err, ErrRefusedSince) || errors.Is(err, ErrCancelledBefore)
+}
+
 // errContradictoryConflict is returned if the store names none of the keys that can prevent a job
 // from being stored.
 var errContradictoryConflict = errors.Mark(errors.New("the store reports a conflict without an item"), durable.ErrUnknown)
--- a/internal/entry/submit.go
+++ b/internal/entry/submit.go
@@ -128,7 +128,7 @@
 		err = e.create(tryCtx, id, record, guard)
 		cancel()
 	}
-	if errors.Is(err, ErrRefusedSince) || errors.Is(err, ErrCancelledBefore) {
+	if isVoided(err) {
 		return err
 	}
 	return e.fallBackToLeader(ctx, err, func(ctx context.Context) error { return e.Peers.Submit(ctx, id, record, guard) })
--- a/internal/leader/progress.go
+++ b/internal/leader/progress.go
@@ -160,12 +160,12 @@
 		}
 	}
 	revision, err := t.commit(ctx, txn)
-	jobs := make([]string, len(records))
-	for i := range records {
-		jobs[i] = records[i].Job
-	}
-	t.adoptRecordRevisions(err, jobs)
 	if err != nil {
+		jobs := make([]string, len(records))
+		for i := range records {
+			jobs[i] = records[i].Job
+		}
+		t.adoptRecordRevisions(err, jobs)
 		return err
 	}
 	t.mu.Lock()
