--- a/review/standin-2/cluster.go
+++ b/review/standin-2/cluster.go
@@ -28,7 +28,7 @@
 	workerCount = 12
 	callTimeout = 4 * time.Second
 	queueHost   = "jobs.example"
-	queuePrefix = "/work/"
+	queuePrefix = "/tasks/"
 	// laterPrefix is that of a queue with a lower priority.
 	laterPrefix   = "/later/"
 	queueAttempts = 4
