--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -83,101 +83,6 @@
 	return used, all
 }
 
-const (
-	// loopTasks is the number of tasks that fail, loopMS how long after its start each does, and
-	// loopEnds the number of their ends before the disruption.
-	loopTasks = 200
-	loopMS    = 60
-	loopEnds  = 78_000
-)
-
-// recordTooLarge: tasks of a long-running job fail again and again; then one worker crashes.
-func recordTooLarge(w *world, trouble bool) verdict {
-	w.deploy(12, 32_000, false)
-	const looping = "00000000000000b1"
-	w.rec.setQuiet(looping)
-	w.submit(looping, behaviour{FailMS: loopMS, CPU: 100}, fmt.Sprintf(`{"count":%d,"cpu":100,"mem_mb":10,"estimate_ms":1000,"long_running":true}`, loopTasks))
-	for range 16 {
-		time.Sleep(5 * time.Second)
-		if w.rec.noteFailed() > loopEnds {
-			break
-		}
-	}
-	if trouble {
-		w.awaitRun(w.machines[3])
-		w.crash(w.machines[3], 3*time.Second)
-	}
-	time.Sleep(3 * time.Second)
-	var ids []string
-	for i := range 5 {
-		ids = append(ids, fmt.Sprintf("00000000000000c%d", i))
-		w.submit(ids[i], ordinaryTask, ordinarySteps)
-		time.Sleep(500 * time.Millisecond)
-	}
-	v := w.watchIdle(ids)
-	w.rec.noteFailed()
-	return v
-}
-
-// awaitRun waits until something runs on a machine.
-func (w *world) awaitRun(m *machine) {
-	for range 2000 {
-		m.current.mu.Lock()
-		n := len(m.current.running)
-		m.current.mu.Unlock()
-		if n > 0 {
-			return
-		}
-		time.Sleep(time.Millisecond)
-	}
-}
-
-// blockedQueue: jobs that need the one worker of a kind wait after it is lost; other jobs could
-// run on all other workers.
-func blockedQueue(w *world, trouble bool) verdict {
-	special := w.deploy(11, 32_000, true)
-	if trouble {
-		w.lose(special)
-	}
-	var ids []string
-	for i := range 80 {
-		cpu, mem := 100+5*i, 2000-20*i
-		w.submit(fmt.Sprintf("00000000000002%02d", i), behaviour{MS: 20_000, CPU: int64(cpu)},
-			fmt.Sprintf(`{"count":1,"cpu":%d,"mem_mb":%d,"estimate_ms":20000,"required_label":"b"}`, cpu, mem))
-		if i%5 == 4 {
-			id := fmt.Sprintf("00000000000003%02d", i/5)
-			ids = append(ids, id)
-			w.submit(id, ordinaryTask, ordinarySteps)
-		}
-		time.Sleep(200 * time.Millisecond)
-	}
-	return w.watchIdle(ids)
-}
-
-// workerFlaps: the one worker of a kind goes down and up by turns while a job needs that kind.
-func workerFlaps(w *world, trouble bool) verdict {
-	special := w.deploy(11, 32_000, true)
-	const id = "00000000000000a1"
-	const task = id + ".0.0.0"
-	w.submit(id, behaviour{MS: 3000, CPU: 1000}, `{"count":1,"cpu":1000,"mem_mb":100,"estimate_ms":3000,"required_label":"b"}`)
-	if trouble {
-		for range 5 {
-			time.Sleep(1200 * time.Millisecond)
-			w.crash(special, 1200*time.Millisecond)
-			time.Sleep(1200 * time.Millisecond)
-		}
-	}
-	state := ""
-	for until := time.Now().Add(40 * time.Second); time.Now().Before(until); time.Sleep(300 * time.Millisecond) {
-		if state = w.state(id); state == "completed" || state == "failed" || state == "canceled" {
-			break
-		}
-	}
-	failed := w.rec.count(task, "failed")
-	w.rec.note("job id=%s state=%s runs=%d failed=%d crashed=%d done=%d attempts=%d", id, state, w.rec.startsOf(task), failed, w.rec.count(task, "crashed"), w.rec.count(task, "done"), attempts)
-	return verdict{state == "failed" && failed < attempts, fmt.Sprintf("LOST: the job is shown as %s; its task has begun %d times, %d runs ended failed, attempts is %d", state, w.rec.startsOf(task), failed, attempts)}
-}
-
 // fillersMoved: the load of tasks that serve rises, and tasks of one step that last and fill, of
 // which one may be away, run beside them.
 func fillersMoved(w *world, trouble bool) verdict {
@@ -290,3 +195,72 @@
 	fail("no worker is free")
 	return nil
 }
+
+// waveStuck: the operator requests the upkeep of all machines, two at once. Two are of a kind that a
+// job that lasts needs.
+func waveStuck(w *world, trouble bool) verdict {
+	w.deploy(10, 32_000, true)
+	w.addMachine(1, "b", 32_000)
+	time.Sleep(2 * time.Second)
+	const lasting = "00000000000000d0"
+	w.submit(lasting, behaviour{CPU: 4000}, `{"count":4,"cpu":4000,"mem_mb":1000,"estimate_ms":1000,"long_running":true,"may_miss":1,"required_label":"b"}`)
+	time.Sleep(4 * time.Second)
+	if trouble {
+		w.requestWave(1, w.machines, 60, 2)
+	}
+	// The machines of kind b come last.
+	time.Sleep(20 * time.Second)
+	var ids []string
+	for i := range 10 {
+		time.Sleep(time.Second)
+		ids = append(ids, fmt.Sprintf("00000000000003%02d", i))
+		w.submit(ids[i], ordinaryTask, `{"count":4,"cpu":3500,"mem_mb":1000,"estimate_ms":2200,"required_label":"b"}`)
+	}
+	v := w.watchIdle(ids)
+	for i := range 4 {
+		task := fmt.Sprintf("%s.0.0.%d", lasting, i)
+		w.rec.note("task that lasts %s: at work %t", task, w.rec.atWork(task))
+	}
+	status, _ := w.store.Value("status/wave/1")
+	w.rec.note("status/wave/1 %s", status)
+	return v
+}
+
+// requestWave writes the operator's request for a wave of upkeep.
+func (w *world) requestWave(number int64, machines []*machine, durationS, maxCount int) {
+	var names []string
+	for _, m := range machines {
+		names = append(names, m.name)
+	}
+	value, _ := json.Marshal(map[string]any{"wave": number, "machines": names, "duration_s": durationS, "max_count": maxCount})
+	w.rec.note("OPERATOR op/wave/%d %s", number, value)
+	w.store.Put(fmt.Sprintf("op/wave/%d", number), value)
+}
+
+// foreignEntry: another writer leaves an entry of a service of its own under a worker's key.
+func foreignEntry(w *world, trouble bool) verdict {
+	w.tellBirths = true
+	w.deploy(12, 32_000, false)
+	w.submit("00000000000000d0", behaviour{CPU: 4000}, `{"count":12,"cpu":4000,"mem_mb":1000,"estimate_ms":1000,"long_running":true}`)
+	w.submit("00000000000000d1", behaviour{MS: 12_000, CPU: 3500}, `{"count":24,"cpu":3500,"mem_mb":1000,"estimate_ms":12000}`)
+	time.Sleep(4 * time.Second)
+	<-w.beaten
+	<-w.beaten
+	if trouble {
+		w.overwriteEntry(w.machines[3])
+	}
+	time.Sleep(12 * time.Second)
+	state := w.state("00000000000000d1")
+	w.rec.mu.Lock()
+	defer w.rec.mu.Unlock()
+	return verdict{w.rec.twice > 0, fmt.Sprintf("TWICE: %d starts of tasks of which another run went on, on workers that are up; the job is %s", w.rec.twice, state)}
+}
+
+// overwriteEntry writes an entry of another service's worker under the key of a machine's worker. The
+// worker's next heartbeat writes its own entry again.
+func (w *world) overwriteEntry(m *machine) {
+	other := newWorker(w, &machine{name: "other", pool: "elsewhere", zone: m.zone, rack: m.rack, kind: m.kind, cpu: m.cpu}, "x-0001")
+	value := other.entry(1)
+	w.rec.note("DISRUPTION another writer writes key=servers/%s value=%s", m.current.id, value)
+	w.store.Put("servers/"+m.current.id, value)
+}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -18,11 +18,10 @@
 
 // cases holds the cases by name. Without trouble, a case does the same without its disruption.
 var cases = map[string]func(w *world, trouble bool) verdict{
-	"record-too-large": recordTooLarge,
-	"blocked-queue":    blockedQueue,
-	"worker-flaps":     workerFlaps,
-	"fillers-moved":    fillersMoved,
-	"pending-count":    pendingCount,
+	"foreign-entry": foreignEntry,
+	"wave-stuck":    waveStuck,
+	"fillers-moved": fillersMoved,
+	"pending-count": pendingCount,
 }
 
 // limit bounds the time of a case.
--- a/review/standin-3/record.go
+++ b/review/standin-3/record.go
@@ -22,14 +22,11 @@
 	began time.Time
 	// closed is set once the case is over; what ends then isn't written.
 	closed bool
-	// quiet is a job whose starts and ends are counted, but not written; "" for none.
-	quiet  string
 	starts map[string]int
-	ends   map[string]map[string]int
-	// notes counts the ends that were taken note of, by how they ended; listed counts all ends.
-	notes, listed map[string]int
 	// liveSince holds when each run that goes on has begun.
 	liveSince map[runID]time.Time
+	// twice counts the starts of tasks of which another run went on.
+	twice int
 	// onStop observes the orders to stop; nil if the case has no need of it.
 	onStop func(k *worker, task string, held *run)
 }
@@ -39,7 +36,7 @@
 	if err != nil {
 		fail("%v", err)
 	}
-	return &record{file: f, began: time.Now(), starts: map[string]int{}, ends: map[string]map[string]int{}, notes: map[string]int{}, listed: map[string]int{}, liveSince: map[runID]time.Time{}}
+	return &record{file: f, began: time.Now(), starts: map[string]int{}, liveSince: map[runID]time.Time{}}
 }
 
 func (r *record) close() {
@@ -62,22 +59,6 @@
 	r.line(format, args...)
 }
 
-func (r *record) setQuiet(job string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.quiet = job
-}
-
-func (r *record) isQuiet(task string) bool { return r.quiet != "" && strings.HasPrefix(task, r.quiet) }
-
-// noteFailed notes and returns how many runs have ended failed.
-func (r *record) noteFailed() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.line("runs that ended failed: %d, taken note of: %d; that ended done: %d, taken note of: %d", r.listed["failed"], r.notes["failed"], r.listed["done"], r.notes["done"])
-	return r.listed["failed"]
-}
-
 // atWork reports whether a run of the task that lasts is at work.
 func (r *record) atWork(task string) bool {
 	r.mu.Lock()
@@ -94,24 +75,21 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.starts[task]++
-	r.liveSince[runID{task, number}] = time.Now()
-	if !r.isQuiet(task) {
-		r.line("start task=%s run=%d worker=%s", task, number, k.id)
+	for id := range r.liveSince {
+		if id.task == task && id.number != number {
+			r.twice++
+			r.line("TWICE task=%s run=%d begins on worker=%s while run=%d goes on", task, number, k.id, id.number)
+		}
 	}
+	r.liveSince[runID{task, number}] = time.Now()
+	r.line("start task=%s run=%d worker=%s", task, number, k.id)
 }
 
 func (r *record) ended(k *worker, task string, number int64, how string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ends[task] == nil {
-		r.ends[task] = map[string]int{}
-	}
-	r.ends[task][how]++
-	r.listed[how]++
 	delete(r.liveSince, runID{task, number})
-	if !r.isQuiet(task) {
-		r.line("end task=%s run=%d worker=%s how=%s", task, number, k.id, how)
-	}
+	r.line("end task=%s run=%d worker=%s how=%s", task, number, k.id, how)
 }
 
 // stopping is called before an order to stop ends a run.
@@ -124,25 +102,13 @@
 func (r *record) paced(k *worker, task string, number int64, percent int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.isQuiet(task) {
-		r.line("pace task=%s run=%d worker=%s percent=%d", task, number, k.id, percent)
-	}
+	r.line("pace task=%s run=%d worker=%s percent=%d", task, number, k.id, percent)
 }
 
 func (r *record) noted(k *worker, task string, number int64, how string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.notes[how]++
-	if !r.isQuiet(task) {
-		r.line("noted task=%s run=%d worker=%s how=%s", task, number, k.id, how)
-	}
-}
-
-// count returns how many runs of a task ended so.
-func (r *record) count(task, how string) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.ends[task][how]
+	r.line("noted task=%s run=%d worker=%s how=%s", task, number, k.id, how)
 }
 
 // startsOf returns how many runs of a task have begun.
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -15,8 +15,6 @@
 type behaviour struct {
 	// MS is how long the task takes; 0 for a task that lasts.
 	MS int `json:"ms,omitempty"`
-	// FailMS is how long after its start the task ends as failed; 0 for never.
-	FailMS int `json:"fail_ms,omitempty"`
 	// CPU is what the task requests, in thousandths of a core.
 	CPU int64 `json:"cpu"`
 	// Serves is set if the task serves users of its own, Saves if it saves its progress.
@@ -44,7 +42,7 @@
 }
 
 // startup is how long after its start a task that lasts is at work.
-const startup = 100 * time.Millisecond
+const startup = 500 * time.Millisecond
 
 // percent is the progress of a run.
 func (r *run) percent() int64 {
@@ -138,10 +136,7 @@
 		return
 	}
 	for task, r := range k.running {
-		switch {
-		case r.what.FailMS > 0 && time.Since(r.startedAt) >= time.Duration(r.what.FailMS)*time.Millisecond:
-			k.end(task, r, "failed")
-		case !r.endsAt.IsZero() && time.Now().After(r.endsAt):
+		if !r.endsAt.IsZero() && time.Now().After(r.endsAt) {
 			k.end(task, r, "done")
 		}
 	}
@@ -301,7 +296,11 @@
 		running = append(running, []any{task, held.number, held.saved(), held.percent(), k.figure(held)})
 	}
 	finished := append([]endRow{}, k.ended[:min(len(k.ended), maxReportedEnds)]...)
-	k.reply(rw, http.StatusOK, map[string]any{"running": running, "finished": finished})
+	answer := map[string]any{"running": running, "finished": finished}
+	if k.w.tellBirths {
+		answer["born"] = k.bornAt.UnixMilli()
+	}
+	k.reply(rw, http.StatusOK, answer)
 }
 
 // figure is the last cell of a running row: the tail of a task that serves, else the cpu in use.
@@ -314,9 +313,13 @@
 
 // entry is what the worker writes to the platform's store.
 func (k *worker) entry(seq int64) []byte {
-	raw, _ := json.Marshal(map[string]any{
+	entry := map[string]any{
 		"service": k.machine.pool, "address": k.address, "zone": k.machine.zone, "version": "1", "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": seq,
 		"machine": k.machine.name, "capacity": map[string]int64{"cpu": k.machine.cpu, "mem_mb": 4 * k.machine.cpu, "gpu": 0}, "labels": []string{k.machine.kind, k.machine.rack},
-	})
+	}
+	if k.w.tellBirths {
+		entry["born"] = k.bornAt.UnixMilli()
+	}
+	raw, _ := json.Marshal(entry)
 	return raw
 }
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -25,7 +25,7 @@
 	"github.com/rattanwall/rattanwall/platform/platformtest"
 )
 
-// Figures of the small deployments.
+// Figures like those of the small deployments.
 const (
 	holdMax    = 10 * time.Second
 	heartbeat  = 1500 * time.Millisecond
@@ -44,6 +44,8 @@
 	state   string
 	current *worker
 	lives   int
+	// upkeeps holds the waves for which the machine has had its upkeep.
+	upkeeps map[int64]bool
 	// tail is the tail of the tasks that serve here, in milliseconds.
 	tail atomic.Int64
 }
@@ -64,6 +66,10 @@
 	dir   string
 
 	storeAddress, cloudAddress string
+	// beaten holds a value after the workers' heartbeats.
+	beaten chan struct{}
+	// tellBirths is set if workers tell when they were born, as on the pages of demands/.
+	tellBirths bool
 
 	mu       sync.Mutex
 	machines []*machine
@@ -104,49 +110,20 @@
 	if err != nil {
 		fail("%v", err)
 	}
-	w := &world{store: platformtest.NewStore(), dir: dir, client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+	w := &world{store: platformtest.NewStore(), dir: dir, beaten: make(chan struct{}, 1), client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
 	w.rec = newRecord(recordPath)
 	theWorld = w
-	w.storeAddress = w.serve(limitedStore{w})
+	w.storeAddress = w.serve(w.store)
 	w.cloudAddress = w.serve(machineService{w})
 	go w.heartbeats()
 	return w
 }
 
-// limitedStore refuses values over value_bytes, as PROTOCOL.md has it.
-type limitedStore struct{ w *world }
-
-// ServeHTTP implements http.Handler.
-func (s limitedStore) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	if r.Method == http.MethodPost && r.URL.Path == "/-/kv-txn" {
-		raw, err := io.ReadAll(r.Body)
-		if err != nil {
-			panic(http.ErrAbortHandler)
-		}
-		var txn struct {
-			SetKeys []struct {
-				Key   string `json:"key"`
-				Value []byte `json:"value"`
-			} `json:"set_keys"`
-		}
-		_ = json.Unmarshal(raw, &txn)
-		for _, set := range txn.SetKeys {
-			if len(set.Value) > valueBytes {
-				s.w.rec.note("store refuses key=%s value_bytes=%d limit=%d", set.Key, len(set.Value), valueBytes)
-				rw.WriteHeader(http.StatusBadRequest)
-				return
-			}
-		}
-		r.Body = io.NopCloser(bytes.NewReader(raw))
-	}
-	s.w.store.ServeHTTP(rw, r)
-}
-
 // addMachine adds a machine and starts a worker on it.
 func (w *world) addMachine(i int, kind string, cpu int64) *machine {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	m := &machine{name: fmt.Sprintf("m%02d", len(w.machines)), pool: "pool", zone: fmt.Sprintf("z%d", i%zones+1), rack: fmt.Sprintf("r%d", i%racks), kind: kind, cpu: cpu, state: "up"}
+	m := &machine{name: fmt.Sprintf("m%02d", len(w.machines)), pool: "pool", zone: fmt.Sprintf("z%d", i%zones+1), rack: fmt.Sprintf("r%d", i%racks), kind: kind, cpu: cpu, state: "up", upkeeps: map[int64]bool{}}
 	w.machines = append(w.machines, m)
 	w.startLife(m)
 	return m
@@ -161,30 +138,6 @@
 	w.store.Put("servers/"+m.current.id, m.current.entry(1))
 }
 
-// crash ends the worker of a machine. Its entry goes after three heartbeats of silence. After
-// down, the machine has a new worker; with 0 it has none any more.
-func (w *world) crash(m *machine, down time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	k := m.current
-	if k == nil {
-		return
-	}
-	w.rec.note("DISRUPTION worker crashes id=%s machine=%s down_s=%.1f", k.id, m.name, down.Seconds())
-	k.crash()
-	m.current, m.state = nil, "down"
-	time.AfterFunc(3*heartbeat, func() { w.store.Remove("servers/" + k.id) })
-	if down > 0 {
-		time.AfterFunc(down, func() {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			if !w.closed && m.current == nil {
-				w.startLife(m)
-			}
-		})
-	}
-}
-
 // lose cuts the power of a machine for good: its calls hang, and its entry goes after three
 // heartbeats of silence.
 func (w *world) lose(m *machine) {
@@ -217,6 +170,10 @@
 			}
 		}
 		w.mu.Unlock()
+		select {
+		case w.beaten <- struct{}{}:
+		default:
+		}
 	}
 }
 
