--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -33,7 +33,7 @@
 	graceS     = 6
 	attempts   = 4
 	host       = "jobs.example"
-	prefix     = "/work/"
+	prefix     = "/q0/"
 )
 
 // machine is what a worker lives on.
